--- /dev/null
+++ b/apricotquay/access.py
@@ -0,0 +1,119 @@
+"""Who a caller is, and what it may use: key, team, route, deadline."""
+
+import msgspec
+
+from .clocks import Clock
+from .configuration import Configuration
+from .document import Route, RouteKind
+from .environment import Environment
+from .errors import ErrorKind, RequestError
+from .fleet import Fleet
+from .ids import KeyHash, RouteName, TeamId, hash_key
+from .settings import Settings
+from .web import HttpRequest
+
+DEADLINE_HEADER = "x-deadline-ms"
+BEARER = "bearer "
+
+
+class Caller(msgspec.Struct, frozen=True):
+    """An authenticated caller; `key` is kept only while its request is parsed."""
+
+    team: TeamId
+    key_hash: KeyHash
+    key: str
+    configuration: Configuration
+
+
+class Access:
+    """Checks callers against the configuration in force. Used by all handlers."""
+
+    def __init__(
+        self, settings: Settings, environment: Environment, fleet: Fleet, clock: Clock
+    ) -> None:
+        self._settings: Settings = settings
+        self._environment: Environment = environment
+        self._fleet: Fleet = fleet
+        self._clock: Clock = clock
+
+    def identify(self, http: HttpRequest) -> Caller:
+        """Return the caller or raise KEY_MISSING, KEY_REJECTED or KEY_WITHDRAWN."""
+        configuration = self._configuration()
+        key = _key_of(http)
+        if not key:
+            raise RequestError(
+                ErrorKind.KEY_MISSING,
+                "the Authorization header holds no key",
+                param="authorization",
+            )
+        key_hash = hash_key(key)
+        team = configuration.keys.team_of(key_hash)
+        return Caller(team, key_hash, key, configuration)
+
+    def identify_for_route(
+        self, http: HttpRequest, name: RouteName, kind: RouteKind
+    ) -> tuple[Caller, Route]:
+        """Return the caller and a route that it may use; open routes need no key."""
+        configuration = self._configuration()
+        route = configuration.document.routes.get(name)
+        if route is not None and route.open and not _key_of(http):
+            team = configuration.document.open_team
+            caller = Caller(team, KeyHash(""), "", configuration)
+        else:
+            caller = self.identify(http)
+        if route is None or route.kind is not kind:
+            raise RequestError(
+                ErrorKind.ROUTE_UNKNOWN, f"no route is named {name!r}", param="model"
+            )
+        allowed = route.teams is None or caller.team in route.teams
+        if not allowed and not route.open:
+            raise RequestError(
+                ErrorKind.TEAM_FORBIDDEN,
+                f"the route {name!r} is not open to team {caller.team}",
+            )
+        return caller, route
+
+    def deadline_s(self, http: HttpRequest) -> float:
+        """Return the deadline on the daemon's clock."""
+        text = http.header(DEADLINE_HEADER)
+        if not text:
+            limit_ms = self._settings.default_deadline_ms
+        elif text.isdigit() and int(text) > 0:
+            limit_ms = min(int(text), self._settings.max_deadline_ms)
+        else:
+            raise RequestError(
+                ErrorKind.BAD_REQUEST,
+                f"{DEADLINE_HEADER} must be a whole number of milliseconds",
+                param=DEADLINE_HEADER,
+            )
+        return self._clock.now_s() + limit_ms / 1000
+
+    def _configuration(self) -> Configuration:
+        freshness = self._fleet.freshness()
+        if not freshness.is_usable:
+            raise RequestError(
+                ErrorKind.VIEW_STALE,
+                "this daemon is cut off and cannot confirm which keys are valid",
+            )
+        return self._environment.require()
+
+
+def check_key_absent(caller: Caller, *texts: bytes | str) -> None:
+    """Refuse a request that would carry the caller's key on to an endpoint."""
+    if not caller.key:
+        return
+    for text in texts:
+        raw = text.encode() if isinstance(text, str) else text
+        if caller.key.encode() in raw:
+            raise RequestError(
+                ErrorKind.BAD_REQUEST,
+                "the key may stand in the Authorization header only",
+                param="body",
+            )
+
+
+def _key_of(http: HttpRequest) -> str:
+    value = http.header("authorization")
+    if value.lower().startswith(BEARER):
+        return value[len(BEARER) :].strip()
+    return ""
--- /dev/null
+++ b/apricotquay/admin.py
@@ -0,0 +1,83 @@
+"""Operators' interface of a daemon: readiness, status, metrics, explanations."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .errors import ErrorKind, RequestError
+from .ids import JobId
+from .web import HttpRequest, HttpResponse, json_answer
+
+if TYPE_CHECKING:
+    from .daemon import Daemon
+
+
+class AdminHandlers:
+    """Answers on the operators' port, which the balancer does not reach."""
+
+    def __init__(self, daemon: Daemon) -> None:
+        self._daemon: Daemon = daemon
+
+    def ready(self, http: HttpRequest) -> HttpResponse:
+        """Answer GET /ready: 200 while the balancer should send requests here."""
+        daemon = self._daemon
+        freshness = daemon.fleet.freshness()
+        ready = freshness.is_usable and not daemon.draining
+        facts = {"ready": ready, "view": freshness.value, "draining": daemon.draining}
+        return json_answer(facts, 200 if ready else 503)
+
+    def status(self, http: HttpRequest) -> HttpResponse:
+        """Answer GET /status: what this daemon knows, holds and runs."""
+        daemon = self._daemon
+        with daemon.fleet.lock:
+            members = {
+                m: daemon.fleet.members.state_of(m).value
+                for m in daemon.fleet.preferred("status")
+                if m != daemon.fleet.me
+            }
+            now_s = daemon.clock.now_s()
+            endpoints = {
+                str(e.id): {
+                    "serves": e.entry.serves,
+                    "zone": e.entry.zone,
+                    "leaving": e.leaving,
+                    "ejected": e.is_ejected(now_s),
+                    "online": e.online,
+                    "online_total": e.online_total(now_s),
+                    "batch": e.batch,
+                    "slots": e.slots,
+                }
+                for e in daemon.fleet.endpoints.all()
+            }
+        return json_answer(
+            {
+                "vm": daemon.fleet.me,
+                "incarnation": daemon.fleet.incarnation,
+                "view": daemon.fleet.freshness().value,
+                "config_version": daemon.environment.version,
+                "draining": daemon.draining,
+                "members": members,
+                "endpoints": endpoints,
+                "rate_shards": daemon.limiter.holders(),
+                "partitions": daemon.jobs.holders(),
+                "batch": daemon.runner.lanes(),
+                "online_running": daemon.online.running_count(),
+                "online_waiting": daemon.gate.waiting(),
+            }
+        )
+
+    def metrics(self, http: HttpRequest) -> HttpResponse:
+        """Answer GET /metrics: counters and histograms that merge over daemons."""
+        return json_answer(self._daemon.metrics.export())
+
+    def explain(self, http: HttpRequest) -> HttpResponse:
+        """Answer GET /explain/JOB/INDEX: what happened to an item."""
+        job = JobId(http.match["job"])
+        lines = self._daemon.jobs.explain(job, int(http.match["index"]))
+        return json_answer({"lines": lines})
+
+    def threads(self, http: HttpRequest) -> HttpResponse:
+        """Answer GET /threads: the stacks of all threads, for debugging."""
+        if not self._daemon.settings.trace:
+            raise RequestError(ErrorKind.ROUTE_UNKNOWN, "tracing is off")
+        return json_answer({"threads": self._daemon.stacks()})
--- /dev/null
+++ b/apricotquay/daemon.py
@@ -0,0 +1,328 @@
+"""The daemon: builds the parts, starts and closes them, and drains on SIGTERM."""
+
+import faulthandler
+import signal
+import sys
+import threading
+import time
+import traceback
+import uuid
+
+import fire
+
+from .access import Access
+from .admin import AdminHandlers
+from .batches import BatchHandlers
+from .chat import ChatHandlers
+from .clocks import Clock, SystemClock
+from .engineclient import EngineClient
+from .environment import Environment
+from .errors import RequestError
+from .events import Event, EventLog, open_event_log
+from .fleet import Fleet
+from .follow import Ticker
+from .gate import OnlineGate
+from .ids import Incarnation, WriterId
+from .jobstore import JobStore
+from .limiter import RateLimiter
+from .logclient import Appender, HttpLog
+from .messages import (
+    AskPromises,
+    Done,
+    ExplainItem,
+    Failed,
+    FetchConfig,
+    HandOver,
+    KeepItems,
+    Message,
+    OnlineLoad,
+    Probe,
+    PullItems,
+    QuarantineNotice,
+    QueryJob,
+    QueryResults,
+    ReportItems,
+    TakeToken,
+)
+from .metrics import Metrics
+from .online import OnlinePath
+from .peers import PeerPool, PeerServer
+from .poison import PoisonWatch
+from .quarantine import Quarantine
+from .runner import BatchRunner
+from .settings import Settings, load_settings
+from .vmlist import HttpVmList
+from .web import Application, HttpServer
+
+PUMP_S = 0.05
+HOUSEKEEPING_S = 5.0
+DRAIN_POLL_S = 0.02
+ADMIN_THREADS = 4
+
+
+class Daemon:
+    """All parts of one daemon. Created by `main` and by tests."""
+
+    def __init__(self, settings: Settings, clock: Clock, events: EventLog) -> None:
+        incarnation = Incarnation(uuid.uuid4().hex)
+        self.settings: Settings = settings
+        self.clock: Clock = clock
+        self.events: EventLog = events
+        self.draining: bool = False
+        self._log = HttpLog(settings.log_url, settings.host)
+        appender = Appender(self._log, WriterId(f"{settings.vm_id}/{incarnation}"))
+        self._peers = PeerPool(settings.host)
+        self._engines = EngineClient(settings.host)
+        quarantine = Quarantine()
+        self.metrics = Metrics()
+        self.environment = Environment(
+            self._log,
+            appender,
+            settings.environment,
+            settings.log_retention_ms,
+            clock,
+            events,
+        )
+        self.fleet = Fleet(
+            settings,
+            incarnation,
+            HttpVmList(settings.vm_list_url, settings.host),
+            self.environment,
+            self._peers,
+            clock,
+            events,
+        )
+        self.poison = PoisonWatch(quarantine, self.fleet, self._engines, clock, events)
+        self.limiter = RateLimiter(
+            settings,
+            self._log,
+            appender,
+            self.environment,
+            self.fleet,
+            quarantine,
+            clock,
+            events,
+        )
+        self.poison.mark = self.limiter.mark_quarantined
+        self.gate = OnlineGate(self.fleet, settings.online_queue_per_team, clock)
+        self.online = OnlinePath(
+            self.environment,
+            self.fleet,
+            self.limiter,
+            self.gate,
+            self._engines,
+            self.poison,
+            self.metrics,
+            clock,
+            events,
+        )
+        self.jobs = JobStore(
+            settings, self._log, appender, self.environment, self.fleet, clock, events
+        )
+        self.runner = BatchRunner(
+            self.environment,
+            self.fleet,
+            self.jobs,
+            self._engines,
+            self.poison,
+            clock,
+            events,
+        )
+        self._callers = Application(self._note_failure)
+        self._admin = Application(self._note_failure)
+        self._add_routes()
+        self._caller_server = HttpServer(
+            self._callers,
+            settings.host,
+            settings.caller_port,
+            settings.caller_threads,
+        )
+        self._admin_server = HttpServer(
+            self._admin, settings.host, settings.admin_port, ADMIN_THREADS
+        )
+        self._peer_server = PeerServer(settings.host, settings.peer_port, self._answer)
+        self._tickers = [
+            Ticker("pump", PUMP_S, self.gate.pump_all, events),
+            Ticker("housekeeping", HOUSEKEEPING_S, self._keep_house, events),
+        ]
+
+    @property
+    def ports(self) -> dict[str, int]:
+        """The ports that this daemon listens on."""
+        return {
+            "caller_port": self._caller_server.port,
+            "peer_port": self._peer_server.port,
+            "admin_port": self._admin_server.port,
+        }
+
+    def start(self) -> None:
+        """Start everything; callers are served last."""
+        self._peer_server.start()
+        self.environment.start()
+        self.fleet.start()
+        self.limiter.start()
+        self.jobs.start()
+        self.runner.start()
+        for ticker in self._tickers:
+            ticker.start()
+        self._admin_server.start()
+        self._caller_server.start()
+        self.events.write(
+            Event.DAEMON_STARTED,
+            zone=self.settings.availability_zone,
+            environment=self.settings.environment,
+            **self.ports,
+        )
+
+    def drain(self, give_up: threading.Event) -> None:
+        """Leave without cutting a request: announce, hand over, wait, close.
+
+        `give_up` ends the wait early, as does the limit of the settings.
+        """
+        self.draining = True
+        self._callers.closing = True
+        self.events.write(Event.DAEMON_DRAINING)
+        limit_s = self.clock.now_s() + self.settings.drain_limit_ms / 1000
+        self.runner.drain()
+        self.jobs.hand_over_all()
+        self.fleet.announce_leave()
+        self.limiter.hand_over_all()
+        give_up.wait(self.settings.drain_announce_ms / 1000)
+        while self._callers.under_way() or self.runner.running_count():
+            if give_up.is_set() or self.clock.now_s() >= limit_s:
+                left = self._callers.under_way()
+                self.events.write(Event.DAEMON_STOP_FORCED, requests_cut=left)
+                break
+            time.sleep(DRAIN_POLL_S)
+
+    def close(self) -> None:
+        """Stop everything."""
+        self._caller_server.close()
+        self._admin_server.close()
+        for part in (*self._tickers, self.runner, self.jobs, self.limiter, self.fleet):
+            part.close()
+        self.environment.close()
+        self._peer_server.close()
+        self._peers.close()
+        self._engines.close()
+        self._log.close()
+        self.events.write(Event.DAEMON_STOPPED)
+
+    def stacks(self) -> dict[str, list[str]]:
+        """Return the stack of each thread, for debugging."""
+        names = {t.ident: t.name for t in threading.enumerate()}
+        return {
+            f"{names.get(ident, '?')}-{ident}": traceback.format_stack(frame)
+            for ident, frame in sys._current_frames().items()
+        }
+
+    def _answer(self, message: Message) -> Message:
+        """Answer another daemon's call."""
+        handler = self._PEER_HANDLERS.get(type(message))
+        if handler is None:
+            return Failed(f"{type(message).__name__} is not answered here")
+        return handler(self, message)
+
+    def _take_notice(self, notice: QuarantineNotice) -> Done:
+        self.poison.take_notice(notice)
+        return Done()
+
+    def _take_over(self, message: HandOver) -> Done:
+        if message.resource.startswith("jobs-"):
+            return self.jobs.take_over(message)
+        return self.limiter.take_over(message)
+
+    _PEER_HANDLERS = {
+        Probe: lambda self, m: self.fleet.answer_probe(m),
+        FetchConfig: lambda self, m: self.fleet.answer_fetch(m),
+        OnlineLoad: lambda self, m: self.fleet.take_online_load(m),
+        TakeToken: lambda self, m: self.limiter.answer_take(m),
+        AskPromises: lambda self, m: self.limiter.answer_promises(m),
+        HandOver: _take_over,
+        QuarantineNotice: _take_notice,
+        PullItems: lambda self, m: self.jobs.answer_pull(m),
+        ReportItems: lambda self, m: self.jobs.answer_report(m),
+        KeepItems: lambda self, m: self.jobs.answer_keep(m),
+        QueryJob: lambda self, m: self.jobs.answer_query(m),
+        QueryResults: lambda self, m: self.jobs.answer_results(m),
+        ExplainItem: lambda self, m: self.jobs.answer_explain(m),
+    }
+
+    def _add_routes(self) -> None:
+        access = Access(self.settings, self.environment, self.fleet, self.clock)
+        chat = ChatHandlers(
+            self.settings, access, self.environment, self.online, self.clock
+        )
+        batches = BatchHandlers(self.settings, access, self.jobs, self.clock)
+        admin = AdminHandlers(self)
+        job = r"(?P<job>batch_[0-9a-f]{16})"
+        add = self._callers.add
+        add("GET", "/v1/models", chat.models)
+        add("POST", "/v1/chat/completions", chat.chat)
+        add("POST", "/v1/files", batches.upload)
+        add(
+            "GET",
+            r"/v1/files/output-(?P<job>[0-9a-f]{16})/content",
+            batches.content,
+        )
+        add("POST", "/v1/batches", batches.create)
+        add("GET", f"/v1/batches/{job}", batches.retrieve)
+        add("POST", f"/v1/batches/{job}/cancel", batches.cancel)
+        add("*", r"/services/(?P<route>[\w.-]+)(/(?P<path>.*))?", chat.service)
+        for app in (self._admin, self._callers):
+            app.add("GET", "/ready", admin.ready)
+        self._admin.add("GET", "/status", admin.status)
+        self._admin.add("GET", "/metrics", admin.metrics)
+        self._admin.add("GET", rf"/explain/{job}/(?P<index>\d+)", admin.explain)
+        self._admin.add("GET", "/threads", admin.threads)
+
+    def _keep_house(self) -> None:
+        if self.fleet.preferred("config-checkpoint")[:1] == [self.fleet.me]:
+            self.environment.checkpoint_if_due()
+        self.poison.tick()
+
+    def _note_failure(self, exc: Exception) -> None:
+        # The message may hold parts of a request, so only the place is logged.
+        places = traceback.extract_tb(exc.__traceback__)
+        where = f"{places[-1].filename.rpartition('/')[2]}:{places[-1].lineno}"
+        self.events.write(
+            Event.THREAD_FAILED, task="request", error=type(exc).__name__, at=where
+        )
+
+
+def run(settings: str) -> None:
+    """Run a daemon.
+
+    Args:
+        settings: path of the settings file, JSON with comments.
+    """
+    try:
+        checked = load_settings(settings)
+    except RequestError as exc:
+        sys.exit(f"apricotquayd: {exc.message}")
+    faulthandler.enable()
+    events = open_event_log(checked.vm_id, checked.trace)
+    daemon = Daemon(checked, SystemClock(), events)
+    stop = threading.Event()
+    give_up = threading.Event()
+
+    def on_signal(signum: int, frame: object) -> None:
+        if stop.is_set():
+            give_up.set()
+        stop.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    daemon.start()
+    stop.wait()
+    daemon.drain(give_up)
+    daemon.close()
+
+
+def main() -> None:
+    """Entry point of `apricotquayd`."""
+    fire.Fire(run, name="apricotquayd")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/apricotquay/environment.py
@@ -0,0 +1,143 @@
+"""Follows an environment's configuration stream and keeps what is in force."""
+
+import threading
+from collections.abc import Callable
+
+from .clocks import Clock
+from .configuration import ConfigFold, Configuration, Verdict
+from .errors import ErrorKind, LogUnavailableError, RequestError
+from .events import Event, EventLog
+from .follow import StreamFollower
+from .ids import StreamName
+from .logclient import Appender, Log, ReadPage
+from .records import ConfigCheckpoint, ConfigPublished, compress_text, decode_envelope
+
+CHECKPOINT_SHARE = 1 / 3
+APPEND_TIMEOUT_S = 3.0
+
+Listener = Callable[[Configuration], None]
+
+
+def config_stream(environment: str) -> StreamName:
+    """Return the name of an environment's configuration stream."""
+    return StreamName(f"config-{environment}")
+
+
+class Environment:
+    """The configuration in force at this daemon. Used by every request."""
+
+    def __init__(
+        self,
+        log: Log,
+        appender: Appender,
+        name: str,
+        retention_ms: int,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self._log_confirmed_s: float = float("-inf")
+        self._recorded_s: float = clock.now_s()
+        self._retention_s: float = retention_ms / 1000
+        self._appender: Appender = appender
+        self._clock: Clock = clock
+        self._events: EventLog = events
+        self._stream: StreamName = config_stream(name)
+        self._fold = ConfigFold()
+        self._lock = threading.Lock()
+        self._listeners: list[Listener] = []
+        self._follower = StreamFollower(log, self._stream, self._on_page, clock, events)
+
+    @property
+    def current(self) -> Configuration | None:
+        """The configuration in force."""
+        return self._fold.current
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 before the first."""
+        return self._fold.version
+
+    def require(self) -> Configuration:
+        """Return the configuration in force or raise VIEW_STALE."""
+        current = self._fold.current
+        if current is None:
+            raise RequestError(ErrorKind.VIEW_STALE, "no configuration is known yet")
+        return current
+
+    def start(self) -> None:
+        """Read what the log has, if it answers, and follow from there."""
+        try:
+            self._follower.read_to_tail()
+        except LogUnavailableError as exc:
+            self._events.write(
+                Event.LOG_UNREACHABLE, stream=self._stream, error=str(exc)[:200]
+            )
+        self._follower.start()
+
+    def close(self) -> None:
+        """Stop following."""
+        self._follower.close()
+
+    def listen(self, listener: Listener) -> None:
+        """Call a function with each configuration that comes into force."""
+        self._listeners.append(listener)
+
+    def log_age_s(self) -> float:
+        """Return how long ago a read of the log confirmed the view."""
+        return self._clock.now_s() - self._log_confirmed_s
+
+    def adopt(self, version: int, text: str) -> None:
+        """Take a newer configuration from a peer."""
+        with self._lock:
+            verdict = self._fold.adopt(version, text)
+        self._note(verdict, "peer")
+
+    def checkpoint_if_due(self) -> None:
+        """Append the configuration again before the log drops its record."""
+        current = self._fold.current
+        age_s = self._clock.now_s() - self._recorded_s
+        if current is None or age_s < self._retention_s * CHECKPOINT_SHARE:
+            return
+        record = ConfigCheckpoint(
+            current.version, compress_text(current.text), self._clock.wall_ms()
+        )
+        try:
+            self._appender.append(self._stream, record, APPEND_TIMEOUT_S)
+        except LogUnavailableError:
+            return
+        self._recorded_s = self._clock.now_s()
+        self._events.write(Event.CONFIG_CHECKPOINTED, version=current.version)
+
+    def _on_page(self, page: ReadPage, sent_s: float) -> None:
+        for entry in page.entries:
+            envelope = decode_envelope(entry.data)
+            if envelope is None:
+                self._events.write(
+                    Event.RECORD_SKIPPED, stream=self._stream, offset=entry.offset
+                )
+                continue
+            with self._lock:
+                verdict = self._fold.apply(entry.offset, envelope)
+            self._note_recorded(envelope.record, verdict, entry.age_ms)
+            self._note(verdict, "log")
+        if page.reaches_tail:
+            self._log_confirmed_s = max(self._log_confirmed_s, sent_s)
+
+    def _note_recorded(self, record: object, verdict: Verdict, age_ms: int) -> None:
+        is_current = isinstance(record, ConfigCheckpoint) and (
+            record.version == self._fold.version
+        )
+        published = isinstance(record, ConfigPublished)
+        if is_current or (published and verdict is Verdict.IN_FORCE):
+            self._recorded_s = self._clock.now_s() - age_ms / 1000
+
+    def _note(self, verdict: Verdict, source: str) -> None:
+        if verdict in (Verdict.CONFLICT, Verdict.INVALID):
+            self._events.write(
+                Event.CONFIG_REJECTED, verdict=verdict.value, version=self.version
+            )
+        if verdict is not Verdict.IN_FORCE:
+            return
+        self._events.write(Event.CONFIG_IN_FORCE, version=self.version, source=source)
+        for listener in self._listeners:
+            listener(self._fold.current)
--- /dev/null
+++ b/apricotquay/errors.py
@@ -0,0 +1,155 @@
+"""The closed list of error kinds, the answer for each, and the exceptions."""
+
+import enum
+
+import msgspec
+
+
+class Ran(enum.Enum):
+    """Whether the request that an error answers was executed by an endpoint."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.Enum):
+    """Every kind of error that a caller or an operator can be given."""
+
+    BAD_REQUEST = "bad_request"
+    KEY_MISSING = "key_missing"
+    KEY_REJECTED = "key_rejected"
+    KEY_WITHDRAWN = "key_withdrawn"
+    TEAM_FORBIDDEN = "team_forbidden"
+    ROUTE_UNKNOWN = "route_unknown"
+    JOB_UNKNOWN = "job_unknown"
+    JOB_KEY_CONFLICT = "job_key_conflict"
+    BODY_TOO_LARGE = "body_too_large"
+    RATE_EXCEEDED = "rate_exceeded"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    REQUEST_QUARANTINED = "request_quarantined"
+    ENDPOINT_MISSING = "endpoint_missing"
+    ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_FAILED = "endpoint_failed"
+    STREAM_BROKEN = "stream_broken"
+    VIEW_STALE = "view_stale"
+    LIMIT_UNAVAILABLE = "limit_unavailable"
+    LOG_UNAVAILABLE = "log_unavailable"
+    JOB_STORE_UNAVAILABLE = "job_store_unavailable"
+    DRAINING = "draining"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ITEM_CANCELLED = "item_cancelled"
+    VERSION_CONFLICT = "version_conflict"
+    DOCUMENT_INVALID = "document_invalid"
+    SETTINGS_INVALID = "settings_invalid"
+    INTERNAL = "internal"
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """How an error kind is answered over HTTP.
+
+    `ran` is the claim made when the place of failure knows nothing better.
+    `retry_after_ms` is zero when a retry of the same request cannot succeed.
+    """
+
+    status: int
+    ran: Ran
+    retry_after_ms: int = 0
+
+
+_NOT_RUN, _RAN, _UNKNOWN = Ran.NOT_RUN, Ran.RAN, Ran.UNKNOWN
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, _NOT_RUN),
+    ErrorKind.KEY_MISSING: Answer(401, _NOT_RUN),
+    ErrorKind.KEY_REJECTED: Answer(401, _NOT_RUN),
+    ErrorKind.KEY_WITHDRAWN: Answer(401, _UNKNOWN),
+    ErrorKind.TEAM_FORBIDDEN: Answer(403, _NOT_RUN),
+    ErrorKind.ROUTE_UNKNOWN: Answer(404, _NOT_RUN),
+    ErrorKind.JOB_UNKNOWN: Answer(404, _NOT_RUN),
+    ErrorKind.JOB_KEY_CONFLICT: Answer(409, _NOT_RUN),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT_RUN),
+    ErrorKind.RATE_EXCEEDED: Answer(429, _NOT_RUN, 1_000),
+    ErrorKind.QUEUE_FULL: Answer(429, _NOT_RUN, 1_000),
+    ErrorKind.DEADLINE_UNREACHABLE: Answer(503, _NOT_RUN, 1_000),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(504, _UNKNOWN),
+    ErrorKind.REQUEST_QUARANTINED: Answer(422, _NOT_RUN),
+    ErrorKind.ENDPOINT_MISSING: Answer(503, _NOT_RUN, 2_000),
+    ErrorKind.ENDPOINT_REFUSED: Answer(503, _NOT_RUN, 1_000),
+    ErrorKind.ENDPOINT_FAILED: Answer(502, _UNKNOWN, 1_000),
+    ErrorKind.STREAM_BROKEN: Answer(502, _RAN, 1_000),
+    ErrorKind.VIEW_STALE: Answer(503, _NOT_RUN, 2_000),
+    ErrorKind.LIMIT_UNAVAILABLE: Answer(503, _NOT_RUN, 2_000),
+    ErrorKind.LOG_UNAVAILABLE: Answer(503, _UNKNOWN, 5_000),
+    ErrorKind.JOB_STORE_UNAVAILABLE: Answer(503, _NOT_RUN, 5_000),
+    ErrorKind.DRAINING: Answer(503, _NOT_RUN, 500),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(502, _UNKNOWN),
+    ErrorKind.ITEM_CANCELLED: Answer(409, _UNKNOWN),
+    ErrorKind.VERSION_CONFLICT: Answer(409, _NOT_RUN),
+    ErrorKind.DOCUMENT_INVALID: Answer(400, _NOT_RUN),
+    ErrorKind.SETTINGS_INVALID: Answer(400, _NOT_RUN),
+    ErrorKind.INTERNAL: Answer(500, _UNKNOWN),
+}
+
+
+class ApricotquayError(Exception):
+    """Base of all exceptions that this package raises on purpose."""
+
+
+class RequestError(ApricotquayError):
+    """A request ended with an error of the closed list.
+
+    `ran` and `retry_after_ms` override the table where the place of failure
+    knows more; `param` names the field of bad input.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        message: str,
+        *,
+        ran: Ran | None = None,
+        retry_after_ms: int | None = None,
+        param: str | None = None,
+    ) -> None:
+        super().__init__(message)
+        answer = ANSWERS[kind]
+        self.kind: ErrorKind = kind
+        self.message: str = message
+        self.status: int = answer.status
+        self.ran: Ran = ran if ran is not None else answer.ran
+        self.retry_after_ms: int = (
+            retry_after_ms if retry_after_ms is not None else answer.retry_after_ms
+        )
+        self.param: str | None = param
+
+    def body(self) -> dict:
+        """Return the JSON body in the shape that client libraries expect."""
+        return {
+            "error": {
+                "message": self.message,
+                "type": self.kind.value,
+                "code": self.kind.value,
+                "param": self.param,
+                "ran": self.ran.value,
+                "retry_after_ms": self.retry_after_ms,
+            }
+        }
+
+
+class LogUnavailableError(ApricotquayError):
+    """The log service gave no usable answer; an append may have taken effect."""
+
+
+class PeerUnavailableError(ApricotquayError):
+    """A peer gave no answer.
+
+    `refused` is true when its port refused the connection, which proves that
+    the process is gone; otherwise the peer may be alive but out of reach.
+    """
+
+    def __init__(self, message: str, *, refused: bool = False) -> None:
+        super().__init__(message)
+        self.refused: bool = refused
--- /dev/null
+++ b/apricotquay/events.py
@@ -0,0 +1,91 @@
+"""Numbered log events. The catalogue for operators is docs/EVENTS.md.
+
+Fields never hold a key, a prompt or an answer; a test searches the logs of
+whole runs for them.
+"""
+
+import enum
+import logging
+import sys
+
+import structlog
+
+
+class Event(enum.Enum):
+    """Every event that is logged: its number and its message."""
+
+    DAEMON_STARTED = (1001, "daemon started")
+    DAEMON_DRAINING = (1002, "daemon draining")
+    DAEMON_STOPPED = (1003, "daemon stopped")
+    DAEMON_STOP_FORCED = (1004, "daemon stopped before all requests had ended")
+    THREAD_FAILED = (1005, "background task failed; it goes on")
+    CONFIG_IN_FORCE = (1101, "configuration in force")
+    CONFIG_REJECTED = (1102, "configuration record rejected")
+    CONFIG_CHECKPOINTED = (1103, "configuration checkpoint appended")
+    VIEW_STALE = (1104, "configuration view cannot be confirmed; requests refused")
+    VIEW_FRESH = (1105, "configuration view confirmed again")
+    KEY_STREAM_CUT = (1106, "stream cut because its key was withdrawn")
+    LOG_UNREACHABLE = (1201, "log service cannot be reached")
+    LOG_REACHABLE = (1202, "log service reachable again")
+    RECORD_SKIPPED = (1203, "record of unknown form skipped")
+    LEASE_CLAIMED = (1301, "lease claimed")
+    LEASE_ACTIVE = (1302, "lease active")
+    LEASE_LAPSED = (1303, "lease lapsed")
+    LEASE_SUPERSEDED = (1304, "lease superseded by a newer claim")
+    LEASE_HANDED_OVER = (1305, "lease handed over")
+    LEASE_ACCEPTED = (1306, "lease handed over to this daemon")
+    MEMBER_JOINED = (1401, "member joined")
+    MEMBER_SUSPECTED = (1402, "member does not answer probes")
+    MEMBER_DEAD = (1403, "member is gone")
+    MEMBER_LEFT = (1404, "member left")
+    ENDPOINT_EJECTED = (1501, "endpoint ejected after failures")
+    ENDPOINT_READMITTED = (1502, "endpoint readmitted")
+    ENDPOINT_LEAVING = (1503, "endpoint leaving; no new work")
+    REQUEST_ENDED = (1601, "request ended")
+    REQUEST_RETRIED = (1602, "request retried")
+    REQUEST_QUARANTINED = (1603, "request fingerprint quarantined")
+    JOB_ACCEPTED = (1701, "job accepted")
+    JOB_FINISHED = (1702, "job finished")
+    JOB_CANCELLED = (1703, "job cancelled")
+    ITEM_PREEMPTED = (1704, "batch item paused for online requests")
+    ITEM_GIVEN_UP = (1705, "batch item cannot be done")
+    SNAPSHOT_APPENDED = (1706, "partition snapshot appended")
+    PARTITION_LOADED = (1707, "partition loaded")
+    ORDER_SENT = (1801, "model order sent")
+    ORDER_REFUSED = (1802, "model order refused by endpoint")
+
+    @property
+    def number(self) -> int:
+        """The event's number, stable over releases."""
+        return self.value[0]
+
+    @property
+    def message(self) -> str:
+        """The event's message."""
+        return self.value[1]
+
+
+class EventLog:
+    """Writes numbered events as JSON lines. Used by every I/O module."""
+
+    def __init__(self, logger: structlog.typing.FilteringBoundLogger) -> None:
+        self._logger: structlog.typing.FilteringBoundLogger = logger
+
+    def write(self, event: Event, **fields: object) -> None:
+        """Log one event with its typed fields."""
+        self._logger.info(event.message, number=event.number, **fields)
+
+
+def open_event_log(vm_id: str, trace: bool = False) -> EventLog:
+    """Configure structlog to write JSON lines on standard error."""
+    level = logging.DEBUG if trace else logging.INFO
+    structlog.configure(
+        processors=[
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.JSONRenderer(sort_keys=True),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    return EventLog(structlog.get_logger().bind(vm=vm_id))
--- /dev/null
+++ b/apricotquay/fleet.py
@@ -0,0 +1,312 @@
+"""Keeps this daemon in touch with the others: VM list, probes, configuration."""
+
+import random
+import threading
+
+from .clocks import Clock
+from .environment import Environment
+from .errors import PeerUnavailableError
+from .events import Event, EventLog
+from .follow import Ticker
+from .freshness import Freshness, PeerView, judge_view
+from .ids import Incarnation, MemberId
+from .membership import Member, MemberState, MemberView, VmEntry
+from .messages import (
+    ConfigReply,
+    EndpointLoads,
+    FetchConfig,
+    Message,
+    OnlineLoad,
+    Probe,
+    ProbeReply,
+)
+from .peers import PeerPool
+from .routing import EndpointTable
+from .settings import Settings
+from .vmlist import VmList, VmListUnavailableError
+
+VM_POLL_S = 0.4
+PROBES_A_ROUND = 3
+PROBE_TIMEOUT_S = 0.6
+FETCH_TIMEOUT_S = 2.0
+NEVER_MS = 2**31
+CUT_OFF_S = 4.0
+
+
+class Fleet:
+    """The other members and the endpoints. Shared by all parts of the daemon.
+
+    `lock` guards the member view and the endpoint table, which are pure.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: Incarnation,
+        vm_list: VmList,
+        environment: Environment,
+        peers: PeerPool,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.me: MemberId = MemberId(settings.vm_id)
+        self.incarnation: Incarnation = incarnation
+        self.lock = threading.RLock()
+        self.members = MemberView(self.me, settings.suspect_after_ms / 1000)
+        self.endpoints = EndpointTable(
+            self.me, settings.availability_zone, settings.endpoint_subset
+        )
+        self.leaving: bool = False
+        self._settings: Settings = settings
+        self._vm_list: VmList = vm_list
+        self._environment: Environment = environment
+        self._peers: PeerPool = peers
+        self._clock: Clock = clock
+        self._events: EventLog = events
+        self._rng = random.Random(incarnation)
+        self._was_usable: bool = True
+        self._tickers = [
+            Ticker("vm-list", VM_POLL_S, self.poll_vm_list, events),
+            Ticker("probe", settings.probe_interval_ms / 1000, self._probe, events),
+        ]
+
+    def start(self) -> None:
+        """Read the VM list once and start the background tasks."""
+        self.poll_vm_list()
+        for ticker in self._tickers:
+            ticker.start()
+
+    def close(self) -> None:
+        """Stop the background tasks."""
+        for ticker in self._tickers:
+            ticker.close()
+
+    def poll_vm_list(self) -> None:
+        """Take in the platform's list; keep the last one while it is down."""
+        try:
+            entries = self._vm_list.fetch()
+        except VmListUnavailableError:
+            return
+        with self.lock:
+            joined = self.members.sync_list(entries, self._clock.now_s())
+            self._sync_endpoints(entries)
+            addresses = {
+                MemberId(e.id): (e.host, e.port) for e in entries if e.kind == "entry"
+            }
+        self._peers.set_addresses(addresses)
+        for member in joined:
+            self._events.write(Event.MEMBER_JOINED, member=member)
+
+    def preferred(self, resource: str) -> list[MemberId]:
+        """Return the eligible members in a resource's order of preference."""
+        with self.lock:
+            return self.members.preferred(resource, self.leaving)
+
+    def preferred_with_log(self, resource: str) -> list[MemberId]:
+        """Return the preferred members that have read the log lately.
+
+        Work that lives in the log is of no use to a member that is cut off from
+        it. While nobody reaches the log, all count.
+        """
+        order = self.preferred(resource)
+        connected = [m for m in order if not self.is_cut_off(m)]
+        return connected or order
+
+    def is_cut_off(self, member: MemberId) -> bool:
+        """Whether a member has not read the log for a while."""
+        if member == self.me:
+            return self._environment.log_age_s() > CUT_OFF_S
+        with self.lock:
+            known = self.members.get(member)
+            return known is not None and known.view_age_ms > CUT_OFF_S * 1000
+
+    def state_of(self, member: MemberId) -> MemberState:
+        """Return a member's state; this daemon counts as alive."""
+        if member == self.me:
+            return MemberState.ALIVE
+        with self.lock:
+            return self.members.state_of(member)
+
+    def process_ended(self, member: MemberId, incarnation: Incarnation) -> bool:
+        """Return whether a process surely runs no more."""
+        if member == self.me:
+            return incarnation != self.incarnation
+        with self.lock:
+            known = self.members.get(member)
+            if known is None:
+                return False
+            if known.state == MemberState.GONE.value:
+                return True
+            return known.incarnation not in ("", incarnation)
+
+    def freshness(self) -> Freshness:
+        """Judge this daemon's view of the configuration."""
+        now_s = self._clock.now_s()
+        with self.lock:
+            present = [
+                self.members.get(m)
+                for m in self.members.in_state(
+                    MemberState.ALIVE, MemberState.SUSPECT, MemberState.LEAVING
+                )
+            ]
+        views = [self._peer_view(member, now_s) for member in present]
+        freshness = judge_view(
+            self._environment.log_age_s(),
+            self._environment.version,
+            views,
+            len(views),
+            self._settings.view_stale_after_ms / 1000,
+        )
+        self._note_freshness(freshness)
+        return freshness
+
+    def online_counts(self) -> dict[str, int]:
+        """Return this daemon's online requests by endpoint."""
+        with self.lock:
+            return {e.id: e.online for e in self.endpoints.all() if e.online}
+
+    def online_elsewhere(self, endpoint_id: str) -> int:
+        """Return the other members' online requests at an endpoint."""
+        with self.lock:
+            alive = self.members.in_state(MemberState.ALIVE, MemberState.LEAVING)
+            return sum(
+                self.members.get(m).online_load.get(endpoint_id, 0) for m in alive
+            )
+
+    def answer_probe(self, probe: Probe) -> ProbeReply:
+        """Answer another member's probe and take in what it tells."""
+        self._learn(probe)
+        return ProbeReply(*self._own_facts())
+
+    def take_online_load(self, load: OnlineLoad) -> EndpointLoads:
+        """Take in a member's online requests; answer all members' totals."""
+        with self.lock:
+            member = self.members.get(load.sender)
+            if member is not None:
+                member.online_load = {**member.online_load, **load.counts}
+            own = self.online_counts()
+            return EndpointLoads(
+                {e: own.get(e, 0) + self.online_elsewhere(e) for e in load.counts}
+            )
+
+    def answer_fetch(self, message: FetchConfig) -> ConfigReply:
+        """Hand the configuration to a member that has an older one."""
+        current = self._environment.current
+        if current is None or current.version <= message.known_version:
+            return ConfigReply(self._environment.version, "")
+        return ConfigReply(current.version, current.text)
+
+    def call(self, member: MemberId, message: Message, timeout_s: float) -> Message:
+        """Call a member and take in whether it answered."""
+        try:
+            return self._peers.call(member, message, timeout_s)
+        except PeerUnavailableError as exc:
+            if exc.refused:
+                self._note_refused(member)
+            raise
+
+    def announce_leave(self) -> None:
+        """Tell every member that this daemon is leaving."""
+        self.leaving = True
+        with self.lock:
+            others = self.members.in_state(MemberState.ALIVE, MemberState.LEAVING)
+        for member in others:
+            self._probe_member(member)
+
+    def _sync_endpoints(self, entries: list[VmEntry]) -> None:
+        zone = self._settings.availability_zone
+        zone_members = [
+            MemberId(e.id) for e in entries if e.kind == "entry" and e.zone == zone
+        ]
+        before = {e.id for e in self.endpoints.all() if e.leaving}
+        self.endpoints.sync_list(entries, zone_members)
+        for endpoint in self.endpoints.all():
+            if endpoint.leaving and endpoint.id not in before:
+                self._events.write(Event.ENDPOINT_LEAVING, endpoint=endpoint.id)
+
+    def _probe(self) -> None:
+        with self.lock:
+            suspected = self.members.tick(self._clock.now_s())
+            targets = self.members.probe_targets(PROBES_A_ROUND, self._rng)
+        for member in suspected:
+            self._events.write(Event.MEMBER_SUSPECTED, member=member)
+            targets.append(member)
+        threads = [
+            threading.Thread(target=self._probe_member, args=(member,), daemon=True)
+            for member in targets
+        ]
+        for thread in threads:
+            thread.start()
+
+    def _probe_member(self, member: MemberId) -> None:
+        try:
+            reply = self.call(member, Probe(*self._own_facts()), PROBE_TIMEOUT_S)
+        except PeerUnavailableError:
+            return
+        if isinstance(reply, ProbeReply):
+            self._learn(reply)
+
+    def _own_facts(self) -> tuple:
+        age_ms = self._environment.log_age_s() * 1000
+        return (
+            self.me,
+            self.incarnation,
+            self.leaving,
+            self._environment.version,
+            int(min(age_ms, NEVER_MS)),
+            self.online_counts(),
+        )
+
+    def _learn(self, facts: Probe | ProbeReply) -> None:
+        with self.lock:
+            member = self.members.get(facts.sender)
+            if member is None:
+                return
+            self.members.see_answer(
+                facts.sender, facts.incarnation, self._clock.now_s()
+            )
+            member.config_version = facts.config_version
+            member.view_age_ms = facts.view_age_ms
+            member.online_load = facts.online_load
+            if facts.leaving:
+                self.members.see_leave(facts.sender)
+        if facts.config_version > self._environment.version:
+            self._fetch_config(facts.sender)
+
+    def _fetch_config(self, member: MemberId) -> None:
+        def fetch() -> None:
+            message = FetchConfig(self._environment.version)
+            try:
+                reply = self.call(member, message, FETCH_TIMEOUT_S)
+            except PeerUnavailableError:
+                return
+            if isinstance(reply, ConfigReply) and reply.text:
+                self._environment.adopt(reply.version, reply.text)
+
+        # A probe may arrive on the connection that the answer would come by.
+        threading.Thread(target=fetch, name="fetch-config", daemon=True).start()
+
+    def _note_refused(self, member: MemberId) -> None:
+        with self.lock:
+            before = self.members.state_of(member)
+            self.members.see_refused(member)
+            after = self.members.state_of(member)
+        if before is not after:
+            self._events.write(Event.MEMBER_DEAD, member=member)
+
+    def _peer_view(self, member: Member, now_s: float) -> PeerView:
+        answered_age_s = now_s - member.answered_s
+        if not member.incarnation:
+            answered_age_s = float("inf")
+        return PeerView(
+            answered_age_s=answered_age_s,
+            log_age_s=answered_age_s + member.view_age_ms / 1000,
+            config_version=member.config_version,
+        )
+
+    def _note_freshness(self, freshness: Freshness) -> None:
+        if freshness.is_usable == self._was_usable:
+            return
+        self._was_usable = freshness.is_usable
+        event = Event.VIEW_FRESH if freshness.is_usable else Event.VIEW_STALE
+        self._events.write(event, freshness=freshness.value)
--- /dev/null
+++ b/apricotquay/follow.py
@@ -0,0 +1,116 @@
+"""Background tasks: threads that run until closed and outlive their failures."""
+
+import threading
+from collections.abc import Callable
+
+from .clocks import Clock
+from .errors import LogUnavailableError
+from .events import Event, EventLog
+from .ids import StreamName
+from .logclient import Log, ReadPage
+
+READ_WAIT_MS = 400
+ERROR_PAUSE_S = 0.15
+
+
+class Ticker:
+    """Calls a function at an interval. Used for every periodic task."""
+
+    def __init__(
+        self, name: str, interval_s: float, task: Callable[[], None], events: EventLog
+    ) -> None:
+        self._name: str = name
+        self._interval_s: float = interval_s
+        self._task: Callable[[], None] = task
+        self._events: EventLog = events
+        self._closed = threading.Event()
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Ask the thread to end."""
+        self._closed.set()
+
+    def _run(self) -> None:
+        while not self._closed.is_set():
+            try:
+                self._task()
+            except Exception as exc:
+                # One failed round must not stop all later ones.
+                self._events.write(
+                    Event.THREAD_FAILED, task=self._name, error=repr(exc)[:300]
+                )
+            self._closed.wait(self._interval_s)
+
+
+class StreamFollower:
+    """Reads a stream from an offset on and hands on each page.
+
+    `on_page` gets the page and the time at which the read was sent: a page
+    that reaches the tail shows all that was in the log at that time.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        stream: StreamName,
+        on_page: Callable[[ReadPage, float], None],
+        clock: Clock,
+        events: EventLog,
+        wait_ms: int = READ_WAIT_MS,
+    ) -> None:
+        self.next_offset: int = 0
+        self._log: Log = log
+        self._stream: StreamName = stream
+        self._on_page: Callable[[ReadPage, float], None] = on_page
+        self._clock: Clock = clock
+        self._events: EventLog = events
+        self._wait_ms: int = wait_ms
+        self._reachable: bool = True
+        self._ticker = Ticker(f"follow-{stream}", 0.0, self._read_once, events)
+        self._closed = threading.Event()
+
+    def start(self) -> None:
+        """Start to follow."""
+        self._ticker.start()
+
+    def close(self) -> None:
+        """Stop following."""
+        self._closed.set()
+        self._ticker.close()
+
+    def read_to_tail(self, timeout_ms: int = 0) -> None:
+        """Read what is there in the caller's thread, before `start`."""
+        while not self._read_page(timeout_ms):
+            continue
+
+    def _read_once(self) -> None:
+        try:
+            self._read_page(self._wait_ms)
+        except LogUnavailableError as exc:
+            self._note_reachable(False, str(exc))
+            self._closed.wait(ERROR_PAUSE_S)
+            return
+        self._note_reachable(True, "")
+
+    def _read_page(self, wait_ms: int) -> bool:
+        sent_s = self._clock.now_s()
+        page = self._log.read(self._stream, self.next_offset, wait_ms)
+        if self._closed.is_set():
+            return True
+        self._on_page(page, sent_s)
+        if page.entries:
+            self.next_offset = page.entries[-1].offset + 1
+        else:
+            self.next_offset = max(self.next_offset, page.first_offset)
+        return page.reaches_tail
+
+    def _note_reachable(self, reachable: bool, error: str) -> None:
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        event = Event.LOG_REACHABLE if reachable else Event.LOG_UNREACHABLE
+        self._events.write(event, stream=self._stream, error=error[:200])
--- /dev/null
+++ b/apricotquay/freshness.py
@@ -0,0 +1,65 @@
+"""Whether a daemon's view of the configuration may be relied on. Pure.
+
+A withdrawn key must stop working within seconds, so a daemon that is cut off
+must not go on with an old view; yet an outage of the whole log must stop no
+one. The two look alike from one daemon, so the peers decide.
+"""
+
+import enum
+
+import msgspec
+
+
+class Freshness(enum.Enum):
+    """Why a view may be relied on, or that it may not."""
+
+    BY_LOG = "by_log"
+    BY_PEER = "by_peer"
+    LOG_OUTAGE = "log_outage"
+    STALE = "stale"
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether requests may be taken."""
+        return self is not Freshness.STALE
+
+
+class PeerView(msgspec.Struct, frozen=True):
+    """A peer's view, as of its last answer.
+
+    `log_age_s` is how old the peer's own confirmation by the log is by now;
+    what a peer learnt from other peers does not count, or two daemons that are
+    cut off could confirm each other for ever.
+    """
+
+    answered_age_s: float
+    log_age_s: float
+    config_version: int
+
+
+def judge_view(
+    log_age_s: float,
+    own_version: int,
+    peers: list[PeerView],
+    member_count: int,
+    limit_s: float,
+) -> Freshness:
+    """Judge the view of a daemon whose log confirmation is `log_age_s` old.
+
+    `peers` are the members whose processes are not known to be gone, and
+    `member_count` is their number. A log outage counts as such when a majority
+    of all members, this one included, is reached and none of them has the log.
+    """
+    if own_version == 0:
+        return Freshness.STALE
+    if log_age_s < limit_s:
+        return Freshness.BY_LOG
+    answering = [p for p in peers if p.answered_age_s < limit_s]
+    confirmed = [p for p in answering if p.log_age_s < limit_s]
+    if any(p.config_version > own_version for p in answering):
+        return Freshness.STALE
+    if confirmed:
+        return Freshness.BY_PEER
+    if (len(answering) + 1) * 2 > member_count + 1:
+        return Freshness.LOG_OUTAGE
+    return Freshness.STALE
--- /dev/null
+++ b/apricotquay/gate.py
@@ -0,0 +1,192 @@
+"""Lets online requests through to endpoints in a fair order while there is room."""
+
+import random
+import threading
+
+from returns.result import Success
+
+from .clocks import Clock
+from .errors import ErrorKind, RequestError
+from .fairness import FairQueue
+from .fleet import Fleet
+from .ids import EndpointId, TeamId
+from .routing import Endpoint
+
+START_TOKENS_PER_S = 200.0
+RATE_WEIGHT = 0.1
+MIN_RETRY_AFTER_MS = 200
+
+
+class Ticket:
+    """One request that asks for an endpoint; woken when it gets one.
+
+    `suspect` is the fingerprint of a request that may crash endpoints, else "".
+    """
+
+    def __init__(
+        self,
+        team: TeamId,
+        weight: float,
+        target: str,
+        cost: float,
+        prefix: str,
+        deadline_s: float,
+        suspect: str = "",
+    ) -> None:
+        self.team: TeamId = team
+        self.weight: float = weight
+        self.target: str = target
+        self.cost: float = cost
+        self.prefix: str = prefix
+        self.deadline_s: float = deadline_s
+        self.suspect: str = suspect
+        self.excluded: set[EndpointId] = set()
+        self.endpoint: Endpoint | None = None
+        self.abandoned: bool = False
+        self.failed: bool = False
+        self.woken = threading.Event()
+
+
+class OnlineGate:
+    """Gives endpoints to online requests. Used by the online path only, so batch
+    items never stand before an online request.
+    """
+
+    def __init__(self, fleet: Fleet, limit_per_team: int, clock: Clock) -> None:
+        self._fleet: Fleet = fleet
+        self._limit_per_team: int = limit_per_team
+        self._clock: Clock = clock
+        self._rng = random.Random(fleet.incarnation)
+        self._queues: dict[tuple[str, bool], FairQueue[Ticket]] = {}
+        self._tokens_per_s: dict[str, float] = {}
+
+    def acquire(self, ticket: Ticket) -> Endpoint:
+        """Return an endpoint for a request, waiting in the fair queue if need be."""
+        with self._fleet.lock:
+            queue = self._queue_of(ticket.target, bool(ticket.suspect))
+            if not queue:
+                self._try_grant(ticket)
+            if ticket.endpoint is None:
+                self._enqueue(queue, ticket)
+        if ticket.endpoint is None:
+            self._wait(ticket)
+        return ticket.endpoint
+
+    def release(self, ticket: Ticket, tokens: int, duration_s: float) -> None:
+        """Give a ticket's endpoint back and let the next request through."""
+        with self._fleet.lock:
+            ticket.endpoint.online -= 1
+            ticket.endpoint.suspects.discard(ticket.suspect)
+            self._see_speed(ticket.target, tokens, duration_s)
+            self._pump(ticket.target, suspect=True)
+            self._pump(ticket.target, suspect=False)
+
+    def pump_all(self) -> None:
+        """Let requests through after load reports or the VM list changed."""
+        with self._fleet.lock:
+            for target, suspect in list(self._queues):
+                self._pump(target, suspect)
+
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def _queue_of(self, target: str, suspect: bool) -> FairQueue[Ticket]:
+        """Return a target's queue; suspects wait apart, not in front of others."""
+        queue = self._queues.get((target, suspect))
+        if queue is None:
+            queue = FairQueue(self._limit_per_team)
+            self._queues[(target, suspect)] = queue
+        return queue
+
+    def _try_grant(self, ticket: Ticket) -> bool:
+        """Give the ticket an endpoint; raise where none is live at all."""
+        choice = self._fleet.endpoints.choose(
+            ticket.target,
+            ticket.prefix,
+            ticket.excluded,
+            self._clock.now_s(),
+            self._rng,
+            bool(ticket.suspect),
+        )
+        if isinstance(choice, Success):
+            endpoint = choice.unwrap()
+            endpoint.online += 1
+            if ticket.suspect:
+                endpoint.suspects.add(ticket.suspect)
+            ticket.endpoint = endpoint
+            return True
+        if choice.failure().known == 0:
+            raise RequestError(
+                ErrorKind.ENDPOINT_MISSING, f"no endpoint serves {ticket.target} now"
+            )
+        return False
+
+    def _enqueue(self, queue: FairQueue[Ticket], ticket: Ticket) -> None:
+        wait_s = self._expected_wait_s(queue, ticket)
+        if self._clock.now_s() + wait_s > ticket.deadline_s:
+            raise RequestError(
+                ErrorKind.DEADLINE_UNREACHABLE,
+                "the requests that wait already take longer than the deadline",
+                retry_after_ms=max(MIN_RETRY_AFTER_MS, int(wait_s * 1000)),
+            )
+        pushed = queue.push(ticket.team, ticket.weight, ticket.cost, ticket)
+        if not isinstance(pushed, Success):
+            length = pushed.failure().length
+            raise RequestError(
+                ErrorKind.QUEUE_FULL,
+                f"team {ticket.team} has {length} requests waiting",
+                retry_after_ms=max(MIN_RETRY_AFTER_MS, int(wait_s * 1000)),
+            )
+
+    def _wait(self, ticket: Ticket) -> None:
+        ticket.woken.wait(max(0.0, ticket.deadline_s - self._clock.now_s()))
+        with self._fleet.lock:
+            if ticket.endpoint is not None:
+                return
+            ticket.abandoned = True
+        if ticket.failed:
+            raise RequestError(
+                ErrorKind.ENDPOINT_MISSING, f"no endpoint serves {ticket.target} now"
+            )
+        raise RequestError(
+            ErrorKind.DEADLINE_UNREACHABLE,
+            "no endpoint had room before the deadline",
+            retry_after_ms=MIN_RETRY_AFTER_MS,
+        )
+
+    def _pump(self, target: str, suspect: bool) -> None:
+        """Grant waiting requests in fair order until there is no room."""
+        queue = self._queues.get((target, suspect))
+        while queue:
+            ticket = queue.pop()
+            if ticket.abandoned:
+                continue
+            try:
+                granted = self._try_grant(ticket)
+            except RequestError:
+                ticket.failed = True
+                ticket.woken.set()
+                continue
+            if not granted:
+                queue.push_back(ticket.team, ticket.cost, ticket)
+                return
+            ticket.woken.set()
+
+    def _expected_wait_s(self, queue: FairQueue[Ticket], ticket: Ticket) -> float:
+        """Estimate the wait from what the team itself has waiting.
+
+        Fair queueing keeps other teams' backlogs from delaying this one, so
+        only its own counts, at an equal share of the observed speed.
+        """
+        speed = self._tokens_per_s.get(ticket.target, START_TOKENS_PER_S)
+        own = queue.length_of(ticket.team) * ticket.cost
+        return own * max(1, queue.team_count()) / speed
+
+    def _see_speed(self, target: str, tokens: int, duration_s: float) -> None:
+        if tokens <= 0 or duration_s <= 0:
+            return
+        running = sum(e.online for e in self._fleet.endpoints.serving(target)) + 1
+        speed = tokens / duration_s * running
+        known = self._tokens_per_s.get(target, speed)
+        self._tokens_per_s[target] = known + RATE_WEIGHT * (speed - known)
--- /dev/null
+++ b/apricotquay/ids.py
@@ -0,0 +1,46 @@
+"""Identifier types, so that a team cannot be passed where a job is expected."""
+
+import hashlib
+from typing import NewType
+
+TeamId = NewType("TeamId", str)
+KeyHash = NewType("KeyHash", str)
+RouteName = NewType("RouteName", str)
+ModelName = NewType("ModelName", str)
+EndpointId = NewType("EndpointId", str)
+MemberId = NewType("MemberId", str)
+Incarnation = NewType("Incarnation", str)
+JobId = NewType("JobId", str)
+RequestId = NewType("RequestId", str)
+WriterId = NewType("WriterId", str)
+StreamName = NewType("StreamName", str)
+Offset = NewType("Offset", int)
+ResourceName = NewType("ResourceName", str)
+
+
+def hash_key(key: str) -> KeyHash:
+    """Return the stored form of a caller's key.
+
+    Keys are long random strings, so one unsalted SHA-256 cannot be reversed by
+    guessing and can be looked up without trying every stored hash.
+    """
+    return KeyHash(hashlib.sha256(key.encode()).hexdigest())
+
+
+def stable_hash(*parts: str) -> int:
+    """Return a 64-bit hash that is the same in every process."""
+    text = "\x1f".join(parts).encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
+
+
+def job_id_for(team: TeamId, job_key: str) -> JobId:
+    """Return the id that every daemon derives for a team's own job key."""
+    return JobId(f"batch_{stable_hash('job', team, job_key):016x}")
+
+
+def rendezvous_order(resource: str, members: list[MemberId]) -> list[MemberId]:
+    """Sort members by their preference for a resource, most preferred first.
+
+    Source: highest random weight hashing, Thaler and Ravishankar, 1998.
+    """
+    return sorted(members, key=lambda m: (-stable_hash(resource, m), m))
--- /dev/null
+++ b/apricotquay/jobs.py
@@ -0,0 +1,319 @@
+"""The fold of a job partition: which items are done, and where the log has them.
+
+Pure: no I/O, no clock. The same entries give the same state at every reader.
+Payloads and results stay in the log; the state keeps their offsets, about nine
+bytes an item, so that a job of 66,000 items needs 0.6 MB.
+"""
+
+from array import array
+from collections.abc import Iterator
+
+import msgspec
+
+from .charts import Chart, load_chart
+from .ids import JobId, ResourceName, RouteName, TeamId
+from .leases import LeaseTable
+from .records import (
+    AttemptsEnded,
+    AttemptsStarted,
+    CarriedChunk,
+    CarriedResults,
+    Claim,
+    Envelope,
+    ItemChunk,
+    ItemResults,
+    JobAccepted,
+    JobCancelled,
+)
+
+ITEM_CHART: Chart = load_chart("item")
+ITEM_STATES: tuple[str, ...] = ITEM_CHART.states
+PENDING = ITEM_STATES.index("pending")
+STARTED = ITEM_STATES.index("started")
+NO_OFFSET = -1
+UNACCEPTED_KEPT_MS = 3_600_000
+
+
+def _compile_steps() -> dict[tuple[int, str], int]:
+    """Compile the item chart to numbers for the byte array of item states."""
+    return {
+        (ITEM_STATES.index(source), event): ITEM_STATES.index(target)
+        for source, event, target in ITEM_CHART.arrows()
+    }
+
+
+_STEPS: dict[tuple[int, str], int] = _compile_steps()
+
+
+class ChunkPlace(msgspec.Struct):
+    """Where a run of items stands in the log."""
+
+    first: int
+    count: int
+    offset: int
+
+
+class JobCounts(msgspec.Struct, frozen=True):
+    """How many items of a job are in each state."""
+
+    total: int
+    pending: int
+    started: int
+    done: int
+    failed: int
+    cancelled: int
+    unknown: int
+
+    @property
+    def open(self) -> int:
+        """Items without a terminal outcome."""
+        return self.pending + self.started
+
+
+class Job:
+    """One accepted job. `states` holds an index into `ITEM_STATES` an item."""
+
+    def __init__(self, accepted: JobAccepted, chunks: list[ChunkPlace]) -> None:
+        self.id: JobId = accepted.job
+        self.team: TeamId = accepted.team
+        self.job_key: str = accepted.job_key
+        self.route: RouteName = accepted.route
+        self.digest: str = accepted.digest
+        self.item_count: int = accepted.item_count
+        self.accepted_at_ms: int = accepted.at_ms
+        self.cancelled_at_ms: int = 0
+        self.finished_at_ms: int = 0
+        self.chunks: list[ChunkPlace] = chunks
+        self.states: bytearray = bytearray([PENDING]) * accepted.item_count
+        self.result_offsets: array = array("q", [NO_OFFSET]) * accepted.item_count
+        self.attempts: dict[int, str] = {}
+
+    def step(self, index: int, event: str) -> bool:
+        """Step one item by an event of the chart; return whether it was allowed."""
+        target = _STEPS.get((self.states[index], event))
+        if target is None:
+            return False
+        self.states[index] = target
+        return True
+
+    def counts(self) -> JobCounts:
+        """Count the items by state."""
+        by_state = {name: self.states.count(i) for i, name in enumerate(ITEM_STATES)}
+        return JobCounts(total=self.item_count, **by_state)
+
+    def is_open(self) -> bool:
+        """Whether an item is without a terminal outcome."""
+        return PENDING in self.states or STARTED in self.states
+
+    def pending(self, start: int = 0) -> Iterator[int]:
+        """Yield the indexes of pending items from a start."""
+        index = self.states.find(PENDING, start)
+        while index >= 0:
+            yield index
+            index = self.states.find(PENDING, index + 1)
+
+    def state_of(self, index: int) -> str:
+        """Return the name of an item's state."""
+        return ITEM_STATES[self.states[index]]
+
+    def chunk_of(self, index: int) -> ChunkPlace:
+        """Return the chunk that holds an item."""
+        low, high = 0, len(self.chunks) - 1
+        while low < high:
+            middle = (low + high + 1) // 2
+            if self.chunks[middle].first <= index:
+                low = middle
+            else:
+                high = middle - 1
+        return self.chunks[low]
+
+
+class Submission:
+    """Chunks of a job that is not accepted yet."""
+
+    def __init__(self, at_ms: int) -> None:
+        self.at_ms: int = at_ms
+        self.chunks: dict[int, ChunkPlace] = {}
+
+    def places(self, item_count: int) -> list[ChunkPlace] | None:
+        """Return the chunks in order if they hold all items without a gap."""
+        ordered = [self.chunks[first] for first in sorted(self.chunks)]
+        expected = 0
+        for place in ordered:
+            if place.first != expected:
+                return None
+            expected += place.count
+        return ordered if expected == item_count else None
+
+
+class JobFold:
+    """Folds one partition's stream. Used by its holder and by readers of results.
+
+    Records written under a claim are void once a newer claim is in the stream.
+    The first terminal outcome of an item in log order stands.
+    """
+
+    def __init__(self, resource: ResourceName) -> None:
+        self.resource: ResourceName = resource
+        self.next_offset: int = 0
+        self.leases: LeaseTable = LeaseTable()
+        self.jobs: dict[JobId, Job] = {}
+        self.voided: int = 0
+        self.submissions: dict[tuple[JobId, TeamId, str], Submission] = {}
+
+    @property
+    def fencing(self) -> int:
+        """The fencing number of the newest claim; -1 before the first."""
+        held = self.leases.get(self.resource)
+        return held.offset if held else -1
+
+    def apply(self, offset: int, envelope: Envelope | None, at_ms: int) -> None:
+        """Fold one entry in. `at_ms` is when the entry was appended."""
+        if offset < self.next_offset:
+            return
+        self.next_offset = offset + 1
+        if envelope is None:
+            return
+        record = envelope.record
+        handler = self._HANDLERS.get(type(record))
+        if handler is not None:
+            handler(self, offset, record, at_ms)
+
+    def open_jobs(self) -> list[Job]:
+        """Return the jobs with items to do, the oldest first."""
+        return [job for job in self.jobs.values() if job.is_open()]
+
+    def drop_expired(self, now_ms: int, kept_ms: int) -> list[JobId]:
+        """Forget finished jobs and abandoned submissions whose time is over."""
+        expired = [
+            job.id
+            for job in self.jobs.values()
+            if job.finished_at_ms and now_ms - job.finished_at_ms > kept_ms
+        ]
+        for job_id in expired:
+            del self.jobs[job_id]
+        for name, submission in list(self.submissions.items()):
+            if now_ms - submission.at_ms > UNACCEPTED_KEPT_MS:
+                del self.submissions[name]
+        return expired
+
+    def stale_chunks(self, before: int) -> Iterator[tuple[Job, ChunkPlace]]:
+        """Yield chunks with open items whose record stands before an offset."""
+        for job in self.jobs.values():
+            if not job.is_open():
+                continue
+            for place in job.chunks:
+                if place.offset < before and _has_open(job, place):
+                    yield job, place
+
+    def stale_results(self, before: int) -> Iterator[tuple[int, Job, int]]:
+        """Yield offset, job and item of results that stand before an offset."""
+        for job in self.jobs.values():
+            for index, offset in enumerate(job.result_offsets):
+                if NO_OFFSET < offset < before:
+                    yield offset, job, index
+
+    def _apply_claim(self, offset: int, record: Claim, at_ms: int) -> None:
+        self.leases.apply(offset, record)
+
+    def _apply_chunk(self, offset: int, record: ItemChunk, at_ms: int) -> None:
+        if record.job in self.jobs:
+            return
+        name = (record.job, record.team, record.digest)
+        submission = self.submissions.setdefault(name, Submission(at_ms))
+        place = ChunkPlace(record.first, len(record.items), offset)
+        # A resend appends the same chunk again; the newest copy lives longest.
+        submission.chunks[record.first] = place
+
+    def _apply_accepted(self, offset: int, record: JobAccepted, at_ms: int) -> None:
+        if record.job in self.jobs:
+            return
+        submission = self.submissions.get((record.job, record.team, record.digest))
+        places = submission.places(record.item_count) if submission else None
+        if places is None:
+            self.voided += 1
+            return
+        self.jobs[record.job] = Job(record, places)
+        for name in [n for n in self.submissions if n[0] == record.job]:
+            del self.submissions[name]
+
+    def _apply_cancelled(self, offset: int, record: JobCancelled, at_ms: int) -> None:
+        job = self.jobs.get(record.job)
+        if job is None or job.team != record.team or not job.is_open():
+            return
+        job.cancelled_at_ms = record.at_ms
+        for index, state in enumerate(job.states):
+            if state in (PENDING, STARTED):
+                job.step(index, "cancelled")
+        job.attempts.clear()
+        self._finish(job, record.at_ms)
+
+    def _apply_attempts(self, offset: int, record: AttemptsStarted, at_ms: int) -> None:
+        for started in record.attempts:
+            job = self._job_under(record.claim, started.job)
+            if job is not None and job.step(started.index, "attempt_started"):
+                job.attempts[started.index] = started.attempt
+
+    def _apply_attempts_ended(
+        self, offset: int, record: AttemptsEnded, at_ms: int
+    ) -> None:
+        for ended in record.attempts:
+            job = self._job_under(record.claim, ended.job)
+            if job is None or job.attempts.get(ended.index) != ended.attempt:
+                continue
+            if job.step(ended.index, "attempt_ended"):
+                del job.attempts[ended.index]
+
+    def _apply_results(self, offset: int, record: ItemResults, at_ms: int) -> None:
+        for result in record.results:
+            job = self._job_under(record.claim, result.job)
+            if job is None or not 0 <= result.index < job.item_count:
+                continue
+            if job.step(result.index, result.outcome):
+                job.result_offsets[result.index] = offset
+                job.attempts.pop(result.index, None)
+                self._finish(job, record.at_ms)
+
+    def _apply_carried_chunk(
+        self, offset: int, record: CarriedChunk, at_ms: int
+    ) -> None:
+        job = self._job_under(record.claim, record.job)
+        if job is not None:
+            job.chunk_of(record.first).offset = offset
+
+    def _apply_carried_results(
+        self, offset: int, record: CarriedResults, at_ms: int
+    ) -> None:
+        for result in record.results:
+            job = self._job_under(record.claim, result.job)
+            if job is not None and job.result_offsets[result.index] != NO_OFFSET:
+                job.result_offsets[result.index] = offset
+
+    def _job_under(self, claim: int, job_id: JobId) -> Job | None:
+        """Return a job if the record's claim is the newest, else void the record."""
+        if claim != self.fencing:
+            self.voided += 1
+            return None
+        return self.jobs.get(job_id)
+
+    @staticmethod
+    def _finish(job: Job, at_ms: int) -> None:
+        if not job.is_open():
+            job.finished_at_ms = at_ms
+
+    _HANDLERS = {
+        Claim: _apply_claim,
+        ItemChunk: _apply_chunk,
+        JobAccepted: _apply_accepted,
+        JobCancelled: _apply_cancelled,
+        AttemptsStarted: _apply_attempts,
+        AttemptsEnded: _apply_attempts_ended,
+        ItemResults: _apply_results,
+        CarriedChunk: _apply_carried_chunk,
+        CarriedResults: _apply_carried_results,
+    }
+
+
+def _has_open(job: Job, place: ChunkPlace) -> bool:
+    part = job.states[place.first : place.first + place.count]
+    return PENDING in part or STARTED in part
--- /dev/null
+++ b/apricotquay/logclient.py
@@ -0,0 +1,143 @@
+"""Access to the platform's log service. Another platform changes this file only."""
+
+import itertools
+import threading
+import time
+from typing import Protocol
+
+import cbor2
+import msgspec
+import urllib3
+
+from .errors import LogUnavailableError
+from .ids import StreamName, WriterId
+from .records import Envelope, LogEntry, Record, encode_envelope
+
+READ_LIMIT = 1_000
+RETRY_PAUSE_S = 0.1
+MAX_RETRY_PAUSE_S = 1.0
+
+
+class ReadPage(msgspec.Struct, frozen=True):
+    """A page of a stream.
+
+    `first_offset` is the first that the log still keeps; `next_offset` follows
+    the newest entry; `entries` starts at the asked offset or the first kept.
+    """
+
+    first_offset: int
+    next_offset: int
+    entries: list[LogEntry]
+
+    @property
+    def reaches_tail(self) -> bool:
+        """Whether no newer entry existed when the page was made."""
+        return not self.entries or self.entries[-1].offset == self.next_offset - 1
+
+
+class Log(Protocol):
+    """The log service as the rest of the package sees it."""
+
+    def append(self, stream: StreamName, data: bytes, timeout_s: float) -> int:
+        """Append once; raise LogUnavailableError when no offset came back."""
+
+    def read(
+        self, stream: StreamName, offset: int, wait_ms: int, limit: int = READ_LIMIT
+    ) -> ReadPage:
+        """Read from an offset, waiting for a first entry if there is none."""
+
+
+class HttpLog:
+    """The log service over HTTP. Used by the daemon and the command line."""
+
+    def __init__(
+        self, url: str, source_host: str | None = None, connections: int = 32
+    ) -> None:
+        self._url: str = url.rstrip("/")
+        self._pool: urllib3.PoolManager = urllib3.PoolManager(
+            maxsize=connections,
+            block=False,
+            retries=False,
+            source_address=(source_host, 0) if source_host else None,
+        )
+
+    def append(self, stream: StreamName, data: bytes, timeout_s: float) -> int:
+        response = self._request("POST", stream, timeout_s, body=data)
+        return self._decode(response, stream)["offset"]
+
+    def read(
+        self, stream: StreamName, offset: int, wait_ms: int, limit: int = READ_LIMIT
+    ) -> ReadPage:
+        fields = {"from": str(offset), "wait_ms": str(wait_ms), "limit": str(limit)}
+        timeout_s = wait_ms / 1000 + 2.0
+        response = self._request("GET", stream, timeout_s, fields=fields)
+        value = self._decode(response, stream)
+        try:
+            return msgspec.convert(value, ReadPage, builtin_types=(bytes,))
+        except msgspec.ValidationError as exc:
+            raise LogUnavailableError(f"stream {stream}: bad answer: {exc}") from exc
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.clear()
+
+    def _request(
+        self, method: str, stream: StreamName, timeout_s: float, **kwargs
+    ) -> urllib3.BaseHTTPResponse:
+        timeout = urllib3.Timeout(connect=min(1.0, timeout_s), total=timeout_s)
+        url = f"{self._url}/streams/{stream}/records"
+        try:
+            response = self._pool.request(method, url, timeout=timeout, **kwargs)
+        except urllib3.exceptions.HTTPError as exc:
+            raise LogUnavailableError(f"stream {stream}: {exc}") from exc
+        if response.status != 200:
+            raise LogUnavailableError(f"stream {stream}: status {response.status}")
+        return response
+
+    @staticmethod
+    def _decode(response: urllib3.BaseHTTPResponse, stream: StreamName) -> dict:
+        try:
+            return cbor2.loads(response.data)
+        except (cbor2.CBORDecodeError, ValueError) as exc:
+            raise LogUnavailableError(f"stream {stream}: bad answer: {exc}") from exc
+
+
+class Appender:
+    """Appends records under one writer id. Used by every writer of a process.
+
+    An append without an answer may have taken effect, so it is repeated with
+    the same writer id and sequence number, and every fold drops the second.
+    """
+
+    def __init__(self, log: Log, writer: WriterId) -> None:
+        self.writer: WriterId = writer
+        self._log: Log = log
+        self._seq = itertools.count(1)
+        self._lock = threading.Lock()
+
+    def envelope(self, record: Record) -> Envelope:
+        """Give a record its identity."""
+        with self._lock:
+            seq = next(self._seq)
+        return Envelope(self.writer, seq, record)
+
+    def append(self, stream: StreamName, record: Record, timeout_s: float) -> int:
+        """Append a record and return its offset, repeating until a time limit."""
+        return self.append_envelope(stream, self.envelope(record), timeout_s)
+
+    def append_envelope(
+        self, stream: StreamName, envelope: Envelope, timeout_s: float
+    ) -> int:
+        """Append a record that already has its identity."""
+        data = encode_envelope(envelope)
+        limit_s = time.monotonic() + timeout_s
+        pause_s = RETRY_PAUSE_S
+        while True:
+            left_s = limit_s - time.monotonic()
+            try:
+                return self._log.append(stream, data, max(0.05, min(left_s, 2.0)))
+            except LogUnavailableError:
+                if time.monotonic() + pause_s >= limit_s:
+                    raise
+            time.sleep(pause_s)
+            pause_s = min(pause_s * 2, MAX_RETRY_PAUSE_S)
--- /dev/null
+++ b/apricotquay/messages.py
@@ -0,0 +1,297 @@
+"""Messages between daemons, and their encoding: CBOR over `websockets`.
+
+A frame is an array of a call number and a message. Every call has one reply.
+"""
+
+import cbor2
+import msgspec
+
+from .ids import Incarnation, JobId, MemberId, ResourceName, TeamId
+
+FrameNumber = int
+
+
+class Probe(msgspec.Struct, frozen=True, tag="probe"):
+    """Asks whether a member is alive and tells what the sender knows.
+
+    `view_age_ms` is how long ago the sender's view of the configuration was
+    confirmed; `online_load` counts its online requests by endpoint.
+    """
+
+    sender: MemberId
+    incarnation: Incarnation
+    leaving: bool
+    config_version: int
+    view_age_ms: int
+    online_load: dict[str, int]
+
+
+class ProbeReply(msgspec.Struct, frozen=True, tag="probe_reply"):
+    """The answer to a probe: the same facts of the other side."""
+
+    sender: MemberId
+    incarnation: Incarnation
+    leaving: bool
+    config_version: int
+    view_age_ms: int
+    online_load: dict[str, int]
+
+
+class FetchConfig(msgspec.Struct, frozen=True, tag="fetch_config"):
+    """Asks for the configuration in force if it is newer than `known_version`."""
+
+    known_version: int
+
+
+class ConfigReply(msgspec.Struct, frozen=True, tag="config_reply"):
+    """A configuration; `text` is empty when there is none newer."""
+
+    version: int
+    text: str
+
+
+class TakeToken(msgspec.Struct, frozen=True, tag="take_token"):
+    """Asks the holder of a shard for one token of a team's bucket."""
+
+    resource: ResourceName
+    fencing: int
+    team: TeamId
+
+
+class TokenReply(msgspec.Struct, frozen=True, tag="token_reply"):
+    """The holder's decision.
+
+    `held` is false when the asked daemon may not act under that fencing
+    number; the asker then looks for the holder again. `wait_s` says when a
+    refused team has a token again.
+    """
+
+    held: bool
+    granted: bool = False
+    wait_s: float = 0.0
+
+
+class AskPromises(msgspec.Struct, frozen=True, tag="ask_promises"):
+    """Asks a successor not to claim, as resources with their fencing numbers."""
+
+    sender: MemberId
+    fencings: dict[ResourceName, int]
+
+
+class PromisesReply(msgspec.Struct, frozen=True, tag="promises_reply"):
+    """The resources for which the successor promises, for `lease_s` from its now."""
+
+    promised: list[ResourceName]
+    lease_s: float
+
+
+class HandOver(msgspec.Struct, frozen=True, tag="hand_over"):
+    """A holder stopped acting and names its successor, with the bucket levels."""
+
+    sender: MemberId
+    resource: ResourceName
+    fencing: int
+    levels: dict[TeamId, float]
+    full: bool
+
+
+class OnlineLoad(msgspec.Struct, frozen=True, tag="online_load"):
+    """The sender's online requests by endpoint, for the endpoints' batch runners."""
+
+    sender: MemberId
+    counts: dict[str, int]
+
+
+class EndpointLoads(msgspec.Struct, frozen=True, tag="endpoint_loads"):
+    """The answer of an endpoint's batch runner: all members' online requests."""
+
+    totals: dict[str, int]
+
+
+class QuarantineNotice(msgspec.Struct, frozen=True, tag="quarantine_notice"):
+    """Fingerprints that were seen at an endpoint's death, or are quarantined."""
+
+    endpoint: str
+    suspects: list[str]
+    quarantined: list[str]
+
+
+class PullItems(msgspec.Struct, frozen=True, tag="pull_items"):
+    """A batch runner asks for items that an endpoint's target can serve."""
+
+    sender: MemberId
+    target: str
+    room: int
+
+
+class WorkItem(msgspec.Struct, frozen=True):
+    """One item to run.
+
+    `text` and `tokens` hold what an earlier runner got before it paused.
+    """
+
+    resource: ResourceName
+    claim: int
+    job: JobId
+    index: int
+    team: TeamId
+    line: bytes
+    attempt: str = ""
+    text: str = ""
+    tokens: int = 0
+
+
+class PulledItems(msgspec.Struct, frozen=True, tag="pulled_items"):
+    """Items handed to a runner, which must report or return each."""
+
+    items: list[WorkItem]
+
+
+class ItemReport(msgspec.Struct, frozen=True):
+    """What became of one item: an outcome, or none when it is given back.
+
+    `text` and `tokens` hold a partial answer that another runner may go on with.
+    """
+
+    resource: ResourceName
+    claim: int
+    job: JobId
+    index: int
+    attempt: str
+    outcome: str
+    body: bytes
+    text: str = ""
+    tokens: int = 0
+    ran: str = "unknown"
+
+
+class ReportItems(msgspec.Struct, frozen=True, tag="report_items"):
+    """A runner reports items to the holder of their partition."""
+
+    reports: list[ItemReport]
+
+
+class KeepItems(msgspec.Struct, frozen=True, tag="keep_items"):
+    """A runner still works on items; the reply lists those that must stop."""
+
+    sender: MemberId
+    items: list[tuple[ResourceName, JobId, int]]
+
+
+class StopItems(msgspec.Struct, frozen=True, tag="stop_items"):
+    """Items that a runner must stop: cancelled, done elsewhere or not known."""
+
+    items: list[tuple[JobId, int]]
+
+
+class QueryJob(msgspec.Struct, frozen=True, tag="query_job"):
+    """Asks the holder of a partition for a team's job."""
+
+    resource: ResourceName
+    job: JobId
+    team: TeamId
+
+
+class JobReply(msgspec.Struct, frozen=True, tag="job_reply"):
+    """A job's state; `known` is false where the team has no such job."""
+
+    held: bool
+    known: bool = False
+    job_key: str = ""
+    digest: str = ""
+    accepted_at_ms: int = 0
+    finished_at_ms: int = 0
+    cancelled_at_ms: int = 0
+    total: int = 0
+    open: int = 0
+    done: int = 0
+    failed: int = 0
+    cancelled: int = 0
+    unknown: int = 0
+
+
+class QueryResults(msgspec.Struct, frozen=True, tag="query_results"):
+    """Asks for the result lines of items from `first` on."""
+
+    resource: ResourceName
+    job: JobId
+    team: TeamId
+    first: int
+    count: int
+
+
+class ResultsReply(msgspec.Struct, frozen=True, tag="results_reply"):
+    """Result lines in item order; `next_first` is -1 after the last item."""
+
+    held: bool
+    lines: list[bytes] = []
+    next_first: int = -1
+
+
+class ExplainItem(msgspec.Struct, frozen=True, tag="explain_item"):
+    """Asks what happened to an item."""
+
+    resource: ResourceName
+    job: JobId
+    index: int
+
+
+class TextReply(msgspec.Struct, frozen=True, tag="text_reply"):
+    """Lines of explanation for a person."""
+
+    lines: list[str]
+
+
+class Done(msgspec.Struct, frozen=True, tag="done"):
+    """A reply without contents."""
+
+
+class Failed(msgspec.Struct, frozen=True, tag="failed"):
+    """The called daemon could not answer."""
+
+    message: str
+
+
+Message = (
+    Probe
+    | ProbeReply
+    | FetchConfig
+    | ConfigReply
+    | TakeToken
+    | TokenReply
+    | AskPromises
+    | PromisesReply
+    | HandOver
+    | OnlineLoad
+    | EndpointLoads
+    | QuarantineNotice
+    | PullItems
+    | PulledItems
+    | ReportItems
+    | KeepItems
+    | StopItems
+    | QueryJob
+    | JobReply
+    | QueryResults
+    | ResultsReply
+    | ExplainItem
+    | TextReply
+    | Done
+    | Failed
+)
+
+
+def encode_frame(number: FrameNumber, message: Message) -> bytes:
+    """Encode one frame."""
+    value = msgspec.to_builtins(message, builtin_types=(bytes,))
+    return cbor2.dumps([number, value])
+
+
+def decode_frame(data: bytes) -> tuple[FrameNumber, Message]:
+    """Decode one frame; raise ValueError where it is malformed."""
+    try:
+        number, value = cbor2.loads(data)
+        message = msgspec.convert(value, Message, builtin_types=(bytes,))
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, TypeError) as exc:
+        raise ValueError(f"malformed frame: {exc}") from exc
+    return number, message
--- /dev/null
+++ b/apricotquay/operations.py
@@ -0,0 +1,168 @@
+"""What operators do: validate, compare, publish, promote and withdraw a key.
+
+The command line is a thin layer over this module, which works without it.
+"""
+
+import difflib
+import time
+import uuid
+from collections.abc import Iterator
+
+import msgspec
+
+from .clocks import Clock
+from .configuration import ConfigFold, Configuration, Verdict
+from .document import Document, encode_document, parse_document
+from .environment import config_stream
+from .errors import ErrorKind, LogUnavailableError, RequestError
+from .ids import KeyHash, StreamName, WriterId, hash_key
+from .logclient import Appender, Log
+from .records import ConfigPublished, compress_text, decode_envelope
+
+APPEND_TRY_S = 2.0
+PAUSE_S = 0.2
+
+
+class Published(msgspec.Struct, frozen=True):
+    """A document that was accepted."""
+
+    environment: str
+    version: int
+
+
+class ConfigHistory:
+    """Reads an environment's stream and publishes to it. Used by operators' tools."""
+
+    def __init__(self, log: Log, environment: str, clock: Clock) -> None:
+        self.environment: str = environment
+        self.fold = ConfigFold()
+        self._stream: StreamName = config_stream(environment)
+        self._log: Log = log
+        self._clock: Clock = clock
+        self._next_offset: int = 0
+
+    def refresh(self) -> Configuration | None:
+        """Read to the tail and return the configuration in force."""
+        while True:
+            page = self._log.read(self._stream, self._next_offset, 0)
+            for entry in page.entries:
+                envelope = decode_envelope(entry.data)
+                if envelope is not None:
+                    self.fold.apply(entry.offset, envelope)
+                self._next_offset = entry.offset + 1
+            if page.reaches_tail:
+                return self.fold.current
+
+    def publish(
+        self, text: str, base_version: int, operator: str, timeout_s: float = 30.0
+    ) -> Published:
+        """Publish a document against a version; raise VERSION_CONFLICT if it is old.
+
+        An append whose answer is lost is looked for in the log, and made again
+        under the same identity if it is not there.
+        """
+        parse_document(text)
+        self.refresh()
+        if base_version != self.fold.version:
+            raise self._conflict(base_version)
+        appender = Appender(self._log, WriterId(f"operator/{uuid.uuid4().hex}"))
+        record = ConfigPublished(
+            base_version, compress_text(text), operator, self._clock.wall_ms()
+        )
+        envelope = appender.envelope(record)
+        limit_s = self._clock.now_s() + timeout_s
+        while self._clock.now_s() < limit_s:
+            try:
+                appender.append_envelope(self._stream, envelope, APPEND_TRY_S)
+            except LogUnavailableError:
+                time.sleep(PAUSE_S)
+            verdict = self._verdict(envelope.writer, envelope.seq)
+            if verdict is Verdict.IN_FORCE:
+                return Published(self.environment, base_version + 1)
+            if verdict is not None:
+                raise self._conflict(base_version)
+        raise RequestError(
+            ErrorKind.LOG_UNAVAILABLE,
+            "the log did not confirm the document; check `status` before a retry",
+        )
+
+    def _verdict(self, writer: WriterId, seq: int) -> Verdict | None:
+        try:
+            self.refresh()
+        except LogUnavailableError:
+            return None
+        return self.fold.verdict_on(writer, seq)
+
+    def _conflict(self, base_version: int) -> RequestError:
+        return RequestError(
+            ErrorKind.VERSION_CONFLICT,
+            f"{self.environment}: version {base_version} is not current any more, "
+            f"version {self.fold.version} is; nothing was changed",
+            param="base_version",
+        )
+
+
+def diff_lines(old: str, new: str) -> Iterator[str]:
+    """Yield a unified diff of two documents in canonical form."""
+    yield from difflib.unified_diff(
+        _pretty(old), _pretty(new), "in force", "new", lineterm=""
+    )
+
+
+def promote(
+    source: ConfigHistory, target: ConfigHistory, operator: str, source_version: int = 0
+) -> Published:
+    """Publish one environment's document in another.
+
+    A `source_version` other than zero must be the one in force, so that what
+    was proved is what is promoted.
+    """
+    current = source.refresh()
+    if current is None:
+        raise RequestError(
+            ErrorKind.DOCUMENT_INVALID, f"{source.environment}: nothing is published"
+        )
+    if source_version and current.version != source_version:
+        raise RequestError(
+            ErrorKind.VERSION_CONFLICT,
+            f"{source.environment}: version {current.version} is in force, "
+            f"not {source_version}; nothing was changed",
+            param="source_version",
+        )
+    target.refresh()
+    return target.publish(current.text, target.fold.version, operator)
+
+
+def withdraw_key(history: ConfigHistory, key_or_hash: str, operator: str) -> Published:
+    """Mark a key as withdrawn; it may be given as the key or as its hash."""
+    current = history.refresh()
+    if current is None:
+        raise RequestError(
+            ErrorKind.DOCUMENT_INVALID, f"{history.environment}: nothing is published"
+        )
+    document, found = _with_key_withdrawn(current.document, key_or_hash)
+    if not found:
+        raise RequestError(ErrorKind.KEY_REJECTED, "no team has this key", param="key")
+    return history.publish(encode_document(document), current.version, operator)
+
+
+def _with_key_withdrawn(document: Document, key_or_hash: str) -> tuple[Document, bool]:
+    hashes = {KeyHash(key_or_hash), hash_key(key_or_hash)}
+    found = False
+    teams = {}
+    for team_id, team in document.teams.items():
+        keys = []
+        for key in team.keys:
+            if key.hash in hashes:
+                key = msgspec.structs.replace(key, withdrawn=True)
+                found = True
+            keys.append(key)
+        teams[team_id] = msgspec.structs.replace(team, keys=keys)
+    return msgspec.structs.replace(document, teams=teams), found
+
+
+def _pretty(text: str) -> list[str]:
+    if not text:
+        return []
+    data = encode_document(parse_document(text)).encode()
+    return msgspec.json.format(data, indent=2).decode().splitlines()
--- /dev/null
+++ b/apricotquay/partition.py
@@ -0,0 +1,520 @@
+"""One job partition at the daemon that holds it, or that reads its results."""
+
+import threading
+import uuid
+from collections.abc import Iterator
+
+from .backlog import Backlog, Choice, Partial
+from .clocks import Clock
+from .errors import LogUnavailableError
+from .events import Event, EventLog
+from .follow import StreamFollower
+from .ids import Incarnation, JobId, MemberId, ResourceName, StreamName, TeamId
+from .jobs import Job, JobFold
+from .logclient import Appender, Log, ReadPage
+from .messages import ItemReport, WorkItem
+from .recordcache import RecordCache
+from .records import (
+    Attempt,
+    AttemptsEnded,
+    AttemptsStarted,
+    CarriedChunk,
+    CarriedResults,
+    Claim,
+    ItemChunk,
+    ItemResult,
+    ItemResults,
+)
+from .snapshots import DecodedEntry, decode_entries, latest_snapshot, snapshot_records
+
+APPEND_TIMEOUT_S = 5.0
+FOLD_TIMEOUT_S = 3.0
+SNAPSHOT_EVERY_RECORDS = 400
+FIRST_LOAD_WINDOW = 512
+RESULTS_A_RECORD = 500
+CARRY_SHARE = 0.5
+CARRIED_A_RECORD = 200
+
+
+def partition_stream(resource: ResourceName) -> StreamName:
+    """Return the stream of a partition: it has the partition's own name."""
+    return StreamName(resource)
+
+
+class Partition:
+    """The fold of one partition and, under its lease, the work on its items.
+
+    Used by `JobStore`. `lock` guards the fold and the backlog; nothing is
+    appended or read under it.
+    """
+
+    def __init__(
+        self,
+        resource: ResourceName,
+        me: MemberId,
+        incarnation: Incarnation,
+        log: Log,
+        appender: Appender,
+        cache: RecordCache,
+        retention_ms: int,
+        item_attempts: int,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.resource: ResourceName = resource
+        self.stream: StreamName = partition_stream(resource)
+        self.fold = JobFold(resource)
+        self.backlog = Backlog()
+        self.lock = threading.Condition(threading.RLock())
+        self.loaded: bool = False
+        self.paused: bool = False
+        self.oldest_age_ms: int = 0
+        self._me: MemberId = me
+        self._incarnation: Incarnation = incarnation
+        self._log: Log = log
+        self._appender: Appender = appender
+        self._cache: RecordCache = cache
+        self._retention_ms: int = retention_ms
+        self._item_attempts: int = item_attempts
+        self._clock: Clock = clock
+        self._events: EventLog = events
+        self._follower = StreamFollower(
+            log, self.stream, self._on_page, clock, events, wait_ms=300
+        )
+        self._results: list[ItemResult] = []
+        self._records_since_snapshot: int = 0
+        self._marks: list[tuple[int, int]] = []
+        self._finished: set[JobId] = set()
+
+    def start(self) -> None:
+        """Load the fold from the log and follow the stream; LogUnavailableError."""
+        self._load()
+        self._follower.start()
+
+    def close(self) -> None:
+        """Stop following."""
+        self._follower.close()
+
+    def is_held(self) -> bool:
+        """Whether the newest claim of the partition is this process's."""
+        held = self.fold.leases.get(self.resource)
+        return (
+            self.loaded
+            and held is not None
+            and held.claim.holder == self._me
+            and held.claim.incarnation == self._incarnation
+        )
+
+    def claim(self) -> None:
+        """Append a claim; the fold shows when it is in force."""
+        record = Claim(
+            self.resource, self._me, self._incarnation, [], self._clock.wall_ms()
+        )
+        offset = self._appender.append(self.stream, record, APPEND_TIMEOUT_S)
+        self._events.write(Event.LEASE_CLAIMED, resource=self.resource, fencing=offset)
+
+    def hand_out(
+        self,
+        runner: MemberId,
+        routes: dict[str, bool],
+        count: int,
+        weights: dict[TeamId, float],
+    ) -> list[WorkItem]:
+        """Give up to `count` items to a runner.
+
+        `routes` tells for each wanted route whether its calls are idempotent.
+        """
+        with self.lock:
+            if not self.is_held() or self.paused:
+                return []
+            claim = self.fold.fencing
+            chosen = self.backlog.choose(self.fold, set(routes), count, weights)
+            now_s = self._clock.now_s()
+            for choice in chosen:
+                if routes[choice.job.route]:
+                    continue
+                # An attempt that is being recorded must not be chosen again.
+                self.backlog.hand(choice.job.id, choice.index, runner, now_s)
+        lines = self._lines_of(chosen)
+        readable = [choice for choice in chosen if id(choice) in lines]
+        attempts = self._record_attempts(readable, routes, claim)
+        return [
+            self._work_item(
+                choice, claim, runner, lines[id(choice)], attempts.get(id(choice), "")
+            )
+            for choice in readable
+            if routes[choice.job.route] or id(choice) in attempts
+        ]
+
+    def take_report(self, report: ItemReport) -> None:
+        """Take in what a runner reports of an item."""
+        name = (report.job, report.index)
+        with self.lock:
+            job = self.fold.jobs.get(report.job)
+            if not self.is_held() or job is None:
+                return
+            if job.state_of(report.index) not in ("pending", "started"):
+                self.backlog.handed.pop(name, None)
+                return
+            if report.attempt:
+                if job.attempts.get(report.index) != report.attempt:
+                    return
+                if not report.outcome and report.ran != "not_run":
+                    report = _lost(report)
+            if not report.outcome:
+                self._take_back(job, report)
+                return
+            if self.backlog.report(report.job, report.index):
+                self._results.append(
+                    ItemResult(report.job, report.index, report.outcome, report.body)
+                )
+
+    def keep(self, runner: MemberId, job_id: JobId, index: int) -> bool:
+        """Renew a runner's item; return whether it should go on."""
+        with self.lock:
+            job = self.fold.jobs.get(job_id)
+            if job is None or job.state_of(index) not in ("pending", "started"):
+                return False
+            if not self.is_held():
+                return False
+            return self.backlog.keep(job_id, index, runner, self._clock.now_s())
+
+    def flush(self) -> None:
+        """Append the outcomes gathered so far."""
+        with self.lock:
+            results = self._results[:RESULTS_A_RECORD]
+            claim = self.fold.fencing
+            if not results or not self.is_held():
+                return
+            del self._results[: len(results)]
+        record = ItemResults(claim, self._clock.wall_ms(), results)
+        try:
+            self._appender.append(self.stream, record, APPEND_TIMEOUT_S)
+        except LogUnavailableError:
+            with self.lock:
+                self._results = results + self._results
+
+    def pending_results(self) -> int:
+        """Return how many outcomes are not in the log yet."""
+        with self.lock:
+            return len(self._results)
+
+    def tick(self, result_retention_ms: int) -> None:
+        """Requeue silent items, settle lost attempts, carry and snapshot."""
+        if not self.is_held():
+            return
+        self._requeue_expired()
+        self._settle_lost_attempts()
+        with self.lock:
+            self.fold.drop_expired(self._clock.wall_ms(), result_retention_ms)
+        self._carry_if_due()
+        if self._records_since_snapshot >= SNAPSHOT_EVERY_RECORDS:
+            self.append_snapshot()
+
+    def append_snapshot(self) -> None:
+        """Append the state of the fold."""
+        with self.lock:
+            records = snapshot_records(self.fold, self.fold.fencing)
+            self._records_since_snapshot = 0
+        try:
+            for record in records:
+                self._appender.append(self.stream, record, APPEND_TIMEOUT_S)
+        except LogUnavailableError:
+            return
+        self._events.write(
+            Event.SNAPSHOT_APPENDED,
+            resource=self.resource,
+            bytes=sum(len(r.state_z) for r in records),
+        )
+
+    def result_lines(self, job: Job, first: int, count: int) -> Iterator[bytes]:
+        """Yield the result lines of items, reading the log where needed."""
+        for index in range(first, min(job.item_count, first + count)):
+            offset = job.result_offsets[index]
+            if offset < 0:
+                continue
+            record = self._cache.get(self.stream, offset)
+            for result in record.results:
+                if result.job == job.id and result.index == index:
+                    yield result.body
+                    break
+
+    def item_line(self, job: Job, index: int) -> bytes:
+        """Return the request line of an item."""
+        place = job.chunk_of(index)
+        record = self._cache.get(self.stream, place.offset)
+        return record.items[index - record.first]
+
+    def _load(self) -> None:
+        """Find the newest snapshot from the tail backwards and fold on from it."""
+        tail = self._log.read(self.stream, 0, 0, limit=1)
+        first, end = tail.first_offset, tail.next_offset
+        window = FIRST_LOAD_WINDOW
+        while True:
+            start = max(first, end - window)
+            entries = list(self._read_entries(start, end))
+            restored = latest_snapshot(self.resource, entries)
+            if restored is not None or start == first:
+                break
+            window *= 4
+        with self.lock:
+            if restored is not None:
+                self.fold = restored
+            self._fold_entries(entries)
+            self._follower.next_offset = max(end, self.fold.next_offset)
+            self.loaded = True
+        self._events.write(
+            Event.PARTITION_LOADED,
+            resource=self.resource,
+            entries=len(entries),
+            snapshot=restored is not None,
+            jobs=len(self.fold.jobs),
+        )
+
+    def _read_entries(self, start: int, end: int) -> Iterator[DecodedEntry]:
+        offset = start
+        while offset < end:
+            page = self._log.read(self.stream, offset, 0)
+            if not page.entries:
+                return
+            yield from decode_entries(page.entries, self._clock.wall_ms())
+            offset = page.entries[-1].offset + 1
+
+    def _on_page(self, page: ReadPage, sent_s: float) -> None:
+        entries = list(decode_entries(page.entries, self._clock.wall_ms()))
+        for entry, raw in zip(entries, page.entries, strict=True):
+            self._cache_payload(entry, len(raw.data))
+        with self.lock:
+            self._fold_entries(entries)
+            self.lock.notify_all()
+        self._note_finished()
+
+    def _cache_payload(self, entry: DecodedEntry, size: int) -> None:
+        record = entry.envelope.record if entry.envelope else None
+        if isinstance(record, (ItemChunk, ItemResults, CarriedChunk, CarriedResults)):
+            self._cache.put(self.stream, entry.offset, record, size)
+
+    def _fold_entries(self, entries: list[DecodedEntry]) -> None:
+        for entry in entries:
+            before = self.fold.fencing
+            self.fold.apply(entry.offset, entry.envelope, entry.at_ms)
+            if self.fold.fencing != before:
+                self._begin_term()
+            self._records_since_snapshot += 1
+            if not self._marks or entry.offset - self._marks[-1][0] >= 16:
+                self._marks.append((entry.offset, entry.at_ms))
+
+    def _begin_term(self) -> None:
+        """A claim was folded in: what an earlier term had in memory is void."""
+        self.backlog = Backlog()
+        self._results.clear()
+        if self.is_held():
+            self._events.write(
+                Event.LEASE_ACTIVE, resource=self.resource, fencing=self.fold.fencing
+            )
+
+    def _record_attempts(
+        self, chosen: list[Choice], routes: dict[str, bool], claim: int
+    ) -> dict[int, str]:
+        """Put the attempts of non-idempotent items into the log before they run.
+
+        Returns the attempts that the fold then shows in force, by choice.
+        """
+        started = {
+            id(c): Attempt(c.job.id, c.index, uuid.uuid4().hex)
+            for c in chosen
+            if not routes[c.job.route]
+        }
+        if not started:
+            return {}
+        record = AttemptsStarted(claim, list(started.values()))
+        try:
+            offset = self._appender.append(self.stream, record, APPEND_TIMEOUT_S)
+        except LogUnavailableError:
+            # The record may be in the log all the same, so the items are left
+            # to expire and be settled as lost attempts, not handed out again.
+            return {}
+        with self.lock:
+            self.lock.wait_for(
+                lambda: self.fold.next_offset > offset, timeout=FOLD_TIMEOUT_S
+            )
+            return {
+                choice: attempt.attempt
+                for choice, attempt in started.items()
+                if self._attempt_in_force(attempt, claim)
+            }
+
+    def _attempt_in_force(self, attempt: Attempt, claim: int) -> bool:
+        job = self.fold.jobs.get(attempt.job)
+        return (
+            self.fold.fencing == claim
+            and job is not None
+            and job.attempts.get(attempt.index) == attempt.attempt
+        )
+
+    def _lines_of(self, chosen: list[Choice]) -> dict[int, bytes]:
+        """Read the request lines of chosen items; those not readable wait on."""
+        lines = {}
+        for choice in chosen:
+            try:
+                lines[id(choice)] = self.item_line(choice.job, choice.index)
+            except LogUnavailableError:
+                with self.lock:
+                    self.backlog.give_back(choice.job.id, choice.index)
+        return lines
+
+    def _work_item(
+        self, choice: Choice, claim: int, runner: MemberId, line: bytes, attempt: str
+    ) -> WorkItem:
+        job, index = choice.job, choice.index
+        with self.lock:
+            partial = self.backlog.hand(
+                job.id, index, runner, self._clock.now_s(), attempt
+            )
+        text, tokens = (partial.text, partial.tokens) if partial else ("", 0)
+        return WorkItem(
+            self.resource, claim, job.id, index, job.team, line, attempt, text, tokens
+        )
+
+    def _take_back(self, job: Job, report: ItemReport) -> None:
+        """Let an item run again, or fail it after too many attempts."""
+        if report.attempt:
+            self.backlog.handed.pop((report.job, report.index), None)
+            self._end_attempt(report)
+            return
+        if report.ran == "failed":
+            self.backlog.failures[(report.job, report.index)] += 1
+        if self.backlog.failures[(report.job, report.index)] >= self._item_attempts:
+            self._events.write(Event.ITEM_GIVEN_UP, job=report.job, index=report.index)
+            if self.backlog.report(report.job, report.index):
+                self._results.append(
+                    ItemResult(report.job, report.index, "failed", report.body)
+                )
+            return
+        partial = Partial(report.text, report.tokens)
+        self.backlog.give_back(job.id, report.index, partial)
+
+    def _end_attempt(self, report: ItemReport) -> None:
+        ended = Attempt(report.job, report.index, report.attempt)
+        record = AttemptsEnded(self.fold.fencing, [ended])
+
+        def append() -> None:
+            try:
+                self._appender.append(self.stream, record, APPEND_TIMEOUT_S)
+            except LogUnavailableError:
+                return
+            with self.lock:
+                self.backlog.give_back(report.job, report.index)
+
+        threading.Thread(target=append, name="attempt-ended", daemon=True).start()
+
+    def _requeue_expired(self) -> None:
+        with self.lock:
+            for job_id, index, attempt in self.backlog.expired(self._clock.now_s()):
+                job = self.fold.jobs.get(job_id)
+                if job is not None and attempt and index in job.attempts:
+                    self._settle(job, index)
+                else:
+                    self.backlog.give_back(job_id, index)
+
+    def _settle_lost_attempts(self) -> None:
+        """End attempts of which nobody knows how they ended."""
+        with self.lock:
+            for job in self.fold.jobs.values():
+                for index in list(job.attempts):
+                    if (job.id, index) not in self.backlog.handed:
+                        self._settle(job, index)
+
+    def _settle(self, job: Job, index: int) -> None:
+        if self.backlog.report(job.id, index):
+            self._results.append(
+                ItemResult(job.id, index, "outcome_lost", outcome_unknown_line(index))
+            )
+
+    def _carry_if_due(self) -> None:
+        """Append again what is needed and would be dropped soon."""
+        now_ms = self._clock.wall_ms()
+        limit_ms = now_ms - int(self._retention_ms * CARRY_SHARE)
+        before = 0
+        with self.lock:
+            while len(self._marks) > 1 and self._marks[1][1] < limit_ms:
+                before = self._marks.pop(0)[0] + 16
+            if self._marks and self._marks[0][1] < limit_ms:
+                before = max(before, self._marks[0][0] + 1)
+            if not before:
+                return
+            chunks = list(self.fold.stale_chunks(before))
+            results = list(self.fold.stale_results(before))
+            claim = self.fold.fencing
+        try:
+            self._carry_chunks(chunks, claim)
+            self._carry_results(results, claim)
+        except LogUnavailableError:
+            return
+        with self.lock:
+            self.lock.wait_for(lambda: not self._carry_left(before), FOLD_TIMEOUT_S)
+            # The claim itself would be dropped, so it is renewed by a snapshot
+            # that holds it.
+            self._marks = [m for m in self._marks if m[0] >= before]
+        self.append_snapshot()
+
+    def _carry_left(self, before: int) -> bool:
+        return any(self.fold.stale_results(before)) or any(
+            self.fold.stale_chunks(before)
+        )
+
+    def _carry_chunks(self, chunks: list, claim: int) -> None:
+        for job, place in chunks:
+            items = self._cache.get(self.stream, place.offset).items
+            record = CarriedChunk(claim, job.id, place.first, items)
+            self._appender.append(self.stream, record, APPEND_TIMEOUT_S)
+
+    def _carry_results(self, results: list, claim: int) -> None:
+        for start in range(0, len(results), CARRIED_A_RECORD):
+            part = results[start : start + CARRIED_A_RECORD]
+            carried = [self._stored_result(*place) for place in part]
+            record = CarriedResults(claim, [r for r in carried if r is not None])
+            self._appender.append(self.stream, record, APPEND_TIMEOUT_S)
+
+    def _stored_result(self, offset: int, job: Job, index: int) -> ItemResult | None:
+        for result in self._cache.get(self.stream, offset).results:
+            if result.job == job.id and result.index == index:
+                return result
+        return None
+
+    def _note_finished(self) -> None:
+        with self.lock:
+            ended = [
+                job
+                for job in self.fold.jobs.values()
+                if job.finished_at_ms and job.id not in self._finished
+            ]
+            for job in ended:
+                self._finished.add(job.id)
+                self.backlog.forget(job)
+        for job in ended:
+            cancelled = bool(job.cancelled_at_ms)
+            event = Event.JOB_CANCELLED if cancelled else Event.JOB_FINISHED
+            self._events.write(event, job=job.id, team=job.team)
+
+
+def _lost(report: ItemReport) -> ItemReport:
+    """Return the report of an attempt whose outcome nobody knows."""
+    return ItemReport(
+        report.resource,
+        report.claim,
+        report.job,
+        report.index,
+        report.attempt,
+        "outcome_lost",
+        report.body or outcome_unknown_line(report.index),
+    )
+
+
+def outcome_unknown_line(index: int) -> bytes:
+    """Return the result line of an item that may or may not have been executed."""
+    return (
+        b'{"index":%d,"response":null,"error":{"code":"outcome_unknown",'
+        b'"message":"the call may have been executed; it is not repeated",'
+        b'"ran":"unknown"}}' % index
+    )
--- /dev/null
+++ b/apricotquay/peers.py
@@ -0,0 +1,234 @@
+"""Calls between daemons: one websocket a pair, many calls on it at once."""
+
+import itertools
+import socket
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor, TimeoutError
+
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import ClientConnection, connect
+from websockets.sync.server import Server, ServerConnection, serve
+
+from .errors import PeerUnavailableError
+from .ids import MemberId
+from .messages import (
+    Failed,
+    Message,
+    PullItems,
+    QueryResults,
+    ReportItems,
+    decode_frame,
+    encode_frame,
+)
+
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+CONNECT_TIMEOUT_S = 1.0
+SLOW_CALL_THREADS = 8
+# Calls that may read the log, and so must not hold up the others behind them.
+SLOW_CALLS = (QueryResults, PullItems, ReportItems)
+
+Handler = Callable[[Message], Message]
+Address = tuple[str, int]
+
+
+class PeerServer:
+    """Answers the calls of other daemons. Owned by the daemon."""
+
+    def __init__(self, host: str, port: int, handler: Handler) -> None:
+        self.port: int = port
+        self._host: str = host
+        self._handler: Handler = handler
+        self._server: Server | None = None
+        self._thread: threading.Thread | None = None
+        self._slow = ThreadPoolExecutor(SLOW_CALL_THREADS, "peer-slow")
+
+    def start(self) -> None:
+        """Listen and serve in the background."""
+        self._server = serve(
+            self._serve_connection,
+            self._host,
+            self.port,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            ping_interval=None,
+        )
+        self.port = self._server.socket.getsockname()[1]
+        self._thread = threading.Thread(
+            target=self._server.serve_forever, name="peer-server", daemon=True
+        )
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop listening and drop all connections."""
+        if self._server is not None:
+            self._server.shutdown()
+        self._slow.shutdown(wait=False, cancel_futures=True)
+
+    def _serve_connection(self, connection: ServerConnection) -> None:
+        lock = threading.Lock()
+        try:
+            for data in connection:
+                self._serve_frame(connection, lock, data)
+        except (WebSocketException, OSError, ValueError, RuntimeError):
+            connection.close_socket()
+
+    def _serve_frame(
+        self, connection: ServerConnection, lock: threading.Lock, data: bytes
+    ) -> None:
+        number, message = decode_frame(data)
+        if isinstance(message, SLOW_CALLS):
+            self._slow.submit(self._answer, connection, lock, number, message)
+        else:
+            self._answer(connection, lock, number, message)
+
+    def _answer(
+        self,
+        connection: ServerConnection,
+        lock: threading.Lock,
+        number: int,
+        message: Message,
+    ) -> None:
+        try:
+            reply = self._handler(message)
+        except Exception as exc:
+            # A fault in one call must not end the connection of all others.
+            reply = Failed(f"{type(exc).__name__}: {exc}")
+        try:
+            with lock:
+                connection.send(encode_frame(number, reply))
+        except (WebSocketException, OSError):
+            connection.close_socket()
+
+
+class PeerLink:
+    """The connection to one peer. Created by `PeerPool` at the first call."""
+
+    def __init__(self, address: Address, source_host: str) -> None:
+        self.address: Address = address
+        self._source_host: str = source_host
+        self._connection: ClientConnection | None = None
+        self._lock = threading.Lock()
+        self._send_lock = threading.Lock()
+        self._numbers = itertools.count(1)
+        self._calls: dict[int, Future] = {}
+
+    def call(self, message: Message, timeout_s: float) -> Message:
+        """Send a message and return its reply."""
+        connection = self._connected(timeout_s)
+        number = next(self._numbers)
+        future: Future = Future()
+        self._calls[number] = future
+        try:
+            with self._send_lock:
+                connection.send(encode_frame(number, message))
+            reply = future.result(timeout_s)
+        except TimeoutError:
+            raise PeerUnavailableError(f"{self.address}: no answer") from None
+        except (WebSocketException, OSError) as exc:
+            self._drop(connection)
+            raise PeerUnavailableError(f"{self.address}: {exc}") from exc
+        finally:
+            self._calls.pop(number, None)
+        if isinstance(reply, Failed):
+            raise PeerUnavailableError(f"{self.address}: {reply.message}")
+        return reply
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._connection is not None:
+            self._drop(self._connection)
+
+    def _connected(self, timeout_s: float) -> ClientConnection:
+        with self._lock:
+            if self._connection is None:
+                self._connection = self._connect(timeout_s)
+                threading.Thread(
+                    target=self._read_replies,
+                    args=(self._connection,),
+                    name="peer-reader",
+                    daemon=True,
+                ).start()
+            return self._connection
+
+    def _connect(self, timeout_s: float) -> ClientConnection:
+        limit_s = min(timeout_s, CONNECT_TIMEOUT_S)
+        host, port = self.address
+        try:
+            sock = socket.create_connection(
+                self.address, limit_s, source_address=(self._source_host, 0)
+            )
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            return connect(
+                f"ws://{host}:{port}/",
+                sock=sock,
+                compression=None,
+                max_size=MAX_FRAME_BYTES,
+                open_timeout=limit_s,
+                ping_interval=None,
+                proxy=None,
+            )
+        except ConnectionRefusedError as exc:
+            message = f"{self.address}: connection refused"
+            raise PeerUnavailableError(message, refused=True) from exc
+        except (OSError, WebSocketException, TimeoutError, EOFError) as exc:
+            raise PeerUnavailableError(f"{self.address}: {exc}") from exc
+
+    def _read_replies(self, connection: ClientConnection) -> None:
+        try:
+            for data in connection:
+                number, message = decode_frame(data)
+                future = self._calls.get(number)
+                if future is not None:
+                    future.set_result(message)
+        except (WebSocketException, OSError, ValueError):
+            pass
+        self._drop(connection)
+
+    def _drop(self, connection: ClientConnection) -> None:
+        with self._lock:
+            if self._connection is connection:
+                self._connection = None
+        connection.close_socket()
+        for future in list(self._calls.values()):
+            if not future.done():
+                future.set_exception(OSError("connection lost"))
+
+
+class PeerPool:
+    """Calls other daemons by member id. Shared by all parts of the daemon."""
+
+    def __init__(self, source_host: str) -> None:
+        self._source_host: str = source_host
+        self._addresses: dict[MemberId, Address] = {}
+        self._links: dict[MemberId, PeerLink] = {}
+        self._lock = threading.Lock()
+
+    def set_addresses(self, addresses: dict[MemberId, Address]) -> None:
+        """Take in the members' addresses from the VM list."""
+        with self._lock:
+            self._addresses = addresses
+            for member, link in list(self._links.items()):
+                if addresses.get(member) != link.address:
+                    del self._links[member]
+                    link.close()
+
+    def call(self, member: MemberId, message: Message, timeout_s: float) -> Message:
+        """Call a member; raise PeerUnavailableError without an answer."""
+        with self._lock:
+            address = self._addresses.get(member)
+            if address is None:
+                raise PeerUnavailableError(f"{member}: not in the VM list")
+            link = self._links.get(member)
+            if link is None:
+                link = PeerLink(address, self._source_host)
+                self._links[member] = link
+        return link.call(message, timeout_s)
+
+    def close(self) -> None:
+        """Drop all connections."""
+        with self._lock:
+            links = list(self._links.values())
+            self._links.clear()
+        for link in links:
+            link.close()
--- /dev/null
+++ b/apricotquay/poison.py
@@ -0,0 +1,131 @@
+"""Watches which requests run where, and what an endpoint's death says of them."""
+
+import contextlib
+import threading
+from collections import Counter
+from collections.abc import Iterator
+
+from .clocks import Clock
+from .engineclient import EndpointError, EngineClient
+from .errors import PeerUnavailableError
+from .events import Event, EventLog
+from .fleet import Fleet
+from .ids import EndpointId
+from .membership import MemberState, VmEntry
+from .messages import QuarantineNotice
+from .quarantine import QUARANTINE_S, Quarantine, Standing
+from .records import QuarantineMarked
+
+NOTICE_TIMEOUT_S = 0.6
+
+
+class PoisonWatch:
+    """Shared by online and batch work.
+
+    `mark` appends a quarantine record to the log, for daemons that start later;
+    the running ones are told directly, so that a log outage does not matter.
+    """
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        fleet: Fleet,
+        engines: EngineClient,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.mark = lambda record: None
+        self._quarantine: Quarantine = quarantine
+        self._fleet: Fleet = fleet
+        self._engines: EngineClient = engines
+        self._clock: Clock = clock
+        self._events: EventLog = events
+        self._lock = threading.Lock()
+        self._running: dict[EndpointId, Counter] = {}
+
+    @contextlib.contextmanager
+    def running(self, endpoint: EndpointId, fingerprint: str) -> Iterator[None]:
+        """Note that a request runs at an endpoint."""
+        with self._lock:
+            self._running.setdefault(endpoint, Counter())[fingerprint] += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                counter = self._running[endpoint]
+                counter[fingerprint] -= 1
+                if counter[fingerprint] <= 0:
+                    del counter[fingerprint]
+
+    def standing(self, fingerprint: str) -> Standing:
+        """Return what may be done with a fingerprint."""
+        with self._lock:
+            return self._quarantine.standing(fingerprint, self._clock.now_s())
+
+    def clear(self, fingerprint: str) -> None:
+        """A request completed."""
+        with self._lock:
+            self._quarantine.clear(fingerprint)
+
+    def check_death(self, entry: VmEntry, fingerprint: str) -> bool:
+        """Find out whether an endpoint died, and suspect what ran there."""
+        if not self._is_gone(entry):
+            return False
+        endpoint = EndpointId(entry.id)
+        with self._lock:
+            beside = self._running.get(endpoint, Counter())
+            suspects = sorted({fingerprint, *beside})
+        self._see_death(endpoint, suspects)
+        self._tell(QuarantineNotice(endpoint, suspects, []))
+        return True
+
+    def take_notice(self, notice: QuarantineNotice) -> None:
+        """Take in what another daemon saw."""
+        until_s = self._clock.now_s() + QUARANTINE_S
+        with self._lock:
+            for fingerprint in notice.quarantined:
+                self._quarantine.mark(fingerprint, until_s)
+        if notice.suspects:
+            self._see_death(EndpointId(notice.endpoint), notice.suspects)
+
+    def tick(self) -> None:
+        """Forget what has expired."""
+        with self._lock:
+            self._quarantine.tick(self._clock.now_s())
+
+    def _is_gone(self, entry: VmEntry) -> bool:
+        try:
+            self._engines.load(entry)
+        except EndpointError as exc:
+            return exc.refused
+        return False
+
+    def _see_death(self, endpoint: EndpointId, suspects: list[str]) -> None:
+        with self._lock:
+            convicted = self._quarantine.see_death(
+                endpoint, suspects, self._clock.now_s()
+            )
+        for fingerprint in convicted:
+            self._events.write(Event.REQUEST_QUARANTINED, fingerprint=fingerprint)
+            now_ms = self._clock.wall_ms()
+            until_ms = now_ms + int(QUARANTINE_S * 1000)
+            self.mark(QuarantineMarked(fingerprint, 2, now_ms, until_ms))
+        if convicted:
+            self._tell(QuarantineNotice(endpoint, [], convicted))
+
+    def _tell(self, notice: QuarantineNotice) -> None:
+        with self._fleet.lock:
+            members = self._fleet.members.in_state(
+                MemberState.ALIVE, MemberState.LEAVING
+            )
+        for member in members:
+            threading.Thread(
+                target=self._tell_member, args=(member, notice), daemon=True
+            ).start()
+
+    def _tell_member(self, member, notice: QuarantineNotice) -> None:
+        try:
+            self._fleet.call(member, notice, NOTICE_TIMEOUT_S)
+        except PeerUnavailableError:
+            # The member learns of it from the log.
+            return
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,454 @@
+"""Starts a whole fleet of stand-ins and daemons as processes, and breaks it.
+
+Used by the tests, the demo and the bench. Daemons and command line start no
+process; this harness does, and it ends only those that it started.
+"""
+
+import json
+import os
+import secrets
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+import urllib3
+
+from apricotquay.clocks import SystemClock
+from apricotquay.ids import hash_key
+from apricotquay.logclient import HttpLog
+from apricotquay.operations import ConfigHistory
+
+from .addresses import Address, AddressBook
+from .proxy import FaultProxy
+
+WAIT_S = 60.0
+POLL_S = 0.05
+ENVIRONMENT = "production"
+
+
+class TeamSpec(msgspec.Struct, frozen=True):
+    """A team of the fleet's document."""
+
+    rate_per_s: float = 1000.0
+    burst: int = 1000
+    weight: float = 1.0
+
+
+class FleetSpec(msgspec.Struct):
+    """How a fleet is made up."""
+
+    daemons: int = 3
+    engines: int = 2
+    services: int = 0
+    teams: dict[str, TeamSpec] = msgspec.field(
+        default_factory=lambda: {"small": TeamSpec(), "large": TeamSpec()}
+    )
+    zones: list[str] = msgspec.field(
+        default_factory=lambda: ["plateau", "almadies", "rufisque", "thies"]
+    )
+    region: str = "sn-ouest"
+    model: str = "quay-llm"
+    slots: int = 16
+    step_ms: float = 10.0
+    checks_fencing: bool = False
+    proxied: bool = False
+    settings: dict = {}
+    retention_ms: int = 24 * 3_600_000
+    service_idempotent: bool = False
+
+
+class Process:
+    """One started process."""
+
+    def __init__(self, name: str, args: list[str], log_path: Path) -> None:
+        self.name: str = name
+        self.log_path: Path = log_path
+        self._args: list[str] = args
+        self._popen: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        with self.log_path.open("ab") as out:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", *self._args], stdout=out, stderr=out
+            )
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._popen.pid
+
+    def send(self, signum: int) -> None:
+        """Send a signal to this process."""
+        if self._popen is not None and self._popen.poll() is None:
+            self._popen.send_signal(signum)
+
+    def wait(self, timeout_s: float = WAIT_S) -> int:
+        """Wait for the end and return the exit code."""
+        return self._popen.wait(timeout_s)
+
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._popen is not None and self._popen.poll() is None
+
+    def kill(self) -> None:
+        """End the process at once and reap it."""
+        if self.is_running():
+            self._popen.send_signal(signal.SIGKILL)
+        if self._popen is not None:
+            self._popen.wait(WAIT_S)
+
+    def log_text(self) -> str:
+        """Return everything that the process logged."""
+        return self.log_path.read_text(errors="replace")
+
+
+class DaemonVm:
+    """One daemon's VM: its addresses and its process."""
+
+    def __init__(self, vm_id: str, zone: str, host: str, book: AddressBook) -> None:
+        self.id: str = vm_id
+        self.zone: str = zone
+        self.host: str = host
+        self.caller: Address = book.address(host)
+        self.peer: Address = book.address(host)
+        self.admin: Address = book.address(host)
+        self.settings_path: Path | None = None
+        self.process: Process | None = None
+
+
+class EndpointVm:
+    """One endpoint's VM."""
+
+    def __init__(self, vm_id: str, kind: str, serves: str, zone: str) -> None:
+        self.id: str = vm_id
+        self.kind: str = kind
+        self.serves: str = serves
+        self.zone: str = zone
+        self.address: Address | None = None
+        self.shown: Address | None = None
+        self.process: Process | None = None
+
+
+class Fleet:
+    """A running fleet. `start` returns when it serves; `close` ends it all."""
+
+    def __init__(self, spec: FleetSpec) -> None:
+        self.spec: FleetSpec = spec
+        self.http = urllib3.PoolManager(maxsize=64, retries=False, timeout=30.0)
+        self.keys: dict[str, str] = {
+            team: f"sk-{team}-{secrets.token_hex(16)}" for team in spec.teams
+        }
+        self.proxy = FaultProxy() if spec.proxied else None
+        self.daemons: list[DaemonVm] = []
+        self.endpoints: list[EndpointVm] = []
+        self._book = AddressBook()
+        self._dir = tempfile.TemporaryDirectory(prefix="apricotquay-")
+        self.log_address: Address = self._book.address()
+        self.vms_address: Address = self._book.address()
+        self._processes: list[Process] = []
+
+    def start(self) -> None:
+        """Start every process, publish the document and wait until all is ready."""
+        try:
+            self._start()
+        except BaseException:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """End every process that was started."""
+        for process in reversed(self._processes):
+            process.send(signal.SIGCONT)
+            process.kill()
+        if self.proxy is not None:
+            self.proxy.close()
+        self.http.clear()
+        self._dir.cleanup()
+
+    def document(self) -> dict:
+        """Return the document that `start` publishes."""
+        spec = self.spec
+        routes = {spec.model: {"kind": "model", "target": spec.model}}
+        if spec.services:
+            routes["filing"] = {
+                "kind": "service",
+                "target": "filing",
+                "idempotent": spec.service_idempotent,
+            }
+        return {
+            "teams": {
+                team: {
+                    "rate_per_s": t.rate_per_s,
+                    "burst": t.burst,
+                    "weight": t.weight,
+                    "keys": [{"hash": hash_key(self.keys[team])}],
+                }
+                for team, t in spec.teams.items()
+            },
+            "models": {spec.model: {"checks_fencing": spec.checks_fencing}},
+            "routes": routes,
+            "objectives": {spec.model: {"good_share": 0.95, "first_token_ms": 650.0}},
+        }
+
+    def history(self, environment: str = ENVIRONMENT) -> ConfigHistory:
+        """Return access to an environment's configuration stream."""
+        return ConfigHistory(HttpLog(self.log_address.url), environment, SystemClock())
+
+    def publish(self, document: dict) -> int:
+        """Publish a document and return its version."""
+        history = self.history()
+        history.refresh()
+        text = json.dumps(document)
+        return history.publish(text, history.fold.version, "harness").version
+
+    def post(self, address: Address, path: str, value: dict) -> dict:
+        """Post JSON to a stand-in."""
+        response = self.http.request("POST", address.url + path, json=value)
+        return response.json()
+
+    def get(self, address: Address, path: str) -> dict:
+        """Get JSON from a stand-in or an operators' port."""
+        return self.http.request("GET", address.url + path).json()
+
+    def log_faults(self, **faults) -> None:
+        """Set faults of the log service."""
+        self.post(self.log_address, "/faults", faults)
+
+    def status(self, index: int) -> dict:
+        """Return a daemon's status."""
+        return self.get(self.daemons[index].admin, "/status")
+
+    def list_vm(self, vm_id: str, entry: dict) -> None:
+        """Put a VM on the platform's list."""
+        self.http.request("PUT", f"{self.vms_address.url}/vms/{vm_id}", json=entry)
+
+    def unlist_vm(self, vm_id: str) -> None:
+        """Take a VM off the platform's list."""
+        self.http.request("DELETE", f"{self.vms_address.url}/vms/{vm_id}")
+
+    def kill_daemon(self, index: int, unlist: bool = True) -> None:
+        """Kill a daemon as when its VM is lost."""
+        vm = self.daemons[index]
+        vm.process.kill()
+        if self.proxy is not None:
+            self.proxy.shut(vm.id)
+        if unlist:
+            self.unlist_vm(vm.id)
+
+    def restart_daemon(self, index: int) -> None:
+        """Start a killed daemon again on its VM."""
+        vm = self.daemons[index]
+        if self.proxy is not None:
+            self._open_peer_proxy(vm)
+        vm.process.start()
+        self.list_vm(vm.id, self._daemon_entry(vm))
+
+    def leave_endpoint(self, index: int) -> None:
+        """Mark an endpoint as leaving on the VM list."""
+        vm = self.endpoints[index]
+        self.list_vm(vm.id, {**self._endpoint_entry(vm), "state": "leaving"})
+
+    def cut(self, source: int, target: str) -> None:
+        """Cut a daemon off from a target: "log", "vms", or another VM's id."""
+        fault = self.proxy.fault(self.daemons[source].host, target)
+        fault.cut_requests = True
+        fault.cut_answers = True
+
+    def isolate(self, index: int) -> None:
+        """Cut a daemon off from the log, the VM list and all other daemons."""
+        vm = self.daemons[index]
+        for target in ("log", "vms"):
+            self.cut(index, target)
+        for other, other_vm in enumerate(self.daemons):
+            if other != index:
+                self.cut(index, other_vm.id)
+                self.cut(other, vm.id)
+
+    def wait_until(
+        self, condition: Callable[[], bool], what: str, timeout_s: float = WAIT_S
+    ) -> float:
+        """Wait for a condition and return the seconds it took."""
+        start_s = time.monotonic()
+        while not _holds(condition):
+            if time.monotonic() - start_s > timeout_s:
+                raise TimeoutError(f"{what}: not within {timeout_s} s")
+            time.sleep(POLL_S)
+        return time.monotonic() - start_s
+
+    def wait_ready(self) -> None:
+        """Wait until every running daemon serves and every lease is held."""
+        self.wait_until(self._is_ready, "the fleet is ready")
+
+    def shard_holder(self, resource: str) -> str:
+        """Return the VM that holds a rate shard, as the first daemon sees it."""
+        for index, vm in enumerate(self.daemons):
+            if vm.process.is_running():
+                return self.status(index)["rate_shards"][resource].split(" ")[0]
+        raise LookupError("no daemon runs")
+
+    def logs(self) -> str:
+        """Return everything that the daemons logged."""
+        return "".join(vm.process.log_text() for vm in self.daemons)
+
+    def _start(self) -> None:
+        if self.proxy is not None:
+            self.proxy.start()
+        self._run("log", "standins.log", self.log_address)
+        self._run("vms", "standins.vms", self.vms_address)
+        self._start_endpoints()
+        self.wait_until(lambda: self.get(self.log_address, "/stats"), "the log runs")
+        self.wait_until(lambda: self.get(self.vms_address, "/vms"), "the list runs")
+        self.log_faults(retention_ms=self.spec.retention_ms)
+        for vm in self.endpoints:
+            self.list_vm(vm.id, self._endpoint_entry(vm))
+        self._make_daemons()
+        self.publish(self.document())
+        for vm in self.daemons:
+            self.list_vm(vm.id, self._daemon_entry(vm))
+        time.sleep(0.4)
+        for vm in self.daemons:
+            vm.process.start()
+        self.wait_ready()
+
+    def _run(self, name: str, module: str, address: Address, *args: str) -> Process:
+        log_path = Path(self._dir.name) / f"{name}.log"
+        process = Process(
+            name,
+            [module, "--host", address.host, "--port", str(address.port), *args],
+            log_path,
+        )
+        self._processes.append(process)
+        process.start()
+        return process
+
+    def _start_endpoints(self) -> None:
+        spec = self.spec
+        kinds = [("engine", "model", spec.model)] * spec.engines
+        kinds += [("service", "service", "filing")] * spec.services
+        for number, (name, kind, serves) in enumerate(kinds):
+            zone = spec.zones[number % len(spec.zones)]
+            vm = EndpointVm(f"{name}-{number}", kind, serves, zone)
+            vm.address = self._book.address()
+            vm.shown = self._shown(vm.id, vm.address)
+            args = []
+            if kind == "model":
+                args = ["--model", serves, "--slots", str(spec.slots)]
+                args += ["--step-ms", str(spec.step_ms)]
+                args += ["--checks-fencing"] if spec.checks_fencing else []
+            vm.process = self._run(vm.id, f"standins.{name}", vm.address, *args)
+            self.endpoints.append(vm)
+
+    def _make_daemons(self) -> None:
+        log = self._shown("log", self.log_address)
+        vms = self._shown("vms", self.vms_address)
+        for number in range(self.spec.daemons):
+            zone = self.spec.zones[number % len(self.spec.zones)]
+            vm = DaemonVm(f"entry-{number}", zone, self._book.host(), self._book)
+            values = {
+                "vm_id": vm.id,
+                "region": self.spec.region,
+                "availability_zone": zone,
+                "environment": ENVIRONMENT,
+                "log_url": log.url,
+                "vm_list_url": vms.url,
+                "host": vm.host,
+                "caller_port": vm.caller.port,
+                "peer_port": vm.peer.port,
+                "admin_port": vm.admin.port,
+                "log_retention_ms": self.spec.retention_ms,
+                **self.spec.settings,
+            }
+            vm.settings_path = Path(self._dir.name) / f"{vm.id}.json"
+            vm.settings_path.write_text(json.dumps(values))
+            log_path = Path(self._dir.name) / f"{vm.id}.log"
+            args = ["apricotquay.daemon", "--settings", str(vm.settings_path)]
+            vm.process = Process(vm.id, args, log_path)
+            self._processes.append(vm.process)
+            self.daemons.append(vm)
+            if self.proxy is not None:
+                self._peer_shown = getattr(self, "_peer_shown", {})
+                self._peer_shown[vm.id] = self._book.address()
+                self._open_peer_proxy(vm)
+
+    def _open_peer_proxy(self, vm: DaemonVm) -> None:
+        self.proxy.open(vm.id, self._peer_shown[vm.id], vm.peer)
+
+    def _shown(self, name: str, address: Address) -> Address:
+        """Return the address that daemons see: the proxy's, if there is one."""
+        if self.proxy is None:
+            return address
+        shown = self._book.address()
+        self.proxy.open(name, shown, address)
+        return shown
+
+    def _daemon_entry(self, vm: DaemonVm) -> dict:
+        peer = self._peer_shown[vm.id] if self.proxy is not None else vm.peer
+        return {
+            "kind": "entry",
+            "host": peer.host,
+            "port": peer.port,
+            "zone": vm.zone,
+            "region": self.spec.region,
+            "state": "live",
+            "caller_port": vm.caller.port,
+        }
+
+    def _endpoint_entry(self, vm: EndpointVm) -> dict:
+        return {
+            "kind": vm.kind,
+            "host": vm.shown.host,
+            "port": vm.shown.port,
+            "zone": vm.zone,
+            "region": self.spec.region,
+            "state": "live",
+            "serves": vm.serves,
+        }
+
+    def _is_ready(self) -> bool:
+        running = [i for i, vm in enumerate(self.daemons) if vm.process.is_running()]
+        statuses = [self.status(i) for i in running]
+        return (
+            bool(statuses)
+            and all(
+                s["config_version"] > 0
+                and s["view"] != "stale"
+                and all(h.split(" ")[0] != "-" for h in s["rate_shards"].values())
+                for s in statuses
+            )
+            and self._leases_active(statuses)
+        )
+
+    @staticmethod
+    def _leases_active(statuses: list[dict]) -> bool:
+        shards = statuses[0]["rate_shards"]
+        active = sum(
+            1
+            for s in statuses
+            for name, holder in s["rate_shards"].items()
+            if "(active" in holder and holder.startswith(s["vm"] + " ")
+        )
+        held = {
+            name
+            for s in statuses
+            for name, text in s["partitions"].items()
+            if text.startswith("held")
+        }
+        return active == len(shards) and len(held) >= 1
+
+
+def _holds(condition: Callable[[], bool]) -> bool:
+    try:
+        return bool(condition())
+    except (urllib3.exceptions.HTTPError, OSError, ValueError, KeyError):
+        return False
+
+
+def usable_cores() -> int:
+    """Return the number of cores that this process may use."""
+    return len(os.sched_getaffinity(0))
--- /dev/null
+++ b/standins/proxy.py
@@ -0,0 +1,113 @@
+"""A fault-injecting TCP proxy: one listener a target, faults by pair of hosts.
+
+Daemons connect from their own address, so a fault can be set between any two.
+"""
+
+import asyncio
+import socket
+import struct
+import threading
+
+from .addresses import Address
+
+CHUNK_BYTES = 64 * 1024
+RESET = struct.pack("ii", 1, 0)
+POLL_S = 0.02
+
+
+class Fault:
+    """What happens between one source and one target."""
+
+    def __init__(self) -> None:
+        self.cut_requests: bool = False
+        self.cut_answers: bool = False
+        self.delay_s: float = 0.0
+
+
+class FaultProxy:
+    """Runs all listeners in one background thread."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._servers: dict[str, asyncio.Server] = {}
+        self._faults: dict[tuple[str, str], Fault] = {}
+        self._targets: dict[str, Address] = {}
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop all listeners."""
+        for name in list(self._servers):
+            self.shut(name)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(timeout=5)
+
+    def open(self, name: str, listen: Address, target: Address) -> None:
+        """Listen on an address and pass connections on to a target."""
+        self._targets[name] = target
+
+        async def serve() -> None:
+            self._servers[name] = await asyncio.start_server(
+                lambda r, w: self._relay(name, r, w), listen.host, listen.port
+            )
+
+        asyncio.run_coroutine_threadsafe(serve(), self._loop).result(10)
+
+    def shut(self, name: str) -> None:
+        """Stop listening: connections are refused, as when a process is gone."""
+        server = self._servers.pop(name, None)
+        if server is not None:
+            self._loop.call_soon_threadsafe(server.close)
+
+    def fault(self, source_host: str, name: str) -> Fault:
+        """Return the faults between a source's host and a target, to be set."""
+        return self._faults.setdefault((source_host, name), Fault())
+
+    def heal(self) -> None:
+        """Take back all faults."""
+        for fault in self._faults.values():
+            fault.cut_requests = False
+            fault.cut_answers = False
+            fault.delay_s = 0.0
+
+    async def _relay(
+        self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        source_host = writer.get_extra_info("peername")[0]
+        fault = self.fault(source_host, name)
+        target = self._targets[name]
+        try:
+            up_reader, up_writer = await asyncio.open_connection(
+                target.host, target.port, local_addr=(source_host, 0)
+            )
+        except OSError:
+            self._reset(writer)
+            return
+        await asyncio.gather(
+            self._pump(reader, up_writer, lambda: fault.cut_requests, fault),
+            self._pump(up_reader, writer, lambda: fault.cut_answers, fault),
+        )
+
+    async def _pump(self, reader, writer, is_cut, fault: Fault) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                while is_cut():
+                    # Held back as in a partition: delivered if it heals in time.
+                    await asyncio.sleep(POLL_S)
+                if fault.delay_s:
+                    await asyncio.sleep(fault.delay_s)
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except (OSError, ConnectionError):
+            self._reset(writer)
+
+    @staticmethod
+    def _reset(writer: asyncio.StreamWriter) -> None:
+        sock = writer.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        writer.transport.abort()
--- /dev/null
+++ b/standins/vms.py
@@ -0,0 +1,58 @@
+"""Stand-in of the platform's lagging list of live and leaving VMs.
+
+PUT /vms/ID with a JSON entry adds or changes a VM, DELETE removes it, GET /vms
+answers the list as it stood `lag_ms` ago. POST /faults sets lag and outage.
+"""
+
+import threading
+import time
+
+from .web import Request, Response, json_response, run_server, standin_arguments
+
+
+class VmList:
+    """The stand-in's state and its HTTP handler."""
+
+    def __init__(self) -> None:
+        self.lag_ms: int = 300
+        self.outage: bool = False
+        self._lock = threading.Lock()
+        self._vms: dict[str, dict] = {}
+        self._history: list[tuple[float, dict[str, dict]]] = [(0.0, {})]
+
+    def handle(self, request: Request) -> Response:
+        """Answer one request."""
+        if request.path == "/faults":
+            values = request.json()
+            self.lag_ms = values.get("lag_ms", self.lag_ms)
+            self.outage = values.get("outage", self.outage)
+            return json_response({"ok": True})
+        if request.method == "GET":
+            if self.outage:
+                return json_response({"error": "outage"}, 503)
+            return json_response({"vms": list(self._visible().values())})
+        vm_id = request.path.split("/")[2]
+        with self._lock:
+            if request.method == "PUT":
+                self._vms[vm_id] = {"id": vm_id, **request.json()}
+            else:
+                self._vms.pop(vm_id, None)
+            self._history.append((time.monotonic(), dict(self._vms)))
+        return json_response({"ok": True})
+
+    def _visible(self) -> dict[str, dict]:
+        limit_s = time.monotonic() - self.lag_ms / 1000
+        with self._lock:
+            while len(self._history) > 1 and self._history[1][0] <= limit_s:
+                self._history.pop(0)
+            return self._history[0][1]
+
+
+def main() -> None:
+    """Run the stand-in."""
+    args = standin_arguments(__doc__).parse_args()
+    run_server(VmList().handle, args.host, args.port, threads=32)
+
+
+if __name__ == "__main__":
+    main()
