Say "not run" only where no attempt ran; prove online and job promises

Cause: after a first attempt that ran, a retry that found no endpoint ended the request as endpoint_missing with ran=not_run, which was false; a first token counted as an endpoint's success, so an endpoint that cuts every stream was never ejected; a settled lost attempt had no custom_id; a stand-in port taken from the ephemeral range was now and then in use.

Change: a request keeps the strongest word of all its attempts; only a whole answer counts as success; result lines of lost attempts are built from the item; stand-ins get fixed ports on hosts of their own; the retry reserve is 10.

--- a/apricotquay/online.py
+++ b/apricotquay/online.py
@@ -26,6 +26,10 @@
 RETRY_PAUSE_S = 0.05
 
 
+# From the weakest word on whether a request ran to the strongest.
+_CERTAINTY = (Ran.NOT_RUN, Ran.UNKNOWN, Ran.RAN)
+
+
 class OnlineRequest(msgspec.Struct):
     """One admitted caller's request."""
 
@@ -53,6 +57,15 @@
         self.first_token_ms: float | None = None
         self.finished: bool = False
         self.failure: RequestError | None = None
+        self.last_error: EndpointError | None = None
+        self.ran: Ran = Ran.NOT_RUN
+
+    def see_error(self, exc: EndpointError) -> None:
+        """Take in a failed attempt; what ran once stays run."""
+        self.last_error = exc
+        ran = Ran.RAN if exc.broken or self.next_index else exc.ran
+        if _CERTAINTY.index(ran) > _CERTAINTY.index(self.ran):
+            self.ran = ran
 
 
 class OnlinePath:
@@ -157,7 +170,7 @@
         while True:
             ticket = next_ticket
             progress.attempts += 1
-            endpoint = self._gate.acquire(ticket)
+            endpoint = self._acquire(ticket, progress)
             started_s = self._clock.now_s()
             first_index = progress.next_index
             try:
@@ -166,6 +179,7 @@
                 self._poison.clear(request.fingerprint)
                 return
             except EndpointError as exc:
+                progress.see_error(exc)
                 self._see_failure(request, endpoint, exc)
                 self._check_retry(request, progress, exc)
                 next_ticket = self._retry_ticket(request, ticket, endpoint)
@@ -186,6 +200,7 @@
             progress.next_index,
         )
         started_s = self._clock.now_s()
+        first_ms = 0.0
         try:
             for part in stream:
                 self._check_cut(request, progress)
@@ -193,10 +208,13 @@
                     if progress.first_token_ms is None:
                         now_s = self._clock.now_s()
                         progress.first_token_ms = (now_s - request.arrived_s) * 1000
-                        self._see_success(endpoint, (now_s - started_s) * 1000)
+                    first_ms = first_ms or (self._clock.now_s() - started_s) * 1000
                     progress.next_index += 1
                 else:
+                    # Only a whole answer speaks for an endpoint: one that cuts
+                    # each stream gives first tokens too.
                     progress.finished = True
+                    self._see_success(endpoint, first_ms)
                 yield part
         finally:
             stream.close()
@@ -214,7 +232,7 @@
         while True:
             ticket = next_ticket
             progress.attempts += 1
-            endpoint = self._gate.acquire(ticket)
+            endpoint = self._acquire(ticket, progress)
             started_s = self._clock.now_s()
             left_s = max(0.05, request.deadline_s - started_s)
             try:
@@ -228,6 +246,7 @@
                 self._see_success(endpoint, progress.first_token_ms)
                 return answer
             except EndpointError as exc:
+                progress.see_error(exc)
                 self._see_failure(request, endpoint, exc)
                 self._check_retry(request, progress, exc)
                 next_ticket = self._retry_ticket(request, ticket, endpoint)
@@ -235,6 +254,15 @@
                 self._gate.release(ticket, 0, 0.0)
             time.sleep(RETRY_PAUSE_S)
 
+    def _acquire(self, ticket: Ticket, progress: Progress) -> Endpoint:
+        """Get an endpoint; after a failed attempt its error is the final answer."""
+        try:
+            return self._gate.acquire(ticket)
+        except RequestError as exc:
+            if progress.last_error is None:
+                raise
+            raise final_error(progress.last_error, progress.ran) from exc
+
     def _ticket(self, request: OnlineRequest) -> Ticket:
         standing = self._poison.standing(request.fingerprint)
         return Ticket(
@@ -292,7 +320,7 @@
                 tokens=progress.next_index,
             )
             return
-        raise final_error(exc, progress.next_index)
+        raise final_error(exc, progress.ran)
 
     def _see_failure(
         self, request: OnlineRequest, endpoint: Endpoint, exc: EndpointError
@@ -333,18 +361,18 @@
         )
 
 
-def final_error(exc: EndpointError, tokens: int) -> RequestError:
-    """Return the answer to a request that is given up after an endpoint's failure.
+def final_error(exc: EndpointError, ran: Ran) -> RequestError:
+    """Return the answer to a request that is given up after a failed attempt.
 
-    It is "not run" only where no byte left or the endpoint itself refused, and
-    no earlier attempt had given a token.
+    `ran` holds for all attempts together: it is "not run" only where no byte of
+    any of them left, or the endpoints themselves refused.
     """
-    if tokens > 0 or exc.broken:
-        return RequestError(ErrorKind.STREAM_BROKEN, str(exc), ran=Ran.RAN)
-    if exc.ran is Ran.NOT_RUN:
-        kind = ErrorKind.ENDPOINT_REFUSED if exc.status else ErrorKind.ENDPOINT_MISSING
-        return RequestError(kind, str(exc))
-    return RequestError(ErrorKind.ENDPOINT_FAILED, str(exc), ran=exc.ran)
+    if ran is Ran.RAN:
+        return RequestError(ErrorKind.STREAM_BROKEN, str(exc), ran=ran)
+    if ran is Ran.UNKNOWN:
+        return RequestError(ErrorKind.ENDPOINT_FAILED, str(exc), ran=ran)
+    kind = ErrorKind.ENDPOINT_REFUSED if exc.status else ErrorKind.ENDPOINT_MISSING
+    return RequestError(kind, str(exc))
 
 
 def _outcome(progress: Progress, failure: RequestError | None) -> str:
--- a/apricotquay/partition.py
+++ b/apricotquay/partition.py
@@ -4,9 +4,11 @@
 import uuid
 from collections.abc import Iterator
 
+import msgspec
+
 from .backlog import Backlog, Choice, Partial
 from .clocks import Clock
-from .errors import LogUnavailableError
+from .errors import ErrorKind, LogUnavailableError, Ran
 from .events import Event, EventLog
 from .follow import StreamFollower
 from .ids import Incarnation, JobId, MemberId, ResourceName, StreamName, TeamId
@@ -236,7 +238,7 @@
             record = self._cache.get(self.stream, offset)
             for result in record.results:
                 if result.job == job.id and result.index == index:
-                    yield result.body
+                    yield result.body or self._unknown_line(job, index)
                     break
 
     def item_line(self, job: Job, index: int) -> bytes:
@@ -245,6 +247,22 @@
         record = self._cache.get(self.stream, place.offset)
         return record.items[index - record.first]
 
+    def _unknown_line(self, job: Job, index: int) -> bytes:
+        """Return the line of an item that may or may not have been executed."""
+        custom_id = msgspec.json.decode(self.item_line(job, index))["custom_id"]
+        error = {
+            "code": ErrorKind.OUTCOME_UNKNOWN.value,
+            "message": "the call may have been executed, so it is not repeated",
+            "ran": Ran.UNKNOWN.value,
+        }
+        value = {
+            "id": f"{job.id}-{index}",
+            "custom_id": custom_id,
+            "response": None,
+            "error": error,
+        }
+        return msgspec.json.encode(value)
+
     def _load(self) -> None:
         """Find the newest snapshot from the tail backwards and fold on from it."""
         tail = self._log.read(self.stream, 0, 0, limit=1)
@@ -427,9 +445,7 @@
 
     def _settle(self, job: Job, index: int) -> None:
         if self.backlog.report(job.id, index):
-            self._results.append(
-                ItemResult(job.id, index, "outcome_lost", outcome_unknown_line(index))
-            )
+            self._results.append(ItemResult(job.id, index, "outcome_lost", b""))
 
     def _carry_if_due(self) -> None:
         """Append again what is needed and would be dropped soon."""
@@ -507,14 +523,5 @@
         report.index,
         report.attempt,
         "outcome_lost",
-        report.body or outcome_unknown_line(report.index),
-    )
-
-
-def outcome_unknown_line(index: int) -> bytes:
-    """Return the result line of an item that may or may not have been executed."""
-    return (
-        b'{"index":%d,"response":null,"error":{"code":"outcome_unknown",'
-        b'"message":"the call may have been executed; it is not repeated",'
-        b'"ran":"unknown"}}' % index
+        b"",
     )
--- a/apricotquay/retries.py
+++ b/apricotquay/retries.py
@@ -3,7 +3,7 @@
 from .ids import TeamId
 
 RETRY_SHARE = 0.1
-RETRY_RESERVE = 5.0
+RETRY_RESERVE = 10.0
 
 
 class RetryBudget:
--- a/standins/addresses.py
+++ b/standins/addresses.py
@@ -1,10 +1,13 @@
 """Loopback addresses for a fleet: every VM has an IP number of its own."""
 
 import os
-import socket
 
 import msgspec
 
+SERVER_PORT = 8080
+PEER_PORT = 8081
+ADMIN_PORT = 8082
+
 
 class Address(msgspec.Struct, frozen=True):
     """An IP number and a port."""
@@ -21,8 +24,8 @@
 class AddressBook:
     """Gives out loopback hosts that no other fleet on this machine uses.
 
-    A port that is free on a host of the fleet's own stays free, since outgoing
-    connections of other processes come from other hosts.
+    Ports are fixed and stand below those that outgoing connections get, so a
+    process that starts late still finds its own port free.
     """
 
     def __init__(self) -> None:
@@ -32,18 +35,14 @@
 
     def host(self) -> str:
         """Return the next unused host."""
-        while True:
-            host = f"{self._net}.{self._next}"
-            self._next += 1
-            if self._next > 250:
-                first, second, third = self._net.split(".")
-                self._net = f"{first}.{second}.{(int(third) + 1) % 250}"
-                self._next = 1
-            return host
-
-    def address(self, host: str | None = None) -> Address:
-        """Return a free port of a host."""
-        host = host or self.host()
-        with socket.socket() as sock:
-            sock.bind((host, 0))
-            return Address(host, sock.getsockname()[1])
+        if self._next > 250:
+            first, second, third = self._net.split(".")
+            self._net = f"{first}.{second}.{(int(third) + 1) % 250}"
+            self._next = 1
+        host = f"{self._net}.{self._next}"
+        self._next += 1
+        return host
+
+    def address(self) -> Address:
+        """Return the address of a server on a host of its own."""
+        return Address(self.host(), SERVER_PORT)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -23,7 +23,7 @@
 from apricotquay.logclient import HttpLog
 from apricotquay.operations import ConfigHistory
 
-from .addresses import Address, AddressBook
+from .addresses import ADMIN_PORT, PEER_PORT, SERVER_PORT, Address, AddressBook
 from .proxy import FaultProxy
 
 WAIT_S = 60.0
@@ -111,13 +111,13 @@
 class DaemonVm:
     """One daemon's VM: its addresses and its process."""
 
-    def __init__(self, vm_id: str, zone: str, host: str, book: AddressBook) -> None:
+    def __init__(self, vm_id: str, zone: str, host: str) -> None:
         self.id: str = vm_id
         self.zone: str = zone
         self.host: str = host
-        self.caller: Address = book.address(host)
-        self.peer: Address = book.address(host)
-        self.admin: Address = book.address(host)
+        self.caller = Address(host, SERVER_PORT)
+        self.peer = Address(host, PEER_PORT)
+        self.admin = Address(host, ADMIN_PORT)
         self.settings_path: Path | None = None
         self.process: Process | None = None
 
@@ -148,6 +148,7 @@
         self.daemons: list[DaemonVm] = []
         self.endpoints: list[EndpointVm] = []
         self._book = AddressBook()
+        self._peer_shown: dict[str, Address] = {}
         self._dir = tempfile.TemporaryDirectory(prefix="apricotquay-")
         self.log_address: Address = self._book.address()
         self.vms_address: Address = self._book.address()
@@ -349,7 +350,7 @@
         vms = self._shown("vms", self.vms_address)
         for number in range(self.spec.daemons):
             zone = self.spec.zones[number % len(self.spec.zones)]
-            vm = DaemonVm(f"entry-{number}", zone, self._book.host(), self._book)
+            vm = DaemonVm(f"entry-{number}", zone, self._book.host())
             values = {
                 "vm_id": vm.id,
                 "region": self.spec.region,
@@ -372,7 +373,6 @@
             self._processes.append(vm.process)
             self.daemons.append(vm)
             if self.proxy is not None:
-                self._peer_shown = getattr(self, "_peer_shown", {})
                 self._peer_shown[vm.id] = self._book.address()
                 self._open_peer_proxy(vm)
 
--- /dev/null
+++ b/tests/base.py
@@ -0,0 +1,301 @@
+"""The base class of all tests and a few helpers."""
+
+import json
+import threading
+import time
+from collections.abc import Callable, Iterator
+
+import msgspec
+import testtools
+import urllib3
+from hypothesis import HealthCheck, settings
+
+from apricotquay.ids import hash_key
+from standins.fleet import Fleet, FleetSpec
+
+# The same examples every time, so that CI gives the same verdict every time.
+PROPERTY = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class ApricotTest(testtools.TestCase):
+    """Base class of all tests."""
+
+    def document(self, **changes) -> dict:
+        """Return a small valid document with changes at its top level."""
+        value = {
+            "teams": {
+                "small": {
+                    "rate_per_s": 10,
+                    "burst": 5,
+                    "keys": [{"hash": hash_key("sk-small")}],
+                },
+                "large": {
+                    "rate_per_s": 100,
+                    "burst": 50,
+                    "keys": [{"hash": hash_key("sk-large")}],
+                },
+            },
+            "models": {"quay-llm": {}},
+            "routes": {"quay-llm": {"kind": "model", "target": "quay-llm"}},
+        }
+        value.update(changes)
+        return value
+
+
+class Answer(msgspec.Struct):
+    """What a caller got."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+    def json(self) -> dict:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+    def error(self) -> dict:
+        """Return the error of the closed list."""
+        return self.json()["error"]
+
+
+class FleetTest(ApricotTest):
+    """Base class of tests against a fleet of processes.
+
+    A class starts one fleet for all its tests unless `fresh_fleet` is set,
+    for tests that leave a fleet broken.
+    """
+
+    spec = FleetSpec()
+    fresh_fleet = False
+    fleet: Fleet
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start the class's fleet."""
+        super().setUpClass()
+        if not cls.fresh_fleet:
+            cls.fleet = Fleet(cls.spec)
+            cls.fleet.start()
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        """End the class's fleet."""
+        if not cls.fresh_fleet:
+            cls.fleet.close()
+        super().tearDownClass()
+
+    def setUp(self) -> None:
+        """Start a fleet for this test alone, if the class wants that."""
+        super().setUp()
+        if self.fresh_fleet:
+            self.fleet = Fleet(self.spec)
+            self.fleet.start()
+            self.addCleanup(self.fleet.close)
+
+    def call(
+        self,
+        index: int,
+        method: str,
+        path: str,
+        team: str | None = "small",
+        headers: dict[str, str] | None = None,
+        body: bytes | str | None = None,
+        timeout_s: float = 60.0,
+    ) -> Answer:
+        """Call a daemon as a caller would."""
+        sent = dict(headers or {})
+        if team is not None:
+            sent.setdefault("authorization", f"Bearer {self.fleet.keys[team]}")
+        response = self.fleet.http.request(
+            method,
+            self.fleet.daemons[index].caller.url + path,
+            headers=sent,
+            body=body,
+            timeout=timeout_s,
+        )
+        names = {name.lower(): value for name, value in response.headers.items()}
+        return Answer(response.status, response.data, names)
+
+    def chat(
+        self,
+        index: int,
+        prompt: str,
+        tokens: int = 8,
+        team: str | None = "small",
+        headers: dict[str, str] | None = None,
+        **fields,
+    ) -> Answer:
+        """Ask for a chat completion in one piece."""
+        body = {
+            "model": "quay-llm",
+            "max_tokens": tokens,
+            "messages": [{"role": "user", "content": prompt}],
+            **fields,
+        }
+        path = "/v1/chat/completions"
+        return self.call(index, "POST", path, team, headers, json.dumps(body))
+
+    def text_of(self, answer: Answer) -> str:
+        """Return the text of a chat completion."""
+        return answer.json()["choices"][0]["message"]["content"]
+
+    def open_stream(
+        self, index: int, prompt: str, tokens: int, team: str = "small"
+    ) -> urllib3.BaseHTTPResponse:
+        """Open a streamed chat completion."""
+        body = {
+            "model": "quay-llm",
+            "stream": True,
+            "max_tokens": tokens,
+            "messages": [{"role": "user", "content": prompt}],
+        }
+        return self.fleet.http.request(
+            "POST",
+            self.fleet.daemons[index].caller.url + "/v1/chat/completions",
+            headers={"authorization": f"Bearer {self.fleet.keys[team]}"},
+            json=body,
+            preload_content=False,
+            timeout=120.0,
+        )
+
+    def item_lines(self, name: str, count: int, tokens: int = 8) -> list[str]:
+        """Return the lines of a job of chat completions."""
+        return [
+            json.dumps(
+                {
+                    "custom_id": f"{name}-{number}",
+                    "method": "POST",
+                    "url": "/v1/chat/completions",
+                    "body": {
+                        "model": "quay-llm",
+                        "max_tokens": tokens,
+                        "messages": [
+                            {"role": "user", "content": f"{name} item {number}"}
+                        ],
+                    },
+                }
+            )
+            for number in range(count)
+        ]
+
+    def service_lines(self, name: str, count: int) -> list[str]:
+        """Return the lines of a job of calls that may not be repeated."""
+        return [
+            json.dumps(
+                {
+                    "custom_id": f"{name}-{number}",
+                    "method": "POST",
+                    "url": "/services/filing/file",
+                    "body": {"call": f"{name}-{number}"},
+                }
+            )
+            for number in range(count)
+        ]
+
+    def submit(
+        self, index: int, job_key: str, lines: list[str], team: str = "small"
+    ) -> Answer:
+        """Submit a job."""
+        headers = {"content-type": "application/jsonl", "x-job-key": job_key}
+        body = "\n".join(lines)
+        return self.call(index, "POST", "/v1/batches", team, headers, body)
+
+    def submit_until_accepted(
+        self, indexes: list[int], job_key: str, lines: list[str]
+    ) -> dict:
+        """Resend a job at one daemon after another until it is accepted."""
+        return self.retry(
+            indexes, lambda index: self.submit(index, job_key, lines)
+        ).json()
+
+    def batch(self, indexes: list[int], job: str) -> dict:
+        """Return a job's state from the first daemon that answers."""
+        path = f"/v1/batches/{job}"
+        return self.retry(indexes, lambda index: self.call(index, "GET", path)).json()
+
+    def wait_for_job(self, indexes: list[int], job: str, timeout_s: float = 90) -> dict:
+        """Wait until a job has ended."""
+        self.fleet.wait_until(
+            lambda: self.batch(indexes, job)["status"] != "in_progress",
+            f"job {job} ends",
+            timeout_s,
+        )
+        return self.batch(indexes, job)
+
+    def result_lines(self, indexes: list[int], batch: dict) -> list[dict]:
+        """Return a job's results."""
+        path = f"/v1/files/{batch['output_file_id']}/content"
+        answer = self.retry(indexes, lambda index: self.call(index, "GET", path))
+        return [json.loads(line) for line in answer.body.splitlines()]
+
+    def retry(
+        self,
+        indexes: list[int],
+        call: Callable[[int], Answer],
+        timeout_s: float = 60.0,
+    ) -> Answer:
+        """Repeat an idempotent call at one daemon after another until it succeeds."""
+        limit_s = time.monotonic() + timeout_s
+        last: object = None
+        turn = 0
+        while time.monotonic() < limit_s:
+            index = indexes[turn % len(indexes)]
+            turn += 1
+            try:
+                answer = call(index)
+            except urllib3.exceptions.HTTPError as exc:
+                last = exc
+            else:
+                if answer.status == 200:
+                    return answer
+                last = answer
+            time.sleep(0.1)
+        raise TimeoutError(f"no success within {timeout_s} s; last: {last}")
+
+
+class Load:
+    """Calls in background threads until stopped. Counts what came back."""
+
+    def __init__(self, call: Callable[[int], object], threads: int) -> None:
+        self.outcomes: list[object] = []
+        self._call: Callable[[int], object] = call
+        self._stop = threading.Event()
+        self._lock = threading.Lock()
+        self._threads = [
+            threading.Thread(target=self._run, args=(n,), daemon=True)
+            for n in range(threads)
+        ]
+
+    def start(self) -> None:
+        """Start to call."""
+        for thread in self._threads:
+            thread.start()
+
+    def close(self) -> None:
+        """Stop and wait for the calls under way."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join(120)
+
+    def _run(self, number: int) -> None:
+        while not self._stop.is_set():
+            try:
+                outcome = self._call(number)
+            except Exception as exc:
+                outcome = exc
+            with self._lock:
+                self.outcomes.append(outcome)
+
+
+def stream_events(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Yield the data of each server-sent event of a response."""
+    rest = b""
+    for chunk in response.stream():
+        *events, rest = (rest + chunk).split(b"\n\n")
+        yield from (event[6:] for event in events if event.startswith(b"data: "))
--- /dev/null
+++ b/tests/test_jobs.py
@@ -0,0 +1,297 @@
+"""The fold of a partition: an accepted item completes once, whoever writes."""
+
+import random
+
+from hypothesis import given, strategies as st
+from parameterized import parameterized
+
+from apricotquay.ids import Incarnation, JobId, MemberId, ResourceName, TeamId
+from apricotquay.jobs import JobFold
+from apricotquay.records import (
+    Attempt,
+    AttemptsEnded,
+    AttemptsStarted,
+    CarriedResults,
+    Claim,
+    Envelope,
+    ItemChunk,
+    ItemResult,
+    ItemResults,
+    JobAccepted,
+    JobCancelled,
+    decode_envelope,
+    encode_envelope,
+)
+from apricotquay.snapshots import (
+    DecodedEntry,
+    latest_snapshot,
+    restore_fold,
+    snapshot_records,
+)
+
+from .base import PROPERTY, ApricotTest
+
+RESOURCE = ResourceName("jobs-0")
+JOB = JobId("batch_0000000000000001")
+TEAM = TeamId("small")
+
+
+def claim(holder: str = "a") -> Claim:
+    """Return a claim of the partition."""
+    return Claim(RESOURCE, MemberId(holder), Incarnation(holder), [], 0)
+
+
+def chunk(first: int, count: int, digest: str = "d1") -> ItemChunk:
+    """Return a chunk of the job."""
+    items = [f"{digest} item {i}".encode() for i in range(first, first + count)]
+    return ItemChunk(JOB, TEAM, digest, first, items)
+
+
+def accepted(count: int, digest: str = "d1", team: str = TEAM) -> JobAccepted:
+    """Return the acceptance of the job."""
+    return JobAccepted(JOB, TeamId(team), "k", "quay-llm", digest, count, 0)
+
+
+def results(number: int, *outcomes: tuple[int, str]) -> ItemResults:
+    """Return results under a claim, as pairs of item and outcome."""
+    return ItemResults(
+        number, 9, [ItemResult(JOB, i, outcome, b"x") for i, outcome in outcomes]
+    )
+
+
+def fold_of(records: list) -> JobFold:
+    """Fold records at offsets 0, 1, 2, …"""
+    fold = JobFold(RESOURCE)
+    for offset, record in enumerate(records):
+        fold.apply(offset, Envelope("w", offset, record), at_ms=offset)
+    return fold
+
+
+class JobFoldTest(ApricotTest):
+    """Single records."""
+
+    def states(self, *records) -> list[str]:
+        """Return the states of the job's items after some records."""
+        job = fold_of([claim(), chunk(0, 2), accepted(2), *records]).jobs[JOB]
+        return [job.state_of(i) for i in range(job.item_count)]
+
+    @parameterized.expand(
+        [
+            ("result", [results(0, (0, "succeeded"))], ["done", "pending"]),
+            (
+                "second result is dropped",
+                [results(0, (0, "failed")), results(0, (0, "succeeded"))],
+                ["failed", "pending"],
+            ),
+            (
+                "result under an older claim is void",
+                [claim("b"), results(0, (0, "succeeded"))],
+                ["pending", "pending"],
+            ),
+            (
+                "result of the new holder counts",
+                [claim("b"), results(3, (0, "succeeded"))],
+                ["done", "pending"],
+            ),
+            (
+                "cancel ends what is open",
+                [results(0, (0, "succeeded")), JobCancelled(JOB, TEAM, 5)],
+                ["done", "cancelled"],
+            ),
+            (
+                "result after cancel is void",
+                [JobCancelled(JOB, TEAM, 5), results(0, (0, "succeeded"))],
+                ["cancelled", "cancelled"],
+            ),
+            (
+                "another team cannot cancel",
+                [JobCancelled(JOB, TeamId("large"), 5)],
+                ["pending", "pending"],
+            ),
+            (
+                "attempt that did not leave may run again",
+                [
+                    AttemptsStarted(0, [Attempt(JOB, 0, "x")]),
+                    AttemptsEnded(0, [Attempt(JOB, 0, "x")]),
+                ],
+                ["pending", "pending"],
+            ),
+            (
+                "attempt of an older claim is void",
+                [claim("b"), AttemptsStarted(0, [Attempt(JOB, 0, "x")])],
+                ["pending", "pending"],
+            ),
+            (
+                "attempt without an end ends as unknown",
+                [
+                    AttemptsStarted(0, [Attempt(JOB, 0, "x")]),
+                    claim("b"),
+                    results(4, (0, "outcome_lost")),
+                ],
+                ["unknown", "pending"],
+            ),
+            (
+                "an item that was never started cannot be unknown",
+                [results(0, (0, "outcome_lost"))],
+                ["pending", "pending"],
+            ),
+            (
+                "index outside the job is dropped",
+                [results(0, (7, "succeeded"), (-1, "succeeded"))],
+                ["pending", "pending"],
+            ),
+        ]
+    )
+    def test_states(self, _name, records, expected):
+        """What the items of a job of two are after some records."""
+        self.assertEqual(expected, self.states(*records))
+
+    @parameterized.expand(
+        [
+            ("all chunks", [chunk(0, 2), chunk(2, 1), accepted(3)], True),
+            ("a repeated chunk", [chunk(0, 2), chunk(0, 2), accepted(2)], True),
+            ("a missing chunk", [chunk(2, 1), accepted(3)], False),
+            ("no chunk", [accepted(1)], False),
+            ("chunks of other items", [chunk(0, 2, "d2"), accepted(2)], False),
+            ("chunks of another team", [chunk(0, 2), accepted(2, "d1", "x")], False),
+        ]
+    )
+    def test_acceptance(self, _name, records, expected):
+        """A job is accepted with all its items or not at all."""
+        self.assertEqual(expected, JOB in fold_of(records).jobs)
+
+    def test_first_acceptance_of_a_job_key_decides(self):
+        """The same key with other items does not replace them."""
+        records = [chunk(0, 1), chunk(0, 2, "d2"), accepted(1), accepted(2, "d2")]
+        self.assertEqual("d1", fold_of(records).jobs[JOB].digest)
+
+    def test_carried_result_moves_and_changes_nothing(self):
+        """The copy that lives longer is the one that is read."""
+        carried = CarriedResults(0, [ItemResult(JOB, 0, "succeeded", b"x")])
+        records = [claim(), chunk(0, 1), accepted(1), results(0, (0, "succeeded"))]
+        job = fold_of([*records, carried]).jobs[JOB]
+        self.assertEqual(4, job.result_offsets[0])
+        self.assertEqual("done", job.state_of(0))
+
+    def test_record_survives_encoding(self):
+        """Every record comes back from the log as it went in."""
+        for record in (claim(), chunk(0, 2), accepted(2), results(0, (0, "failed"))):
+            envelope = Envelope("w", 1, record)
+            self.assertEqual(envelope, decode_envelope(encode_envelope(envelope)))
+
+    @parameterized.expand([("empty", b""), ("noise", b"\xff\x00"), ("map", b"\xa0")])
+    def test_unknown_entry_is_skipped(self, _name, data):
+        """A newer release may have written it."""
+        self.assertIsNone(decode_envelope(data))
+
+
+def random_records(rng: random.Random, count: int) -> list:
+    """Return a history that several holders and clients wrote at random."""
+    size = rng.randint(1, 6)
+    records = [chunk(0, size), claim("a"), accepted(size)]
+    claims = [1]
+    while len(records) < count:
+        number = rng.choice(claims[-2:])
+        index = rng.randrange(size)
+        attempt = Attempt(JOB, index, rng.choice("xy"))
+        kind = rng.randrange(12)
+        if kind == 0:
+            claims.append(len(records))
+            records.append(claim(rng.choice("ab")))
+        elif kind == 1 and rng.random() < 0.2:
+            records.append(JobCancelled(JOB, TEAM, 1))
+        elif kind in (2, 3):
+            records.append(AttemptsStarted(number, [attempt]))
+        elif kind == 4:
+            records.append(AttemptsEnded(number, [attempt]))
+        elif kind == 5:
+            records.append(accepted(size))
+        else:
+            outcome = rng.choice(["succeeded", "failed", "outcome_lost"])
+            records.append(results(number, (index, outcome)))
+    return records
+
+
+class ExactlyOnceTest(ApricotTest):
+    """Random histories; the judge is a set of finished items."""
+
+    @PROPERTY
+    @given(st.integers(0, 2**32))
+    def test_first_valid_outcome_stands(self, seed):
+        """No later record changes or repeats an outcome."""
+        records = random_records(random.Random(seed), 60)
+        fold = JobFold(RESOURCE)
+        newest_claim = -1
+        finished: dict[int, str] = {}
+        for offset, record in enumerate(records):
+            if isinstance(record, Claim):
+                newest_claim = offset
+            fold.apply(offset, Envelope("w", offset, record), at_ms=0)
+            job = fold.jobs.get(JOB)
+            if job is None:
+                continue
+            states = {i: job.state_of(i) for i in range(job.item_count)}
+            for index, outcome in finished.items():
+                self.assertEqual(outcome, states[index])
+            for index, state in states.items():
+                if state in ("pending", "started") or index in finished:
+                    continue
+                finished[index] = state
+                if isinstance(record, ItemResults):
+                    self.assertEqual(newest_claim, record.claim)
+
+    @PROPERTY
+    @given(st.integers(0, 2**32))
+    def test_snapshot_and_rest_equal_the_whole(self, seed):
+        """A reader from a snapshot sees what a reader from the start sees."""
+        rng = random.Random(seed)
+        records = random_records(rng, 60)
+        cut = rng.randrange(len(records))
+        early = fold_of(records[:cut])
+        restored = restore_fold(RESOURCE, snapshot_records(early, early.fencing))
+        for offset, record in enumerate(records):
+            restored.apply(offset, Envelope("w", offset, record), at_ms=offset)
+        whole = fold_of(records)
+        self.assertEqual(view(whole), view(restored))
+
+
+def view(fold: JobFold) -> list:
+    """Return what matters of a fold, to compare."""
+    return [
+        (j.id, bytes(j.states), j.result_offsets.tolist(), j.attempts, fold.fencing)
+        for j in fold.jobs.values()
+    ]
+
+
+class LatestSnapshotTest(ApricotTest):
+    """Which snapshot a reader starts from."""
+
+    def entries(self, records: list, first: int = 0) -> list[DecodedEntry]:
+        """Return records as entries from an offset on."""
+        return [
+            DecodedEntry(offset, 0, Envelope("w", offset, record))
+            for offset, record in enumerate(records)
+            if offset >= first
+        ]
+
+    def test_snapshot_of_a_former_holder_is_passed_over(self):
+        """It may lack what the newer holder wrote before it."""
+        records = [claim("a"), chunk(0, 1), accepted(1)]
+        stale = snapshot_records(fold_of(records), 0)
+        entries = self.entries([*records, claim("b"), *stale])
+        self.assertIsNone(latest_snapshot(RESOURCE, entries))
+
+    def test_snapshot_that_leaves_a_gap_is_passed_over(self):
+        """Entries between its end and the first kept one are gone."""
+        records = [claim("a"), chunk(0, 1), accepted(1)]
+        early = snapshot_records(fold_of(records[:1]), 0)
+        entries = self.entries([*records, *early], first=3)
+        self.assertIsNone(latest_snapshot(RESOURCE, entries))
+
+    def test_reader_behind_the_retention_starts_at_the_snapshot(self):
+        """Nothing is lost when the log dropped the first records."""
+        records = [claim("a"), chunk(0, 1), accepted(1)]
+        whole = snapshot_records(fold_of(records), 0)
+        fold = latest_snapshot(RESOURCE, self.entries([*records, *whole], first=3))
+        self.assertEqual(["pending"], [fold.jobs[JOB].state_of(0)])
+        self.assertEqual(0, fold.fencing)
