Make a lease's holder unique under every interleaving tried

Change: a claim names the claim that it follows and is void otherwise; a keeper knows all rivals that may act and starts early only when every one of them has ended and its own promises are over; a term number says to which tenure the buckets belong; a successor may act for a gone holder in an outage of the log by the promises of all others; a daemon that starts in an outage asks a peer who holds what.

Ruled out: checking that fencing numbers never go back over all actors. The judge now counts the grants of all actors in windows instead.

--- a/apricotquay/limiter.py
+++ b/apricotquay/limiter.py
@@ -26,7 +26,9 @@
 from .messages import (
     AskPromises,
     Done,
+    FetchLeases,
     HandOver,
+    LeasesReply,
     PromisesReply,
     TakeToken,
     TokenReply,
@@ -45,8 +47,10 @@
 # A member that ranks behind others for a free shard lets them claim first.
 RANK_PAUSE_S = 0.7
 RENEW_PAUSE_S = 5.0
+RENEW_SHARE = 1 / 3
 REBALANCE_AFTER_S = 4.0
 HAND_OVER_LIMIT_S = 2.0
+INTERIM_ASKED = 2
 MIN_TAKEOVER_WAIT_S = 2.0
 
 
@@ -64,8 +68,7 @@
     def __init__(self, keeper: LeaseKeeper) -> None:
         self.keeper: LeaseKeeper = keeper
         self.buckets: ShardBuckets | None = None
-        self.full_start: bool = False
-        self.predecessor: Held | None = None
+        self.term: int = 0
         self.handed_over: HandedOver | None = None
         self.claim_after_s: float = 0.0
         self.free_since_s: float | None = None
@@ -97,6 +100,7 @@
         events: EventLog,
     ) -> None:
         self._lease_s: float = settings.lease_ms / 1000
+        self._retention_ms: int = settings.log_retention_ms
         self._appender: Appender = appender
         self._environment: Environment = environment
         self._fleet: Fleet = fleet
@@ -105,12 +109,22 @@
         self._events: EventLog = events
         self._lock = threading.RLock()
         self._table = LeaseTable()
+        # What peers said while this daemon could not read the log itself; good
+        # for asking, never for acting.
+        self._hints = LeaseTable()
         self._whole_stream: bool = False
         self._read_any: bool = False
+        self._read_s: float = float("-inf")
         self._shards: dict[ResourceName, Shard] = {}
         for number in range(settings.rate_shards):
             name = ResourceName(f"rate-{number}")
-            keeper = LeaseKeeper(name, fleet.me, fleet.incarnation, self._lease_s)
+            keeper = LeaseKeeper(
+                name,
+                fleet.me,
+                fleet.incarnation,
+                self._lease_s,
+                started_s=clock.now_s(),
+            )
             self._shards[name] = Shard(keeper)
         self._follower = StreamFollower(
             log, FLEET_STREAM, self._on_page, clock, events, wait_ms=250
@@ -172,18 +186,13 @@
         return TokenReply(held=True, wait_s=decision.failure().wait_s)
 
     def answer_promises(self, message: AskPromises) -> PromisesReply:
-        """Promise not to claim what the asking holder holds, as far as known.
-
-        Nothing needs to be remembered: a claimer always waits for longer than
-        a promise lasts after it has seen its own claim, and it promises nothing
-        against a claim that it has seen.
-        """
+        """Promise not to act on what the asking member holds, as far as known."""
         promised = []
         with self._lock:
+            now_s = self._clock.now_s()
             for resource, fencing in message.fencings.items():
-                held = self._table.get(resource)
-                newest = held.offset if held else -1
-                if newest <= fencing:
+                keeper = self._shards[resource].keeper
+                if keeper.give_promise(message.sender, fencing, now_s):
                     promised.append(resource)
         return PromisesReply(promised, self._lease_s)
 
@@ -230,25 +239,47 @@
         self, resource: ResourceName, team: TeamId, limit_s: float
     ) -> Result[float, Overdrawn] | None:
         """Ask the holder once; None means that no holder decided."""
-        with self._lock:
-            held = self._table.get(resource)
+        held = self._known_holder(resource)
         if held is None:
             return None
-        if held.claim.holder == self._fleet.me:
-            return self._take_here(resource, held.offset, team)
+        for member in self._who_may_act(held.claim):
+            if member == self._fleet.me:
+                decision = self._take_here(resource, held.offset, team)
+            else:
+                decision = self._ask_member(member, held, team, limit_s)
+            if decision is not None:
+                return decision
+        return None
+
+    def _known_holder(self, resource: ResourceName) -> Held | None:
+        """Return the newest claim known from the log, else from a peer."""
+        with self._lock:
+            return self._table.get(resource) or self._hints.get(resource)
+
+    def _who_may_act(self, claim: Claim) -> list[MemberId]:
+        """Return the holder, or its successors if its process ended."""
+        if not self._fleet.process_ended(claim.holder, claim.incarnation):
+            return [claim.holder]
+        return [
+            member
+            for member in claim.successors
+            if self._fleet.state_of(member) is not MemberState.GONE
+        ][:INTERIM_ASKED]
+
+    def _ask_member(
+        self, member: MemberId, held: Held, team: TeamId, limit_s: float
+    ) -> Result[float, Overdrawn] | None:
+        resource = held.claim.resource
         left_s = max(0.01, limit_s - self._clock.now_s())
         message = TakeToken(resource, held.offset, team)
         try:
-            reply = self._fleet.call(
-                held.claim.holder, message, min(ASK_TIMEOUT_S, left_s)
-            )
+            reply = self._fleet.call(member, message, min(ASK_TIMEOUT_S, left_s))
         except PeerUnavailableError:
             return None
         if not isinstance(reply, TokenReply) or not reply.held:
             return None
-        with self._lock:
-            newest = self._table.get(resource)
-        if newest.offset != held.offset and newest.claim.holder != held.claim.holder:
+        newest = self._known_holder(resource)
+        if newest.offset != held.offset and newest.claim.holder != member:
             # The reply came under a claim that is no longer the newest.
             return None
         if reply.granted:
@@ -285,6 +316,7 @@
                 elif isinstance(record, QuarantineMarked):
                     self._see_mark(record)
             if page.reaches_tail:
+                self._read_s = max(self._read_s, sent_s)
                 for shard in self._shards.values():
                     shard.keeper.confirm_read(sent_s)
 
@@ -300,48 +332,73 @@
             return
         now_s = self._clock.now_s()
         held = Held(offset, claim)
-        keeper = shard.keeper
-        renewed = keeper.is_own(predecessor) and keeper.is_own(held)
-        if not renewed:
-            shard.predecessor = predecessor
         first_ever = predecessor is None and self._whole_stream
-        shard.full_start = first_ever
-        keeper.see_claim(held, now_s, no_predecessor=first_ever)
+        shard.keeper.see_claim(held, now_s, no_predecessor=first_ever)
         shard.free_since_s = None
-        if keeper.is_own(held):
-            self._end_predecessor_if_known(shard, now_s)
+        if shard.keeper.is_own(held):
+            self._end_predecessor_if_known(shard, predecessor, now_s)
         elif shard.was_active:
             self._events.write(Event.LEASE_SUPERSEDED, resource=claim.resource)
         self._note_state(shard, now_s)
 
-    def _end_predecessor_if_known(self, shard: Shard, now_s: float) -> None:
+    def _end_predecessor_if_known(
+        self, shard: Shard, predecessor: Held | None, now_s: float
+    ) -> None:
         """Start at once where the earlier holder handed over or is gone."""
-        before = shard.predecessor
-        if shard.keeper.state is not LeaseState.WAITING or before is None:
-            return
         given = shard.handed_over
-        if given is not None and given.fencing == before.offset:
-            shard.buckets = ShardBuckets(now_s, given.full, given.levels)
-            shard.keeper.end_predecessor(now_s)
-        elif self._fleet.process_ended(before.claim.holder, before.claim.incarnation):
+        handed = given is not None and predecessor is not None
+        if handed and given.fencing == predecessor.offset:
             shard.keeper.end_predecessor(now_s)
+            if shard.term != shard.keeper.term:
+                shard.term = shard.keeper.term
+                shard.buckets = ShardBuckets(now_s, given.full, given.levels)
+        elif self._is_alone(shard.keeper, now_s):
+            shard.keeper.see_predecessor_gone(now_s)
+
+    def _is_alone(self, keeper: LeaseKeeper, now_s: float) -> bool:
+        """Whether every other process that may act under a claim has ended."""
+        return all(
+            self._fleet.process_ended(claim.holder, claim.incarnation)
+            for claim in keeper.rivals(now_s)
+        )
 
     def _note_state(self, shard: Shard, now_s: float) -> None:
-        """Open or drop the buckets as the lease becomes active or ends."""
-        state = shard.keeper.state
-        active = state in (LeaseState.ACTIVE, LeaseState.LAPSED)
-        if active and shard.buckets is None:
-            shard.buckets = ShardBuckets(shard.keeper.active_since_s, shard.full_start)
-        if not active and state is not LeaseState.WAITING:
-            shard.buckets = None
+        """Open new buckets when a term begins; log when a lease becomes active."""
+        keeper = shard.keeper
+        active = keeper.may_act(now_s)
+        if active and shard.term != keeper.term:
+            shard.term = keeper.term
+            shard.buckets = ShardBuckets(keeper.active_since_s, keeper.is_first_ever)
         if active != shard.was_active and active:
             self._events.write(
                 Event.LEASE_ACTIVE,
-                resource=shard.keeper.resource,
-                fencing=shard.keeper.fencing,
+                resource=keeper.resource,
+                fencing=keeper.fencing,
+                interim=keeper.state is LeaseState.INTERIM,
+            )
+        elif active != shard.was_active:
+            self._events.write(
+                Event.LEASE_LAPSED, resource=keeper.resource, fencing=keeper.fencing
             )
         shard.was_active = active
 
+    def _seek_interim(self, shard: Shard, now_s: float) -> None:
+        """Act in place of a holder that is gone while the log cannot be reached.
+
+        The first successor whose process runs seeks; the others promise.
+        """
+        keeper = shard.keeper
+        if keeper.held is None or keeper.is_own(keeper.held):
+            return
+        running = [
+            m
+            for m in keeper.held.claim.successors
+            if self._fleet.state_of(m) is not MemberState.GONE
+        ]
+        blind = now_s - self._read_s > self._lease_s
+        first = running[:1] == [self._fleet.me] and not self._fleet.leaving
+        keeper.seek(blind and first and self._is_alone(keeper, now_s), now_s)
+
     def _tick(self) -> None:
         now_s = self._clock.now_s()
         asks: dict[MemberId, dict[ResourceName, int]] = {}
@@ -349,10 +406,11 @@
             preferred = self._fleet.preferred(name)
             with self._lock:
                 shard.keeper.tick(now_s)
-                self._end_predecessor_if_known(shard, now_s)
+                if self._is_alone(shard.keeper, now_s):
+                    shard.keeper.see_predecessor_gone(now_s)
+                self._seek_interim(shard, now_s)
+                self._collect_asks(shard, now_s, asks)
                 self._note_state(shard, now_s)
-                if shard.keeper.is_own(shard.held):
-                    self._collect_asks(shard, now_s, asks)
                 claims = self._should_claim(shard, preferred, now_s)
             if claims:
                 self._submit_claim(name)
@@ -360,6 +418,27 @@
                 self._rebalance(shard, preferred, now_s)
         for member, fencings in asks.items():
             self._workers.submit(self._ask_promises, member, fencings)
+        if not self._read_any:
+            self._workers.submit(self._fetch_hints)
+
+    def _fetch_hints(self) -> None:
+        """Learn the holders from a peer when started in an outage of the log."""
+        for member in self._fleet.preferred("leases")[:2]:
+            if member == self._fleet.me:
+                continue
+            try:
+                reply = self._fleet.call(member, FetchLeases(), ASK_TIMEOUT_S)
+            except PeerUnavailableError:
+                continue
+            with self._lock:
+                for offset, claim in sorted(reply.claims, key=lambda c: c[0]):
+                    self._hints.replace(offset, claim)
+            return
+
+    def answer_leases(self, message: FetchLeases) -> LeasesReply:
+        """Tell a daemon that cannot read the log who holds what."""
+        with self._lock:
+            return LeasesReply([(h.offset, h.claim) for h in self._table.all()])
 
     def _collect_asks(
         self, shard: Shard, now_s: float, asks: dict[MemberId, dict[ResourceName, int]]
@@ -367,7 +446,7 @@
         keeper = shard.keeper
         if not keeper.needs_promises(now_s):
             return
-        for member in keeper.held.claim.successors:
+        for member in keeper.promisers():
             if self._fleet.state_of(member) is MemberState.GONE:
                 keeper.see_gone(member, now_s)
             else:
@@ -423,21 +502,21 @@
             return True
         if claim.holder == self._fleet.me:
             return True
-        gone = (
-            self._fleet.state_of(m) in (MemberState.GONE, MemberState.SUSPECT)
-            for m in claim.successors
-        )
+        gone = (self._fleet.state_of(m) is MemberState.GONE for m in claim.successors)
         return holder_ended and all(gone)
 
     def _should_renew(
         self, shard: Shard, preferred: list[MemberId], now_s: float
     ) -> bool:
-        """Name new successors when members joined or left, log permitting."""
+        """Renew before the log drops the claim, or to name other successors."""
         if shard.keeper.state is LeaseState.RELEASED:
             # Nobody took the shard over in time, so it is claimed back.
             return True
         if shard.keeper.state is not LeaseState.ACTIVE:
             return False
+        age_ms = self._clock.wall_ms() - shard.held.claim.at_ms
+        if age_ms > self._retention_ms * RENEW_SHARE:
+            return True
         wanted = set(self._successors(preferred))
         if wanted == set(shard.held.claim.successors):
             shard.free_since_s = None
@@ -493,6 +572,7 @@
         preferred = self._fleet.preferred(name)
         claim = Claim(
             name,
+            shard.keeper.fencing,
             self._fleet.me,
             self._fleet.incarnation,
             self._claim_successors(shard, preferred),
@@ -509,7 +589,8 @@
         were others allowed to claim after this one, they would have promised
         nothing.
         """
-        if shard.held is None or shard.keeper.state is LeaseState.ACTIVE:
+        own = shard.keeper.is_own(shard.held)
+        if shard.held is None or (own and shard.keeper.state is LeaseState.ACTIVE):
             return self._successors(preferred)
         claim = shard.held.claim
         inherited = [*claim.successors, claim.holder]
--- a/apricotquay/messages.py
+++ b/apricotquay/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .ids import Incarnation, JobId, MemberId, ResourceName, TeamId
+from .records import Claim
 
 FrameNumber = int
 
@@ -95,6 +96,16 @@
     full: bool
 
 
+class FetchLeases(msgspec.Struct, frozen=True, tag="fetch_leases"):
+    """Asks for the claims of all shards, by a daemon that cannot read the log."""
+
+
+class LeasesReply(msgspec.Struct, frozen=True, tag="leases_reply"):
+    """Offsets and claims as the answering member knows them."""
+
+    claims: list[tuple[int, Claim]]
+
+
 class OnlineLoad(msgspec.Struct, frozen=True, tag="online_load"):
     """The sender's online requests by endpoint, for the endpoints' batch runners."""
 
@@ -262,6 +273,8 @@
     | AskPromises
     | PromisesReply
     | HandOver
+    | FetchLeases
+    | LeasesReply
     | OnlineLoad
     | EndpointLoads
     | QuarantineNotice
--- a/apricotquay/partition.py
+++ b/apricotquay/partition.py
@@ -110,7 +110,12 @@
     def claim(self) -> None:
         """Append a claim; the fold shows when it is in force."""
         record = Claim(
-            self.resource, self._me, self._incarnation, [], self._clock.wall_ms()
+            self.resource,
+            self.fold.fencing,
+            self._me,
+            self._incarnation,
+            [],
+            self._clock.wall_ms(),
         )
         offset = self._appender.append(self.stream, record, APPEND_TIMEOUT_S)
         self._events.write(Event.LEASE_CLAIMED, resource=self.resource, fencing=offset)
--- a/apricotquay/records.py
+++ b/apricotquay/records.py
@@ -33,10 +33,13 @@
 class Claim(msgspec.Struct, frozen=True, tag="claim"):
     """A claim of a lease; its offset in the stream is its fencing number.
 
-    `successors` are the members that may claim after this holder.
+    It is void unless `follows` is the offset of the newest claim before it, -1
+    for none, so that of racing claims one wins. `successors` are the members
+    that may claim after this holder.
     """
 
     resource: ResourceName
+    follows: int
     holder: MemberId
     incarnation: Incarnation
     successors: list[MemberId]
--- a/apricotquay/snapshots.py
+++ b/apricotquay/snapshots.py
@@ -125,7 +125,8 @@
     for entry in entries:
         record = entry.envelope.record if entry.envelope else None
         if isinstance(record, Claim) and record.resource == resource:
-            newest_claim = entry.offset
+            if newest_claim in (-1, record.follows):
+                newest_claim = entry.offset
         if not isinstance(record, Snapshot) or record.claim < newest_claim:
             continue
         gathered = parts.setdefault((record.claim, record.through), [])
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -26,7 +26,7 @@
 from .addresses import ADMIN_PORT, PEER_PORT, SERVER_PORT, Address, AddressBook
 from .proxy import FaultProxy
 
-WAIT_S = 60.0
+WAIT_S = float(os.environ.get("FLEET_WAIT_S", "60"))
 POLL_S = 0.05
 ENVIRONMENT = "production"
 
--- /dev/null
+++ b/tests/test_fleet_rates.py
@@ -0,0 +1,241 @@
+"""Team rates over the whole fleet: never over, and no refusal without a cause."""
+
+import signal
+import time
+
+from parameterized import parameterized
+
+from apricotquay.ids import stable_hash
+from standins.fleet import FleetSpec, TeamSpec
+
+from .base import FleetTest, Load
+
+RATE_PER_S = 20.0
+BURST = 10
+
+
+class RateTest(FleetTest):
+    """Base: a load above the rate, and the judge that counts."""
+
+    fresh_fleet = True
+    spec = FleetSpec(
+        daemons=5,
+        engines=4,
+        step_ms=2.0,
+        teams={
+            "small": TeamSpec(rate_per_s=RATE_PER_S, burst=BURST),
+            "large": TeamSpec(rate_per_s=RATE_PER_S, burst=BURST),
+        },
+        proxied=True,
+    )
+
+    def shard(self, team: str = "small") -> str:
+        """Return the shard of a team."""
+        return f"rate-{stable_hash('team-shard', team) % 16}"
+
+    def holder(self, team: str = "small") -> int:
+        """Return the index of the daemon that holds a team's shard."""
+        name = self.fleet.shard_holder(self.shard(team))
+        return int(name.removeprefix("entry-"))
+
+    def load(self, indexes: list[int], threads: int = 12, team: str = "small") -> Load:
+        """Return a load that asks as fast as it gets answers."""
+
+        def ask(number: int):
+            sent_s = time.monotonic()
+            try:
+                answer = self.chat(indexes[number % len(indexes)], "rate", 1, team)
+                return answer.status, sent_s, time.monotonic(), answer
+            finally:
+                time.sleep(0.02)
+
+        return Load(ask, threads)
+
+    def run_over_rate(self, indexes, during=None, seconds: float = 8.0) -> list:
+        """Load for a while with something happening in between."""
+        load = self.load(indexes)
+        load.start()
+        time.sleep(2.0)
+        if during is not None:
+            during()
+        time.sleep(seconds - 2.0)
+        load.close()
+        return [o for o in load.outcomes if isinstance(o, tuple)]
+
+    def check_never_over(self, outcomes: list) -> list:
+        """The judge: in no window more were admitted than rate and burst allow.
+
+        A request was admitted between its sending and its answer, so only those
+        that lie whole in a window are counted.
+        """
+        admitted = sorted((o[1], o[2]) for o in outcomes if o[0] == 200)
+        starts = [sent_s for sent_s, _ in admitted]
+        for first in range(0, len(starts), 5):
+            ends = sorted(end for _, end in admitted[first:])
+            for count, end_s in enumerate(ends, start=1):
+                allowed = BURST + RATE_PER_S * (end_s - starts[first])
+                self.assertLessEqual(count, allowed + 1e-6)
+        return admitted
+
+
+class RateInTheCalmTest(RateTest):
+    """No failure."""
+
+    fresh_fleet = False
+    spec = FleetSpec(
+        daemons=5, engines=4, step_ms=2.0, teams=RateTest.spec.teams, proxied=False
+    )
+
+    @parameterized.expand([("balanced", [0, 1, 2, 3, 4]), ("skewed", [3])])
+    def test_burst_of_several_times_the_rate(self, _name, indexes):
+        """Exactly rate and burst get through, wherever they arrive."""
+        time.sleep(BURST / RATE_PER_S + 0.2)
+        outcomes = self.run_over_rate(indexes, seconds=6.0)
+        admitted = self.check_never_over(outcomes)
+        length_s = admitted[-1][1] - admitted[0][0]
+        self.assertGreater(len(admitted), RATE_PER_S * length_s * 0.8)
+        kinds = {o[3].error()["type"] for o in outcomes if o[0] != 200}
+        self.assertEqual({"rate_exceeded"}, kinds)
+
+    def test_no_refusal_inside_the_rate(self):
+        """A steady load just under the rate, at changing daemons."""
+        time.sleep(BURST / RATE_PER_S + 0.2)
+        refused = []
+        for number in range(60):
+            answer = self.chat(number % 5, "inside", 1, "large")
+            if answer.status != 200:
+                refused.append(answer.error())
+            time.sleep(1 / RATE_PER_S)
+        self.assertEqual([], refused)
+
+    def test_whole_burst_at_once_is_inside_the_rate(self):
+        """Sent to all daemons at the same moment."""
+        time.sleep(BURST / RATE_PER_S + 0.2)
+        load = self.load([0, 1, 2, 3, 4], threads=BURST)
+        load.start()
+        time.sleep(0.01)
+        load.close()
+        self.assertEqual({200}, {o[0] for o in load.outcomes[:BURST]})
+
+    def test_refusal_says_when_to_come_back(self):
+        """At once, as not run."""
+        time.sleep(BURST / RATE_PER_S + 0.2)
+        outcomes = self.run_over_rate([0], seconds=2.5)
+        error = next(o[3].error() for o in outcomes if o[0] == 429)
+        self.assertEqual("not_run", error["ran"])
+        self.assertGreater(error["retry_after_ms"], 0)
+        self.assertLessEqual(error["retry_after_ms"], 1000 / RATE_PER_S * 2 + 1)
+
+
+class RateUnderFailureTest(RateTest):
+    """The holder or the log fails while a team sends several times its rate."""
+
+    def others(self, holder: int) -> list[int]:
+        """Return the daemons that do not hold the shard."""
+        return [n for n in range(5) if n != holder]
+
+    def admitted_after(self, admitted: list, at_s: float) -> int:
+        """Return how many were sent and admitted after a time."""
+        return sum(1 for sent_s, _ in admitted if sent_s >= at_s)
+
+    def test_holder_killed(self):
+        """The next holder grants nothing that may have been granted."""
+        holder = self.holder()
+        outcomes = self.run_over_rate(
+            self.others(holder), lambda: self.fleet.kill_daemon(holder)
+        )
+        admitted = self.check_never_over(outcomes)
+        self.assertGreater(self.admitted_after(admitted, admitted[0][0] + 7), 5)
+
+    def test_holder_killed_twice(self):
+        """And the one after it."""
+        first = self.holder()
+        self.fleet.kill_daemon(first)
+        self.fleet.wait_until(lambda: self.holder() != first, "a takeover")
+        second = self.holder()
+        rest = [n for n in range(5) if n not in (first, second)]
+        outcomes = self.run_over_rate(rest, lambda: self.fleet.kill_daemon(second))
+        self.check_never_over(outcomes)
+
+    def test_holder_frozen_past_its_lease_and_revived(self):
+        """It grants nothing any more when it wakes."""
+        holder = self.holder()
+        process = self.fleet.daemons[holder].process
+
+        def freeze() -> None:
+            process.send(signal.SIGSTOP)
+            time.sleep(5.0)
+            process.send(signal.SIGCONT)
+
+        indexes = self.others(holder)
+        outcomes = self.run_over_rate(indexes, freeze, seconds=9.0)
+        admitted = self.check_never_over(outcomes)
+        self.assertGreater(self.admitted_after(admitted, admitted[0][0] + 8), 5)
+
+    def test_total_outage_of_the_log(self):
+        """Nobody is refused for it."""
+        self.fleet.log_faults(outage=True)
+        outcomes = self.run_over_rate([0, 1, 2, 3, 4], seconds=9.0)
+        admitted = self.check_never_over(outcomes)
+        length_s = admitted[-1][1] - admitted[0][0]
+        self.assertGreater(len(admitted), RATE_PER_S * length_s * 0.8)
+        kinds = {o[3].error()["type"] for o in outcomes if o[0] != 200}
+        self.assertEqual({"rate_exceeded"}, kinds)
+
+    def test_holder_killed_in_a_total_outage_of_the_log(self):
+        """A successor acts in its place, and never over the rate."""
+        self.fleet.log_faults(outage=True)
+        time.sleep(3.0)
+        holder = self.holder()
+        outcomes = self.run_over_rate(
+            self.others(holder), lambda: self.fleet.kill_daemon(holder), seconds=9.0
+        )
+        admitted = self.check_never_over(outcomes)
+        self.assertGreater(self.admitted_after(admitted, admitted[0][0] + 7), 5)
+
+    def test_holder_cut_off_from_the_log_alone(self):
+        """It goes on by its successors' promises, and no second one appears."""
+        holder = self.holder()
+        outcomes = self.run_over_rate(
+            [0, 1, 2, 3, 4], lambda: self.fleet.cut(holder, "log"), seconds=9.0
+        )
+        admitted = self.check_never_over(outcomes)
+        length_s = admitted[-1][1] - admitted[0][0]
+        self.assertGreater(len(admitted), RATE_PER_S * length_s * 0.8)
+
+    def test_holder_cut_off_from_everything(self):
+        """It stops before the next one starts."""
+        holder = self.holder()
+        outcomes = self.run_over_rate(
+            [0, 1, 2, 3, 4], lambda: self.fleet.isolate(holder), seconds=10.0
+        )
+        admitted = self.check_never_over(outcomes)
+        self.assertGreater(self.admitted_after(admitted, admitted[0][0] + 9), 3)
+
+    def test_graceful_leave_of_the_holder_without_a_gap(self):
+        """The level is handed over; nobody inside the rate is refused."""
+        holder = self.holder("large")
+        others = self.others(holder)
+        refused = []
+
+        def trickle() -> None:
+            for number in range(100):
+                answer = self.chat(others[number % 4], "leave", 1, "large")
+                if answer.status != 200:
+                    refused.append(answer.error())
+                time.sleep(0.06)
+                if number == 20:
+                    self.fleet.daemons[holder].process.send(signal.SIGTERM)
+
+        trickle()
+        self.assertEqual([], refused)
+
+    def test_takeover_within_five_seconds(self):
+        """Requests inside the rate wait meanwhile instead of being refused."""
+        holder = self.holder("large")
+        others = self.others(holder)
+        self.fleet.kill_daemon(holder, unlist=False)
+        started_s = time.monotonic()
+        answer = self.retry(others, lambda n: self.chat(n, "gap", 1, "large"))
+        self.assertEqual(200, answer.status)
+        self.assertLess(time.monotonic() - started_s, 5.0)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -36,9 +36,9 @@
 TEAM = TeamId("small")
 
 
-def claim(holder: str = "a") -> Claim:
-    """Return a claim of the partition."""
-    return Claim(RESOURCE, MemberId(holder), Incarnation(holder), [], 0)
+def claim(holder: str = "a", follows: int = -1) -> Claim:
+    """Return a claim of the partition after another."""
+    return Claim(RESOURCE, follows, MemberId(holder), Incarnation(holder), [], 0)
 
 
 def chunk(first: int, count: int, digest: str = "d1") -> ItemChunk:
@@ -85,12 +85,12 @@
             ),
             (
                 "result under an older claim is void",
-                [claim("b"), results(0, (0, "succeeded"))],
+                [claim("b", 0), results(0, (0, "succeeded"))],
                 ["pending", "pending"],
             ),
             (
                 "result of the new holder counts",
-                [claim("b"), results(3, (0, "succeeded"))],
+                [claim("b", 0), results(3, (0, "succeeded"))],
                 ["done", "pending"],
             ),
             (
@@ -118,14 +118,14 @@
             ),
             (
                 "attempt of an older claim is void",
-                [claim("b"), AttemptsStarted(0, [Attempt(JOB, 0, "x")])],
+                [claim("b", 0), AttemptsStarted(0, [Attempt(JOB, 0, "x")])],
                 ["pending", "pending"],
             ),
             (
                 "attempt without an end ends as unknown",
                 [
                     AttemptsStarted(0, [Attempt(JOB, 0, "x")]),
-                    claim("b"),
+                    claim("b", 0),
                     results(4, (0, "outcome_lost")),
                 ],
                 ["unknown", "pending"],
@@ -190,6 +190,7 @@
     size = rng.randint(1, 6)
     records = [chunk(0, size), claim("a"), accepted(size)]
     claims = [1]
+    newest = 1
     while len(records) < count:
         number = rng.choice(claims[-2:])
         index = rng.randrange(size)
@@ -197,7 +198,9 @@
         kind = rng.randrange(12)
         if kind == 0:
             claims.append(len(records))
-            records.append(claim(rng.choice("ab")))
+            follows = newest if rng.random() < 0.7 else rng.choice(claims)
+            newest = len(records) if follows == newest else newest
+            records.append(claim(rng.choice("ab"), follows))
         elif kind == 1 and rng.random() < 0.2:
             records.append(JobCancelled(JOB, TEAM, 1))
         elif kind in (2, 3):
@@ -224,7 +227,7 @@
         newest_claim = -1
         finished: dict[int, str] = {}
         for offset, record in enumerate(records):
-            if isinstance(record, Claim):
+            if isinstance(record, Claim) and record.follows == newest_claim:
                 newest_claim = offset
             fold.apply(offset, Envelope("w", offset, record), at_ms=0)
             job = fold.jobs.get(JOB)
@@ -278,7 +281,7 @@
         """It may lack what the newer holder wrote before it."""
         records = [claim("a"), chunk(0, 1), accepted(1)]
         stale = snapshot_records(fold_of(records), 0)
-        entries = self.entries([*records, claim("b"), *stale])
+        entries = self.entries([*records, claim("b", 0), *stale])
         self.assertIsNone(latest_snapshot(RESOURCE, entries))
 
     def test_snapshot_that_leaves_a_gap_is_passed_over(self):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -6,7 +6,9 @@
 
 from hypothesis import given, strategies as st
 from parameterized import parameterized
+from returns.result import Success
 
+from apricotquay.buckets import ShardBuckets
 from apricotquay.charts import load_chart
 from apricotquay.ids import Incarnation, MemberId, ResourceName
 from apricotquay.leases import Held, LeaseKeeper, LeaseState, LeaseTable
@@ -15,6 +17,8 @@
 from .base import PROPERTY, ApricotTest
 
 LEASE_S = 2.0
+RATE = 3.0
+BURST = 5
 RESOURCE = ResourceName("rate-0")
 CHART = load_chart("lease")
 
@@ -23,6 +27,7 @@
     """Return a claim of the resource by a member's first process."""
     return Claim(
         RESOURCE,
+        -1,
         MemberId(holder),
         Incarnation(f"{holder}/0"),
         [MemberId(s) for s in successors],
@@ -51,6 +56,19 @@
         """Nobody can have held before."""
         self.assertTrue(self.holder().may_act(0.1))
 
+    def test_nobody_rivals_before_the_first_claim(self):
+        """A daemon asks that at each tick, also before it has read anything."""
+        self.assertEqual([], keeper_of("a").rivals(0.0))
+
+    def test_older_claim_whose_successor_never_acted_is_a_rival(self):
+        """Its holder may still act by its lease, though the newer one is gone."""
+        keeper = keeper_of("c")
+        keeper.see_claim(Held(0, claim_of("a", "b", "c")), 0.0, no_predecessor=True)
+        keeper.see_claim(Held(1, claim_of("b", "c", "a")), 1.0, no_predecessor=False)
+        keeper.see_claim(Held(2, claim_of("c", "a", "b")), 1.5, no_predecessor=False)
+        self.assertEqual(["a", "b"], [c.holder for c in keeper.rivals(1.6)])
+        self.assertEqual(["b"], [c.holder for c in keeper.rivals(3.2)])
+
     def test_claim_after_another_waits_longer_than_a_lease(self):
         """The earlier holder may act for one lease after its last read."""
         keeper = keeper_of("b")
@@ -150,7 +168,9 @@
         self.events: list = []
         self.order = itertools.count()
         self.actors = {name: Actor(name, 0, self) for name in self.NAMES}
+        self.grants_s: list[float] = []
         self.acted = 0
+        self.interim = 0
 
     def later(self, delay_s: float, task) -> None:
         """Do something later."""
@@ -158,25 +178,48 @@
         heapq.heappush(self.events, (at_s, next(self.order), task))
 
     def run(self, until_s: float) -> None:
-        """Run and check after each event that one member acts at most, and that
-        no older claim acts after a newer one has.
+        """Run, and check after each event that one member acts at most.
+
+        Who acts grants all it can; the judge counts the grants of all.
         """
         for actor in self.actors.values():
             actor.tick()
         self.later(0.0, self.fault)
-        newest_acted = -1
         while self.events and self.now_s < until_s:
             at_s, _, task = heapq.heappop(self.events)
             self.now_s = max(self.now_s, at_s)
             task()
             acting = [a for a in self.actors.values() if a.acts()]
             self.acted += len(acting)
+            interim = [a for a in acting if a.keeper.state is LeaseState.INTERIM]
+            self.interim += len(interim)
             names = [a.name for a in acting]
             assert len(acting) <= 1, f"{names} act at {self.now_s}: {self.log}"
             for actor in acting:
-                fencing = actor.keeper.fencing
-                assert fencing >= newest_acted, f"{names} acts again: {self.log}"
-                newest_acted = fencing
+                self.grant_all(actor)
+
+    def grant_all(self, actor: "Actor") -> None:
+        """Grant until the actor's bucket is empty; count against the promise."""
+        while True:
+            now_s = actor.clock_s()
+            if not isinstance(actor.buckets.take("t", RATE, BURST, now_s), Success):
+                return
+            self.grants_s.append(self.now_s)
+            for back in (BURST + 1, 2 * BURST, 5 * BURST, 20 * BURST):
+                self.check_window(back)
+
+    def check_window(self, count: int) -> None:
+        """No window of so many grants is too short for rate and burst."""
+        if len(self.grants_s) < count:
+            return
+        window_s = self.now_s - self.grants_s[-count]
+        # The members' clocks are allowed to run 2 in 100 fast.
+        allowed = BURST + RATE * 1.02 * window_s
+        assert count <= allowed + 1e-6, f"{count} grants in {window_s} s: {self.log}"
+
+    def runs(self, name: str) -> bool:
+        """Whether a member's VM has a process at all."""
+        return self.actors[name].paused_until_s != float("inf")
 
     def fault(self) -> None:
         """Let something go wrong, now and then for several members at once."""
@@ -195,16 +238,18 @@
         self.world = world
         self.number = number
         self.incarnation = Incarnation(f"{name}/{number}")
+        # Clocks run apart by up to 2 in 100, under the drift that is allowed.
+        self.rate = 1.0 + world.rng.uniform(-0.02, 0.02)
         self.keeper = LeaseKeeper(
-            RESOURCE, MemberId(name), self.incarnation, LEASE_S, CHART
+            RESOURCE, MemberId(name), self.incarnation, LEASE_S, CHART, self.clock_s()
         )
+        self.buckets: ShardBuckets | None = None
+        self.term = 0
         self.table = LeaseTable()
         self.position = 0
         self.read_any = False
         self.paused_until_s = 0.0
         self.cut_until_s = 0.0
-        # Clocks run apart by up to 2 in 100, under the drift that is allowed.
-        self.rate = 1.0 + world.rng.uniform(-0.02, 0.02)
 
     def tick(self) -> None:
         """Read, ask for promises, and claim now and then; as long as this runs."""
@@ -213,10 +258,32 @@
         self.world.later(0.2 + self.world.rng.random() * 0.2, self.tick)
         if self.awake():
             self.read()
+            self.use_proofs()
             self.ask()
             if self.world.rng.random() < 0.1:
                 self.claim()
 
+    def ended(self, claim: Claim) -> bool:
+        """Whether a claim's process surely runs no more."""
+        return self.world.actors[claim.holder].incarnation != claim.incarnation
+
+    def use_proofs(self) -> None:
+        """Start at once after a holder that ended, or seek to act in its place."""
+        held = self.table.get(RESOURCE)
+        if held is None:
+            return
+        alone = all(self.ended(c) for c in self.keeper.rivals(self.clock_s()))
+        if alone:
+            self.keeper.see_predecessor_gone(self.clock_s())
+        first = [n for n in held.claim.successors if self.world.runs(n)][:1]
+        wanted = alone and first == [self.name]
+        self.keeper.seek(wanted and self.world.rng.random() < 0.9, self.clock_s())
+        for name in self.keeper.promisers():
+            if self.world.runs(name):
+                self.keeper.see_alive(name)
+            else:
+                self.keeper.see_gone(name, self.clock_s())
+
     def clock_s(self) -> float:
         """Return this member's own time."""
         return self.world.now_s * self.rate
@@ -236,8 +303,16 @@
         self.world.later(self.paused_until_s - self.world.now_s + 0.001, task)
 
     def acts(self) -> bool:
-        """Whether the member would act as holder now."""
-        return self.awake() and self.keeper.may_act(self.clock_s())
+        """Whether the member would act as holder now, with buckets as it keeps."""
+        if not self.awake():
+            return False
+        acts = self.keeper.may_act(self.clock_s())
+        if acts and self.term != self.keeper.term:
+            self.term = self.keeper.term
+            self.buckets = ShardBuckets(
+                self.keeper.active_since_s, self.keeper.is_first_ever
+            )
+        return acts
 
     def read(self) -> None:
         """Read the log; the answer is made and arrives a little later."""
@@ -261,8 +336,9 @@
             if offset < self.position:
                 continue
             before = self.table.get(RESOURCE)
-            self.table.apply(offset, claim)
             self.position = offset + 1
+            if not self.table.apply(offset, claim):
+                continue
             self.keeper.see_claim(
                 Held(offset, claim), self.clock_s(), no_predecessor=before is None
             )
@@ -283,7 +359,8 @@
             successors = [n for n in inherited if n != self.name]
         else:
             return
-        claim = Claim(RESOURCE, self.name, self.incarnation, successors, 0)
+        fencing = held.offset if held else -1
+        claim = Claim(RESOURCE, fencing, self.name, self.incarnation, successors, 0)
         # The append may land late, also after its writer has died.
         self.world.later(
             self.world.rng.random() * 1.0, lambda: self.world.log.append(claim)
@@ -292,10 +369,12 @@
     def ask(self) -> None:
         """Ask every successor for a promise, as a holder whose right ends soon."""
         held = self.table.get(RESOURCE)
-        if not self.awake() or not self.keeper.is_own(held):
+        if not self.awake() or held is None:
+            return
+        if not self.keeper.needs_promises(self.clock_s()):
             return
         sent_s = self.clock_s()
-        for name in held.claim.successors:
+        for name in self.keeper.promisers():
             if self.world.rng.random() < 0.1:
                 continue
             peer = self.world.actors[name]
@@ -307,9 +386,8 @@
             )
 
     def answer(self, peer: "Actor", fencing: int, sent_s: float) -> None:
-        """Let a peer promise, if it has seen no newer claim."""
-        newest = peer.table.get(RESOURCE)
-        if newest is not None and newest.offset > fencing:
+        """Let a peer promise, if it may."""
+        if not peer.keeper.give_promise(self.name, fencing, peer.clock_s()):
             return
         self.world.later(
             self.world.rng.random() * 0.2,
@@ -336,10 +414,6 @@
             fresh.paused_until_s = float("inf")
         else:
             fresh.tick()
-        for peer in self.world.actors.values():
-            if peer is not fresh and peer.awake():
-                if fresh.paused_until_s == float("inf"):
-                    peer.keeper.see_gone(self.name, peer.clock_s())
 
 
 class OneHolderTest(ApricotTest):
@@ -352,6 +426,13 @@
         world = World(seed)
         world.run(until_s=60.0)
 
+    def test_interim_holders_do_act(self):
+        """The search would miss them if none ever acted."""
+        worlds = [World(seed) for seed in range(60)]
+        for world in worlds:
+            world.run(until_s=60.0)
+        self.assertGreater(sum(world.interim for world in worlds), 100)
+
     def test_members_do_act(self):
         """The search would be empty if nobody ever held the lease."""
         worlds = [World(seed) for seed in range(20)]
