End a daemon whose wait was cut short, and wake the batch runner on change

Cause: after a second SIGTERM the process went on until its last stream ended, because the HTTP library joins its worker threads; found when a test stopped closing its own stream too early by losing the generator.

Change: a forced stop exits at once after saying how many requests were cut. The runner is woken by online requests that come or go, keeps a quarter of its allowance at hand, and keeps no fixed reserve, only the recent online peak.

Ruled out: closing the HTTP server first (two runs hung for 30 s in its join).

Before: test_second_signal_ends_the_wait failed twice after 30 s. After: it, the other tests of leaving, test_orders and test_fleet_online pass (50).

--- a/apricotquay/daemon.py
+++ b/apricotquay/daemon.py
@@ -1,6 +1,7 @@
 """The daemon: builds the parts, starts and closes them, and drains on SIGTERM."""
 
 import faulthandler
+import os
 import signal
 import sys
 import threading
@@ -132,6 +133,8 @@
             clock,
             events,
         )
+        self.gate.on_change = self.runner.wake
+        self.fleet.on_online_load = self.runner.wake
         self._callers = Application(self._note_failure)
         self._admin = Application(self._note_failure)
         self._add_routes()
@@ -181,10 +184,11 @@
             **self.ports,
         )
 
-    def drain(self, give_up: threading.Event) -> None:
-        """Leave without cutting a request: announce, hand over, wait, close.
+    def drain(self, give_up: threading.Event) -> bool:
+        """Leave without cutting a request: announce, hand over, wait.
 
-        `give_up` ends the wait early, as does the limit of the settings.
+        `give_up` ends the wait early, as does the limit of the settings; the
+        answer tells whether every request had ended.
         """
         self.draining = True
         self._callers.closing = True
@@ -199,8 +203,9 @@
             if give_up.is_set() or self.clock.now_s() >= limit_s:
                 left = self._callers.under_way()
                 self.events.write(Event.DAEMON_STOP_FORCED, requests_cut=left)
-                break
+                return False
             time.sleep(DRAIN_POLL_S)
+        return True
 
     def close(self) -> None:
         """Stop everything."""
@@ -324,8 +329,14 @@
     signal.signal(signal.SIGINT, on_signal)
     daemon.start()
     stop.wait()
-    daemon.drain(give_up)
-    daemon.close()
+    if daemon.drain(give_up):
+        daemon.close()
+        return
+    events.write(Event.DAEMON_STOPPED)
+    sys.stderr.flush()
+    # The HTTP library's threads would keep the process alive until the requests
+    # that were just cut had ended by themselves.
+    os._exit(0)
 
 
 def main() -> None:
--- a/apricotquay/fleet.py
+++ b/apricotquay/fleet.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+from collections.abc import Callable
 
 from .clocks import Clock
 from .environment import Environment
@@ -58,6 +59,8 @@
             self.me, settings.availability_zone, settings.endpoint_subset
         )
         self.leaving: bool = False
+        # Called when another member told its online requests.
+        self.on_online_load: Callable[[], None] = lambda: None
         self._settings: Settings = settings
         self._vm_list: VmList = vm_list
         self._environment: Environment = environment
@@ -190,6 +193,7 @@
             member = self.members.get(load.sender)
             if member is not None:
                 member.online_load = {**member.online_load, **load.counts}
+            self.on_online_load()
             own = self.online_counts()
             return EndpointLoads(
                 {e: own.get(e, 0) + self.online_elsewhere(e) for e in load.counts}
--- a/apricotquay/follow.py
+++ b/apricotquay/follow.py
@@ -1,6 +1,7 @@
 """Background tasks: threads that run until closed and outlive their failures."""
 
 import threading
+import time
 from collections.abc import Callable
 
 from .clocks import Clock
@@ -11,10 +12,14 @@
 
 READ_WAIT_MS = 400
 ERROR_PAUSE_S = 0.15
+LEAST_PAUSE_S = 0.005
 
 
 class Ticker:
-    """Calls a function at an interval. Used for every periodic task."""
+    """Calls a function at an interval, or sooner when woken.
+
+    Used for every periodic task.
+    """
 
     def __init__(
         self, name: str, interval_s: float, task: Callable[[], None], events: EventLog
@@ -23,19 +28,26 @@
         self._interval_s: float = interval_s
         self._task: Callable[[], None] = task
         self._events: EventLog = events
-        self._closed = threading.Event()
+        self._closed: bool = False
+        self._woken = threading.Event()
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
 
     def start(self) -> None:
         """Start the thread."""
         self._thread.start()
 
+    def wake(self) -> None:
+        """Let the next round begin now; rounds keep a least distance."""
+        self._woken.set()
+
     def close(self) -> None:
         """Ask the thread to end."""
-        self._closed.set()
+        self._closed = True
+        self._woken.set()
 
     def _run(self) -> None:
-        while not self._closed.is_set():
+        while not self._closed:
+            self._woken.clear()
             try:
                 self._task()
             except Exception as exc:
@@ -43,7 +55,9 @@
                 self._events.write(
                     Event.THREAD_FAILED, task=self._name, error=repr(exc)[:300]
                 )
-            self._closed.wait(self._interval_s)
+            if self._interval_s:
+                self._woken.wait(self._interval_s)
+                time.sleep(min(LEAST_PAUSE_S, self._interval_s))
 
 
 class StreamFollower:
--- a/apricotquay/gate.py
+++ b/apricotquay/gate.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+from collections.abc import Callable
 
 from returns.result import Success
 
@@ -53,6 +54,8 @@
     """
 
     def __init__(self, fleet: Fleet, limit_per_team: int, clock: Clock) -> None:
+        # Called when the number of online requests at an endpoint changed.
+        self.on_change: Callable[[], None] = lambda: None
         self._fleet: Fleet = fleet
         self._limit_per_team: int = limit_per_team
         self._clock: Clock = clock
@@ -80,6 +83,7 @@
             self._see_speed(ticket.target, tokens, duration_s)
             self._pump(ticket.target, suspect=True)
             self._pump(ticket.target, suspect=False)
+        self.on_change()
 
     def pump_all(self) -> None:
         """Let requests through after load reports or the VM list changed."""
@@ -115,6 +119,7 @@
             if ticket.suspect:
                 endpoint.suspects.add(ticket.suspect)
             ticket.endpoint = endpoint
+            self.on_change()
             return True
         if choice.failure().known == 0:
             raise RequestError(
--- a/apricotquay/runner.py
+++ b/apricotquay/runner.py
@@ -1,6 +1,7 @@
 """Runs batch items on the endpoints whose batch this daemon is in charge of."""
 
 import contextlib
+import math
 import threading
 import uuid
 from concurrent.futures import ThreadPoolExecutor
@@ -39,6 +40,7 @@
 REPEAT_S = 0.5
 LOAD_POLL_S = 0.25
 PULL_PAUSE_S = 0.1
+AHEAD_SHARE = 0.25
 MAX_THREADS = 160
 CALL_TIMEOUT_S = 3.0
 SHORT_TIMEOUT_S = 0.5
@@ -84,6 +86,7 @@
         self.running: list[RunningItem] = []
         self.paused: list[RunningItem] = []
         self.pulling: bool = False
+        self.closed: bool = False
         self.pull_after_s: float = 0.0
 
 
@@ -121,8 +124,9 @@
         self._workers = ThreadPoolExecutor(MAX_THREADS, "batch-item")
         self._calls = ThreadPoolExecutor(16, "batch-call")
         self._next_member: int = 0
+        self._ticker = Ticker("batch", TICK_S, self._tick, events)
         self._tickers = [
-            Ticker("batch", TICK_S, self._tick, events),
+            self._ticker,
             Ticker("batch-keep", KEEP_S, self._keep, events),
             Ticker("endpoint-load", LOAD_POLL_S, self._poll_loads, events),
         ]
@@ -142,10 +146,15 @@
         self._workers.shutdown(wait=False, cancel_futures=True)
         self._calls.shutdown(wait=False, cancel_futures=True)
 
+    def wake(self) -> None:
+        """Look again at once, since online requests came or went."""
+        self._ticker.wake()
+
     def drain(self) -> None:
         """Give back everything that waits and pause what runs."""
         with self._lock:
             for lane in self._lanes.values():
+                lane.closed = True
                 self._give_back_paused(lane)
                 for running in lane.running:
                     running.pause = not running.is_service
@@ -205,6 +214,7 @@
         with self._lock:
             for endpoint_id in [e for e in self._lanes if e not in mine]:
                 lane = self._lanes[endpoint_id]
+                lane.closed = True
                 self._give_back_paused(lane)
                 for running in lane.running:
                     running.pause = not running.is_service
@@ -219,14 +229,19 @@
             if excess > 0:
                 self._pause(lane, excess)
                 return
-            while lane.paused and len(lane.running) < allowed:
-                self._launch(lane, lane.paused.pop(0))
-            room = allowed - len(lane.running)
+            self._fill(lane)
+            room = allowed + self._ahead(allowed) - len(lane.running)
+            room -= len(lane.paused)
             if room <= 0 or lane.pulling or now_s < lane.pull_after_s:
                 return
             lane.pulling = True
         self._calls.submit(self._pull, lane, room)
 
+    @staticmethod
+    def _ahead(allowed: int) -> int:
+        """Return how many items to keep at hand, so that no slot waits for a pull."""
+        return math.ceil(allowed * AHEAD_SHARE)
+
     def _pause(self, lane: Lane, count: int) -> None:
         """Stop the newest items; what they got is kept and they go on later."""
         able = [r for r in lane.running if not r.is_service and not r.pause]
@@ -241,6 +256,11 @@
                 tokens=running.tokens,
             )
 
+    def _fill(self, lane: Lane) -> None:
+        """Launch items at hand while the allowance has room."""
+        while lane.paused and len(lane.running) < int(lane.allowance.allowed):
+            self._launch(lane, lane.paused.pop(0))
+
     def _launch(self, lane: Lane, running: RunningItem) -> None:
         running.pause = False
         lane.running.append(running)
@@ -254,8 +274,8 @@
                 message = PullItems(self._fleet.me, lane.target, room)
                 items = self._pull_from(member, message)
                 with self._lock:
-                    for item in items:
-                        self._launch(lane, RunningItem(item, member))
+                    lane.paused += [RunningItem(item, member) for item in items]
+                    self._fill(lane)
                 room -= len(items)
                 if room <= 0:
                     return
@@ -286,7 +306,7 @@
             report = self._run_once(lane.entry, running)
         except PausedError:
             with self._lock:
-                lane.paused.append(running)
+                lane.paused.insert(0, running)
         except StoppedError:
             pass
         except Exception as exc:
@@ -298,6 +318,9 @@
             self._count(endpoint_id, -1)
             with self._lock:
                 lane.running.remove(running)
+                if not lane.closed:
+                    self._fill(lane)
+            self.wake()
         if report is not None:
             self._report(running.holder, report)
 
--- a/apricotquay/spare.py
+++ b/apricotquay/spare.py
@@ -5,19 +5,16 @@
 within a tenth of a second, and from the endpoint's report, which lags.
 """
 
-import math
-
-RESERVE_SHARE = 0.1
-ONLINE_MEMORY_S = 2.0
+ONLINE_MEMORY_S = 0.5
 GROWTH_PER_S = 8.0
 
 
 class BatchAllowance:
     """The allowance of one endpoint. Used by the batch runner at each tick.
 
-    It falls at once when online requests rise and grows back step by step, with
-    room kept for the online peak of the last seconds, so that the next request
-    of a burst finds a free slot without anything having to be paused first.
+    It falls at once when online requests rise and grows back step by step. Room
+    is kept for the online peak of the last moments, so that the next request of
+    a burst finds a free slot without anything having to be paused first.
     """
 
     def __init__(self) -> None:
@@ -28,10 +25,9 @@
 
     def update(self, slots: int, online: int, now_s: float) -> int:
         """Return how many batch items may run now, for the online count known."""
-        reserve = max(1, math.ceil(slots * RESERVE_SHARE))
         self._see_online(online, now_s)
         expected = max(float(online), self._decayed_peak(now_s))
-        ceiling = max(0.0, slots - reserve - expected)
+        ceiling = max(0.0, slots - expected)
         elapsed_s = 0.0 if self._ticked_s is None else now_s - self._ticked_s
         self._ticked_s = now_s
         grown = self.allowed + elapsed_s * GROWTH_PER_S * max(1.0, slots / 16)
