Watch few neighbours and pass news on; split execution and loads from the runner

Cause: every daemon probed random members and suspected whoever was silent for 1.2 s, which holds at ten daemons and is wrong at 370: a pair would meet every 185 s at one probe a second.

Change: three neighbours on a ring, so that everybody is watched, and six by hash, so that news need few hops; changes seen are told in the next probes a number of times that grows with the logarithm; older news yield to newer ages and to a member's own answer. Up to nine others that is everybody, as before.

--- /dev/null
+++ b/apricotquay/execution.py
@@ -0,0 +1,278 @@
+"""Runs one batch item at an endpoint and reports what became of it."""
+
+import contextlib
+import uuid
+
+import msgspec
+
+from .clocks import Clock
+from .document import Route, RouteKind
+from .engineclient import Ending, EndpointError, EngineClient, Token
+from .environment import Environment
+from .errors import Ran
+from .fleet import Fleet
+from .ids import EndpointId, JobId, MemberId, RequestId
+from .membership import VmEntry
+from .messages import ItemReport, WorkItem
+from .poison import PoisonWatch
+from .quarantine import Standing, fingerprint_of
+from .submission import SERVICE_URL_PREFIX, ItemLine
+
+DEFAULT_MAX_TOKENS = 64
+
+_LINE_DECODER = msgspec.json.Decoder(ItemLine)
+
+
+class PausedError(Exception):
+    """The item was paused for online requests."""
+
+
+class StoppedError(Exception):
+    """The item was cancelled or is no longer this runner's."""
+
+
+class RunningItem:
+    """One item at this runner, running or paused."""
+
+    def __init__(self, item: WorkItem, holder: MemberId) -> None:
+        self.item: WorkItem = item
+        self.holder: MemberId = holder
+        self.text: str = item.text
+        self.tokens: int = item.tokens
+        self.request_id: RequestId = RequestId(f"item-{uuid.uuid4().hex}")
+        self.pause: bool = False
+        self.stop: bool = False
+        self.is_service: bool = False
+
+    @property
+    def name(self) -> tuple[JobId, int]:
+        """The job and the item's index."""
+        return self.item.job, self.item.index
+
+
+class ItemExecutor:
+    """Runs items for the batch runner, in its threads.
+
+    Raises PausedError or StoppedError when the item's flags say so.
+    """
+
+    def __init__(
+        self,
+        environment: Environment,
+        fleet: Fleet,
+        engines: EngineClient,
+        poison: PoisonWatch,
+        clock: Clock,
+    ) -> None:
+        self._environment: Environment = environment
+        self._fleet: Fleet = fleet
+        self._engines: EngineClient = engines
+        self._poison: PoisonWatch = poison
+        self._clock: Clock = clock
+
+    def run(self, entry: VmEntry, running: RunningItem) -> ItemReport:
+        line = _LINE_DECODER.decode(running.item.line)
+        route = self._route_of(line)
+        if route is None:
+            return item_report(
+                running, "failed", error_line(running, "route_unknown", "no route")
+            )
+        fingerprint = fingerprint_of(msgspec.json.encode(line.body, order="sorted"))
+        if self._poison.standing(fingerprint) is Standing.QUARANTINED:
+            body = error_line(
+                running, "request_quarantined", "this request made endpoints fail"
+            )
+            return item_report(running, "failed", body)
+        if route.kind is RouteKind.SERVICE:
+            return self._run_service(entry, running, line, route)
+        with self._alone_if_suspect(entry, fingerprint) as may_run:
+            if not may_run:
+                return item_report(running, "", b"", ran="not_run")
+            return self._run_chat(entry, running, line, route, fingerprint)
+
+    def _run_chat(
+        self,
+        entry: VmEntry,
+        running: RunningItem,
+        line: ItemLine,
+        route: Route,
+        fingerprint: str,
+    ) -> ItemReport:
+        running.request_id = RequestId(f"item-{uuid.uuid4().hex}")
+        body = {"max_tokens": DEFAULT_MAX_TOKENS, **line.body}
+        stream = self._engines.stream(
+            entry, running.request_id, route.target, body, running.tokens
+        )
+        try:
+            with self._poison.running(EndpointId(entry.id), fingerprint):
+                ending = self._consume(stream, running)
+        except EndpointError as exc:
+            return self._chat_failed(entry, running, fingerprint, exc)
+        finally:
+            stream.close()
+        self._poison.clear(fingerprint)
+        return item_report(
+            running, "succeeded", _chat_line(running, line, route, ending)
+        )
+
+    def _consume(self, stream, running: RunningItem) -> Ending:
+        for part in stream:
+            if running.stop:
+                raise StoppedError
+            if isinstance(part, Ending):
+                return part
+            if isinstance(part, Token):
+                running.text += part.text
+                running.tokens += 1
+            if running.pause:
+                raise PausedError
+        raise EndpointError("the answer ended early", Ran.RAN, broken=True)
+
+    def _chat_failed(
+        self,
+        entry: VmEntry,
+        running: RunningItem,
+        fingerprint: str,
+        exc: EndpointError,
+    ) -> ItemReport:
+        """Give the item back; only failures that may be its own are counted."""
+        if running.stop:
+            raise StoppedError
+        if running.pause:
+            raise PausedError
+        died = False
+        if exc.ran is not Ran.NOT_RUN:
+            died = self._poison.check_death(entry, fingerprint)
+        with self._fleet.lock:
+            endpoint = self._fleet.endpoints.get(EndpointId(entry.id))
+            if endpoint is not None:
+                self._fleet.endpoints.see_failure(
+                    endpoint, self._clock.now_s(), exc.refused or died
+                )
+        ran = "not_run" if exc.ran is Ran.NOT_RUN and exc.status != 400 else "failed"
+        if died:
+            # Whether the item is at fault is the quarantine's to say.
+            ran = "unknown"
+        return item_report(
+            running, "", error_line(running, "endpoint_failed", str(exc)), ran=ran
+        )
+
+    @contextlib.contextmanager
+    def _alone_if_suspect(self, entry: VmEntry, fingerprint: str):
+        """Let a suspect run only where no other suspect runs."""
+        if self._poison.standing(fingerprint) is not Standing.SUSPECT:
+            yield True
+            return
+        with self._fleet.lock:
+            endpoint = self._fleet.endpoints.get(EndpointId(entry.id))
+            may_run = endpoint is not None and not endpoint.suspects
+            if may_run:
+                endpoint.suspects.add(fingerprint)
+        try:
+            yield may_run
+        finally:
+            if may_run:
+                with self._fleet.lock:
+                    endpoint.suspects.discard(fingerprint)
+
+    def _run_service(
+        self, entry: VmEntry, running: RunningItem, line: ItemLine, route: Route
+    ) -> ItemReport:
+        running.is_service = True
+        if running.stop:
+            raise StoppedError
+        path = "/" + line.url.removeprefix(SERVICE_URL_PREFIX).partition("/")[2]
+        try:
+            answer = self._engines.call_service(
+                entry,
+                running.request_id,
+                "POST",
+                path,
+                {"content-type": "application/json"},
+                msgspec.json.encode(line.body),
+            )
+        except EndpointError as exc:
+            ran = exc.ran.value
+            if route.idempotent and exc.ran is not Ran.NOT_RUN:
+                ran = "failed"
+            body = error_line(running, "endpoint_failed", str(exc))
+            return item_report(running, "", body, ran=ran)
+        text = answer.body.decode(errors="replace")
+        response = {"status_code": answer.status, "body": text}
+        outcome = "succeeded" if answer.status < 400 else "failed"
+        return item_report(running, outcome, _line(running, line.custom_id, response))
+
+    def _route_of(self, line: ItemLine) -> Route | None:
+        current = self._environment.current
+        if current is None:
+            return None
+        if line.url.startswith(SERVICE_URL_PREFIX):
+            return current.document.routes.get(line.url.split("/")[2])
+        return current.document.routes.get(line.body.get("model", ""))
+
+
+def item_report(
+    running: RunningItem, outcome: str, body: bytes, ran: str = "ran"
+) -> ItemReport:
+    """Return the report of an item, with what was got of its answer."""
+    item = running.item
+    return ItemReport(
+        item.resource,
+        item.claim,
+        item.job,
+        item.index,
+        item.attempt,
+        outcome,
+        body,
+        running.text,
+        running.tokens,
+        ran,
+    )
+
+
+def _line(running: RunningItem, custom_id: str, response: dict) -> bytes:
+    value = {
+        "id": f"{running.item.job}-{running.item.index}",
+        "custom_id": custom_id,
+        "response": {"request_id": running.request_id, **response},
+        "error": None,
+    }
+    return msgspec.json.encode(value)
+
+
+def _chat_line(
+    running: RunningItem, line: ItemLine, route: Route, ending: Ending
+) -> bytes:
+    choice = {
+        "index": 0,
+        "message": {"role": "assistant", "content": running.text},
+        "finish_reason": ending.finish_reason,
+    }
+    usage = {
+        "prompt_tokens": ending.prompt_tokens,
+        "completion_tokens": running.tokens,
+        "total_tokens": ending.prompt_tokens + running.tokens,
+    }
+    body = {
+        "id": running.request_id,
+        "object": "chat.completion",
+        "model": line.body["model"],
+        "choices": [choice],
+        "usage": usage,
+    }
+    return _line(running, line.custom_id, {"status_code": 200, "body": body})
+
+
+def error_line(running: RunningItem, code: str, message: str) -> bytes:
+    """Return the result line of an item that failed."""
+    try:
+        custom_id = _LINE_DECODER.decode(running.item.line).custom_id
+    except msgspec.DecodeError:
+        custom_id = ""
+    value = {
+        "id": f"{running.item.job}-{running.item.index}",
+        "custom_id": custom_id,
+        "response": None,
+        "error": {"code": code, "message": message},
+    }
+    return msgspec.json.encode(value)
--- a/apricotquay/fleet.py
+++ b/apricotquay/fleet.py
@@ -153,9 +153,8 @@
         with self.lock:
             present = [
                 self.members.get(m)
-                for m in self.members.in_state(
-                    MemberState.ALIVE, MemberState.SUSPECT, MemberState.LEAVING
-                )
+                for m in self.members.neighbours()
+                if self.members.state_of(m) is not MemberState.GONE
             ]
         views = [self._peer_view(member, now_s) for member in present]
         freshness = judge_view(
@@ -239,7 +238,7 @@
             cut_off = {
                 m
                 for m in self.members.in_state(MemberState.ALIVE)
-                if self.members.get(m).view_age_ms > CUT_OFF_S * 1000
+                if self.members.get(m).cut_off
             }
         if self._environment.log_age_s() > CUT_OFF_S:
             cut_off.add(self.me)
@@ -270,6 +269,8 @@
 
     def _own_facts(self) -> tuple:
         age_ms = self._environment.log_age_s() * 1000
+        with self.lock:
+            news = self.members.news(self._clock.now_s())
         return (
             self.me,
             self.incarnation,
@@ -277,6 +278,7 @@
             self._environment.version,
             int(min(age_ms, NEVER_MS)),
             self.online_counts(),
+            news,
         )
 
     def _learn(self, facts: Probe | ProbeReply) -> None:
@@ -284,14 +286,17 @@
             member = self.members.get(facts.sender)
             if member is None:
                 return
-            self.members.see_answer(
-                facts.sender, facts.incarnation, self._clock.now_s()
+            now_s = self._clock.now_s()
+            self.members.see_answer(facts.sender, facts.incarnation, now_s)
+            self.members.see_cut_off(
+                facts.sender, facts.view_age_ms > CUT_OFF_S * 1000, now_s
             )
+            self.members.take_news(facts.news, now_s)
             member.config_version = facts.config_version
             member.view_age_ms = facts.view_age_ms
             member.online_load = facts.online_load
             if facts.leaving:
-                self.members.see_leave(facts.sender)
+                self.members.see_leave(facts.sender, now_s)
         if facts.config_version > self._environment.version:
             self._fetch_config(facts.sender)
 
@@ -311,7 +316,7 @@
     def _note_refused(self, member: MemberId) -> None:
         with self.lock:
             before = self.members.state_of(member)
-            self.members.see_refused(member)
+            self.members.see_refused(member, self._clock.now_s())
             after = self.members.state_of(member)
         if before is not after:
             self._events.write(Event.MEMBER_DEAD, member=member)
--- a/apricotquay/freshness.py
+++ b/apricotquay/freshness.py
@@ -46,9 +46,10 @@
 ) -> Freshness:
     """Judge the view of a daemon whose log confirmation is `log_age_s` old.
 
-    `peers` are the members whose processes are not known to be gone, and
-    `member_count` is their number. A log outage counts as such when a majority
-    of all members, this one included, is reached and none of them has the log.
+    `peers` are the members that this one probes and whose processes are not known
+    to be gone, and `member_count` is their number: all others of a small fleet, a
+    sample of a large one. A log outage counts as such when a majority of them,
+    this one included, is reached and none has the log.
     """
     if own_version == 0:
         return Freshness.STALE
--- a/apricotquay/membership.py
+++ b/apricotquay/membership.py
@@ -10,7 +10,14 @@
 import msgspec
 
 from .charts import Chart, load_chart
-from .ids import Incarnation, MemberId, rendezvous_order
+from .ids import Incarnation, MemberId, rendezvous_order, stable_hash
+
+NEIGHBOURS = 9
+RING_NEIGHBOURS = 3
+NEWS_A_PROBE = 8
+TELLINGS_A_DOUBLING = 3
+# Ages are rounded and lose the time on the way.
+NEWS_SLACK_S = 0.05
 
 
 class MemberState(Enum):
@@ -22,6 +29,16 @@
     GONE = "gone"
 
 
+class News(msgspec.Struct, frozen=True):
+    """What some member saw of another, `age_ms` ago."""
+
+    member: MemberId
+    state: str
+    incarnation: Incarnation
+    cut_off: bool
+    age_ms: int
+
+
 class VmEntry(msgspec.Struct, frozen=True):
     """One VM of the platform's list.
 
@@ -49,13 +66,24 @@
         self.incarnation: Incarnation = Incarnation("")
         self.answered_s: float = now_s
         self.listed: bool = True
+        self.cut_off: bool = False
+        self.observed_s: float = float("-inf")
+        self.contact_s: float = float("-inf")
         self.config_version: int = 0
         self.view_age_ms: int = 0
         self.online_load: dict[str, int] = {}
 
 
 class MemberView:
-    """The members of the fleet other than this daemon. Used by `Fleet`."""
+    """The members of the fleet other than this daemon. Used by `Fleet`.
+
+    A daemon probes only its neighbours, so that probes do not grow
+    with the fleet; up to `NEIGHBOURS` others that is everybody. What it sees of
+    them it tells in its next probes, and passes on what it is told.
+
+    Source: dissemination as in SWIM, Das, Gupta and Motivala, 2002, with ages in
+    place of sequence numbers.
+    """
 
     def __init__(
         self, me: MemberId, suspect_after_s: float, chart: Chart | None = None
@@ -68,6 +96,9 @@
         # change a few times an hour: orders are kept until one does.
         self._orders: dict[tuple[str, bool], list[MemberId]] = {}
         self.generation: int = 0
+        self._neighbours: list[MemberId] = []
+        self._next_probe: int = 0
+        self._news: dict[MemberId, int] = {}
 
     def sync_list(self, entries: list[VmEntry], now_s: float) -> list[MemberId]:
         """Take in the platform's list; return the members that are new."""
@@ -81,6 +112,7 @@
             member = self._members.get(member_id)
             if member is None or member.entry.port != entry.port:
                 self._members[member_id] = Member(entry, now_s, self._chart.initial)
+                self._neighbours = []
                 self._note_change()
                 joined.append(member_id)
                 continue
@@ -101,34 +133,111 @@
         member = self._members.get(member_id)
         if member is None:
             return
-        if member.incarnation != incarnation and member.state == "leaving":
-            member.state = self._chart.initial
-            self._note_change()
-        member.incarnation = incarnation
+        if member.incarnation != incarnation:
+            if member.state == "leaving":
+                member.state = self._chart.initial
+                self._note_change()
+            if member.incarnation:
+                # The first answer is no news: everybody gets one by itself.
+                self._observe(member_id, now_s)
+            member.incarnation = incarnation
         member.answered_s = now_s
-        self._step(member, "answered")
+        member.contact_s = now_s
+        if self._step(member, "answered"):
+            self._observe(member_id, now_s)
+
+    def see_cut_off(self, member_id: MemberId, cut_off: bool, now_s: float) -> None:
+        """A member told whether it has read the log lately."""
+        member = self._members.get(member_id)
+        if member is not None and member.cut_off != cut_off:
+            member.cut_off = cut_off
+            self._observe(member_id, now_s)
 
-    def see_refused(self, member_id: MemberId) -> None:
+    def see_refused(self, member_id: MemberId, now_s: float) -> None:
         """A member's port refused a connection: its process is gone."""
-        if member_id in self._members:
-            self._step(self._members[member_id], "refused")
+        member = self._members.get(member_id)
+        if member is not None and self._step(member, "refused"):
+            self._observe(member_id, now_s)
 
-    def see_leave(self, member_id: MemberId) -> None:
+    def see_leave(self, member_id: MemberId, now_s: float) -> None:
         """A member said that it is leaving."""
-        if member_id in self._members:
-            self._step(self._members[member_id], "announced_leave")
+        member = self._members.get(member_id)
+        if member is not None and self._step(member, "announced_leave"):
+            self._observe(member_id, now_s)
+
+    def take_news(self, news: list[News], now_s: float) -> None:
+        """Take in what other members saw, where it is newer than what is known."""
+        for item in news:
+            member = self._members.get(item.member)
+            observed_s = now_s - item.age_ms / 1000
+            if member is None:
+                continue
+            known_s = max(member.observed_s, member.contact_s)
+            if observed_s <= known_s + NEWS_SLACK_S:
+                continue
+            if item.state not in self._chart.states:
+                continue
+            member.observed_s = observed_s
+            member.cut_off = item.cut_off
+            member.incarnation = item.incarnation
+            member.answered_s = max(member.answered_s, observed_s)
+            if member.state != item.state:
+                member.state = item.state
+                self._note_change()
+            self._news[item.member] = self._tellings()
+
+    def news(self, now_s: float) -> list[News]:
+        """Return what to tell with the next probe; each is told a few times."""
+        chosen = sorted(self._news, key=self._news.get, reverse=True)[:NEWS_A_PROBE]
+        told = []
+        for member_id in chosen:
+            self._news[member_id] -= 1
+            if self._news[member_id] <= 0:
+                del self._news[member_id]
+            member = self._members.get(member_id)
+            if member is not None:
+                age_ms = int(max(0.0, now_s - member.observed_s) * 1000)
+                told.append(
+                    News(
+                        member_id,
+                        member.state,
+                        member.incarnation,
+                        member.cut_off,
+                        age_ms,
+                    )
+                )
+        return told
 
     def tick(self, now_s: float) -> list[MemberId]:
         """Suspect members that have been silent; return those newly suspected."""
         suspected = []
-        for member_id, member in self._members.items():
+        for member_id in self.neighbours():
+            member = self._members[member_id]
             silent = now_s - member.answered_s > self._suspect_after_s
             if silent and self._step(member, "silent"):
                 suspected.append(member_id)
                 if not member.listed:
                     self._step(member, "unlisted")
+                self._observe(member_id, now_s)
         return suspected
 
+    def neighbours(self) -> list[MemberId]:
+        """Return the members that this one probes.
+
+        The next ones on a ring, so that everybody is watched, and some by hash,
+        so that news need few hops.
+        """
+        if not self._neighbours:
+            ring = sorted(
+                [*self._members, self._me], key=lambda m: (stable_hash("ring", m), m)
+            )
+            at = ring.index(self._me)
+            order = ring[at + 1 :] + ring[:at]
+            far = rendezvous_order(f"neighbours-{self._me}", order[RING_NEIGHBOURS:])
+            chosen = order[:RING_NEIGHBOURS] + far
+            self._neighbours = chosen[:NEIGHBOURS]
+        return self._neighbours
+
     def get(self, member_id: MemberId) -> Member | None:
         """Return a member by id."""
         return self._members.get(member_id)
@@ -163,14 +272,26 @@
         return list(order)
 
     def probe_targets(self, count: int, rng: random.Random) -> list[MemberId]:
-        """Pick members to probe: all that are not gone, and now and then the rest."""
-        reachable = [m for m, mem in self._members.items() if mem.state != "gone"]
-        gone = [m for m, mem in self._members.items() if mem.state == "gone"]
-        chosen = rng.sample(reachable, min(count, len(reachable)))
+        """Return the neighbours to probe next, in turn; now and then a gone one."""
+        neighbours = self.neighbours()
+        reachable = [m for m in neighbours if self._members[m].state != "gone"]
+        gone = [m for m in neighbours if self._members[m].state == "gone"]
+        chosen = []
+        for _ in range(min(count, len(reachable))):
+            self._next_probe += 1
+            chosen.append(reachable[self._next_probe % len(reachable)])
         if gone and rng.random() < 0.3:
             chosen.append(rng.choice(gone))
         return chosen
 
+    def _observe(self, member_id: MemberId, now_s: float) -> None:
+        """Something of a member changed before this daemon's own eyes: tell it."""
+        self._members[member_id].observed_s = now_s
+        self._news[member_id] = self._tellings()
+
+    def _tellings(self) -> int:
+        return TELLINGS_A_DOUBLING * max(1, len(self._members).bit_length())
+
     def _step(self, member: Member, event: str) -> bool:
         target = self._chart.step(member.state, event)
         changed = target is not None and target != member.state
--- a/apricotquay/messages.py
+++ b/apricotquay/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .ids import Incarnation, JobId, MemberId, ResourceName, TeamId
+from .membership import News
 from .records import Claim
 
 FrameNumber = int
@@ -25,6 +26,7 @@
     config_version: int
     view_age_ms: int
     online_load: dict[str, int]
+    news: list[News] = []
 
 
 class ProbeReply(msgspec.Struct, frozen=True, tag="probe_reply"):
@@ -36,6 +38,7 @@
     config_version: int
     view_age_ms: int
     online_load: dict[str, int]
+    news: list[News] = []
 
 
 class FetchConfig(msgspec.Struct, frozen=True, tag="fetch_config"):
--- a/apricotquay/runner.py
+++ b/apricotquay/runner.py
@@ -1,29 +1,31 @@
 """Runs batch items on the endpoints whose batch this daemon is in charge of."""
 
-import contextlib
 import math
 import threading
-import uuid
 from concurrent.futures import ThreadPoolExecutor
 
-import msgspec
-
 from .clocks import Clock
-from .document import Route, RouteKind
-from .engineclient import Ending, EndpointError, EngineClient, Token
+from .engineclient import EngineClient
 from .environment import Environment
-from .errors import PeerUnavailableError, Ran
+from .errors import PeerUnavailableError
 from .events import Event, EventLog
+from .execution import (
+    ItemExecutor,
+    PausedError,
+    RunningItem,
+    StoppedError,
+    error_line,
+    item_report,
+)
 from .fleet import Fleet
 from .follow import Ticker
-from .ids import EndpointId, JobId, MemberId, RequestId
+from .ids import EndpointId, JobId, MemberId
 from .jobstore import JobStore
+from .loads import LoadExchange, runner_resource
 from .membership import VmEntry
 from .messages import (
-    EndpointLoads,
     ItemReport,
     KeepItems,
-    OnlineLoad,
     PulledItems,
     PullItems,
     ReportItems,
@@ -31,49 +33,15 @@
     WorkItem,
 )
 from .poison import PoisonWatch
-from .quarantine import Standing, fingerprint_of
 from .spare import BatchAllowance
-from .submission import SERVICE_URL_PREFIX, ItemLine
 
 TICK_S = 0.05
 KEEP_S = 1.0
-REPEAT_S = 0.5
 LOAD_POLL_S = 0.25
 PULL_PAUSE_S = 0.1
 AHEAD_SHARE = 0.25
 MAX_THREADS = 160
 CALL_TIMEOUT_S = 3.0
-SHORT_TIMEOUT_S = 0.5
-DEFAULT_MAX_TOKENS = 64
-
-_LINE_DECODER = msgspec.json.Decoder(ItemLine)
-
-
-class PausedError(Exception):
-    """The item was paused for online requests."""
-
-
-class StoppedError(Exception):
-    """The item was cancelled or is no longer this runner's."""
-
-
-class RunningItem:
-    """One item at this runner, running or paused."""
-
-    def __init__(self, item: WorkItem, holder: MemberId) -> None:
-        self.item: WorkItem = item
-        self.holder: MemberId = holder
-        self.text: str = item.text
-        self.tokens: int = item.tokens
-        self.request_id: RequestId = RequestId(f"item-{uuid.uuid4().hex}")
-        self.pause: bool = False
-        self.stop: bool = False
-        self.is_service: bool = False
-
-    @property
-    def name(self) -> tuple[JobId, int]:
-        """The job and the item's index."""
-        return self.item.job, self.item.index
 
 
 class Lane:
@@ -108,27 +76,25 @@
         clock: Clock,
         events: EventLog,
     ) -> None:
-        self._environment: Environment = environment
         self._fleet: Fleet = fleet
         self._jobs: JobStore = jobs
         self._engines: EngineClient = engines
-        self._poison: PoisonWatch = poison
         self._clock: Clock = clock
         self._events: EventLog = events
         self._lock = threading.RLock()
         self._lanes: dict[EndpointId, Lane] = {}
-        self._told: dict[EndpointId, int] = {}
-        self._repeated_s: float = 0.0
         self._mine_at: tuple | None = None
         self._mine_ids: list[EndpointId] = []
         self._workers = ThreadPoolExecutor(MAX_THREADS, "batch-item")
         self._calls = ThreadPoolExecutor(16, "batch-call")
+        self._executor = ItemExecutor(environment, fleet, engines, poison, clock)
+        self._loads = LoadExchange(fleet, engines, self._calls, clock)
         self._next_member: int = 0
         self._ticker = Ticker("batch", TICK_S, self._tick, events)
         self._tickers = [
             self._ticker,
             Ticker("batch-keep", KEEP_S, self._keep, events),
-            Ticker("endpoint-load", LOAD_POLL_S, self._poll_loads, events),
+            Ticker("endpoint-load", LOAD_POLL_S, self._poll_reports, events),
         ]
 
     def start(self) -> None:
@@ -174,7 +140,7 @@
             }
 
     def _tick(self) -> None:
-        self._tell_online_load()
+        self._loads.tell()
         with self._fleet.lock:
             endpoints = [
                 (e.id, e.entry, e.serves, e.slots, e.online)
@@ -206,8 +172,11 @@
             ]
         return self._mine_ids
 
+    def _poll_reports(self) -> None:
+        self._loads.poll_reports(self._mine())
+
     def _is_mine(self, endpoint_id: EndpointId) -> bool:
-        preferred = self._fleet.preferred(f"batch-{endpoint_id}")
+        preferred = self._fleet.preferred(runner_resource(endpoint_id))
         return bool(preferred) and preferred[0] == self._fleet.me
 
     def _drop_lanes(self, mine: set[EndpointId]) -> None:
@@ -303,7 +272,7 @@
         self._count(endpoint_id, 1)
         report = None
         try:
-            report = self._run_once(lane.entry, running)
+            report = self._executor.run(lane.entry, running)
         except PausedError:
             with self._lock:
                 lane.paused.insert(0, running)
@@ -313,7 +282,9 @@
             self._events.write(
                 Event.THREAD_FAILED, task="batch-item", error=repr(exc)[:300]
             )
-            report = _report(running, "", _error_line(running, "internal", repr(exc)))
+            report = item_report(
+                running, "", error_line(running, "internal", repr(exc))
+            )
         finally:
             self._count(endpoint_id, -1)
             with self._lock:
@@ -324,151 +295,13 @@
         if report is not None:
             self._report(running.holder, report)
 
-    def _run_once(self, entry: VmEntry, running: RunningItem) -> ItemReport:
-        line = _LINE_DECODER.decode(running.item.line)
-        route = self._route_of(line)
-        if route is None:
-            return _report(
-                running, "failed", _error_line(running, "route_unknown", "no route")
-            )
-        fingerprint = fingerprint_of(msgspec.json.encode(line.body, order="sorted"))
-        if self._poison.standing(fingerprint) is Standing.QUARANTINED:
-            body = _error_line(
-                running, "request_quarantined", "this request made endpoints fail"
-            )
-            return _report(running, "failed", body)
-        if route.kind is RouteKind.SERVICE:
-            return self._run_service(entry, running, line, route)
-        with self._alone_if_suspect(entry, fingerprint) as may_run:
-            if not may_run:
-                return _report(running, "", b"", ran="not_run")
-            return self._run_chat(entry, running, line, route, fingerprint)
-
-    def _run_chat(
-        self,
-        entry: VmEntry,
-        running: RunningItem,
-        line: ItemLine,
-        route: Route,
-        fingerprint: str,
-    ) -> ItemReport:
-        running.request_id = RequestId(f"item-{uuid.uuid4().hex}")
-        body = {"max_tokens": DEFAULT_MAX_TOKENS, **line.body}
-        stream = self._engines.stream(
-            entry, running.request_id, route.target, body, running.tokens
-        )
-        try:
-            with self._poison.running(EndpointId(entry.id), fingerprint):
-                ending = self._consume(stream, running)
-        except EndpointError as exc:
-            return self._chat_failed(entry, running, fingerprint, exc)
-        finally:
-            stream.close()
-        self._poison.clear(fingerprint)
-        return _report(running, "succeeded", _chat_line(running, line, route, ending))
-
-    def _consume(self, stream, running: RunningItem) -> Ending:
-        for part in stream:
-            if running.stop:
-                raise StoppedError
-            if isinstance(part, Ending):
-                return part
-            if isinstance(part, Token):
-                running.text += part.text
-                running.tokens += 1
-            if running.pause:
-                raise PausedError
-        raise EndpointError("the answer ended early", Ran.RAN, broken=True)
-
-    def _chat_failed(
-        self,
-        entry: VmEntry,
-        running: RunningItem,
-        fingerprint: str,
-        exc: EndpointError,
-    ) -> ItemReport:
-        """Give the item back; only failures that may be its own are counted."""
-        if running.stop:
-            raise StoppedError
-        if running.pause:
-            raise PausedError
-        died = False
-        if exc.ran is not Ran.NOT_RUN:
-            died = self._poison.check_death(entry, fingerprint)
-        with self._fleet.lock:
-            endpoint = self._fleet.endpoints.get(EndpointId(entry.id))
-            if endpoint is not None:
-                self._fleet.endpoints.see_failure(
-                    endpoint, self._clock.now_s(), exc.refused or died
-                )
-        ran = "not_run" if exc.ran is Ran.NOT_RUN and exc.status != 400 else "failed"
-        if died:
-            # Whether the item is at fault is the quarantine's to say.
-            ran = "unknown"
-        return _report(
-            running, "", _error_line(running, "endpoint_failed", str(exc)), ran=ran
-        )
-
-    @contextlib.contextmanager
-    def _alone_if_suspect(self, entry: VmEntry, fingerprint: str):
-        """Let a suspect run only where no other suspect runs."""
-        if self._poison.standing(fingerprint) is not Standing.SUSPECT:
-            yield True
-            return
-        with self._fleet.lock:
-            endpoint = self._fleet.endpoints.get(EndpointId(entry.id))
-            may_run = endpoint is not None and not endpoint.suspects
-            if may_run:
-                endpoint.suspects.add(fingerprint)
-        try:
-            yield may_run
-        finally:
-            if may_run:
-                with self._fleet.lock:
-                    endpoint.suspects.discard(fingerprint)
-
-    def _run_service(
-        self, entry: VmEntry, running: RunningItem, line: ItemLine, route: Route
-    ) -> ItemReport:
-        running.is_service = True
-        if running.stop:
-            raise StoppedError
-        path = "/" + line.url.removeprefix(SERVICE_URL_PREFIX).partition("/")[2]
-        try:
-            answer = self._engines.call_service(
-                entry,
-                running.request_id,
-                "POST",
-                path,
-                {"content-type": "application/json"},
-                msgspec.json.encode(line.body),
-            )
-        except EndpointError as exc:
-            ran = exc.ran.value
-            if route.idempotent and exc.ran is not Ran.NOT_RUN:
-                ran = "failed"
-            body = _error_line(running, "endpoint_failed", str(exc))
-            return _report(running, "", body, ran=ran)
-        text = answer.body.decode(errors="replace")
-        response = {"status_code": answer.status, "body": text}
-        outcome = "succeeded" if answer.status < 400 else "failed"
-        return _report(running, outcome, _line(running, line.custom_id, response))
-
-    def _route_of(self, line: ItemLine) -> Route | None:
-        current = self._environment.current
-        if current is None:
-            return None
-        if line.url.startswith(SERVICE_URL_PREFIX):
-            return current.document.routes.get(line.url.split("/")[2])
-        return current.document.routes.get(line.body.get("model", ""))
-
     def _count(self, endpoint_id: EndpointId, change: int) -> None:
         with self._fleet.lock:
             endpoint = self._fleet.endpoints.get(endpoint_id)
             if endpoint is not None:
                 endpoint.batch = max(0, endpoint.batch + change)
 
-    def _report(self, holder: MemberId, report: ItemReport) -> None:
+    def item_report(self, holder: MemberId, report: ItemReport) -> None:
         message = ReportItems([report])
         if holder == self._fleet.me:
             self._jobs.answer_report(message)
@@ -481,7 +314,7 @@
 
     def _give_back_paused(self, lane: Lane) -> None:
         for running in lane.paused:
-            report = _report(running, "", b"", ran="not_run")
+            report = item_report(running, "", b"", ran="not_run")
             self._calls.submit(self._report, running.holder, report)
         lane.paused.clear()
 
@@ -521,127 +354,3 @@
                         self._calls.submit(
                             self._engines.cancel, lane.entry, running.request_id
                         )
-
-    def _tell_online_load(self) -> None:
-        """Tell the endpoints' runners of this daemon's online requests at once."""
-        now_s = self._clock.now_s()
-        counts = self._fleet.online_counts()
-        repeat = now_s - self._repeated_s >= REPEAT_S
-        if repeat:
-            self._repeated_s = now_s
-        by_member: dict[MemberId, dict[str, int]] = {}
-        for endpoint_id in {*counts, *self._told}:
-            count = counts.get(endpoint_id, 0)
-            if self._told.get(endpoint_id, 0) == count and not (repeat and count):
-                continue
-            if count:
-                self._told[endpoint_id] = count
-            else:
-                self._told.pop(endpoint_id, None)
-            order = self._fleet.preferred(f"batch-{endpoint_id}")
-            if order:
-                by_member.setdefault(order[0], {})[endpoint_id] = count
-        for member, changed in by_member.items():
-            self._calls.submit(self._tell, member, changed)
-
-    def _tell(self, member: MemberId, counts: dict[str, int]) -> None:
-        message = OnlineLoad(self._fleet.me, counts)
-        try:
-            if member == self._fleet.me:
-                reply = self._fleet.take_online_load(message)
-            else:
-                reply = self._fleet.call(member, message, SHORT_TIMEOUT_S)
-        except PeerUnavailableError:
-            # Probes carry the same counts.
-            return
-        if not isinstance(reply, EndpointLoads):
-            return
-        now_s = self._clock.now_s()
-        with self._fleet.lock:
-            for endpoint_id, total in reply.totals.items():
-                self._fleet.endpoints.see_total(
-                    endpoint_id, total, counts[endpoint_id], now_s
-                )
-
-    def _poll_loads(self) -> None:
-        """Fetch the load reports of the endpoints that this daemon uses."""
-        with self._fleet.lock:
-            targets = {e.serves for e in self._fleet.endpoints.all()}
-            used = [e for t in targets for e in self._fleet.endpoints.subset(t)]
-            used += [e for e in map(self._fleet.endpoints.get, self._mine()) if e]
-            entries = {e.id: e.entry for e in used}
-        for endpoint_id, entry in entries.items():
-            self._calls.submit(self._poll_load, endpoint_id, entry)
-
-    def _poll_load(self, endpoint_id: EndpointId, entry: VmEntry) -> None:
-        try:
-            report = self._engines.load(entry)
-        except EndpointError:
-            return
-        with self._fleet.lock:
-            self._fleet.endpoints.see_report(endpoint_id, report.slots, report.model)
-
-
-def _report(
-    running: RunningItem, outcome: str, body: bytes, ran: str = "ran"
-) -> ItemReport:
-    item = running.item
-    return ItemReport(
-        item.resource,
-        item.claim,
-        item.job,
-        item.index,
-        item.attempt,
-        outcome,
-        body,
-        running.text,
-        running.tokens,
-        ran,
-    )
-
-
-def _line(running: RunningItem, custom_id: str, response: dict) -> bytes:
-    value = {
-        "id": f"{running.item.job}-{running.item.index}",
-        "custom_id": custom_id,
-        "response": {"request_id": running.request_id, **response},
-        "error": None,
-    }
-    return msgspec.json.encode(value)
-
-
-def _chat_line(
-    running: RunningItem, line: ItemLine, route: Route, ending: Ending
-) -> bytes:
-    choice = {
-        "index": 0,
-        "message": {"role": "assistant", "content": running.text},
-        "finish_reason": ending.finish_reason,
-    }
-    usage = {
-        "prompt_tokens": ending.prompt_tokens,
-        "completion_tokens": running.tokens,
-        "total_tokens": ending.prompt_tokens + running.tokens,
-    }
-    body = {
-        "id": running.request_id,
-        "object": "chat.completion",
-        "model": line.body["model"],
-        "choices": [choice],
-        "usage": usage,
-    }
-    return _line(running, line.custom_id, {"status_code": 200, "body": body})
-
-
-def _error_line(running: RunningItem, code: str, message: str) -> bytes:
-    try:
-        custom_id = _LINE_DECODER.decode(running.item.line).custom_id
-    except msgspec.DecodeError:
-        custom_id = ""
-    value = {
-        "id": f"{running.item.job}-{running.item.index}",
-        "custom_id": custom_id,
-        "response": None,
-        "error": {"code": code, "message": message},
-    }
-    return msgspec.json.encode(value)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -13,7 +13,7 @@
 from apricotquay.fairness import FairQueue
 from apricotquay.freshness import Freshness, PeerView, judge_view
 from apricotquay.ids import MemberId, rendezvous_order
-from apricotquay.membership import MemberState, MemberView, VmEntry
+from apricotquay.membership import MemberState, MemberView, News, VmEntry
 from apricotquay.online import Progress, final_error
 from apricotquay.quarantine import Quarantine, Standing
 from apricotquay.retries import RetryBudget
@@ -256,13 +256,13 @@
     def test_refused_connection_proves_the_end(self):
         """The process is gone at once, without a timeout."""
         view = self.view("a")
-        view.see_refused("a")
+        view.see_refused("a", 0.1)
         self.assertIs(MemberState.GONE, view.state_of("a"))
 
     def test_leaving_member_takes_no_new_work_but_counts_as_working(self):
         """It still holds what it has not handed over."""
         view = self.view("a", "b")
-        view.see_leave("a")
+        view.see_leave("a", 0.1)
         self.assertEqual(["b", "me"], view.eligible())
         self.assertIs(MemberState.LEAVING, view.state_of("a"))
 
@@ -270,7 +270,7 @@
         """A new process on a VM that had announced its leave."""
         view = self.view("a")
         view.see_answer("a", "a/1", 0.1)
-        view.see_leave("a")
+        view.see_leave("a", 0.1)
         view.see_answer("a", "a/2", 0.2)
         self.assertIs(MemberState.ALIVE, view.state_of("a"))
 
@@ -280,6 +280,57 @@
         view.sync_list([vm("me"), vm("b")], 0.1)
         self.assertIs(MemberState.ALIVE, view.state_of("a"))
 
+    def test_older_news_changes_nothing(self):
+        """News may arrive out of order, and after the member's own answer."""
+        view = self.view("a")
+        view.see_answer("a", "a/1", 5.0)
+        late = News("a", "gone", "a/1", False, age_ms=1000)
+        view.take_news([late], 5.5)
+        self.assertIs(MemberState.ALIVE, view.state_of("a"))
+        fresh = News("a", "gone", "a/1", False, age_ms=100)
+        view.take_news([fresh], 6.0)
+        self.assertIs(MemberState.GONE, view.state_of("a"))
+
+    @parameterized.expand([(10,), (100,), (370,)])
+    def test_loss_and_return_are_known_everywhere_soon(self, count):
+        """In a number of rounds that grows with the logarithm of the fleet."""
+        names = [f"m{n}" for n in range(count)]
+        views = {}
+        for name in names:
+            view = MemberView(MemberId(name), 1.0)
+            view.sync_list([vm(n) for n in names], 0.0)
+            views[name] = view
+        lost_s = self.rounds_until_known(views, MemberState.GONE, 0.0, lost="m3")
+        self.assertLess(lost_s, 10.0)
+        start_s = lost_s + 0.3
+        back_s = self.rounds_until_known(views, MemberState.ALIVE, start_s, lost=None)
+        self.assertLess(back_s, 10.0)
+
+    def rounds_until_known(self, views, state, start_s, lost) -> float:
+        """Probe in rounds until all see a state of "m3"; return the time."""
+        rng = random.Random(7)
+        for number in range(100):
+            now_s = start_s + number * 0.3
+            watchers = [v for n, v in views.items() if n != "m3"]
+            if all(v.state_of("m3") is state for v in watchers) and number:
+                return now_s - start_s
+            for name, view in views.items():
+                if name == lost:
+                    continue
+                view.tick(now_s)
+                for target in view.probe_targets(3, rng):
+                    if target == lost:
+                        view.see_refused(target, now_s)
+                        continue
+                    other = views[target]
+                    incarnation = "2" if target == "m3" and lost is None else "1"
+                    other.take_news(view.news(now_s), now_s)
+                    mine = "2" if name == "m3" and lost is None else "1"
+                    other.see_answer(name, mine, now_s)
+                    view.take_news(other.news(now_s), now_s)
+                    view.see_answer(target, incarnation, now_s)
+        raise AssertionError("not known everywhere")
+
     def test_preference_moves_little_when_a_member_leaves(self):
         """Only what the leaving member held moves."""
         names = [MemberId(f"m{n}") for n in range(9)]
