Mend lost reports of batch items, and make idle daemons cheaper

Cause: in the split of the runner a method was renamed by mistake, and the thread pool kept the AttributeError in a future that nobody reads: items were run and never reported, and a job of two items did not end in 90 s (test_key_that_moves_to_another_team).

Change: the method has its name back; pools log what fails in them; runners ask the member that had items last and eight others in turn, at most a second apart while nobody has any; load reports once a second; longer polls of the log.

--- a/apricotquay/follow.py
+++ b/apricotquay/follow.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
 from .clocks import Clock
 from .errors import LogUnavailableError
@@ -10,7 +11,7 @@
 from .ids import StreamName
 from .logclient import Log, ReadPage
 
-READ_WAIT_MS = 400
+READ_WAIT_MS = 1_000
 ERROR_PAUSE_S = 0.15
 LEAST_PAUSE_S = 0.005
 
@@ -60,6 +61,32 @@
                 time.sleep(min(LEAST_PAUSE_S, self._interval_s))
 
 
+class WorkerPool:
+    """Threads for short tasks; a failed task is logged, not lost silently."""
+
+    def __init__(self, name: str, threads: int, events: EventLog) -> None:
+        self._name: str = name
+        self._events: EventLog = events
+        self._pool = ThreadPoolExecutor(threads, name)
+
+    def submit(self, task: Callable[..., None], *args: object) -> None:
+        """Run a task in one of the threads."""
+        self._pool.submit(self._run, task, args)
+
+    def close(self) -> None:
+        """Drop what has not begun."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def _run(self, task: Callable[..., None], args: tuple) -> None:
+        try:
+            task(*args)
+        except Exception as exc:
+            # The executor would keep the error in a future that nobody reads.
+            self._events.write(
+                Event.THREAD_FAILED, task=self._name, error=repr(exc)[:300]
+            )
+
+
 class StreamFollower:
     """Reads a stream from an offset on and hands on each page.
 
--- a/apricotquay/jobstore.py
+++ b/apricotquay/jobstore.py
@@ -3,7 +3,6 @@
 import threading
 import time
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from typing import TypeVar
 
 from .clocks import Clock
@@ -16,7 +15,7 @@
 )
 from .events import Event, EventLog
 from .fleet import Fleet
-from .follow import Ticker
+from .follow import Ticker, WorkerPool
 from .ids import JobId, MemberId, ResourceName, TeamId, stable_hash
 from .jobs import ITEM_STATES, Job
 from .logclient import Appender, Log
@@ -43,6 +42,7 @@
 from .submission import Submission, cut_chunks
 
 TICK_S = 0.2
+WORKERS = 8
 SETTLE_S = 4.0
 QUIESCE_LIMIT_S = 8.0
 APPEND_TIMEOUT_S = 10.0
@@ -86,7 +86,7 @@
         self._holders: dict[ResourceName, MemberId] = {}
         self._busy: set[ResourceName] = set()
         self._others_since_s: dict[ResourceName, float] = {}
-        self._workers = ThreadPoolExecutor(8, "partition")
+        self._workers = WorkerPool("partition", WORKERS, events)
         linger_s = settings.append_linger_ms / 1000
         self._tickers = [
             Ticker("partitions", TICK_S, self._tick, events),
@@ -107,7 +107,7 @@
             ticker.close()
         for partition in self._opened():
             partition.close()
-        self._workers.shutdown(wait=False, cancel_futures=True)
+        self._workers.close()
 
     def partition_of(self, job: JobId) -> ResourceName:
         """Return the partition that a job belongs to."""
--- a/apricotquay/leaseholder.py
+++ b/apricotquay/leaseholder.py
@@ -2,7 +2,6 @@
 
 import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from typing import Protocol
 
 import msgspec
@@ -11,7 +10,7 @@
 from .errors import LogUnavailableError, PeerUnavailableError
 from .events import Event, EventLog
 from .fleet import Fleet
-from .follow import StreamFollower, Ticker
+from .follow import StreamFollower, Ticker, WorkerPool
 from .ids import MemberId, ResourceName, StreamName, TeamId
 from .leases import Held, LeaseKeeper, LeaseState, LeaseTable
 from .logclient import Appender, Log, ReadPage
@@ -29,6 +28,7 @@
 
 FLEET_STREAM = StreamName("fleet")
 TICK_S = 0.1
+WORKERS = 8
 MAX_SUCCESSORS = 8
 ASK_TIMEOUT_S = 0.5
 CLAIM_TIMEOUT_S = 1.5
@@ -124,10 +124,10 @@
         self._read_s: float = float("-inf")
         self._leases: dict[ResourceName, Lease] = {}
         self._follower = StreamFollower(
-            log, FLEET_STREAM, self._on_page, clock, events, wait_ms=250
+            log, FLEET_STREAM, self._on_page, clock, events, wait_ms=500
         )
         self._ticker = Ticker("leases", TICK_S, self._tick, events)
-        self._workers = ThreadPoolExecutor(8, "lease")
+        self._workers = WorkerPool("lease", WORKERS, events)
 
     def add(self, resource: ResourceName, user: LeaseUser) -> None:
         """Add a resource before the start."""
@@ -149,7 +149,7 @@
         """Stop; leases not handed over lapse."""
         self._ticker.close()
         self._follower.close()
-        self._workers.shutdown(wait=False, cancel_futures=True)
+        self._workers.close()
 
     def may_act(self, resource: ResourceName, fencing: int | None = None) -> bool:
         """Return whether this daemon may act as holder now; hold `lock`.
--- a/apricotquay/loads.py
+++ b/apricotquay/loads.py
@@ -1,11 +1,10 @@
 """Exchange of load facts: online counts with the runners, reports of endpoints."""
 
-from concurrent.futures import ThreadPoolExecutor
-
 from .clocks import Clock
 from .engineclient import EndpointError, EngineClient
 from .errors import PeerUnavailableError
 from .fleet import Fleet
+from .follow import WorkerPool
 from .ids import EndpointId, MemberId
 from .membership import VmEntry
 from .messages import EndpointLoads, OnlineLoad
@@ -28,12 +27,12 @@
         self,
         fleet: Fleet,
         engines: EngineClient,
-        calls: ThreadPoolExecutor,
+        calls: WorkerPool,
         clock: Clock,
     ) -> None:
         self._fleet: Fleet = fleet
         self._engines: EngineClient = engines
-        self._calls: ThreadPoolExecutor = calls
+        self._calls: WorkerPool = calls
         self._clock: Clock = clock
         self._told: dict[EndpointId, int] = {}
         self._repeated_s: float = 0.0
--- a/apricotquay/partition.py
+++ b/apricotquay/partition.py
@@ -81,7 +81,7 @@
         self._clock: Clock = clock
         self._events: EventLog = events
         self._follower = StreamFollower(
-            log, self.stream, self._on_page, clock, events, wait_ms=300
+            log, self.stream, self._on_page, clock, events, wait_ms=2_000
         )
         self._results: list[ItemResult] = []
         self._records_since_snapshot: int = 0
--- a/apricotquay/runner.py
+++ b/apricotquay/runner.py
@@ -2,7 +2,6 @@
 
 import math
 import threading
-from concurrent.futures import ThreadPoolExecutor
 
 from .clocks import Clock
 from .engineclient import EngineClient
@@ -18,7 +17,7 @@
     item_report,
 )
 from .fleet import Fleet
-from .follow import Ticker
+from .follow import Ticker, WorkerPool
 from .ids import EndpointId, JobId, MemberId
 from .jobstore import JobStore
 from .loads import LoadExchange, runner_resource
@@ -37,10 +36,13 @@
 
 TICK_S = 0.05
 KEEP_S = 1.0
-LOAD_POLL_S = 0.25
+LOAD_POLL_S = 1.0
 PULL_PAUSE_S = 0.1
+MAX_PULL_PAUSE_S = 1.0
+PULL_ASKED = 8
 AHEAD_SHARE = 0.25
 MAX_THREADS = 160
+CALL_THREADS = 16
 CALL_TIMEOUT_S = 3.0
 
 
@@ -56,6 +58,8 @@
         self.pulling: bool = False
         self.closed: bool = False
         self.pull_after_s: float = 0.0
+        self.pull_pause_s: float = PULL_PAUSE_S
+        self.last_source: MemberId | None = None
 
 
 class BatchRunner:
@@ -85,8 +89,8 @@
         self._lanes: dict[EndpointId, Lane] = {}
         self._mine_at: tuple | None = None
         self._mine_ids: list[EndpointId] = []
-        self._workers = ThreadPoolExecutor(MAX_THREADS, "batch-item")
-        self._calls = ThreadPoolExecutor(16, "batch-call")
+        self._workers = WorkerPool("batch-item", MAX_THREADS, events)
+        self._calls = WorkerPool("batch-call", CALL_THREADS, events)
         self._executor = ItemExecutor(environment, fleet, engines, poison, clock)
         self._loads = LoadExchange(fleet, engines, self._calls, clock)
         self._next_member: int = 0
@@ -109,8 +113,8 @@
         for lane in list(self._lanes.values()):
             for running in [*lane.running, *lane.paused]:
                 running.pause = True
-        self._workers.shutdown(wait=False, cancel_futures=True)
-        self._calls.shutdown(wait=False, cancel_futures=True)
+        self._workers.close()
+        self._calls.close()
 
     def wake(self) -> None:
         """Look again at once, since online requests came or went."""
@@ -154,6 +158,7 @@
                 with self._lock:
                     self._lanes[endpoint_id] = lane
             lane.target = target
+            lane.closed = False
             total = online + self._fleet.online_elsewhere(endpoint_id)
             self._tend(lane, slots, total)
         self._drop_lanes({endpoint_id for endpoint_id, *_ in endpoints})
@@ -236,27 +241,40 @@
         self._workers.submit(self._run, lane, running)
 
     def _pull(self, lane: Lane, room: int) -> None:
-        """Ask the members in turn for items until the room is filled."""
+        """Ask members in turn for items until the room is filled.
+
+        The one that had items last is asked first. While nobody has any, the
+        rounds get rarer, since idle fleets should cost little.
+        """
+        found = 0
         try:
-            members = self._members_in_turn()
-            for member in members:
-                message = PullItems(self._fleet.me, lane.target, room)
+            for member in self._members_in_turn(lane):
+                message = PullItems(self._fleet.me, lane.target, room - found)
                 items = self._pull_from(member, message)
+                if not items:
+                    continue
+                lane.last_source = member
+                found += len(items)
                 with self._lock:
                     lane.paused += [RunningItem(item, member) for item in items]
                     self._fill(lane)
-                room -= len(items)
-                if room <= 0:
-                    return
-            lane.pull_after_s = self._clock.now_s() + PULL_PAUSE_S
+                if found >= room:
+                    break
         finally:
+            longer_s = min(MAX_PULL_PAUSE_S, lane.pull_pause_s * 2)
+            lane.pull_pause_s = PULL_PAUSE_S if found else longer_s
+            pause_s = 0.0 if found >= room else lane.pull_pause_s
+            lane.pull_after_s = self._clock.now_s() + pause_s
             lane.pulling = False
 
-    def _members_in_turn(self) -> list[MemberId]:
+    def _members_in_turn(self, lane: Lane) -> list[MemberId]:
         members = self._fleet.preferred("pull")
-        self._next_member += 1
+        self._next_member += PULL_ASKED
         turn = self._next_member % max(1, len(members))
-        return members[turn:] + members[:turn]
+        asked = (members[turn:] + members[:turn])[:PULL_ASKED]
+        if lane.last_source in members:
+            asked = [lane.last_source, *(m for m in asked if m != lane.last_source)]
+        return asked
 
     def _pull_from(self, member: MemberId, message: PullItems) -> list[WorkItem]:
         if member == self._fleet.me:
@@ -301,7 +319,7 @@
             if endpoint is not None:
                 endpoint.batch = max(0, endpoint.batch + change)
 
-    def item_report(self, holder: MemberId, report: ItemReport) -> None:
+    def _report(self, holder: MemberId, report: ItemReport) -> None:
         message = ReportItems([report])
         if holder == self._fleet.me:
             self._jobs.answer_report(message)
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -108,6 +108,6 @@
     @staticmethod
     def _reset(writer: asyncio.StreamWriter) -> None:
         sock = writer.get_extra_info("socket")
-        if sock is not None:
+        if sock is not None and sock.fileno() >= 0:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         writer.transport.abort()
