--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -11,6 +11,7 @@
 
 PHASE_S = 8.0
 SETTLE_S = 2.0
+IDLE_S = 6.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 SMALL_TEAMS = tuple(f"small{n}" for n in range(6))
@@ -230,6 +231,7 @@
 
 
 def _cpu_us_per_request(fleet: Fleet, url: str, pid: int, tokens: int) -> float:
+    """Return the processor time of a request beyond what the process uses idle."""
     count = 200 if tokens == 1 else 30
     body = {
         "model": fleet.spec.model,
@@ -238,13 +240,17 @@
         "messages": [{"role": "user", "content": "cost"}],
     }
     headers = {"authorization": f"Bearer {fleet.keys['large0']}"}
-    for number in range(count + 5):
-        if number == 5:
-            before_s = process_cpu_s(pid)
-        path = f"{url}/v1/chat/completions"
+    path = f"{url}/v1/chat/completions"
+    before_s, started_s = process_cpu_s(pid), time.monotonic()
+    time.sleep(IDLE_S)
+    idle = (process_cpu_s(pid) - before_s) / (time.monotonic() - started_s)
+    before_s, started_s = process_cpu_s(pid), time.monotonic()
+    for _ in range(count):
         fleet.http.request("POST", path, json=body, headers=headers, timeout=60.0)
         time.sleep(0.034)
-    return (process_cpu_s(pid) - before_s) / count * 1e6
+    used_s = process_cpu_s(pid) - before_s
+    used_s -= idle * (time.monotonic() - started_s)
+    return used_s / count * 1e6
 
 
 def measure_all() -> Iterator[Row]:
