Convict a crashing request at its third death, and never in a tie

Cause: two deaths convicted whatever ran at both, and suspects were kept apart within one daemon only. Now deaths are kept with all that ran there, merged over reports; the third convicts what nothing else ties with. Daemons are told before a failure is reported, so that a resend meets the verdict.

--- a/apricotquay/poison.py
+++ b/apricotquay/poison.py
@@ -122,14 +122,23 @@
             self._tell(QuarantineNotice(endpoint, [], convicted))
 
     def _tell(self, notice: QuarantineNotice) -> None:
+        """Tell all daemons, and wait until they know: the request may be sent to
+        any of them as soon as its failure is reported.
+        """
         with self._fleet.lock:
             members = self._fleet.members.in_state(
                 MemberState.ALIVE, MemberState.LEAVING
             )
-        for member in members:
+        threads = [
             threading.Thread(
                 target=self._tell_member, args=(member, notice), daemon=True
-            ).start()
+            )
+            for member in members
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
 
     def _tell_member(self, member, notice: QuarantineNotice) -> None:
         try:
--- a/apricotquay/quarantine.py
+++ b/apricotquay/quarantine.py
@@ -1,15 +1,19 @@
 """Finds requests that crash endpoints and keeps them from running again. Pure.
 
-Each death of an endpoint raises suspicion on the fingerprints that ran there.
-A suspect runs with no other suspect beside it, so a second death singles it
-out; a fingerprint seen at two deaths is refused everywhere. A suspect that
-completes is cleared.
+Endpoints die for many reasons, so one death says little of what ran there. A
+request is convicted at its third death, and only if nothing else that ran at
+that death has as many: an innocent one that ran beside the culprit each time
+ties with it, and the next death tells them apart. Deaths that a convicted
+request explains do not count against others. A suspect that completes is
+cleared.
 """
 
 import enum
 import hashlib
 
-DEATHS_TO_QUARANTINE = 2
+DEATHS_TO_QUARANTINE = 3
+# With so many deaths a tie no longer protects.
+DEATHS_WITHOUT_DOUBT = 5
 SUSPICION_S = 600.0
 QUARANTINE_S = 24 * 3600.0
 # Several daemons may report the same death a little apart.
@@ -29,60 +33,58 @@
     return hashlib.blake2b(body, digest_size=12).hexdigest()
 
 
-class _Suspicion:
-    """Deaths counted against one fingerprint."""
+class _Death:
+    """One death of an endpoint, and all that is reported to have run there."""
 
-    def __init__(self) -> None:
-        self.deaths: list[tuple[str, float]] = []
-        self.until_s: float = 0.0
-
-    def count(self, endpoint: str, now_s: float) -> int:
-        """Add a death unless it is one already counted; return the total."""
-        repeated = any(
-            e == endpoint and abs(now_s - at_s) < SAME_DEATH_S
-            for e, at_s in self.deaths
-        )
-        if not repeated:
-            self.deaths.append((endpoint, now_s))
-        return len(self.deaths)
+    def __init__(self, endpoint: str, at_s: float) -> None:
+        self.endpoint: str = endpoint
+        self.at_s: float = at_s
+        self.suspects: set[str] = set()
 
 
 class Quarantine:
-    """Keeps suspicions and quarantined fingerprints. Used by online and batch."""
+    """Keeps deaths and quarantined fingerprints. Used by online and batch work."""
 
     def __init__(self) -> None:
-        self._suspicions: dict[str, _Suspicion] = {}
+        self._deaths: list[_Death] = []
         self._quarantined: dict[str, float] = {}
+        self._found_here: set[str] = set()
 
     def see_death(
         self, endpoint: str, fingerprints: list[str], now_s: float
     ) -> list[str]:
         """Count an endpoint's death; return fingerprints now to be quarantined."""
-        convicted = []
-        for fingerprint in fingerprints:
-            suspicion = self._suspicions.setdefault(fingerprint, _Suspicion())
-            deaths = suspicion.count(endpoint, now_s)
-            suspicion.until_s = now_s + SUSPICION_S
-            if deaths >= DEATHS_TO_QUARANTINE:
-                self.mark(fingerprint, now_s + QUARANTINE_S)
-                convicted.append(fingerprint)
-        return convicted
+        death = self._death_of(endpoint, now_s)
+        death.suspects.update(fingerprints)
+        if self._is_explained(death):
+            return []
+        self._acquit_tied(death)
+        convicted = self._most_suspect(death)
+        if convicted is None:
+            return []
+        self.mark(convicted, now_s + QUARANTINE_S)
+        self._found_here.add(convicted)
+        return [convicted]
 
     def mark(self, fingerprint: str, until_s: float) -> None:
         """Quarantine a fingerprint, found here or reported by another daemon."""
         self._quarantined[fingerprint] = until_s
-        self._suspicions.pop(fingerprint, None)
 
     def clear(self, fingerprint: str) -> None:
         """A request completed, so its fingerprint crashes no endpoint."""
-        self._suspicions.pop(fingerprint, None)
+        for death in self._deaths:
+            death.suspects.discard(fingerprint)
 
     def standing(self, fingerprint: str, now_s: float) -> Standing:
         """Return what may be done with a fingerprint."""
         if self._quarantined.get(fingerprint, 0.0) > now_s:
             return Standing.QUARANTINED
-        suspicion = self._suspicions.get(fingerprint)
-        if suspicion is not None and suspicion.until_s > now_s:
+        if any(
+            fingerprint in death.suspects
+            and now_s - death.at_s < SUSPICION_S
+            and not self._is_explained(death)
+            for death in self._deaths
+        ):
             return Standing.SUSPECT
         return Standing.CLEAR
 
@@ -90,7 +92,50 @@
         """Forget what has expired."""
         for fingerprint in [f for f, u in self._quarantined.items() if u <= now_s]:
             del self._quarantined[fingerprint]
-        for fingerprint in [
-            f for f, s in self._suspicions.items() if s.until_s <= now_s
-        ]:
-            del self._suspicions[fingerprint]
+            self._found_here.discard(fingerprint)
+        self._deaths = [d for d in self._deaths if now_s - d.at_s < SUSPICION_S]
+
+    def _death_of(self, endpoint: str, now_s: float) -> _Death:
+        for death in self._deaths:
+            if death.endpoint == endpoint and abs(now_s - death.at_s) < SAME_DEATH_S:
+                return death
+        death = _Death(endpoint, now_s)
+        self._deaths.append(death)
+        return death
+
+    def _is_explained(self, death: _Death) -> bool:
+        """Whether a request that is convicted for other deaths ran there."""
+        return any(
+            fingerprint in self._quarantined
+            and self._count(fingerprint) > 1
+            and not self._has_tie(fingerprint, death)
+            for fingerprint in death.suspects
+        )
+
+    def _count(self, fingerprint: str) -> int:
+        return sum(1 for death in self._deaths if fingerprint in death.suspects)
+
+    def _has_tie(self, fingerprint: str, death: _Death) -> bool:
+        count = self._count(fingerprint)
+        return count < DEATHS_WITHOUT_DOUBT and any(
+            other != fingerprint and self._count(other) >= count
+            for other in death.suspects
+        )
+
+    def _acquit_tied(self, death: _Death) -> None:
+        """Take back what was concluded before all reports of a death were in."""
+        for fingerprint in death.suspects & self._found_here:
+            if self._has_tie(fingerprint, death):
+                self._found_here.discard(fingerprint)
+                self._quarantined.pop(fingerprint, None)
+
+    def _most_suspect(self, death: _Death) -> str | None:
+        """Return what is to be convicted for a death, if that is clear."""
+        for fingerprint in sorted(death.suspects):
+            if fingerprint in self._quarantined:
+                continue
+            if self._count(fingerprint) < DEATHS_TO_QUARANTINE:
+                continue
+            if not self._has_tie(fingerprint, death):
+                return fingerprint
+        return None
