--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes.py
@@ -16,7 +16,6 @@
 from .shards import Shards
 
 
-
 class CrashWatch:
     """Shared by online and batch work. Tells the shards' owners of each death."""
 
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -23,7 +23,6 @@
 from .messages import (
     AskSlot,
     CancelJob,
-    CountAdmitted,
     CrashSeen,
     HeldSlot,
     Message,
@@ -37,6 +36,7 @@
     SlotRefused,
     SlotRevoked,
     SubmitJob,
+    TakeToken,
     ViewRecords,
 )
 from .metrics import ServingMetrics
@@ -289,7 +289,7 @@
         if isinstance(message, SLOT_MESSAGES):
             self.slots.handle(link, message)
             return None
-        if isinstance(message, CountAdmitted):
+        if isinstance(message, TakeToken):
             return self.rates.answer(message)
         if isinstance(message, JOB_MESSAGES):
             return await self.jobs.answer(message)
--- a/apricotquay/serving/http1.py
+++ b/apricotquay/serving/http1.py
@@ -338,9 +338,7 @@
         handler = asyncio.ensure_future(self._server.handler(exchange))
         watcher = asyncio.ensure_future(self._watch())
         try:
-            await asyncio.wait(
-                {handler, watcher}, return_when=asyncio.FIRST_COMPLETED
-            )
+            await asyncio.wait({handler, watcher}, return_when=asyncio.FIRST_COMPLETED)
             if not handler.done():
                 handler.cancel()
                 with contextlib.suppress(asyncio.CancelledError, CallerGone):
@@ -446,9 +444,7 @@
 
     async def start(self, host: str, port: int) -> int:
         """Listen and return the port."""
-        self._server = await asyncio.start_server(
-            self._accept, host, port, backlog=512
-        )
+        self._server = await asyncio.start_server(self._accept, host, port, backlog=512)
         return self._server.sockets[0].getsockname()[1]
 
     def drain(self) -> None:
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -69,17 +69,22 @@
     due_in_ms: int
 
 
-class CountAdmitted(msgspec.Struct, frozen=True, tag="count_admitted"):
-    """Tells a team's owner what was admitted, and the level before it."""
+class TakeToken(msgspec.Struct, frozen=True, tag="take_token"):
+    """Asks a team's owner to admit one request.
+
+    `admitted_alone` were admitted while no owner answered, and `known_level` is
+    the fleet's level as the sender would guess it.
+    """
 
     team: TeamId
-    admitted: int
-    level: float
+    admitted_alone: int
+    known_level: float
 
 
-class FleetLevel(msgspec.Struct, frozen=True, tag="fleet_level"):
-    """A team's level over the fleet, and how many daemons the owner hears."""
+class TokenAnswer(msgspec.Struct, frozen=True, tag="token_answer"):
+    """The owner's decision, the fleet's level, and how many daemons it hears."""
 
+    admitted: bool
     level: float
     daemons: int
 
@@ -189,8 +194,8 @@
     | SlotRevoked
     | ReleaseSlot
     | HeldSlot
-    | CountAdmitted
-    | FleetLevel
+    | TakeToken
+    | TokenAnswer
     | SubmitJob
     | JobAnswer
     | ReadJob
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -173,7 +173,7 @@
         """Serve a request whose route and team are known."""
         progress = Progress(request)
         try:
-            self._check_rate(admitted.team)
+            await self._check_rate(admitted.team)
             limit_s = request.arrived_s + self._timeout_s(request, admitted.route)
             async with asyncio.timeout(max(0.0, limit_s - self._clock.now_s())):
                 await self._run(request, admitted, caller, progress, limit_s)
@@ -202,10 +202,10 @@
             raise RequestError(ErrorKind.KEY_REJECTED, "the key is not known")
         return team
 
-    def _check_rate(self, team: Team | None) -> None:
+    async def _check_rate(self, team: Team | None) -> None:
         if team is None:
             return
-        wait_s = self._rates.admit(team)
+        wait_s = await self._rates.admit(team)
         if wait_s:
             raise RequestError(
                 ErrorKind.RATE_EXCEEDED,
@@ -229,9 +229,7 @@
         service = route.service_for(random.random())
         due_s = request.arrived_s + route.objective_ms / 1000
         while True:
-            lease = await self._acquire(
-                service, request, progress, due_s, limit_s
-            )
+            lease = await self._acquire(service, request, progress, due_s, limit_s)
             try:
                 if await self._attempt(
                     request, admitted, caller, progress, lease, limit_s
@@ -269,9 +267,7 @@
         reason = progress.reasons[-1]
         if progress.may_have_run:
             if not route.is_idempotent or progress.attempts >= route.max_attempts:
-                raise RequestError(
-                    ErrorKind.ENDPOINT_FAILED, reason, ran=Ran.UNKNOWN
-                )
+                raise RequestError(ErrorKind.ENDPOINT_FAILED, reason, ran=Ran.UNKNOWN)
         if progress.not_run >= MAX_NOT_RUN:
             raise RequestError(ErrorKind.ENDPOINT_REFUSED, reason)
 
--- a/apricotquay/serving/partition.py
+++ b/apricotquay/serving/partition.py
@@ -345,4 +345,3 @@
         call.append(record)
         size += length
     yield call
-
--- a/apricotquay/serving/ratekeeper.py
+++ b/apricotquay/serving/ratekeeper.py
@@ -1,19 +1,18 @@
-"""Admits requests against team rates and keeps the counts of this daemon's shards."""
-
-import asyncio
+"""Admits requests against team rates and keeps the buckets of this daemon's shards."""
 
 from ..clocks import Clock
 from ..errors import PeerUnavailableError
 from ..ids import TeamId
 from .catalog import Team
-from .messages import CountAdmitted, FleetLevel, Message, NotHere
+from .messages import Message, NotHere, TakeToken, TokenAnswer
 from .peers import Peers
-from .rates import Allowance, RateCounts, RateEstimates
+from .rates import Allowance, DaemonRates, OwnerRates
 from .shards import Shards, shard_number
 from .view import View
 
-ANSWER_TIMEOUT_S = 0.25
-RETRY_PAUSE_S = 0.1
+ANSWER_TIMEOUT_S = 0.12
+# After a silence the owner is left alone for so long.
+OWNER_PAUSE_S = 0.5
 
 
 class RateKeeper:
@@ -26,73 +25,77 @@
         self._shards: Shards = shards
         self._peers: Peers = peers
         self._clock: Clock = clock
-        self._estimates = RateEstimates(starts_full)
-        self._counts: dict[int, RateCounts] = {}
-        self._telling: dict[TeamId, asyncio.Task] = {}
+        self._rates = DaemonRates(starts_full)
+        self._owned: dict[int, OwnerRates] = {}
+        self._paused_until_s: dict[str, float] = {}
 
-    def admit(self, team: Team) -> float:
+    async def admit(self, team: Team) -> float:
         """Take one token; return 0, or after how many seconds to come back."""
-        wait_s = self._estimates.admit(
-            team.id, _allowance(team), self._clock.now_s()
-        )
-        if not wait_s and team.rate_per_s and team.id not in self._telling:
-            task = asyncio.ensure_future(self._tell(team.id))
-            self._telling[team.id] = task
-            task.add_done_callback(lambda _: self._telling.pop(team.id, None))
-        return wait_s
+        if team.rate_per_s <= 0:
+            return 0.0
+        allowance = _allowance(team)
+        untold = self._rates.take_untold(team.id)
+        level = self._rates.known_level(team.id, allowance, self._clock.now_s())
+        try:
+            answer = await self._ask(TakeToken(team.id, untold, level))
+        except PeerUnavailableError:
+            # Counted in the owner's absence from this daemon's share alone.
+            self._rates.put_back_untold(team.id, untold)
+            return self._rates.admit_alone(team.id, allowance, self._clock.now_s())
+        self._rates.take_answer(team.id, answer.level, self._clock.now_s())
+        if answer.daemons:
+            self._rates.share = 1 / answer.daemons
+        if answer.admitted:
+            return 0.0
+        return (1.0 - answer.level) / allowance.rate_per_s
 
     def forget_lost(self) -> None:
-        """Drop the counts of shards that others own now."""
-        for number in [n for n in self._counts if n not in self._shards.owned]:
-            del self._counts[number]
+        """Drop the buckets of shards that others own now."""
+        for number in [n for n in self._owned if n not in self._shards.owned]:
+            del self._owned[number]
 
-    def answer(self, message: CountAdmitted) -> Message:
-        """Count what a peer admitted."""
-        level = self._count(message)
-        if level is None:
-            return NotHere("team unknown")
-        return FleetLevel(level, self._peers.accepted_count + 1)
-
-    async def _tell(self, team: TeamId) -> None:
-        """Tell the owner until nothing is left to tell."""
-        while (told := self._estimates.take_untold(team, self._clock.now_s())):
-            message = CountAdmitted(team, *told)
-            try:
-                reply = await self._ask_owner(message)
-            except PeerUnavailableError:
-                self._estimates.take_failure(team)
-                await asyncio.sleep(RETRY_PAUSE_S)
-                continue
-            if reply.daemons > 1:
-                self._estimates.share = 1 / reply.daemons
-            self._estimates.take_answer(team, reply.level, self._clock.now_s())
+    def answer(self, message: TakeToken) -> Message:
+        """Decide as the owner of a team's shard."""
+        number = self._number(message.team)
+        configuration = self._view.configuration
+        team = configuration.teams.get(message.team) if configuration else None
+        if team is None or number not in self._shards.owned:
+            return NotHere("team or shard not here")
+        rates = self._owned.setdefault(number, OwnerRates())
+        admitted, level = rates.take(
+            message.team,
+            message.admitted_alone,
+            message.known_level,
+            _allowance(team),
+            self._clock.now_s(),
+        )
+        return TokenAnswer(admitted, level, self._peers.accepted_count + 1)
 
-    async def _ask_owner(self, message: CountAdmitted) -> FleetLevel:
-        owner = self._shards.owner(shard_number(message.team, self._shards.count))
+    async def _ask(self, message: TakeToken) -> TokenAnswer:
+        owner = self._shards.owner(self._number(message.team))
         if owner is None:
             raise PeerUnavailableError("the team's shard has no known owner")
         if owner == self._shards.address:
             reply = self.answer(message)
         else:
-            reply = await self._peers.call(owner, message, ANSWER_TIMEOUT_S)
-        if not isinstance(reply, FleetLevel):
-            raise PeerUnavailableError("the owner does not know the team")
+            reply = await self._ask_peer(owner, message)
+        if not isinstance(reply, TokenAnswer):
+            self._shards.refresh_soon()
+            raise PeerUnavailableError("the team's shard is not there any more")
         return reply
 
-    def _count(self, message: CountAdmitted) -> float | None:
-        configuration = self._view.configuration
-        team = configuration.teams.get(message.team) if configuration else None
-        if team is None:
-            return None
-        number = shard_number(message.team, self._shards.count)
-        counts = self._counts.setdefault(number, RateCounts())
-        return counts.count(
-            message.team,
-            message.admitted,
-            message.level,
-            _allowance(team),
-            self._clock.now_s(),
-        )
+    async def _ask_peer(self, owner: str, message: TakeToken) -> Message:
+        now_s = self._clock.now_s()
+        if now_s < self._paused_until_s.get(owner, 0.0):
+            raise PeerUnavailableError(f"{owner} was silent a moment ago")
+        try:
+            return await self._peers.call(owner, message, ANSWER_TIMEOUT_S)
+        except PeerUnavailableError:
+            self._paused_until_s[owner] = now_s + OWNER_PAUSE_S
+            raise
+
+    def _number(self, team: TeamId) -> int:
+        return shard_number(team, self._shards.count)
 
 
 def _allowance(team: Team) -> Allowance:
--- a/apricotquay/serving/rates.py
+++ b/apricotquay/serving/rates.py
@@ -1,22 +1,24 @@
-"""Team rates over the whole fleet, admitted here and counted at one owner. Pure.
+"""Team rates over the whole fleet: exact at one owner, by shares without it. Pure.
 
-A daemon admits from its estimate of a team's level and tells the owner of the
-team's shard at once; the owner's answer is the fleet's level. No request waits
-for another daemon; what is admitted too much is what arrives within one such
-exchange. Without an answer a daemon lives on a share of the rate.
+A daemon asks the owner of the team's shard for each request. While the owner is
+silent it admits from its share of the team's bucket, and tells the owner later.
+An owner that is new believes the lowest level that it is told, so that neither
+a move of the shard nor a restart gives a burst twice.
 """
 
 import msgspec
 
 from ..ids import TeamId
 
-# What a daemon that knows nothing may admit at once. A restart must not give a
-# burst twice, and a few requests too many are within every operator's margin.
+# What a daemon that knows nothing takes for the fleet's level. A restart must
+# not give a burst twice, and a few requests are within every operator's margin.
 UNKNOWN_LEVEL = 6.0
-# Without answers for so long, a daemon lives on its share.
-SILENCE_S = 0.5
+# The share of a daemon that does not know how many there are.
+UNKNOWN_SHARE = 0.02
 # A new owner believes the lowest level that it is told in this time.
 LEARNING_S = 1.0
+# Absorbs rounding when a bucket has refilled to exactly one token.
+TOLERANCE = 1e-9
 
 
 class Allowance(msgspec.Struct, frozen=True):
@@ -26,8 +28,8 @@
     burst: float
 
 
-class Level:
-    """A bucket's level at a time; it may fall below zero."""
+class Bucket:
+    """A level at a time; it may fall below zero when counts come late."""
 
     __slots__ = ("at_s", "tokens")
 
@@ -41,102 +43,103 @@
         self.tokens = min(most, self.tokens + elapsed_s * rate_per_s)
         self.at_s = max(self.at_s, now_s)
 
+    def take(self) -> bool:
+        """Take one token if there is one."""
+        if self.tokens + TOLERANCE < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
 
-class _TeamEstimate:
-    """What a daemon believes of one team."""
 
-    def __init__(self, level: Level) -> None:
-        self.level: Level = level
+class _TeamMemory:
+    """What a daemon remembers of one team."""
+
+    def __init__(self, bucket: Bucket) -> None:
+        self.fleet: Bucket = bucket
+        self.own: Bucket | None = None
         self.untold: int = 0
-        self.in_flight: int = 0
-        self.asked_s: float | None = None
 
 
-class RateEstimates:
-    """A daemon's side: admits requests. `share` is its part of the fleet."""
+class DaemonRates:
+    """A daemon's side: what it was told, and its share while nobody tells it."""
 
     def __init__(self, starts_full: bool) -> None:
-        self.share: float = 0.25
+        self.share: float = UNKNOWN_SHARE
         self._starts_full: bool = starts_full
-        self._teams: dict[TeamId, _TeamEstimate] = {}
-
-    def admit(self, team: TeamId, allowance: Allowance, now_s: float) -> float:
-        """Take one token; return 0, or after how many seconds to come back."""
-        if allowance.rate_per_s <= 0:
-            return 0.0
-        estimate = self._estimate(team, allowance, now_s)
-        rate_per_s = allowance.rate_per_s
-        if self._is_silent(estimate, now_s):
-            rate_per_s *= self.share
-        estimate.level.refill(rate_per_s, allowance.burst, now_s)
-        if estimate.level.tokens < 1.0:
-            return (1.0 - estimate.level.tokens) / rate_per_s
-        estimate.level.tokens -= 1.0
-        estimate.untold += 1
+        self._teams: dict[TeamId, _TeamMemory] = {}
+
+    def known_level(self, team: TeamId, allowance: Allowance, now_s: float) -> float:
+        """Return the fleet's level as this daemon would guess it."""
+        memory = self._memory(team, allowance, now_s)
+        memory.fleet.refill(allowance.rate_per_s, allowance.burst, now_s)
+        return memory.fleet.tokens
+
+    def take_untold(self, team: TeamId) -> int:
+        """Return how many requests were admitted without the owner."""
+        memory = self._teams.get(team)
+        if memory is None:
+            return 0
+        untold, memory.untold = memory.untold, 0
+        return untold
+
+    def put_back_untold(self, team: TeamId, untold: int) -> None:
+        """The owner did not hear of them."""
+        self._teams[team].untold += untold
+
+    def take_answer(self, team: TeamId, level: float, now_s: float) -> None:
+        """Take in the fleet's level as the owner gave it."""
+        memory = self._teams[team]
+        memory.fleet = Bucket(level, now_s)
+        memory.own = None
+
+    def admit_alone(self, team: TeamId, allowance: Allowance, now_s: float) -> float:
+        """Admit from the share; return 0, or after how many seconds to come back."""
+        memory = self._memory(team, allowance, now_s)
+        rate_per_s = allowance.rate_per_s * self.share
+        if memory.own is None:
+            level = self.known_level(team, allowance, now_s)
+            memory.own = Bucket(max(0.0, level) * self.share, now_s)
+        most = max(1.0, allowance.burst * self.share)
+        memory.own.refill(rate_per_s, most, now_s)
+        if not memory.own.take():
+            return (1.0 - memory.own.tokens) / rate_per_s
+        memory.untold += 1
         return 0.0
 
-    def take_untold(self, team: TeamId, now_s: float) -> tuple[int, float] | None:
-        """Return what to tell the owner now: the count, and the level before it."""
-        estimate = self._teams.get(team)
-        if estimate is None or not estimate.untold or estimate.in_flight:
-            return None
-        estimate.in_flight = estimate.untold
-        estimate.untold = 0
-        estimate.asked_s = estimate.asked_s or now_s
-        return estimate.in_flight, estimate.level.tokens + estimate.in_flight
-
-    def take_answer(self, team: TeamId, tokens: float, now_s: float) -> None:
-        """Take in the fleet's level as the owner gave it."""
-        estimate = self._teams[team]
-        estimate.level = Level(tokens - estimate.untold, now_s)
-        estimate.in_flight = 0
-        estimate.asked_s = None
-
-    def take_failure(self, team: TeamId) -> None:
-        """The owner did not answer; the count is told again."""
-        estimate = self._teams[team]
-        estimate.untold += estimate.in_flight
-        estimate.in_flight = 0
-
-    def _is_silent(self, estimate: _TeamEstimate, now_s: float) -> bool:
-        return estimate.asked_s is not None and now_s - estimate.asked_s > SILENCE_S
-
-    def _estimate(
-        self, team: TeamId, allowance: Allowance, now_s: float
-    ) -> _TeamEstimate:
-        estimate = self._teams.get(team)
-        if estimate is None:
+    def _memory(self, team: TeamId, allowance: Allowance, now_s: float) -> _TeamMemory:
+        memory = self._teams.get(team)
+        if memory is None:
             tokens = allowance.burst
             if not self._starts_full:
                 tokens = min(tokens, UNKNOWN_LEVEL)
-            estimate = _TeamEstimate(Level(tokens, now_s))
-            self._teams[team] = estimate
-        return estimate
+            memory = self._teams[team] = _TeamMemory(Bucket(tokens, now_s))
+        return memory
 
 
-class RateCounts:
-    """The owner's side: counts what all daemons admitted."""
+class OwnerRates:
+    """The owner's side: one bucket a team of its shards."""
 
     def __init__(self) -> None:
-        self._levels: dict[TeamId, Level] = {}
+        self._buckets: dict[TeamId, Bucket] = {}
         self._opened_s: dict[TeamId, float] = {}
 
-    def count(
+    def take(
         self,
         team: TeamId,
-        admitted: int,
-        told_level: float,
+        admitted_alone: int,
+        known_level: float,
         allowance: Allowance,
         now_s: float,
-    ) -> float:
-        """Deduct what a daemon admitted; return the fleet's level."""
-        level = self._levels.get(team)
-        if level is None:
-            level = Level(min(told_level, allowance.burst), now_s)
-            self._levels[team] = level
+    ) -> tuple[bool, float]:
+        """Decide on one request; return whether it is admitted, and the level."""
+        bucket = self._buckets.get(team)
+        if bucket is None:
+            bucket = Bucket(min(known_level, allowance.burst), now_s)
+            self._buckets[team] = bucket
             self._opened_s[team] = now_s
-        level.refill(allowance.rate_per_s, allowance.burst, now_s)
+        bucket.refill(allowance.rate_per_s, allowance.burst, now_s)
         if now_s - self._opened_s[team] < LEARNING_S:
-            level.tokens = min(level.tokens, told_level)
-        level.tokens -= admitted
-        return level.tokens
+            bucket.tokens = min(bucket.tokens, known_level)
+        bucket.tokens -= admitted_alone
+        admitted = bucket.take()
+        return admitted, bucket.tokens
--- a/apricotquay/serving/shards.py
+++ b/apricotquay/serving/shards.py
@@ -16,6 +16,7 @@
 TTL_MS = 2_000
 JOIN_INTERVAL_S = 0.5
 OWNERS_INTERVAL_S = 1.0
+OWNERS_MIN_INTERVAL_S = 0.1
 
 
 def shard_number(name: str, count: int) -> int:
@@ -51,6 +52,7 @@
         self._generation: int = 0
         self._joined_s: float = float("-inf")
         self._is_leaving: bool = False
+        self._owners_wanted = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -84,6 +86,10 @@
         owner = self._owners.get(number)
         return owner if owner != self.address else None
 
+    def refresh_soon(self) -> None:
+        """Ask for the owners now: one that was asked is none any more."""
+        self._owners_wanted.set()
+
     def known_owners(self) -> dict[str, str]:
         """Return all owners by shard, to be passed on to peers."""
         owners = {str(number): owner for number, owner in self._owners.items()}
@@ -126,7 +132,14 @@
             else:
                 self._reporter.regained("owners")
                 self._take(owners)
-            await asyncio.sleep(OWNERS_INTERVAL_S * random.uniform(0.8, 1.2))
+            # Also bounds how often it is asked when many find it out of date.
+            await asyncio.sleep(OWNERS_MIN_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(
+                    OWNERS_INTERVAL_S * random.uniform(0.8, 1.2)
+                ):
+                    await self._owners_wanted.wait()
+            self._owners_wanted.clear()
 
     def _take(self, owners: dict[Shard, MemberName]) -> None:
         current = {
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -481,8 +481,7 @@
             # Runs beside two deaths, and completes at its third attempt.
             suspects = [*beside, f"r{step // 2}"]
             is_guilty = rng.random() < 0.3 and all(
-                d.standing("guilty", now_s) is not Standing.QUARANTINED
-                for d in daemons
+                d.standing("guilty", now_s) is not Standing.QUARANTINED for d in daemons
             )
             if is_guilty:
                 guilty_deaths += 1
--- /dev/null
+++ b/tests/test_serving_dispatch.py
@@ -0,0 +1,204 @@
+"""The slot table of a service: order, revocation, refusal, random loads."""
+
+import random
+
+from parameterized import parameterized
+
+from apricotquay.ids import EndpointId
+from apricotquay.serving.dispatch import (
+    Dispatcher,
+    Granted,
+    Refused,
+    Revoked,
+    Ticket,
+    TicketId,
+    Work,
+)
+
+from .base import ApricotTest
+
+
+def online(name: str, due_s: float = 0.3, latest_s: float = 5.0, **fields) -> Ticket:
+    """Return an online ticket."""
+    return Ticket(TicketId(name), Work.ONLINE, due_s, latest_s, **fields)
+
+
+def batch(name: str, due_s: float) -> Ticket:
+    """Return a batch ticket."""
+    return Ticket(TicketId(name), Work.BATCH, due_s, due_s + 3600)
+
+
+def table(**slots: int) -> Dispatcher:
+    """Return a dispatcher with endpoints by name."""
+    dispatcher = Dispatcher(seed=1)
+    dispatcher.set_endpoints({EndpointId(k): v for k, v in slots.items()}, 0.0)
+    return dispatcher
+
+
+class DispatcherTest(ApricotTest):
+    """Single decisions."""
+
+    def test_requests_spread_over_the_emptiest_endpoints(self):
+        """Four requests at two endpoints: two each."""
+        dispatcher = table(a=4, b=4)
+        for number in range(4):
+            dispatcher.ask(online(f"t{number}"), 0.0)
+        self.assertEqual(2, dispatcher.running_at(EndpointId("a")))
+        self.assertEqual(2, dispatcher.running_at(EndpointId("b")))
+
+    def test_online_goes_before_batch_that_waits_longer(self):
+        """A free slot goes to the online request."""
+        dispatcher = table(a=1)
+        dispatcher.ask(online("first"), 0.0)
+        dispatcher.ask(batch("item", 1.0), 0.0)
+        dispatcher.ask(online("second"), 0.1)
+        decisions = dispatcher.release(TicketId("first"), 0.5)
+        self.assertEqual([Granted(TicketId("second"), EndpointId("a"))], decisions)
+
+    def test_batch_yields_the_latest_due_first(self):
+        """An online request that finds no slot takes that of one batch item."""
+        dispatcher = table(a=2)
+        dispatcher.ask(batch("early", 5.0), 0.0)
+        dispatcher.ask(batch("late", 9.0), 0.0)
+        self.assertEqual(
+            [Revoked(TicketId("late"))], dispatcher.ask(online("now"), 1.0)
+        )
+        self.assertEqual(
+            [Granted(TicketId("now"), EndpointId("a"))],
+            dispatcher.release(TicketId("late"), 1.01),
+        )
+
+    def test_batch_is_granted_by_due_time(self):
+        """The earliest due goes first."""
+        dispatcher = table(a=1)
+        dispatcher.ask(online("busy"), 0.0)
+        dispatcher.ask(batch("late", 9.0), 0.0)
+        dispatcher.ask(batch("early", 5.0), 0.0)
+        decisions = dispatcher.release(TicketId("busy"), 1.0)
+        self.assertEqual([Granted(TicketId("early"), EndpointId("a"))], decisions)
+
+    def test_failed_endpoints_are_avoided(self):
+        """A retry goes elsewhere, or waits, and does not hold up others."""
+        dispatcher = table(a=1, b=1)
+        dispatcher.ask(online("t1", avoid=frozenset({"a"})), 0.0)
+        self.assertEqual(
+            [], dispatcher.ask(online("t2", avoid=frozenset("b")), 0.0)[1:]
+        )
+        self.assertEqual(1, dispatcher.running_at(EndpointId("b")))
+        dispatcher.release(TicketId("t2"), 0.1)
+        self.assertEqual([], dispatcher.ask(online("t3", avoid=frozenset("a")), 0.2))
+        decisions = dispatcher.ask(online("t4"), 0.2)
+        self.assertEqual([Granted(TicketId("t4"), EndpointId("a"))], decisions)
+
+    def test_hopeless_request_is_refused_at_once(self):
+        """With a long queue the wait is told instead of waited out."""
+        dispatcher = table(a=1)
+        dispatcher.ask(online("running"), 0.0)
+        for number in range(10):
+            dispatcher.ask(online(f"w{number}", latest_s=100.0), 0.0)
+        decisions = dispatcher.ask(online("late", latest_s=1.0), 0.0)
+        self.assertIsInstance(decisions[0], Refused)
+        self.assertGreater(decisions[0].wait_s, 1.0)
+
+    def test_waiting_request_is_refused_when_its_time_is_up(self):
+        """Not kept until its caller gives up."""
+        dispatcher = table(a=1)
+        dispatcher.ask(online("running"), 0.0)
+        dispatcher.ask(online("waiting", latest_s=1.0), 0.0)
+        self.assertEqual([], dispatcher.tick(0.9))
+        self.assertIsInstance(dispatcher.tick(1.0)[0], Refused)
+
+    def test_leaving_endpoint_gets_nothing_new(self):
+        """What runs there ends there."""
+        dispatcher = table(a=2)
+        dispatcher.ask(online("t1"), 0.0)
+        dispatcher.set_endpoints({}, 0.1)
+        self.assertEqual([], dispatcher.ask(online("t2"), 0.2))
+        self.assertEqual([], dispatcher.release(TicketId("t1"), 0.3))
+
+    def test_slots_granted_by_another_table_count(self):
+        """A new owner is told what runs already."""
+        dispatcher = table(a=1, b=1)
+        dispatcher.hold(online("held"), EndpointId("a"), 0.0)
+        decisions = dispatcher.ask(online("t1"), 0.1)
+        self.assertEqual([Granted(TicketId("t1"), EndpointId("b"))], decisions)
+
+
+class RandomLoadTest(ApricotTest):
+    """Whole histories."""
+
+    @parameterized.expand([(seed,) for seed in range(30)])
+    def test_no_endpoint_gets_more_than_its_slots(self, seed):
+        """Over any order of asking, releasing, revoking and endpoints' changes."""
+        rng = random.Random(seed)
+        dispatcher = Dispatcher(seed)
+        counts = {EndpointId(f"e{n}"): rng.randint(1, 4) for n in range(4)}
+        dispatcher.set_endpoints(counts, 0.0)
+        placed: dict[TicketId, EndpointId] = {}
+        asked: dict[TicketId, Ticket] = {}
+        to_release: set[TicketId] = set()
+        now_s = 0.0
+        for step in range(400):
+            now_s += rng.random() * 0.1
+            if rng.random() < 0.55:
+                make = online if rng.random() < 0.7 else batch
+                ticket = make(f"t{step}", now_s + rng.random())
+                ticket.latest_s = now_s + 3
+                asked[ticket.id] = ticket
+                decisions = dispatcher.ask(ticket, now_s)
+            elif placed or to_release:
+                ticket_id = rng.choice(sorted(to_release or placed))
+                to_release.discard(ticket_id)
+                placed.pop(ticket_id, None)
+                decisions = dispatcher.release(ticket_id, now_s)
+            else:
+                decisions = dispatcher.tick(now_s)
+            for decision in decisions:
+                if isinstance(decision, Granted):
+                    placed[decision.ticket] = decision.endpoint
+                elif isinstance(decision, Revoked):
+                    self.assertIs(Work.BATCH, asked[decision.ticket].work)
+                    to_release.add(decision.ticket)
+            for endpoint, count in counts.items():
+                used = sum(1 for e in placed.values() if e == endpoint)
+                self.assertLessEqual(used, count)
+                self.assertEqual(used, dispatcher.running_at(endpoint))
+
+    def test_online_burst_beside_batch_is_served_within_its_objective(self):
+        """A burst of twice the usual finds slots, since batch gives them up."""
+        dispatcher = table(**{f"e{n}": 8 for n in range(6)})
+        waits = play_load(dispatcher, online_per_s=60.0, hold_s=0.7, batch_items=40)
+        self.assertLess(max(waits), 0.3)
+
+
+def play_load(
+    dispatcher: Dispatcher, online_per_s: float, hold_s: float, batch_items: int
+) -> list[float]:
+    """Play a burst of two seconds in virtual time; return the online waits."""
+    waits = []
+    releases: list[tuple[float, TicketId]] = []
+    begun: dict[TicketId, float] = {}
+
+    def take(decisions, now_s):
+        for decision in decisions:
+            if isinstance(decision, Granted):
+                if decision.ticket in begun:
+                    waits.append(now_s - begun[decision.ticket])
+                    releases.append((now_s + hold_s, decision.ticket))
+            elif isinstance(decision, Revoked):
+                releases.append((now_s + 0.01, decision.ticket))
+
+    for number in range(batch_items):
+        take(dispatcher.ask(batch(f"b{number}", 10.0 + number), 0.0), 0.0)
+    now_s = 0.0
+    count = 0
+    while now_s < 2.0:
+        now_s += 1 / online_per_s
+        for entry in [r for r in releases if r[0] <= now_s]:
+            releases.remove(entry)
+            take(dispatcher.release(entry[1], entry[0]), entry[0])
+        ticket = online(f"o{count}", now_s + 0.3, now_s + 5.0)
+        begun[ticket.id] = now_s
+        count += 1
+        take(dispatcher.ask(ticket, now_s), now_s)
+    return waits
--- /dev/null
+++ b/tests/test_serving_jobs.py
@@ -0,0 +1,321 @@
+"""Batch jobs on the keyed log: accepted once, listed once, under every fault."""
+
+import asyncio
+import random
+
+from parameterized import parameterized
+
+from apricotquay.clocks import SystemClock
+from apricotquay.ids import JobId, TeamId
+from apricotquay.serving import partition as partition_module
+from apricotquay.serving.jobrecords import (
+    MAX_PART_BYTES,
+    JobItem,
+    ResultRecord,
+    Submission,
+    encode_result,
+    encode_submission,
+    job_key,
+)
+from apricotquay.serving.jobtable import JobTable
+from apricotquay.serving.keyedlog import KeyedRecord
+from apricotquay.serving.partition import (
+    JobOutcomeUnknown,
+    JobRefused,
+    Partition,
+    PendingResult,
+)
+from apricotquay.serving.reporting import Reporter
+from standins.keyedlog import MemoryLog
+
+from .base import ApricotTest
+
+TEAM = TeamId("small")
+
+
+class QuietWriter:
+    """Takes log lines and forgets them."""
+
+    dropped = 0
+
+    def info(self, line: bytes) -> None:
+        """Forget a line."""
+
+    def flush(self) -> None:
+        """Do nothing."""
+
+
+def quiet_reporter() -> Reporter:
+    """Return a reporter that writes nothing."""
+    return Reporter("vm", SystemClock(), QuietWriter())
+
+
+def submission(name: str = "job", items: int = 3, cap: int = 0, size: int = 5):
+    """Return a job."""
+    return Submission(
+        JobId(name),
+        TEAM,
+        "host",
+        "/batch/1",
+        [
+            JobItem(f"{name}-{n}", "/batch/x", [("M", "m")], b"b" * size, 10)
+            for n in range(items)
+        ],
+        0,
+        10_000,
+        60_000,
+        cap,
+    )
+
+
+def result(position: int, item: str) -> ResultRecord:
+    """Return a result."""
+    return ResultRecord(position, item, True, f"text of {item}")
+
+
+class JobTableTest(ApricotTest):
+    """The fold."""
+
+    def records(self) -> list[KeyedRecord]:
+        """Return the records of a job with two results."""
+        job = submission()
+        key = job_key(TEAM, job.id)
+        records = [
+            *encode_submission(job),
+            encode_result(key, 2, result(0, "job-2")),
+            encode_result(key, 0, result(1, "job-0")),
+        ]
+        return [KeyedRecord(r.key, r.value, n) for n, r in enumerate(records)]
+
+    @parameterized.expand([(seed,) for seed in range(10)])
+    def test_any_order_gives_the_same_table(self, seed):
+        """Pages of newest records come by key, not by offset."""
+        records = self.records()
+        random.Random(seed).shuffle(records)
+        table = JobTable()
+        for record in records:
+            table.apply(record)
+        job = table.find(TEAM, JobId("job"))
+        self.assertEqual(["job-2", "job-0"], [r.item_id for r in job.listed])
+        self.assertEqual({1}, job.open_items)
+        self.assertEqual(10, job.waiting_tokens)
+
+    def test_large_job_is_split_and_joined(self):
+        """Its records stay below the store's limit."""
+        job = submission(items=20, size=60_000)
+        records = encode_submission(job)
+        self.assertGreater(len(records), 2)
+        self.assertLessEqual(max(len(r.value) for r in records), MAX_PART_BYTES)
+        table = JobTable()
+        for record in records:
+            table.apply(record)
+        self.assertEqual(job.items, table.find(TEAM, job.id).items)
+
+    @parameterized.expand(
+        [
+            ("no key", b"", b"x"),
+            ("unknown kind", b"z/1", b"x"),
+            ("not CBOR", b"j/1", b"\xff\xff"),
+            ("another shape", b"j/1", b"\x01"),
+            ("no number", b"r/1/x", b"\x01"),
+            ("not ASCII", b"\xff\xfe", b"x"),
+            ("not compressed", b"r/1/1", b"\x84\x00\x61\x61\xf5\x41\x00"),
+        ]
+    )
+    def test_unreadable_record_is_skipped(self, _name, key, value):
+        """It never stops a daemon."""
+        table = JobTable()
+        table.apply(KeyedRecord(key, value, 0))
+        self.assertEqual({}, table.jobs)
+
+    def test_jobs_of_two_teams_with_one_id_are_two(self):
+        """A team never reads another's job."""
+        table = JobTable()
+        for record in encode_submission(submission()):
+            table.apply(record)
+        self.assertIsNone(table.find(TeamId("other"), JobId("job")))
+
+
+class PartitionTest(ApricotTest):
+    """The replica and its conditional writes, against a log with faults."""
+
+    def setUp(self):
+        super().setUp()
+        self.patch(partition_module, "RETRY_PAUSE_S", 0.001)
+        self.patch(partition_module, "RESULT_RETRY_S", 0.001)
+        self.clock = SystemClock()
+
+    def play(self, scenario) -> None:
+        """Run a scenario with a log of its own."""
+
+        async def run() -> None:
+            log = MemoryLog()
+            opened = []
+
+            def open_partition() -> Partition:
+                partition = Partition(0, log, self.clock, quiet_reporter())
+                partition.start()
+                opened.append(partition)
+                return partition
+
+            try:
+                async with asyncio.timeout(20):
+                    await scenario(log, open_partition)
+            finally:
+                for partition in opened:
+                    await partition.close()
+
+        asyncio.run(run())
+
+    def limit_s(self) -> float:
+        """Return a limit that is far away."""
+        return self.clock.now_s() + 10.0
+
+    @parameterized.expand(
+        [
+            ("no fault", [""]),
+            ("refused", ["refuse", "refuse", ""]),
+            ("answer lost", ["lose", ""]),
+            ("dropped", ["drop", "drop", ""]),
+            ("late", ["late", ""]),
+        ]
+    )
+    def test_job_is_accepted_once_over_faults(self, _name, faults):
+        """And again by a resend at another daemon."""
+
+        async def scenario(log, open_partition):
+            plan = iter(faults)
+            log.fault = lambda: next(plan, "")
+            first, second = open_partition(), open_partition()
+            await first.accept(submission(), "/batch/", self.limit_s())
+            log.land_late()
+            await second.accept(submission(), "/batch/", self.limit_s())
+            page = await log.read(partition_module.JOBS, 0, 0, 0)
+            headers = [r for r in page.records if r.key.startswith(b"j/")]
+            self.assertEqual(1, len(headers))
+
+        self.play(scenario)
+
+    @parameterized.expand([(seed,) for seed in range(8)])
+    def test_racing_daemons_keep_the_cap(self, seed):
+        """Many jobs at three daemons at once, with faults: never over the cap."""
+
+        async def scenario(log, open_partition):
+            rng = random.Random(seed)
+            choices = ["", "", "", "lose", "drop", "refuse", "late"]
+            log.fault = lambda: rng.choice(choices)
+            daemons = [open_partition() for _ in range(3)]
+            jobs = [submission(f"job{n}", items=3, cap=100) for n in range(8)]
+            outcomes = await asyncio.gather(
+                *(
+                    rng.choice(daemons).accept(job, "/batch/", self.limit_s())
+                    for job in jobs
+                ),
+                return_exceptions=True,
+            )
+            log.fault = lambda: ""
+            log.land_late()
+            judge = open_partition()
+            await judge.confirm()
+            waiting = judge.table.waiting_tokens(TEAM, "host", "/batch/")
+            self.assertLessEqual(waiting, 100)
+            for job, outcome in zip(jobs, outcomes, strict=True):
+                is_there = judge.table.find(TEAM, job.id) is not None
+                if outcome is None:
+                    self.assertTrue(is_there)
+                elif isinstance(outcome, JobRefused):
+                    self.assertFalse(is_there)
+                else:
+                    self.assertIsInstance(outcome, JobOutcomeUnknown)
+
+        self.play(scenario)
+
+    def test_outage_refuses_and_a_lost_answer_does_not(self):
+        """503 is only said of a job that surely will not run."""
+
+        async def scenario(log, open_partition):
+            partition = open_partition()
+            await partition.confirm()
+            log.is_down = True
+            limit_s = self.clock.now_s() + 0.05
+            with self.assertRaises(JobRefused):
+                await partition.accept(submission("a"), "/batch/", limit_s)
+            log.is_down = False
+            log.fault = lambda: "drop"
+            limit_s = self.clock.now_s() + 0.05
+            with self.assertRaises(JobOutcomeUnknown):
+                await partition.accept(submission("b"), "/batch/", limit_s)
+
+        self.play(scenario)
+
+    @parameterized.expand([(seed,) for seed in range(8)])
+    def test_results_are_listed_once_by_two_owners(self, seed):
+        """Both run all items, as after a move of the shard, over faults."""
+
+        async def scenario(log, open_partition):
+            rng = random.Random(seed)
+            first, second = open_partition(), open_partition()
+            await first.accept(submission(items=12), "/batch/", self.limit_s())
+            await second.confirm()
+            log.fault = lambda: rng.choice(["", "", "lose", "drop", "late", "refuse"])
+            for owner in (first, second):
+                job = owner.table.find(TEAM, JobId("job"))
+                for item in rng.sample(range(12), 12):
+                    owner.put_result(
+                        PendingResult(job, item, True, f"{item} by {owner is first}")
+                    )
+                    if rng.random() < 0.3:
+                        await asyncio.sleep(0.002)
+            log.fault = lambda: ""
+            log.land_late()
+            judge = open_partition()
+            while True:
+                await judge.confirm()
+                job = judge.table.find(TEAM, JobId("job"))
+                if not job.open_items:
+                    break
+                await asyncio.sleep(0.01)
+            ids = [r.item_id for r in job.listed]
+            self.assertEqual(12, len(set(ids)))
+            self.assertEqual(12, len(ids))
+            for owner in (first, second):
+                await owner.confirm()
+                known = owner.table.find(TEAM, JobId("job"))
+                self.assertEqual(job.listed, known.listed)
+
+        self.play(scenario)
+
+    def test_everything_is_back_after_all_have_been_killed(self):
+        """And after the log has forgotten its history."""
+
+        async def scenario(log, open_partition):
+            first = open_partition()
+            await first.accept(submission(), "/batch/", self.limit_s())
+            job = first.table.find(TEAM, JobId("job"))
+            first.put_result(PendingResult(job, 1, True, "one"))
+            await first.wait_for_results(job, 0, 5.0)
+            await first.close()
+            log.expire()
+            second = open_partition()
+            await second.confirm()
+            known = second.table.find(TEAM, JobId("job"))
+            self.assertEqual(["one"], [r.text for r in known.listed])
+            self.assertEqual({0, 2}, known.open_items)
+
+        self.play(scenario)
+
+    def test_cancel_is_seen_by_the_owner(self):
+        """Even if another daemon wrote it."""
+
+        async def scenario(log, open_partition):
+            owner, other = open_partition(), open_partition()
+            await owner.accept(submission(), "/batch/", self.limit_s())
+            await other.confirm()
+            job = other.table.find(TEAM, JobId("job"))
+            await other.cancel(job, self.limit_s())
+            await owner.confirm()
+            known = owner.table.find(TEAM, JobId("job"))
+            self.assertFalse(known.is_open)
+            self.assertEqual(0, known.waiting_tokens)
+
+        self.play(scenario)
