Give slots back to every table that may count them

Ruled out: capacity (21 of 48 slots were needed) and the servers (none in trouble). Now a move releases at the owner before, an owner that loses a shard drops peers' slots, links that end free theirs, and a list a second heals lost messages.

--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -37,6 +37,7 @@
     SlotRevoked,
     SubmitJob,
     TakeToken,
+    TicketList,
     ViewRecords,
 )
 from .metrics import ServingMetrics
@@ -64,6 +65,7 @@
     AskSlot,
     ReleaseSlot,
     HeldSlot,
+    TicketList,
     SlotQueued,
     SlotGranted,
     SlotRefused,
--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -110,6 +110,10 @@
         """How many tickets wait."""
         return len(self._waiting)
 
+    def is_waiting(self, ticket_id: TicketId) -> bool:
+        """Whether a ticket waits for a slot."""
+        return ticket_id in self._waiting
+
     def running_at(self, endpoint: EndpointId) -> int:
         """Return how many tickets hold a slot of an endpoint."""
         slots = self._slots.get(endpoint)
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -69,6 +69,13 @@
     due_in_ms: int
 
 
+class TicketList(msgspec.Struct, frozen=True, tag="ticket_list"):
+    """All tickets of the sender that hold or wait for slots in an owner's table."""
+
+    service: ServiceName
+    tickets: list[str]
+
+
 class TakeToken(msgspec.Struct, frozen=True, tag="take_token"):
     """Asks a team's owner to admit one request.
 
@@ -194,6 +201,7 @@
     | SlotRevoked
     | ReleaseSlot
     | HeldSlot
+    | TicketList
     | TakeToken
     | TokenAnswer
     | SubmitJob
--- /dev/null
+++ b/apricotquay/serving/slotowner.py
@@ -0,0 +1,192 @@
+"""The owner's side of slots: one table a service, and the tickets of peers in it."""
+
+import msgspec
+
+from ..clocks import Clock
+from ..ids import EndpointId
+from .catalog import ServiceName
+from .dispatch import Decision, Dispatcher, Granted, Refused, Ticket, TicketId
+from .messages import (
+    AskSlot,
+    HeldSlot,
+    Message,
+    ReleaseSlot,
+    SlotGranted,
+    SlotQueued,
+    SlotRefused,
+    SlotRevoked,
+    TicketList,
+)
+from .peers import Link
+from .view import View
+
+DEFAULT_SLOTS = 8
+SECONDS_TO_MS = 1000
+# A ticket that is younger may have been asked for after its peer made its list.
+LIST_LAG_S = 0.5
+
+
+class PeerTicket(msgspec.Struct):
+    """A ticket of a peer, and the link that its decisions go to."""
+
+    link: Link
+    service: ServiceName
+    since_s: float
+
+
+class SlotTables:
+    """The tables of all services, with this daemon's own tickets and its peers'.
+
+    A peer's tickets end when it releases them, when its link ends, when its list
+    of tickets does not name them, or when this daemon is no longer the owner; so
+    no lost message keeps a slot for good.
+    """
+
+    def __init__(self, view: View, clock: Clock) -> None:
+        self._view: View = view
+        self._clock: Clock = clock
+        self._tables: dict[ServiceName, Dispatcher] = {}
+        self._peers: dict[TicketId, PeerTicket] = {}
+        self._links: set[Link] = set()
+        self.on_own_decision = lambda decision: None
+
+    @property
+    def peer_ticket_count(self) -> int:
+        """How many tickets of peers are known."""
+        return len(self._peers)
+
+    def table(self, service: ServiceName) -> Dispatcher:
+        """Return the table of a service."""
+        table = self._tables.get(service)
+        if table is None:
+            table = self._tables[service] = Dispatcher()
+            table.set_endpoints(self._counts(service), self._clock.now_s())
+        return table
+
+    def ask(self, service: ServiceName, ticket: Ticket) -> None:
+        """Ask for a slot for this daemon."""
+        self._carry_out(self.table(service).ask(ticket, self._clock.now_s()))
+
+    def hold(self, service: ServiceName, ticket: Ticket, endpoint: EndpointId) -> None:
+        """Count a slot that another daemon's table granted."""
+        self.table(service).hold(ticket, endpoint, self._clock.now_s())
+
+    def release(self, service: ServiceName, ticket_id: TicketId) -> None:
+        """Free a slot or take a ticket out of the queue."""
+        decisions = self.table(service).release(ticket_id, self._clock.now_s())
+        self._carry_out(decisions)
+
+    def refresh(self) -> None:
+        """Take in which endpoints take new work."""
+        now_s = self._clock.now_s()
+        for service, table in self._tables.items():
+            self._carry_out(table.set_endpoints(self._counts(service), now_s))
+
+    def drop_peers(self, services: set[ServiceName]) -> None:
+        """Forget the slots that peers hold in services that others own now."""
+        for ticket_id, peer in list(self._peers.items()):
+            table = self.table(peer.service)
+            if peer.service in services and not table.is_waiting(ticket_id):
+                self._drop(ticket_id)
+
+    def services(self) -> set[ServiceName]:
+        """Return the services that have a table."""
+        return set(self._tables)
+
+    def tick(self) -> None:
+        """Refuse waiting tickets whose time is up."""
+        now_s = self._clock.now_s()
+        for table in self._tables.values():
+            if table.waiting_count:
+                self._carry_out(table.tick(now_s))
+
+    def handle(self, link: Link, message: Message) -> None:
+        """Take in a message of a peer that takes this daemon for the owner."""
+        if isinstance(message, AskSlot):
+            self._answer_ask(link, message)
+        elif isinstance(message, HeldSlot):
+            self._take_held(link, message)
+        elif isinstance(message, ReleaseSlot):
+            self._drop(TicketId(message.ticket))
+        elif isinstance(message, TicketList):
+            self._take_list(link, message)
+
+    def _answer_ask(self, link: Link, message: AskSlot) -> None:
+        now_s = self._clock.now_s()
+        ticket = Ticket(
+            TicketId(message.ticket),
+            message.work,
+            now_s + message.due_in_ms / SECONDS_TO_MS,
+            now_s + message.latest_in_ms / SECONDS_TO_MS,
+            message.prefix,
+            frozenset(message.avoid),
+        )
+        self._remember(link, message.service, ticket.id)
+        decisions = self.table(message.service).ask(ticket, now_s)
+        self._carry_out(decisions)
+        if all(decision.ticket != ticket.id for decision in decisions):
+            link.send(SlotQueued(ticket.id))
+
+    def _take_held(self, link: Link, message: HeldSlot) -> None:
+        now_s = self._clock.now_s()
+        due_s = now_s + message.due_in_ms / SECONDS_TO_MS
+        ticket = Ticket(TicketId(message.ticket), message.work, due_s, due_s)
+        self._remember(link, message.service, ticket.id)
+        self.hold(message.service, ticket, EndpointId(message.endpoint))
+
+    def _take_list(self, link: Link, message: TicketList) -> None:
+        named = set(message.tickets)
+        latest_s = self._clock.now_s() - LIST_LAG_S
+        unnamed = [
+            ticket_id
+            for ticket_id, peer in self._peers.items()
+            if peer.link is link
+            and peer.service == message.service
+            and peer.since_s < latest_s
+            and ticket_id not in named
+        ]
+        for ticket_id in unnamed:
+            self._drop(ticket_id)
+
+    def _remember(self, link: Link, service: ServiceName, ticket: TicketId) -> None:
+        self._peers[ticket] = PeerTicket(link, service, self._clock.now_s())
+        if link not in self._links:
+            self._links.add(link)
+            link.on_close.append(lambda: self._forget(link))
+
+    def _forget(self, link: Link) -> None:
+        self._links.discard(link)
+        for ticket_id in [t for t, p in self._peers.items() if p.link is link]:
+            self._drop(ticket_id)
+
+    def _drop(self, ticket_id: TicketId) -> None:
+        peer = self._peers.pop(ticket_id, None)
+        if peer is not None:
+            self.release(peer.service, ticket_id)
+
+    def _carry_out(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            peer = self._peers.get(decision.ticket)
+            if peer is None:
+                self.on_own_decision(decision)
+                continue
+            peer.link.send(_as_message(decision))
+            if isinstance(decision, Refused):
+                del self._peers[decision.ticket]
+
+    def _counts(self, service: ServiceName) -> dict[EndpointId, int]:
+        configuration = self._view.configuration
+        known = configuration.services.get(service) if configuration else None
+        default = known.slots if known and known.slots else DEFAULT_SLOTS
+        return {
+            entry.id: entry.slots or default
+            for entry in self._view.endpoints.serving(service)
+        }
+
+
+def _as_message(decision: Decision) -> Message:
+    if isinstance(decision, Granted):
+        return SlotGranted(decision.ticket, decision.endpoint)
+    if isinstance(decision, Refused):
+        return SlotRefused(decision.ticket, int(decision.wait_s * SECONDS_TO_MS))
+    return SlotRevoked(decision.ticket)
--- /dev/null
+++ b/tests/test_serving_slots.py
@@ -0,0 +1,204 @@
+"""Slots over several daemons: nothing leaks, whoever owns the table."""
+
+import asyncio
+import random
+
+from parameterized import parameterized
+
+from apricotquay.clocks import SystemClock
+from apricotquay.ids import EndpointId
+from apricotquay.serving import slots as slots_module
+from apricotquay.serving.catalog import ServiceName
+from apricotquay.serving.dispatch import Work
+from apricotquay.serving.endpoints import Endpoint, EndpointTable
+from apricotquay.serving.peers import Peers
+from apricotquay.serving.slots import Slots, SlotUnavailableError
+
+from .base import ApricotTest
+from .test_serving_jobs import quiet_reporter
+
+SERVICE = ServiceName("llm")
+ENDPOINTS = 3
+SLOTS = 4
+
+
+class FixedView:
+    """A view that does not change."""
+
+    configuration = None
+
+    def __init__(self) -> None:
+        self.endpoints = EndpointTable()
+        for number in range(ENDPOINTS):
+            endpoint_id = EndpointId(f"e{number}")
+            entry = Endpoint(endpoint_id, SERVICE, "127.0.0.1", 1, slots=SLOTS)
+            self.endpoints.apply(endpoint_id, entry, number, 0.0)
+
+
+class GivenShards:
+    """Shards whose owner the test sets; each daemon may believe another."""
+
+    count = 1
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.believed: str | None = None
+
+    @property
+    def owned(self) -> set[int]:
+        """The one shard, if this daemon believes that it owns it."""
+        return {0} if self.believed == self.address else set()
+
+    def owner(self, number: int) -> str | None:
+        """Return the believed owner."""
+        return self.believed
+
+
+class SlotDaemon:
+    """The parts of a daemon that deal with slots."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.peers = Peers(self._handle, quiet_reporter())
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        port = await self.peers.start("127.0.0.1", 0)
+        self.shards = GivenShards(f"127.0.0.1:{port}")
+        self.slots = Slots(
+            FixedView(), self.shards, self.peers, SystemClock(), self.name
+        )
+        self.slots.start()
+
+    async def close(self) -> None:
+        """Stop."""
+        self.slots.close()
+        await self.peers.close()
+
+    async def _handle(self, link, message):
+        self.slots.handle(link, message)
+
+
+class SlotsTest(ApricotTest):
+    """Daemons with real links on loopback."""
+
+    def play(self, scenario, daemons: int) -> None:
+        """Run a scenario with daemons that agree on the first as owner."""
+
+        async def run() -> None:
+            fleet = [SlotDaemon(f"d{n}") for n in range(daemons)]
+            try:
+                async with asyncio.timeout(30):
+                    for daemon in fleet:
+                        await daemon.start()
+                    for daemon in fleet:
+                        daemon.shards.believed = fleet[0].shards.address
+                    await scenario(fleet)
+            finally:
+                for daemon in fleet:
+                    await daemon.close()
+
+        asyncio.run(run())
+
+    async def work(self, daemon: SlotDaemon, rng: random.Random, count: int) -> None:
+        """Acquire and release slots."""
+        for _ in range(count):
+            work = rng.choice([Work.ONLINE, Work.BATCH])
+            now_s = SystemClock().now_s()
+            try:
+                async with asyncio.timeout(rng.choice([0.01, 5.0])):
+                    lease = await daemon.slots.acquire(
+                        SERVICE, work, now_s + 0.3, now_s + 20, "", frozenset()
+                    )
+            except (TimeoutError, SlotUnavailableError):
+                continue
+            task = asyncio.current_task()
+            lease.on_revoke = task.uncancel
+            await asyncio.sleep(rng.uniform(0.0, 0.01))
+            daemon.slots.release(lease)
+
+    async def wait_until_empty(self, fleet: list[SlotDaemon]) -> None:
+        """Wait until no table knows of any ticket."""
+        while any(
+            d.slots.held_count
+            or d.slots.tables.peer_ticket_count
+            or d.slots.tables.table(SERVICE).waiting_count
+            or any(
+                d.slots.tables.table(SERVICE).running_at(EndpointId(f"e{n}"))
+                for n in range(ENDPOINTS)
+            )
+            for d in fleet
+        ):
+            await asyncio.sleep(0.02)
+
+    @parameterized.expand([(seed,) for seed in range(6)])
+    def test_no_slot_leaks_when_owners_change_and_links_break(self, seed):
+        """Each daemon learns of a new owner at another time."""
+
+        async def scenario(fleet):
+            rng = random.Random(seed)
+            workers = [
+                asyncio.ensure_future(self.work(d, random.Random(f"{seed}{n}{k}"), 25))
+                for n, d in enumerate(fleet)
+                for k in range(6)
+            ]
+            while not all(worker.done() for worker in workers):
+                owner = rng.choice(fleet).shards.address
+                for daemon in rng.sample(fleet, len(fleet)):
+                    daemon.shards.believed = owner
+                    daemon.slots.refresh()
+                    await asyncio.sleep(rng.uniform(0.0, 0.03))
+                if rng.random() < 0.4:
+                    for link in list(rng.choice(fleet).peers._links.values()):
+                        link.close()
+            await asyncio.gather(*workers)
+            await self.wait_until_empty(fleet)
+
+        self.patch(slots_module, "LIST_INTERVAL_S", 0.1)
+        self.play(scenario, 3)
+
+    def test_all_slots_are_granted_and_no_more(self):
+        """By one owner to three daemons."""
+
+        async def scenario(fleet):
+            leases = []
+            now_s = SystemClock().now_s()
+            waiting = [
+                asyncio.ensure_future(
+                    d.slots.acquire(
+                        SERVICE, Work.ONLINE, now_s, now_s + 20, "", frozenset()
+                    )
+                )
+                for d in fleet
+                for _ in range(5)
+            ]
+            while len(leases) < ENDPOINTS * SLOTS:
+                done, _ = await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
+                )
+                waiting = [w for w in waiting if w not in done]
+                leases += [w.result() for w in done]
+            counts = [
+                sum(1 for lease in leases if lease.endpoint == f"e{n}")
+                for n in range(ENDPOINTS)
+            ]
+            self.assertEqual([SLOTS] * ENDPOINTS, counts)
+            self.assertEqual(3, len(waiting))
+            for task in waiting:
+                task.cancel()
+
+        self.play(scenario, 3)
+
+    def test_silent_owner_is_done_without(self):
+        """The own table grants at once."""
+
+        async def scenario(fleet):
+            fleet[1].shards.believed = "127.0.0.1:1"
+            now_s = SystemClock().now_s()
+            lease = await fleet[1].slots.acquire(
+                SERVICE, Work.ONLINE, now_s, now_s + 20, "", frozenset()
+            )
+            self.assertIsNone(lease.owner)
+            fleet[1].slots.release(lease)
+
+        self.play(scenario, 2)
