Keep shards while the store is away for everybody

Cause: an owner dropped its shards two seconds into an outage, so all teams fell to shares: 53 requests inside their rates were refused on store-trouble. Nobody else gets the shards while the store is away; where it serves others, peers that read it later tell of the new owner. Test: tests/test_serving_shards.py.

--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -1,7 +1,7 @@
 """One daemon: builds the parts, answers peers, and stops without cutting requests."""
 
 import asyncio
-import contextlib
+import math
 import random
 import secrets
 import signal
@@ -55,6 +55,7 @@
 # A view that the store has not confirmed for so long is asked for at peers.
 PULL_AFTER_S = 1.4
 PULL_TIMEOUT_S = 0.5
+PULL_PEERS = 3
 # The balancer needs two misses, a second apart, to send no new connections.
 LEAVE_ROTATION_S = 2.6
 DRAIN_CHECK_S = 0.05
@@ -313,27 +314,32 @@
             for record in view.endpoints_raw.values()
             if record.offset > message.endpoint_mark
         ]
-        return ViewRecords(configuration, endpoints, self.shards.known_owners())
+        owners, age_s = self.shards.known_owners()
+        age_ms = int(age_s * 1000) if math.isfinite(age_s) else -1
+        return ViewRecords(configuration, endpoints, owners, age_ms)
 
     async def _pull_loop(self) -> None:
         """Ask a peer for the view while the store does not confirm it."""
         while True:
             await asyncio.sleep(PULL_INTERVAL_S * random.uniform(0.8, 1.2))
-            if self.view.age_s() > PULL_AFTER_S:
-                with contextlib.suppress(PeerUnavailableError):
-                    await self._pull_once()
+            if self.view.age_s() > PULL_AFTER_S or not self.shards.is_confirmed:
+                known = {*self.shards.addresses(), *self._seeds}
+                known.discard(str(self.settings.peers))
+                asked = random.sample(sorted(known), min(PULL_PEERS, len(known)))
+                await asyncio.gather(*map(self._pull, asked))
 
-    async def _pull_once(self) -> None:
-        known = {*self.shards.addresses(), *self._seeds} - {str(self.settings.peers)}
-        if not known:
-            return
+    async def _pull(self, address: str) -> None:
         version = self.view.configuration.version if self.view.configuration else -1
         message = PullView(version, self.view.endpoint_mark())
-        address = random.choice(sorted(known))
-        reply = await self.peers.call(address, message, PULL_TIMEOUT_S)
+        try:
+            reply = await self.peers.call(address, message, PULL_TIMEOUT_S)
+        except PeerUnavailableError:
+            # Peers reports the loss; others are asked at the next turn.
+            return
         if isinstance(reply, ViewRecords):
             self.view.take_records(reply.configuration, reply.endpoints)
-            self.shards.take_owners(reply.owners)
+            if reply.owners_age_ms >= 0:
+                self.shards.take_owners(reply.owners, reply.owners_age_ms / 1000)
 
     async def _flush_loop(self) -> None:
         while True:
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -173,11 +173,14 @@
 
 
 class ViewRecords(msgspec.Struct, frozen=True, tag="view_records"):
-    """Records of the platform that are newer, and who owns which shards."""
+    """Records of the platform that are newer, and who owned which shards when the
+    sender last read that from the store; the age is -1 if it never did.
+    """
 
     configuration: list[KeyedRecord]
     endpoints: list[KeyedRecord]
     owners: dict[str, str]
+    owners_age_ms: int
 
 
 class CrashSeen(msgspec.Struct, frozen=True, tag="crash_seen"):
--- a/apricotquay/serving/shards.py
+++ b/apricotquay/serving/shards.py
@@ -51,6 +51,7 @@
         self._owners: dict[int, str] = {}
         self._generation: int = 0
         self._joined_s: float = float("-inf")
+        self._read_s: float = float("-inf")
         self._is_leaving: bool = False
         self._owners_wanted = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
@@ -90,15 +91,33 @@
         """Ask for the owners now: one that was asked is none any more."""
         self._owners_wanted.set()
 
-    def known_owners(self) -> dict[str, str]:
-        """Return all owners by shard, to be passed on to peers."""
-        owners = {str(number): owner for number, owner in self._owners.items()}
-        owners.update({str(number): self.address for number in self.owned})
-        return owners
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the store knows of this daemon."""
+        return self._clock.now_s() - self._joined_s < TTL_MS / 1000
 
-    def take_owners(self, owners: dict[str, str]) -> None:
-        """Take in owners that a peer knows."""
-        self._owners.update({int(n): o for n, o in owners.items() if n.isdigit()})
+    def known_owners(self) -> tuple[dict[str, str], float]:
+        """Return all owners by shard, and how long ago the store gave them."""
+        owners = {str(number): owner for number, owner in self._owners.items()}
+        return owners, self._clock.now_s() - self._read_s
+
+    def take_owners(self, owners: dict[str, str], age_s: float) -> None:
+        """Take in owners that a peer read from the store `age_s` ago, if that is
+        later than this daemon did; shards that others have got are dropped.
+        """
+        read_s = self._clock.now_s() - age_s
+        if read_s <= self._read_s:
+            return
+        self._read_s = read_s
+        current = {int(n): o for n, o in owners.items() if n.isdigit()}
+        if read_s > self._joined_s:
+            lost = {
+                n for n in self.owned if current.get(n, self.address) != self.address
+            }
+            self._own(self.owned - lost)
+        if current != self._owners:
+            self._owners = current
+            self.on_change()
 
     def addresses(self) -> list[str]:
         """Return the other daemons that own a shard."""
@@ -112,9 +131,9 @@
                     GROUP, self._member, [JOBS], TTL_MS, self._generation
                 )
             except LogError as exc:
+                # Nothing is dropped for that: while the store is away nobody else
+                # gets the shards, and if it serves others, peers tell of it.
                 self._reporter.lost("group", str(exc))
-                if self._clock.now_s() - self._joined_s > TTL_MS / 1000:
-                    self._own(frozenset())
             else:
                 self._reporter.regained("group")
                 self._joined_s = sent_s
@@ -125,12 +144,14 @@
 
     async def _owners_loop(self) -> None:
         while True:
+            sent_s = self._clock.now_s()
             try:
                 owners = await self._log.owners(GROUP)
             except LogError as exc:
                 self._reporter.lost("owners", str(exc))
             else:
                 self._reporter.regained("owners")
+                self._read_s = max(self._read_s, sent_s)
                 self._take(owners)
             # Also bounds how often it is asked when many find it out of date.
             await asyncio.sleep(OWNERS_MIN_INTERVAL_S)
