Let the last known owner answer while a shard changes hands

Cause: on store-trouble a shard had no owner for 5 s, since answers to joins were lost and each cost a second; its team fell to shares and was refused inside its rate. Joins now give up after 0.4 s and try again at once; the last known owner answers until a later one is known, and a bucket that was not asked for a while believes the lowest level it is told.

--- a/apricotquay/platform/store.py
+++ b/apricotquay/platform/store.py
@@ -29,6 +29,8 @@
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
+# A lost answer must cost less than the time after which a member is taken for gone.
+JOIN_TIMEOUT_S = 0.4
 # What a waiting read may take beyond the time it asked to wait.
 WAIT_MARGIN_S = 0.6
 MAX_IDLE_CONNECTIONS = 4
@@ -166,7 +168,7 @@
             "ttl_ms": ttl_ms,
             "generation": generation,
         }
-        response = await self._call_json("/-/log-join", message)
+        response = await self._call_json("/-/log-join", message, JOIN_TIMEOUT_S)
         reply = self._decoded(response, _JoinReply)
         shards = frozenset(Shard(Topic(t), number) for t, number, _ in reply.parts)
         return Assignment(reply.generation, shards)
@@ -174,7 +176,7 @@
     async def leave(self, group: str, member: MemberName, generation: int) -> None:
         """Leave a group."""
         message = {"group": group, "member": member, "generation": generation}
-        await self._call_json("/-/log-leave", message)
+        await self._call_json("/-/log-leave", message, JOIN_TIMEOUT_S)
 
     async def owners(self, group: str) -> dict[Shard, MemberName]:
         """Return who owns what in a group."""
@@ -188,9 +190,13 @@
             if member
         }
 
-    async def _call_json(self, path: str, message: dict) -> HttpResponse:
+    async def _call_json(
+        self, path: str, message: dict, timeout_s: float
+    ) -> HttpResponse:
         body = msgspec.json.encode(message)
-        return await self._call("POST", path, {}, body, is_json=True)
+        return await self._call(
+            "POST", path, {}, body, is_json=True, timeout_s=timeout_s
+        )
 
     def _decoded(self, response: HttpResponse, to: type, status: int = 200):
         if response.status != status:
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -255,7 +255,6 @@
 
     def _shards_changed(self) -> None:
         self.slots.refresh()
-        self.rates.forget_lost()
         self.runner.wake()
 
     def _reload_settings(self) -> None:
--- a/apricotquay/serving/ratekeeper.py
+++ b/apricotquay/serving/ratekeeper.py
@@ -26,7 +26,7 @@
         self._peers: Peers = peers
         self._clock: Clock = clock
         self._rates = DaemonRates(starts_full)
-        self._owned: dict[int, OwnerRates] = {}
+        self._owned = OwnerRates()
         self._paused_until_s: dict[str, float] = {}
 
     async def admit(self, team: Team) -> float:
@@ -49,20 +49,16 @@
             return 0.0
         return (1.0 - answer.level) / allowance.rate_per_s
 
-    def forget_lost(self) -> None:
-        """Drop the buckets of shards that others own now."""
-        for number in [n for n in self._owned if n not in self._shards.owned]:
-            del self._owned[number]
-
     def answer(self, message: TakeToken) -> Message:
-        """Decide as the owner of a team's shard."""
-        number = self._number(message.team)
+        """Decide as the owner of a team's shard.
+
+        Also without owning it: whoever asks knows no later owner than this one.
+        """
         configuration = self._view.configuration
         team = configuration.teams.get(message.team) if configuration else None
-        if team is None or number not in self._shards.owned:
-            return NotHere("team or shard not here")
-        rates = self._owned.setdefault(number, OwnerRates())
-        admitted, level = rates.take(
+        if team is None:
+            return NotHere("the team is not known here")
+        admitted, level = self._owned.take(
             message.team,
             message.admitted_alone,
             message.known_level,
@@ -80,8 +76,7 @@
         else:
             reply = await self._ask_peer(owner, message)
         if not isinstance(reply, TokenAnswer):
-            self._shards.refresh_soon()
-            raise PeerUnavailableError("the team's shard is not there any more")
+            raise PeerUnavailableError("the owner does not know the team")
         return reply
 
     async def _ask_peer(self, owner: str, message: TakeToken) -> Message:
--- a/apricotquay/serving/rates.py
+++ b/apricotquay/serving/rates.py
@@ -15,7 +15,8 @@
 UNKNOWN_LEVEL = 6.0
 # The share of a daemon that does not know how many there are.
 UNKNOWN_SHARE = 0.02
-# A new owner believes the lowest level that it is told in this time.
+# An owner that is new, or was not asked for so long and so may have been done
+# without, believes for so long the lowest level that it is told.
 LEARNING_S = 1.0
 # Absorbs rounding when a bucket has refilled to exactly one token.
 TOLERANCE = 1e-9
@@ -117,11 +118,12 @@
 
 
 class OwnerRates:
-    """The owner's side: one bucket a team of its shards."""
+    """The owner's side: one bucket a team."""
 
     def __init__(self) -> None:
         self._buckets: dict[TeamId, Bucket] = {}
-        self._opened_s: dict[TeamId, float] = {}
+        self._learns_until_s: dict[TeamId, float] = {}
+        self._asked_s: dict[TeamId, float] = {}
 
     def take(
         self,
@@ -136,9 +138,11 @@
         if bucket is None:
             bucket = Bucket(min(known_level, allowance.burst), now_s)
             self._buckets[team] = bucket
-            self._opened_s[team] = now_s
+        if now_s - self._asked_s.get(team, float("-inf")) > LEARNING_S:
+            self._learns_until_s[team] = now_s + LEARNING_S
+        self._asked_s[team] = now_s
         bucket.refill(allowance.rate_per_s, allowance.burst, now_s)
-        if now_s - self._opened_s[team] < LEARNING_S:
+        if now_s < self._learns_until_s[team]:
             bucket.tokens = min(bucket.tokens, known_level)
         bucket.tokens -= admitted_alone
         admitted = bucket.take()
--- a/apricotquay/serving/shards.py
+++ b/apricotquay/serving/shards.py
@@ -15,8 +15,8 @@
 GROUP = "daemons"
 TTL_MS = 2_000
 JOIN_INTERVAL_S = 0.5
+JOIN_RETRY_S = 0.1
 OWNERS_INTERVAL_S = 1.0
-OWNERS_MIN_INTERVAL_S = 0.1
 
 
 def shard_number(name: str, count: int) -> int:
@@ -53,7 +53,6 @@
         self._joined_s: float = float("-inf")
         self._read_s: float = float("-inf")
         self._is_leaving: bool = False
-        self._owners_wanted = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -81,15 +80,12 @@
             self._reporter.lost("group", str(exc))
 
     def owner(self, number: int) -> str | None:
-        """Return the peer address of a shard's owner; this daemon's own too."""
-        if number in self.owned:
-            return self.address
-        owner = self._owners.get(number)
-        return owner if owner != self.address else None
+        """Return the peer address of a shard's owner; this daemon's own too.
 
-    def refresh_soon(self) -> None:
-        """Ask for the owners now: one that was asked is none any more."""
-        self._owners_wanted.set()
+        It is the last one that is known: while a shard changes hands, the owner
+        before goes on to answer.
+        """
+        return self.address if number in self.owned else self._owners.get(number)
 
     @property
     def is_confirmed(self) -> bool:
@@ -115,8 +111,8 @@
                 n for n in self.owned if current.get(n, self.address) != self.address
             }
             self._own(self.owned - lost)
-        if current != self._owners:
-            self._owners = current
+        if current.items() - self._owners.items():
+            self._owners.update(current)
             self.on_change()
 
     def addresses(self) -> list[str]:
@@ -140,7 +136,9 @@
                 self._generation = assignment.generation
                 if not self._is_leaving:
                     self._own(frozenset(s.number for s in assignment.shards))
-            await asyncio.sleep(JOIN_INTERVAL_S * random.uniform(0.8, 1.2))
+                await asyncio.sleep(JOIN_INTERVAL_S * random.uniform(0.8, 1.2))
+                continue
+            await asyncio.sleep(JOIN_RETRY_S)
 
     async def _owners_loop(self) -> None:
         while True:
@@ -153,14 +151,7 @@
                 self._reporter.regained("owners")
                 self._read_s = max(self._read_s, sent_s)
                 self._take(owners)
-            # Also bounds how often it is asked when many find it out of date.
-            await asyncio.sleep(OWNERS_MIN_INTERVAL_S)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(
-                    OWNERS_INTERVAL_S * random.uniform(0.8, 1.2)
-                ):
-                    await self._owners_wanted.wait()
-            self._owners_wanted.clear()
+            await asyncio.sleep(OWNERS_INTERVAL_S * random.uniform(0.8, 1.2))
 
     def _take(self, owners: dict[Shard, MemberName]) -> None:
         current = {
@@ -168,8 +159,8 @@
             for shard, member in owners.items()
             if shard.topic == JOBS
         }
-        if current != self._owners:
-            self._owners = current
+        if current.items() - self._owners.items():
+            self._owners.update(current)
             self.on_change()
 
     def _own(self, numbers: frozenset[int]) -> None:
