--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -19,7 +19,7 @@
 from .online import fingerprint_of_call
 from .partition import Partition, PendingResult
 from .reporting import Reporter
-from .slots import Lease, Slots, SlotUnavailableError
+from .slots import Lease, SlotRequest, Slots, SlotUnavailableError
 from .sse import EventSplitter, StreamEvent
 from .view import View
 
@@ -32,6 +32,10 @@
 # How fresh the configuration has to be before a missing route ends its items.
 VIEW_FRESH_S = 2.5
 ITEM_TIMEOUT_MS = 60_000
+FAR_AWAY_S = 3_600.0
+FIRST_GUESS_S = 3.0
+SMOOTHING = 0.1
+MIN_LEFT_SHARE = 0.1
 UNPROCESSABLE = 422
 OK = 200
 
@@ -45,6 +49,17 @@
         self.data: list[str] = []
         self.last_id: int = -1
         self.failures: int = 0
+        self.ran_s: float = 0.0
+        self._failed_at: str = ""
+
+    def avoid(self) -> frozenset[str]:
+        """Return the endpoint of the last attempt if that failed."""
+        return frozenset((self._failed_at,)) if self._failed_at else frozenset()
+
+    def see_attempt(self, endpoint: str, outcome: str, ran_s: float) -> None:
+        """Note where and how long an attempt ran."""
+        self.ran_s += ran_s
+        self._failed_at = endpoint if outcome in ("again", "failed") else ""
 
     def take(self, event: StreamEvent) -> None:
         """Add an event; a gap in the ids breaks the attempt."""
@@ -55,6 +70,21 @@
         self.last_id = event.id
 
 
+class Durations:
+    """Learns how long items run, to tell how much time one still needs."""
+
+    def __init__(self) -> None:
+        self._mean_s: float = FIRST_GUESS_S
+
+    def see(self, ran_s: float) -> None:
+        """An item that ran so long is done."""
+        self._mean_s += SMOOTHING * (ran_s - self._mean_s)
+
+    def left_s(self, ran_s: float) -> float:
+        """Return how long an item that has run so long will still run."""
+        return max(MIN_LEFT_SHARE * self._mean_s, self._mean_s - ran_s)
+
+
 class Attempt(msgspec.Struct, frozen=True):
     """How an attempt ended: "done", "failed", "impossible" or "again"."""
 
@@ -84,6 +114,7 @@
         self._metrics: ServingMetrics = metrics
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
+        self._durations = Durations()
         self._wake = asyncio.Event()
         self._is_stopping: bool = False
         self._tasks: dict[ItemPlace, asyncio.Task] = {}
@@ -204,12 +235,15 @@
         service = route.service_for(random.random())
         due_s = self._clock.now_s() + (job.header.due_ms - self._clock.wall_ms()) / 1000
         item = job.items[index]
+        needs_s = self._durations.left_s(progress.ran_s)
+        wanted = SlotRequest(
+            Work.BATCH, due_s, due_s + FAR_AWAY_S, needs_s, avoid=progress.avoid()
+        )
         try:
-            lease = await self._slots.acquire(
-                service, Work.BATCH, due_s, due_s + 3600, "", frozenset()
-            )
+            lease = await self._slots.acquire(service, wanted)
         except SlotUnavailableError as exc:
             return Attempt("again", str(exc))
+        begun_s = self._clock.now_s()
         current = asyncio.current_task()
         revoked = False
 
@@ -232,6 +266,10 @@
             self._metrics.count("items_paused")
         finally:
             self._slots.release(lease)
+        ran_s = self._clock.now_s() - begun_s
+        progress.see_attempt(lease.endpoint, result.outcome, ran_s)
+        if result.outcome == "done":
+            self._durations.see(progress.ran_s)
         self._reporter.write(
             Event.ITEM_ATTEMPT_ENDED,
             job=job.header.id,
--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -1,10 +1,12 @@
 """The slots of a service's endpoints: who runs where, and who waits. Pure.
 
 Engines admit requests as they arrive and know no priorities, so the queue is
-kept here and an engine is given no more than its slots. Online requests go
-first, the earliest objective first. Batch items fill the other slots, the
-earliest due first, and are revoked, the latest due first, when an online
-request finds no slot. Answers bursts of online traffic and of batch jobs.
+kept here and an engine is given no more than its slots. Waiting work is served
+in the order of `Rank`: an answer that can still come in time goes before one
+that is late already, since serving the late ones first makes all of them late.
+An online request that finds no slot takes that of a batch item, one that is
+late or has the most time left first. Answers bursts of online traffic and of
+batch jobs, and the loss of endpoints.
 """
 
 import enum
@@ -19,9 +21,11 @@
 
 TicketId = NewType("TicketId", str)
 
-# Times a queue may be as long as the slots before new requests are refused.
+# How long an online request holds its slot, until that is known better.
 DEFAULT_HOLD_S = 0.7
 HOLD_SMOOTHING = 0.05
+# From a slot to the first event at the caller.
+FIRST_EVENT_S = 0.08
 
 
 class Work(enum.Enum):
@@ -31,21 +35,44 @@
     BATCH = "batch"
 
 
+class Rank(enum.IntEnum):
+    """The order in which waiting work is served."""
+
+    ONLINE_IN_TIME = 0
+    ONLINE_LATE = 1
+    BATCH_IN_TIME = 2
+    BATCH_LATE = 3
+
+
 class Ticket(msgspec.Struct):
     """A request for a slot.
 
-    `due_s` orders tickets of one class; an online request that cannot get a
-    slot before `latest_s` is refused at once. `avoid` lists endpoints that
-    failed it already. `prefix` names the prompt's shared part.
+    `due_s` is when the first event of an online request, or the end of a batch
+    item, is in time. An online request that has no slot at `latest_s`, or cannot
+    get one by then, is refused. `needs_s` is how long a batch item will hold its
+    slot. `avoid` lists endpoints that failed it already, and `prefix` names the
+    prompt's shared part.
     """
 
     id: TicketId
     work: Work
     due_s: float
     latest_s: float
+    needs_s: float = 0.0
     prefix: str = ""
     avoid: frozenset[str] = frozenset()
 
+    def is_late(self, now_s: float) -> bool:
+        """Whether it would not be in time with a slot now."""
+        start_s = FIRST_EVENT_S if self.work is Work.ONLINE else self.needs_s
+        return now_s + start_s > self.due_s
+
+    def rank(self, now_s: float) -> Rank:
+        """Return its place in the order of service."""
+        if self.work is Work.ONLINE:
+            return Rank.ONLINE_LATE if self.is_late(now_s) else Rank.ONLINE_IN_TIME
+        return Rank.BATCH_LATE if self.is_late(now_s) else Rank.BATCH_IN_TIME
+
 
 class Granted(msgspec.Struct, frozen=True):
     """A ticket got a slot."""
@@ -78,7 +105,6 @@
         self.count: int = count
         self.running: dict[TicketId, Ticket] = {}
         self.since_s: dict[TicketId, float] = {}
-        self.elsewhere: int = 0
         self.is_open: bool = True
 
     @property
@@ -94,12 +120,12 @@
     def __init__(self, seed: int = 0) -> None:
         self._slots: dict[EndpointId, _Slots] = {}
         self._place: dict[TicketId, EndpointId] = {}
-        self._queues: dict[Work, list[tuple[float, int, Ticket]]] = {
-            Work.ONLINE: [],
-            Work.BATCH: [],
+        self._queues: dict[Rank, list[tuple[float, int, Ticket]]] = {
+            rank: [] for rank in Rank
         }
         self._waiting: dict[TicketId, Ticket] = {}
         self._revoked: set[TicketId] = set()
+        self._returns_s: list[float] = []
         self._order: int = 0
         self._hold_s: float = DEFAULT_HOLD_S
         self._random = random.Random(seed)
@@ -121,7 +147,7 @@
 
     def set_endpoints(
         self, counts: dict[EndpointId, int], now_s: float
-    ) -> Iterable[Decision]:
+    ) -> list[Decision]:
         """Take in which endpoints take new work, and their slots."""
         for endpoint, slots in list(self._slots.items()):
             slots.is_open = endpoint in counts
@@ -141,14 +167,11 @@
         """Grant a slot, queue the ticket or refuse it; may revoke a batch item."""
         if ticket.id in self._place or ticket.id in self._waiting:
             return []
-        if ticket.work is Work.ONLINE:
-            wait_s = self._expected_wait_s()
-            if now_s + wait_s > ticket.latest_s:
-                return [Refused(ticket.id, wait_s)]
+        refusal = self._refuse_at_once(ticket, now_s)
+        if refusal is not None:
+            return [refusal]
         self._waiting[ticket.id] = ticket
-        self._order += 1
-        entry = (ticket.due_s, self._order, ticket)
-        heapq.heappush(self._queues[ticket.work], entry)
+        self._push(ticket, now_s)
         return list(self._serve_queues(now_s))
 
     def release(self, ticket_id: TicketId, now_s: float) -> list[Decision]:
@@ -176,40 +199,65 @@
         for ticket in late:
             del self._waiting[ticket.id]
         refusals: list[Decision] = [
-            Refused(ticket.id, self._expected_wait_s()) for ticket in late
+            Refused(ticket.id, self._return_after_s(self._expected_wait_s(), now_s))
+            for ticket in late
         ]
         return refusals + list(self._serve_queues(now_s))
 
+    def _refuse_at_once(self, ticket: Ticket, now_s: float) -> Refused | None:
+        """Refuse an online ticket that cannot be served before its latest time."""
+        if ticket.work is not Work.ONLINE:
+            return None
+        wait_s = self._expected_wait_s()
+        if not wait_s or now_s + wait_s <= ticket.latest_s:
+            return None
+        return Refused(ticket.id, self._return_after_s(wait_s, now_s))
+
+    def _return_after_s(self, wait_s: float, now_s: float) -> float:
+        """Spread the callers that were told to come back over what can be served."""
+        self._returns_s = [at_s for at_s in self._returns_s if at_s > now_s]
+        after_s = wait_s + len(self._returns_s) * self._hold_s / self._total()
+        self._returns_s.append(now_s + after_s)
+        return after_s
+
+    def _total(self) -> int:
+        return max(1, sum(s.count for s in self._slots.values() if s.is_open))
+
     def _expected_wait_s(self) -> float:
-        """Estimate when a new online ticket would get a slot."""
-        total = sum(s.count for s in self._slots.values() if s.is_open)
-        if not total:
-            return 0.0
-        batch = sum(
-            1
+        """Estimate when a new online ticket would get a slot; batch gives way."""
+        free = sum(
+            s.free + sum(1 for t in s.running.values() if t.work is Work.BATCH)
             for s in self._slots.values()
-            for t in s.running.values()
-            if t.work is Work.BATCH
+            if s.is_open
         )
-        free = sum(s.free for s in self._slots.values() if s.is_open) + batch
         ahead = sum(1 for t in self._waiting.values() if t.work is Work.ONLINE)
-        if ahead < free:
+        if ahead < free or not self._slots:
             return 0.0
-        return (ahead - free + 1) * self._hold_s / total
+        return (ahead - free + 1) * self._hold_s / self._total()
+
+    def _push(self, ticket: Ticket, now_s: float) -> None:
+        self._order += 1
+        entry = (ticket.due_s, self._order, ticket)
+        heapq.heappush(self._queues[ticket.rank(now_s)], entry)
 
     def _serve_queues(self, now_s: float) -> Iterable[Decision]:
-        for work in (Work.ONLINE, Work.BATCH):
-            yield from self._serve_queue(work, now_s)
-        yield from self._revoke_for_online()
+        for rank in Rank:
+            yield from self._serve_queue(rank, now_s)
+        yield from self._revoke_for_online(now_s)
 
-    def _serve_queue(self, work: Work, now_s: float) -> Iterable[Decision]:
-        queue = self._queues[work]
+    def _serve_queue(self, rank: Rank, now_s: float) -> Iterable[Decision]:
+        """Grant slots to a queue; tickets that have become late move on to theirs."""
+        queue = self._queues[rank]
         unplaced = []
         while queue:
             entry = heapq.heappop(queue)
             ticket = entry[2]
             if self._waiting.get(ticket.id) is not ticket:
                 continue
+            present_rank = ticket.rank(now_s)
+            if present_rank is not rank:
+                heapq.heappush(self._queues[present_rank], entry)
+                continue
             slots = self._choose(ticket)
             if slots is None:
                 unplaced.append(entry)
@@ -242,23 +290,33 @@
             self._homes[ticket.prefix] = slots.endpoint
         return slots
 
-    def _revoke_for_online(self) -> Iterable[Decision]:
-        """Revoke as many batch items as there are online tickets without a slot."""
-        wanting = sum(1 for t in self._waiting.values() if t.work is Work.ONLINE)
+    def _revoke_for_online(self, now_s: float) -> Iterable[Decision]:
+        """Revoke as many batch items as online tickets wait that can be in time."""
+        wanting = sum(
+            1
+            for t in self._waiting.values()
+            if t.work is Work.ONLINE and not t.is_late(now_s)
+        )
         missing = wanting - len(self._revoked)
         if missing <= 0:
             return
-        running = [
-            ticket
+        victims = [
+            (self._reluctance(ticket, slots, now_s), ticket.id)
             for slots in self._slots.values()
             if slots.is_open
             for ticket in slots.running.values()
             if ticket.work is Work.BATCH and ticket.id not in self._revoked
         ]
-        running.sort(key=lambda ticket: -ticket.due_s)
-        for ticket in running[:missing]:
-            self._revoked.add(ticket.id)
-            yield Revoked(ticket.id)
+        for _, ticket_id in sorted(victims)[:missing]:
+            self._revoked.add(ticket_id)
+            yield Revoked(ticket_id)
+
+    def _reluctance(self, ticket: Ticket, slots: _Slots, now_s: float) -> float:
+        """Return how little a batch item can spare its slot: negated slack, or less
+        than any for an item that is late anyway."""
+        left_s = max(0.0, ticket.needs_s - (now_s - slots.since_s[ticket.id]))
+        slack_s = ticket.due_s - now_s - left_s
+        return float("-inf") if slack_s < 0 else -slack_s
 
     def _assign(self, ticket: Ticket, slots: _Slots, now_s: float) -> None:
         slots.running[ticket.id] = ticket
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -22,6 +22,7 @@
     work: Work
     due_in_ms: int
     latest_in_ms: int
+    needs_ms: int
     prefix: str
     avoid: list[str]
 
@@ -67,6 +68,7 @@
     work: Work
     endpoint: str
     due_in_ms: int
+    needs_ms: int
 
 
 class TicketList(msgspec.Struct, frozen=True, tag="ticket_list"):
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -27,12 +27,13 @@
 from .metrics import ServingMetrics
 from .ratekeeper import RateKeeper
 from .reporting import Reporter
-from .slots import Lease, Slots, SlotUnavailableError
+from .slots import Lease, SlotRequest, Slots, SlotUnavailableError
 from .sse import EventSplitter
 from .view import View
 
 # A caller gives a stream up after two seconds without an event, so another
 # endpoint has to be tried well before.
+SLOT_LIMIT_S = 1.8
 FIRST_EVENT_LIMIT_S = 0.9
 EVENT_LIMIT_S = 0.9
 FIRST_FAILURE_STATUS = 500
@@ -246,15 +247,15 @@
     ) -> Lease:
         if not any(True for _ in self._view.endpoints.serving(service)):
             raise RequestError(ErrorKind.ENDPOINT_MISSING, "no endpoint is listed")
+        wanted = SlotRequest(
+            Work.ONLINE,
+            due_s,
+            min(limit_s, request.arrived_s + SLOT_LIMIT_S),
+            prefix=request.prefix,
+            avoid=frozenset(progress.failed_at),
+        )
         try:
-            return await self._slots.acquire(
-                service,
-                Work.ONLINE,
-                due_s,
-                limit_s,
-                request.prefix,
-                frozenset(progress.failed_at),
-            )
+            return await self._slots.acquire(service, wanted)
         except SlotUnavailableError as exc:
             raise RequestError(
                 ErrorKind.DEADLINE_UNREACHABLE,
--- a/apricotquay/serving/slotowner.py
+++ b/apricotquay/serving/slotowner.py
@@ -118,6 +118,7 @@
             message.work,
             now_s + message.due_in_ms / SECONDS_TO_MS,
             now_s + message.latest_in_ms / SECONDS_TO_MS,
+            message.needs_ms / SECONDS_TO_MS,
             message.prefix,
             frozenset(message.avoid),
         )
@@ -130,7 +131,8 @@
     def _take_held(self, link: Link, message: HeldSlot) -> None:
         now_s = self._clock.now_s()
         due_s = now_s + message.due_in_ms / SECONDS_TO_MS
-        ticket = Ticket(TicketId(message.ticket), message.work, due_s, due_s)
+        needs_s = message.needs_ms / SECONDS_TO_MS
+        ticket = Ticket(TicketId(message.ticket), message.work, due_s, due_s, needs_s)
         self._remember(link, message.service, ticket.id)
         self.hold(message.service, ticket, EndpointId(message.endpoint))
 
--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -44,6 +44,17 @@
         self.wait_s: float = wait_s
 
 
+class SlotRequest(msgspec.Struct, frozen=True):
+    """What is asked for; the fields are those of a ticket."""
+
+    work: Work
+    due_s: float
+    latest_s: float
+    needs_s: float = 0.0
+    prefix: str = ""
+    avoid: frozenset[str] = frozenset()
+
+
 class Lease(msgspec.Struct):
     """A slot that is held until it is released.
 
@@ -120,18 +131,17 @@
         for service in list(self._known_owners):
             self._see_owner(service, self._owner(service))
 
-    async def acquire(
-        self,
-        service: ServiceName,
-        work: Work,
-        due_s: float,
-        latest_s: float,
-        prefix: str,
-        avoid: frozenset[str],
-    ) -> Lease:
+    async def acquire(self, service: ServiceName, wanted: SlotRequest) -> Lease:
         """Wait for a slot; raise SlotUnavailableError when none comes in time."""
-        avoid = self._avoidable(service, avoid)
-        ticket = Ticket(self._new_id(), work, due_s, latest_s, prefix, avoid)
+        ticket = Ticket(
+            self._new_id(),
+            wanted.work,
+            wanted.due_s,
+            wanted.latest_s,
+            wanted.needs_s,
+            wanted.prefix,
+            self._avoidable(service, wanted.avoid),
+        )
         owner = self._owner(service)
         self._see_owner(service, owner)
         if owner is not None:
@@ -215,6 +225,7 @@
             ticket.work,
             int((ticket.due_s - now_s) * SECONDS_TO_MS),
             int((ticket.latest_s - now_s) * SECONDS_TO_MS),
+            int(ticket.needs_s * SECONDS_TO_MS),
             ticket.prefix,
             sorted(ticket.avoid),
         )
@@ -324,6 +335,7 @@
                     lease.ticket.work,
                     lease.endpoint,
                     due_in_ms,
+                    int(lease.ticket.needs_s * SECONDS_TO_MS),
                 )
             )
 
--- a/tests/test_serving_dispatch.py
+++ b/tests/test_serving_dispatch.py
@@ -14,6 +14,7 @@
     TicketId,
     Work,
 )
+from bench.queueing import Deployment, Model, Trouble
 
 from .base import ApricotTest
 
@@ -51,7 +52,7 @@
         dispatcher = table(a=1)
         dispatcher.ask(online("first"), 0.0)
         dispatcher.ask(batch("item", 1.0), 0.0)
-        dispatcher.ask(online("second"), 0.1)
+        dispatcher.ask(online("second", due_s=0.9), 0.1)
         decisions = dispatcher.release(TicketId("first"), 0.5)
         self.assertEqual([Granted(TicketId("second"), EndpointId("a"))], decisions)
 
@@ -61,7 +62,8 @@
         dispatcher.ask(batch("early", 5.0), 0.0)
         dispatcher.ask(batch("late", 9.0), 0.0)
         self.assertEqual(
-            [Revoked(TicketId("late"))], dispatcher.ask(online("now"), 1.0)
+            [Revoked(TicketId("late"))],
+            dispatcher.ask(online("now", due_s=1.3), 1.0),
         )
         self.assertEqual(
             [Granted(TicketId("now"), EndpointId("a"))],
@@ -124,6 +126,70 @@
         self.assertEqual([Granted(TicketId("t1"), EndpointId("b"))], decisions)
 
 
+class OverloadTest(ApricotTest):
+    """What is served when not all can be."""
+
+    def test_request_that_can_be_in_time_goes_before_one_that_is_late(self):
+        """Serving the late one first would make both late."""
+        dispatcher = table(a=1)
+        dispatcher.ask(online("running"), 0.0)
+        dispatcher.ask(online("old", due_s=0.3), 0.0)
+        dispatcher.ask(online("new", due_s=0.9), 0.6)
+        decisions = dispatcher.release(TicketId("running"), 0.7)
+        self.assertEqual([Granted(TicketId("new"), EndpointId("a"))], decisions)
+
+    def test_item_that_can_be_in_time_goes_before_one_that_cannot(self):
+        """The late one is run when there is room."""
+        dispatcher = table(a=1)
+        dispatcher.ask(online("running"), 0.0)
+        for name, due_s in (("hopeless", 3.0), ("feasible", 9.0)):
+            dispatcher.ask(
+                Ticket(TicketId(name), Work.BATCH, due_s, 3600.0, needs_s=4.0), 0.0
+            )
+        decisions = dispatcher.release(TicketId("running"), 0.7)
+        self.assertEqual([Granted(TicketId("feasible"), EndpointId("a"))], decisions)
+        decisions = dispatcher.release(TicketId("feasible"), 4.7)
+        self.assertEqual([Granted(TicketId("hopeless"), EndpointId("a"))], decisions)
+
+    def test_item_that_is_late_anyway_yields_first(self):
+        """Then the one with the most time left."""
+        dispatcher = table(a=3)
+        for name, due_s in (("late", 2.0), ("tight", 5.0), ("loose", 9.0)):
+            dispatcher.ask(
+                Ticket(TicketId(name), Work.BATCH, due_s, 3600.0, needs_s=4.0), 0.0
+            )
+        first = dispatcher.ask(online("o1"), 0.1)
+        self.assertEqual([Revoked(TicketId("late"))], first)
+        second = dispatcher.ask(online("o2"), 0.1)
+        self.assertEqual([Revoked(TicketId("loose"))], second)
+
+    def test_callers_are_told_to_come_back_one_after_the_other(self):
+        """So that they find slots instead of each other."""
+        dispatcher = table(a=1)
+        dispatcher.ask(online("running"), 0.0)
+        dispatcher.ask(online("waiting"), 0.0)
+        waits = [
+            dispatcher.ask(online(f"r{n}", latest_s=1.0), 0.0)[0].wait_s
+            for n in range(3)
+        ]
+        self.assertEqual(sorted(set(waits)), waits)
+
+    @parameterized.expand([("x2.5", 2.5, 0.8), ("x1.6", 1.6, 0.95)])
+    def test_burst_beyond_the_slots_is_still_served_in_time(self, _name, x, share):
+        """The worth of what callers get, by the model of engines and callers."""
+        trouble = Trouble("burst", online_x=x)
+        model = Model(Deployment(), trouble, 1, Dispatcher)
+        model.play()
+        self.assertGreater(model.shares(Work.ONLINE), share)
+
+    def test_jobs_beyond_the_slots_are_done_in_time_as_far_as_slots_go(self):
+        """Four times the jobs: three quarters of the items' worth, not half."""
+        model = Model(Deployment(), Trouble("jobs", jobs_x=4.0), 1, Dispatcher)
+        model.play()
+        self.assertGreater(model.shares(Work.BATCH), 0.7)
+        self.assertGreater(model.shares(Work.ONLINE), 0.99)
+
+
 class RandomLoadTest(ApricotTest):
     """Whole histories."""
 
--- a/tests/test_serving_slots.py
+++ b/tests/test_serving_slots.py
@@ -12,7 +12,7 @@
 from apricotquay.serving.dispatch import Work
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
 from apricotquay.serving.peers import Peers
-from apricotquay.serving.slots import Slots, SlotUnavailableError
+from apricotquay.serving.slots import SlotRequest, Slots, SlotUnavailableError
 
 from .base import ApricotTest
 from .test_serving_jobs import quiet_reporter
@@ -108,7 +108,7 @@
             try:
                 async with asyncio.timeout(rng.choice([0.01, 5.0])):
                     lease = await daemon.slots.acquire(
-                        SERVICE, work, now_s + 0.3, now_s + 20, "", frozenset()
+                        SERVICE, SlotRequest(work, now_s + 0.3, now_s + 20)
                     )
             except (TimeoutError, SlotUnavailableError):
                 continue
@@ -166,7 +166,7 @@
             waiting = [
                 asyncio.ensure_future(
                     d.slots.acquire(
-                        SERVICE, Work.ONLINE, now_s, now_s + 20, "", frozenset()
+                        SERVICE, SlotRequest(Work.ONLINE, now_s, now_s + 20)
                     )
                 )
                 for d in fleet
@@ -196,7 +196,7 @@
             fleet[1].shards.believed = "127.0.0.1:1"
             now_s = SystemClock().now_s()
             lease = await fleet[1].slots.acquire(
-                SERVICE, Work.ONLINE, now_s, now_s + 20, "", frozenset()
+                SERVICE, SlotRequest(Work.ONLINE, now_s, now_s + 20)
             )
             self.assertIsNone(lease.owner)
             fleet[1].slots.release(lease)
