Keep the progress of batch items in the log instead of handing it over

Progress is now a record of the job's partition, written once a second and when a shard is left, so the hand-over between daemons goes. Members count as gone after 1.5 s instead of 2.

--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -14,10 +14,9 @@
 from .crashes import CrashWatch
 from .dispatch import Work
 from .engine import EngineBrokenError, EngineCall, EngineClient, EngineNotRunError
-from .handover import Handovers, ItemProgress
+from .jobrecords import ProgressRecord
 from .jobs import Jobs
 from .jobtable import Job
-from .messages import HandOverItem
 from .metrics import ServingMetrics
 from .online import fingerprint_of_call
 from .partition import Partition, PendingResult
@@ -33,6 +32,7 @@
 RETRY_PAUSE_S = 0.25
 SWEEP_S = 0.5
 HANDOVER_WAIT_S = 0.6
+PROGRESS_INTERVAL_S = 1.0
 # How fresh the configuration has to be before a missing route ends its items.
 VIEW_FRESH_S = 2.5
 ITEM_TIMEOUT_MS = 60_000
@@ -46,6 +46,38 @@
 ItemPlace = tuple[str, int]
 
 
+class ItemProgress:
+    """What is known of an item's output, kept over its attempts."""
+
+    def __init__(self, known: ProgressRecord | None) -> None:
+        self.data: list[str] = list(known.data) if known else []
+        self.last_id: int = known.last_id if known else -1
+        self.failures: int = 0
+        self.ran_s: float = 0.0
+        self._failed_at: str = ""
+
+    def avoid(self) -> frozenset[str]:
+        """Return the endpoint of the last attempt if that failed."""
+        return frozenset((self._failed_at,)) if self._failed_at else frozenset()
+
+    def see_attempt(self, endpoint: str, failed: bool, ran_s: float) -> None:
+        """Note where and how long an attempt ran."""
+        self.ran_s += ran_s
+        self._failed_at = endpoint if failed else ""
+
+    def take(self, event: StreamEvent) -> None:
+        """Add an event; a gap in the ids breaks the attempt."""
+        expected = self.last_id + 1
+        if self.last_id >= 0 and event.id != expected:
+            raise EngineBrokenError(f"event {event.id} came instead of {expected}")
+        self.data.append(event.data)
+        self.last_id = event.id
+
+    def record(self) -> ProgressRecord:
+        """Return what the next runner of the item needs."""
+        return ProgressRecord(self.last_id, list(self.data))
+
+
 class RunningItem(msgspec.Struct):
     """An item that this daemon runs."""
 
@@ -98,7 +130,6 @@
     def __init__(
         self,
         jobs: Jobs,
-        handovers: Handovers,
         view: View,
         slots: Slots,
         engines: EngineClient,
@@ -108,7 +139,6 @@
         reporter: Reporter,
     ) -> None:
         self._jobs: Jobs = jobs
-        self._handovers: Handovers = handovers
         self._view: View = view
         self._slots: Slots = slots
         self._engines: EngineClient = engines
@@ -120,6 +150,7 @@
         self._wake = asyncio.Event()
         self._items: dict[ItemPlace, RunningItem] = {}
         self._gained_s: dict[int, float] = {}
+        self._kept_s: float = 0.0
         self._main: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -130,23 +161,23 @@
         """Look for items now."""
         self._wake.set()
 
-    def take_over(self, message: HandOverItem) -> None:
-        """Go on with an item from where its owner before stopped."""
-        self._handovers.take(message)
-        self.wake()
-
-    def stop(self) -> None:
-        """Stop all items, keeping what they have produced for the next owners."""
+    async def stop(self) -> None:
+        """Stop all items, and write what they have produced for the next owners."""
         if self._main is not None:
             self._main.cancel()
+        partitions = {item.partition for item in self._items.values()}
         for place in list(self._items):
             self._give_up(place)
+        for partition in partitions:
+            await partition.flush()
 
     async def close(self) -> None:
         """Stop all items and wait until they have ended."""
-        tasks = [item.task for item in self._items.values()]
-        self.stop()
-        for task in (self._main, *tasks):
+        tasks = [self._main, *(item.task for item in self._items.values())]
+        for task in tasks:
+            if task is not None:
+                task.cancel()
+        for task in tasks:
             if task is not None:
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
@@ -155,7 +186,7 @@
         while True:
             self._wake.clear()
             self._sweep()
-            self._handovers.send()
+            self._keep_progress()
             await self._jobs.drop_unused()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(SWEEP_S):
@@ -175,7 +206,7 @@
     def _begin(
         self, place: ItemPlace, partition: Partition, job: Job, index: int
     ) -> None:
-        progress = self._handovers.progress_of(*place)
+        progress = ItemProgress(job.progress.get(index))
         item = RunningItem(partition, job, index, progress)
         item.task = asyncio.create_task(self._run(item))
         self._items[place] = item
@@ -184,8 +215,24 @@
         """Stop an item; if it is still open, its next owner gets its progress."""
         item = self._items.pop(place)
         item.task.cancel()
-        if item.job.is_open and item.index in item.job.open_items:
-            self._handovers.give(item.partition.number, *place, item.progress)
+        self._put_progress(item)
+
+    def _put_progress(self, item: RunningItem) -> None:
+        known = item.job.progress.get(item.index)
+        last_id = known.last_id if known else -1
+        if item.progress.last_id > last_id and not item.task.done():
+            record = item.progress.record()
+            item.partition.put_progress(item.job, item.index, record)
+
+    def _keep_progress(self) -> None:
+        """Write the progress of all items from time to time, since this VM may go
+        at any moment."""
+        now_s = self._clock.now_s()
+        if now_s - self._kept_s < PROGRESS_INTERVAL_S:
+            return
+        self._kept_s = now_s
+        for item in self._items.values():
+            self._put_progress(item)
 
     def _open_items(self) -> Iterator[tuple[Partition, Job, int]]:
         """Yield the items to run; a shard's owner before has a moment to give what
@@ -379,15 +426,6 @@
             if data is None:
                 break
             for event in splitter.feed(data):
-                _take_event(progress, event)
+                progress.take(event)
         if splitter.has_rest:
             raise EngineBrokenError("stream ended within an event")
-
-
-def _take_event(progress: ItemProgress, event: StreamEvent) -> None:
-    """Add an event to an item's output; a gap in the ids breaks the attempt."""
-    expected = progress.last_id + 1
-    if progress.last_id >= 0 and event.id != expected:
-        raise EngineBrokenError(f"event {event.id} came instead of {expected}")
-    progress.data.append(event.data)
-    progress.last_id = event.id
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -17,7 +17,6 @@
 from .catalog import Limits
 from .crashes import CrashWatch
 from .engine import EngineClient
-from .handover import Handovers
 from .http1 import Exchange, HttpResponse, HttpServer, ServerLimits
 from .jobs import Jobs
 from .keyedlog import KeyedLog
@@ -25,7 +24,6 @@
     AskSlot,
     CancelJob,
     CrashSeen,
-    HandOverItem,
     HeldSlot,
     Message,
     NotHere,
@@ -148,10 +146,7 @@
         )
         self.jobs = Jobs(log, self.shards, self.peers, self.clock, self.reporter)
         work = (self.view, self.slots, engines, self.crashes, self.metrics)
-        self.handovers = Handovers(self.shards, self.peers, self.clock)
-        self.runner = BatchRunner(
-            self.jobs, self.handovers, *work, self.clock, self.reporter
-        )
+        self.runner = BatchRunner(self.jobs, *work, self.clock, self.reporter)
         self.online = OnlinePath(
             self.view,
             self.rates,
@@ -215,11 +210,10 @@
         self.reporter.write(
             Event.DAEMON_DRAINING, busy=self.callers.busy_count, reason="signal"
         )
-        self.runner.stop()
+        await self.runner.stop()
         await self.shards.leave()
         limit_s = begun_s + self.settings.grace_s - GRACE_MARGIN_S
         while self.clock.now_s() < limit_s:
-            self.handovers.send()
             out_of_rotation = self.clock.now_s() - begun_s > LEAVE_ROTATION_S
             if out_of_rotation and not self.callers.busy_count:
                 break
@@ -304,9 +298,6 @@
         if isinstance(message, CrashSeen):
             self.crashes.take(message)
             return None
-        if isinstance(message, HandOverItem):
-            self.runner.take_over(message)
-            return None
         if isinstance(message, PullView):
             return self._answer_pull(message)
         return NotHere("not a call")
--- a/apricotquay/serving/jobrecords.py
+++ b/apricotquay/serving/jobrecords.py
@@ -5,6 +5,7 @@
 | `p/JOB/N` | a part of the job's items with their bodies | before its header |
 | `j/JOB` | the header: acceptance | once, on condition of the end |
 | `r/JOB/ITEM` | an item's result and its position | once, on condition of the end |
+| `w/JOB/ITEM` | what an item's run has produced so far | while it runs |
 | `c/JOB` | the job was cancelled | any time, idempotent |
 
 JOB is a hash of the team and its own job id, so that ids of two teams never meet.
@@ -56,6 +57,13 @@
     text: str
 
 
+class ProgressRecord(msgspec.Struct, frozen=True):
+    """An item's output so far: the events' data up to the id `last_id`."""
+
+    last_id: int
+    data: list[str]
+
+
 class Submission(msgspec.Struct, frozen=True):
     """A batch job as it is handed in."""
 
@@ -139,6 +147,29 @@
     return ResultRecord(position, item_id, is_done, text)
 
 
+def encode_progress(key: str, item: int, progress: ProgressRecord) -> KeyedRecord:
+    """Return the record of an item's progress."""
+    text = "\x00".join(progress.data).encode("utf-8", "surrogateescape")
+    value = cbor2.dumps([progress.last_id, zlib.compress(text, 1)])
+    return KeyedRecord(_progress_key(key, item), value)
+
+
+def decode_progress(value: bytes) -> ProgressRecord:
+    """Decode a progress record."""
+    last_id, packed = cbor2.loads(value)
+    text = zlib.decompress(packed).decode("utf-8", "surrogateescape")
+    return ProgressRecord(last_id, text.split("\x00"))
+
+
+def drop_progress(key: str, item: int) -> KeyedRecord:
+    """Return the record that drops an item's progress once its result is listed."""
+    return KeyedRecord(_progress_key(key, item), None)
+
+
+def _progress_key(key: str, item: int) -> bytes:
+    return f"w/{key}/{item}".encode()
+
+
 def encode_cancel(key: str, now_ms: int) -> KeyedRecord:
     """Return the record that cancels a job."""
     return KeyedRecord(f"c/{key}".encode(), cbor2.dumps(now_ms))
--- a/apricotquay/serving/jobtable.py
+++ b/apricotquay/serving/jobtable.py
@@ -10,10 +10,12 @@
 from .jobrecords import (
     JobHeader,
     JobItem,
+    ProgressRecord,
     ResultRecord,
     Submission,
     decode_header,
     decode_items,
+    decode_progress,
     decode_result,
     job_key,
 )
@@ -41,6 +43,7 @@
         self.is_cancelled: bool = False
         self.listed: list[ResultRecord] = []
         self.open_items: set[int] = set(range(len(items)))
+        self.progress: dict[int, ProgressRecord] = {}
         self._early: dict[int, ResultRecord] = {}
 
     @property
@@ -62,11 +65,20 @@
                 return index
         return None
 
+    def see_progress(self, item: int, progress: ProgressRecord) -> None:
+        """Take in what an item has produced, if that is more than is known."""
+        known = self.progress.get(item)
+        if item not in self.open_items:
+            return
+        if known is None or known.last_id < progress.last_id:
+            self.progress[item] = progress
+
     def list_result(self, item: int, result: ResultRecord) -> None:
         """Take in a result; pages of the log may bring them out of order."""
         if item not in self.open_items:
             return
         self.open_items.discard(item)
+        self.progress.pop(item, None)
         self._early[result.position] = result
         while len(self.listed) in self._early:
             self.listed.append(self._early.pop(len(self.listed)))
@@ -85,6 +97,7 @@
         self._headers: dict[str, JobHeader] = {}
         self._parts: dict[str, dict[int, bytes]] = {}
         self._results: dict[str, dict[int, ResultRecord]] = {}
+        self._progress: dict[str, dict[int, ProgressRecord]] = {}
         self._cancelled: set[str] = set()
 
     def find(self, team: TeamId, job_id: JobId) -> Job | None:
@@ -132,6 +145,8 @@
             self._open(key)
         elif kind == "r":
             self._take_result(key, int(number), decode_result(record.value))
+        elif kind == "w":
+            self._take_progress(key, int(number), decode_progress(record.value))
         elif kind == "c":
             self._cancelled.add(key)
             if key in self.jobs:
@@ -149,6 +164,8 @@
         self.jobs[key] = job
         for item, result in self._results.pop(key, {}).items():
             job.list_result(item, result)
+        for item, progress in self._progress.pop(key, {}).items():
+            job.see_progress(item, progress)
 
     def _take_result(self, key: str, item: int, result: ResultRecord) -> None:
         job = self.jobs.get(key)
@@ -157,11 +174,19 @@
         else:
             job.list_result(item, result)
 
+    def _take_progress(self, key: str, item: int, progress: ProgressRecord) -> None:
+        job = self.jobs.get(key)
+        if job is None:
+            self._progress.setdefault(key, {})[item] = progress
+        else:
+            job.see_progress(item, progress)
+
     def _drop(self, kind: str, key: str, number: str) -> None:
         if kind == "j":
             self.jobs.pop(key, None)
             self._headers.pop(key, None)
             self._results.pop(key, None)
+            self._progress.pop(key, None)
             self._cancelled.discard(key)
         elif kind == "p":
             self._parts.get(key, {}).pop(int(number), None)
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -167,18 +167,6 @@
     job: JobId
 
 
-class HandOverItem(msgspec.Struct, frozen=True, tag="hand_over_item"):
-    """Gives the next owner of a job what an item's run has produced so far.
-
-    `data` holds the events' data up to the one with the id `last_id`.
-    """
-
-    job_key: str
-    item: int
-    last_id: int
-    data: list[str]
-
-
 class PullView(msgspec.Struct, frozen=True, tag="pull_view"):
     """Asks a peer for what is newer than the sender's view."""
 
@@ -228,7 +216,6 @@
     | ReadBody
     | ItemBody
     | CancelJob
-    | HandOverItem
     | PullView
     | ViewRecords
     | CrashSeen
--- a/apricotquay/serving/partition.py
+++ b/apricotquay/serving/partition.py
@@ -2,16 +2,20 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 
 from ..clocks import Clock
 from ..events import Event
 from .jobrecords import (
+    MAX_PART_BYTES,
+    ProgressRecord,
     ResultRecord,
     Submission,
+    drop_progress,
     encode_cancel,
+    encode_progress,
     encode_result,
     encode_submission,
 )
@@ -33,6 +37,7 @@
 RETRY_PAUSE_S = 0.25
 # Bytes of records in one call; the store takes 2 MiB.
 MAX_APPEND_BYTES = 1_900_000
+MAX_PROGRESS_BYTES = 500_000
 RESULT_RETRY_S = 0.3
 
 
@@ -81,6 +86,7 @@
         self._read_lock = asyncio.Lock()
         self._changed = asyncio.Condition()
         self._pending: list[PendingResult] = []
+        self._progress: dict[tuple[str, int], ProgressRecord] = {}
         self._pending_event = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
 
@@ -151,6 +157,19 @@
         self._pending.append(result)
         self._pending_event.set()
 
+    def put_progress(self, job: Job, item: int, progress: ProgressRecord) -> None:
+        """Queue what an item has produced, for whoever runs it after this daemon."""
+        self._progress[(job.key, item)] = progress
+        self._pending_event.set()
+
+    async def flush(self) -> None:
+        """Write what is queued, before the shard goes to another owner."""
+        try:
+            async with self._lock:
+                await self._write_pending()
+        except LogError as exc:
+            self._reporter.lost("partition", str(exc), part=self.number)
+
     async def wait_for_results(self, job: Job, after: int, wait_s: float) -> None:
         """Return when a job has more results than `after`, or after the wait."""
         with contextlib.suppress(TimeoutError):
@@ -294,7 +313,8 @@
         if self._end is None:
             await self.confirm()
         taken = list(self._pending)
-        records = list(self._numbered(taken))
+        progress, self._progress = self._progress, {}
+        records = [*self._numbered(taken), *self._progress_records(progress)]
         if records:
             await self._append(records)
         written = {id(pending) for pending in taken}
@@ -302,6 +322,23 @@
         if not self._pending:
             self._pending_event.clear()
 
+    def _progress_records(
+        self, progress: dict[tuple[str, int], ProgressRecord]
+    ) -> Iterator[KeyedRecord]:
+        """Yield the progress of items that are still open and got further."""
+        size = 0
+        for (key, item), record in progress.items():
+            job = self.table.jobs.get(key)
+            if job is None or item not in job.open_items or job.is_cancelled:
+                continue
+            known = job.progress.get(item)
+            if known is not None and known.last_id >= record.last_id:
+                continue
+            encoded = encode_progress(key, item, record)
+            size += len(encoded.value)
+            if size < MAX_PROGRESS_BYTES and len(encoded.value) < MAX_PART_BYTES:
+                yield encoded
+
     def _numbered(self, taken: list[PendingResult]):
         """Give positions to the results of items that nobody has listed."""
         next_positions: dict[str, int] = {}
@@ -331,6 +368,8 @@
                 taken.remove(pending)
                 continue
             yield record
+            if pending.item in known.progress:
+                yield drop_progress(job.key, pending.item)
 
 
 def _in_calls(records: list[KeyedRecord]):
--- a/apricotquay/serving/shards.py
+++ b/apricotquay/serving/shards.py
@@ -13,8 +13,8 @@
 from .reporting import Reporter
 
 GROUP = "daemons"
-TTL_MS = 2_000
-JOIN_INTERVAL_S = 0.5
+TTL_MS = 1_500
+JOIN_INTERVAL_S = 0.4
 JOIN_RETRY_S = 0.1
 OWNERS_INTERVAL_S = 1.0
 
--- a/tests/test_serving_jobs.py
+++ b/tests/test_serving_jobs.py
@@ -11,6 +11,7 @@
 from apricotquay.serving.jobrecords import (
     MAX_PART_BYTES,
     JobItem,
+    ProgressRecord,
     ResultRecord,
     Submission,
     encode_result,
@@ -304,6 +305,34 @@
 
         self.play(scenario)
 
+    def test_progress_of_an_item_outlives_its_owner(self):
+        """The next one goes on from the last event that was kept."""
+
+        async def scenario(log, open_partition):
+            first = open_partition()
+            await first.accept(submission(), "/batch/", self.limit_s())
+            job = first.table.find(TEAM, JobId("job"))
+            first.put_progress(job, 1, ProgressRecord(4, ["a", "", "b\nc"]))
+            await first.flush()
+            await first.close()
+            log.expire()
+            second = open_partition()
+            await second.confirm()
+            known = second.table.find(TEAM, JobId("job"))
+            self.assertEqual(
+                ProgressRecord(4, ["a", "", "b\nc"]), known.progress.get(1)
+            )
+            second.put_progress(known, 1, ProgressRecord(2, ["a"]))
+            await second.flush()
+            self.assertEqual(4, known.progress[1].last_id)
+            second.put_result(PendingResult(known, 1, True, "done"))
+            await second.wait_for_results(known, 0, 5.0)
+            page = await log.newest(partition_module.JOBS, 0)
+            kept = [r.key for r in page.records if r.key.startswith(b"w/")]
+            self.assertEqual([], kept)
+
+        self.play(scenario)
+
     def test_cancel_is_seen_by_the_owner(self):
         """Even if another daemon wrote it."""
 
