Say in the log what decided a refusal for rate

Cause: 805 refusals for rate on hard-load could not be judged from the logs. The line now has the bucket's level, the rate and burst, and who decided.

--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -206,12 +206,13 @@
     async def _check_rate(self, team: Team | None) -> None:
         if team is None:
             return
-        wait_s = await self._rates.admit(team)
-        if wait_s:
+        decision = await self._rates.admit(team)
+        if decision.wait_s:
             raise RequestError(
                 ErrorKind.RATE_EXCEEDED,
-                "over the team's rate",
-                retry_after_ms=max(MIN_RETRY_AFTER_MS, int(wait_s * 1000)),
+                f"{decision.level:.2f} tokens left of a burst of {team.burst:g} at "
+                f"{team.rate_per_s:g} a second, by {decision.decided_by or 'share'}",
+                retry_after_ms=max(MIN_RETRY_AFTER_MS, int(decision.wait_s * 1000)),
             )
 
     def _timeout_s(self, request: OnlineRequest, route: Route) -> float:
@@ -458,6 +459,7 @@
         if progress.may_have_run and error.status in (429, 503):
             error = RequestError(ErrorKind.ENDPOINT_FAILED, error.message)
         await caller.refuse(error)
+        progress.reasons.append(error.message)
         return error.kind.value
 
     def _report(
--- a/apricotquay/serving/ratekeeper.py
+++ b/apricotquay/serving/ratekeeper.py
@@ -1,5 +1,7 @@
 """Admits requests against team rates and keeps the buckets of this daemon's shards."""
 
+import msgspec
+
 from ..clocks import Clock
 from ..errors import PeerUnavailableError
 from ..ids import TeamId
@@ -15,6 +17,22 @@
 OWNER_PAUSE_S = 0.5
 
 
+class RateDecision(msgspec.Struct, frozen=True):
+    """Whether a request is admitted, and what decided it.
+
+    `wait_s` is 0 for an admitted request, else after how long to come back;
+    `level` the bucket's tokens and `decided_by` the owner asked, "" for this
+    daemon's share alone.
+    """
+
+    wait_s: float
+    level: float
+    decided_by: str
+
+
+ADMITTED = RateDecision(0.0, 0.0, "")
+
+
 class RateKeeper:
     """Used by the online path before a request is given a slot."""
 
@@ -29,10 +47,10 @@
         self._owned = OwnerRates()
         self._paused_until_s: dict[str, float] = {}
 
-    async def admit(self, team: Team) -> float:
-        """Take one token; return 0, or after how many seconds to come back."""
+    async def admit(self, team: Team) -> RateDecision:
+        """Take one token of a team's bucket, if there is one."""
         if team.rate_per_s <= 0:
-            return 0.0
+            return ADMITTED
         allowance = _allowance(team)
         untold = self._rates.take_untold(team.id)
         level = self._rates.known_level(team.id, allowance, self._clock.now_s())
@@ -41,13 +59,15 @@
         except PeerUnavailableError:
             # Counted in the owner's absence from this daemon's share alone.
             self._rates.put_back_untold(team.id, untold)
-            return self._rates.admit_alone(team.id, allowance, self._clock.now_s())
+            wait_s = self._rates.admit_alone(team.id, allowance, self._clock.now_s())
+            return RateDecision(wait_s, level * self._rates.share, "")
         self._rates.take_answer(team.id, answer.level, self._clock.now_s())
         if answer.daemons:
             self._rates.share = 1 / answer.daemons
-        if answer.admitted:
-            return 0.0
-        return (1.0 - answer.level) / allowance.rate_per_s
+        wait_s = 0.0
+        if not answer.admitted:
+            wait_s = (1.0 - answer.level) / allowance.rate_per_s
+        return RateDecision(wait_s, answer.level, self._owner(team.id) or "")
 
     def answer(self, message: TakeToken) -> Message:
         """Decide as the owner of a team's shard.
@@ -68,7 +88,7 @@
         return TokenAnswer(admitted, level, self._peers.accepted_count + 1)
 
     async def _ask(self, message: TakeToken) -> TokenAnswer:
-        owner = self._shards.owner(self._number(message.team))
+        owner = self._owner(message.team)
         if owner is None:
             raise PeerUnavailableError("the team's shard has no known owner")
         if owner == self._shards.address:
@@ -89,8 +109,8 @@
             self._paused_until_s[owner] = now_s + OWNER_PAUSE_S
             raise
 
-    def _number(self, team: TeamId) -> int:
-        return shard_number(team, self._shards.count)
+    def _owner(self, team: TeamId) -> str | None:
+        return self._shards.owner(shard_number(team, self._shards.count))
 
 
 def _allowance(team: Team) -> Allowance:
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -24,6 +24,7 @@
 from apricotquay.serving.engine import EngineBrokenError, EngineNotRunError
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlinePath, OnlineRequest
+from apricotquay.serving.ratekeeper import RateDecision
 from apricotquay.serving.slots import Lease
 
 from .base import ApricotTest
@@ -103,10 +104,10 @@
     def __init__(self, left: int = 10) -> None:
         self.left = left
 
-    async def admit(self, team) -> float:
+    async def admit(self, team) -> RateDecision:
         """Take one."""
         self.left -= 1
-        return 0.0 if self.left >= 0 else 0.5
+        return RateDecision(0.0 if self.left >= 0 else 0.5, self.left, "a:1")
 
 
 class FixedView:
