--- a/apricotquay/execution.py
+++ b/apricotquay/execution.py
@@ -135,14 +135,17 @@
         fingerprint: str,
         exc: EndpointError,
     ) -> ItemReport:
-        """Give the item back; only failures that may be its own are counted."""
+        """Give the item back; only failures that may be its own are counted.
+
+        A death counts against an item also while it is being paused or stopped.
+        """
+        died = False
+        if exc.ran is not Ran.NOT_RUN:
+            died = self._poison.check_death(entry, fingerprint)
         if running.stop:
             raise StoppedError
         if running.pause:
             raise PausedError
-        died = False
-        if exc.ran is not Ran.NOT_RUN:
-            died = self._poison.check_death(entry, fingerprint)
         with self._fleet.lock:
             endpoint = self._fleet.endpoints.get(EndpointId(entry.id))
             if endpoint is not None:
--- a/apricotquay/poison.py
+++ b/apricotquay/poison.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import threading
+import time
 from collections import Counter
 from collections.abc import Iterator
 
@@ -17,6 +18,8 @@
 from .records import QuarantineMarked
 
 NOTICE_TIMEOUT_S = 0.6
+GONE_TRIES = 4
+GONE_PAUSE_S = 0.05
 
 
 class PoisonWatch:
@@ -102,10 +105,20 @@
             self._quarantine.tick(self._clock.now_s())
 
     def _is_gone(self, entry: VmEntry) -> bool:
-        try:
-            self._engines.load(entry)
-        except EndpointError as exc:
-            return exc.refused
+        """Whether the endpoint's port refuses connections.
+
+        A process that is just ending may still accept one for a moment, so a
+        connection that fails otherwise is tried again.
+        """
+        for _ in range(GONE_TRIES):
+            try:
+                self._engines.load(entry)
+            except EndpointError as exc:
+                if exc.refused:
+                    return True
+                time.sleep(GONE_PAUSE_S)
+            else:
+                return False
         return False
 
     def _see_death(self, endpoint: EndpointId, suspects: list[str]) -> None:
@@ -113,6 +126,8 @@
             convicted = self._quarantine.see_death(
                 endpoint, suspects, self._clock.now_s()
             )
+            counts = self._quarantine.counts(suspects)
+        self._events.write(Event.ENDPOINT_DIED, endpoint=endpoint, suspects=counts)
         for fingerprint in convicted:
             self._events.write(Event.REQUEST_QUARANTINED, fingerprint=fingerprint)
             now_ms = self._clock.wall_ms()
--- a/apricotquay/quarantine.py
+++ b/apricotquay/quarantine.py
@@ -75,6 +75,10 @@
         for death in self._deaths:
             death.suspects.discard(fingerprint)
 
+    def counts(self, fingerprints: list[str]) -> dict[str, int]:
+        """Return at how many deaths each fingerprint has run, for the log."""
+        return {f: self._count(f) for f in fingerprints}
+
     def standing(self, fingerprint: str, now_s: float) -> Standing:
         """Return what may be done with a fingerprint."""
         if self._quarantined.get(fingerprint, 0.0) > now_s:
--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes.py
@@ -15,6 +15,8 @@
 from .reporting import Reporter
 from .shards import Shards
 
+SECOND_LOOK_S = 0.1
+
 
 class CrashWatch:
     """Shared by online and batch work. Tells the shards' owners of each death."""
@@ -72,7 +74,7 @@
         self._see(EndpointId(message.endpoint), message.fingerprints)
 
     async def _check(self, endpoint: Endpoint, suspects: list[str]) -> None:
-        if not await self._engines.is_dead(endpoint):
+        if not await self._is_dead(endpoint):
             return
         self._see(endpoint.id, suspects)
         message = CrashSeen(endpoint.id, suspects)
@@ -83,9 +85,22 @@
                 # Peers reports the loss; that daemon sees later deaths itself.
                 continue
 
+    async def _is_dead(self, endpoint: Endpoint) -> bool:
+        """Ask twice: a process that is just ending may still accept a connection."""
+        if await self._engines.is_dead(endpoint):
+            return True
+        await asyncio.sleep(SECOND_LOOK_S)
+        return await self._engines.is_dead(endpoint)
+
     def _see(self, endpoint: EndpointId, suspects: list[str]) -> None:
         now_s = self._clock.now_s()
-        for fingerprint in self._quarantine.see_death(endpoint, suspects, now_s):
+        convicted = self._quarantine.see_death(endpoint, suspects, now_s)
+        self._reporter.write(
+            Event.ENDPOINT_DIED,
+            endpoint=endpoint,
+            suspects=self._quarantine.counts(suspects),
+        )
+        for fingerprint in convicted:
             self._reporter.write(
                 Event.REQUEST_QUARANTINED,
                 fingerprint=fingerprint,
--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -235,10 +235,14 @@
             return 0.0
         return (ahead - free + 1) * self._hold_s / self._total()
 
+    def _rank(self, ticket: Ticket, now_s: float) -> Rank:
+        """Return a ticket's place; experiments compare other orders by it."""
+        return ticket.rank(now_s)
+
     def _push(self, ticket: Ticket, now_s: float) -> None:
         self._order += 1
         entry = (ticket.due_s, self._order, ticket)
-        heapq.heappush(self._queues[ticket.rank(now_s)], entry)
+        heapq.heappush(self._queues[self._rank(ticket, now_s)], entry)
 
     def _serve_queues(self, now_s: float) -> Iterable[Decision]:
         for rank in Rank:
@@ -254,7 +258,7 @@
             ticket = entry[2]
             if self._waiting.get(ticket.id) is not ticket:
                 continue
-            present_rank = ticket.rank(now_s)
+            present_rank = self._rank(ticket, now_s)
             if present_rank is not rank:
                 heapq.heappush(self._queues[present_rank], entry)
                 continue
@@ -295,7 +299,7 @@
         wanting = sum(
             1
             for t in self._waiting.values()
-            if t.work is Work.ONLINE and not t.is_late(now_s)
+            if self._rank(t, now_s) is Rank.ONLINE_IN_TIME
         )
         missing = wanting - len(self._revoked)
         if missing <= 0:
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -106,6 +106,9 @@
     """What an online request has got so far."""
 
     def __init__(self, request: OnlineRequest) -> None:
+        self.request_id: str = request.id
+        self.slot_by: str = ""
+        self.slot_wait_ms: int = 0
         self.last_id: int | None = request.resume_after
         self.started: bool = False
         self.attempts: int = 0
@@ -255,14 +258,18 @@
             prefix=request.prefix,
             avoid=frozenset(progress.failed_at),
         )
+        asked_s = self._clock.now_s()
         try:
-            return await self._slots.acquire(service, wanted)
+            lease = await self._slots.acquire(service, wanted)
         except SlotUnavailableError as exc:
             raise RequestError(
                 ErrorKind.DEADLINE_UNREACHABLE,
                 "no slot can be had in time",
                 retry_after_ms=max(MIN_RETRY_AFTER_MS, int(exc.wait_s * 1000)),
             ) from exc
+        progress.slot_by = lease.owner or "own table"
+        progress.slot_wait_ms = int((self._clock.now_s() - asked_s) * 1000)
+        return lease
 
     def _check_may_repeat(self, route: Route, progress: Progress) -> None:
         """Raise unless the request may be sent again."""
@@ -322,6 +329,16 @@
         progress.failed_at.add(endpoint.id)
         progress.reasons.append(reason)
         now_s = self._clock.now_s()
+        self._metrics.count("attempts_failed")
+        self._reporter.write(
+            Event.ATTEMPT_ENDED,
+            request=progress.request_id,
+            endpoint=endpoint.id,
+            address=f"{endpoint.host}:{endpoint.port}",
+            reason=reason,
+            unreachable=unreachable,
+            last_event=progress.last_id,
+        )
         if self._view.endpoints.see_failure(endpoint.id, unreachable, now_s):
             self._reporter.write(
                 Event.ENDPOINT_EJECTED, endpoint=endpoint.id, reason=reason
@@ -459,7 +476,8 @@
         if progress.may_have_run and error.status in (429, 503):
             error = RequestError(ErrorKind.ENDPOINT_FAILED, error.message)
         await caller.refuse(error)
-        progress.reasons.append(error.message)
+        if error.message not in progress.reasons:
+            progress.reasons.append(error.message)
         return error.kind.value
 
     def _report(
@@ -486,6 +504,8 @@
             attempts=progress.attempts,
             not_run=progress.not_run,
             reasons=progress.reasons[-4:],
+            slot_by=progress.slot_by,
+            slot_wait_ms=progress.slot_wait_ms,
             first_event_ms=first_ms,
             took_ms=int((now_s - request.arrived_s) * 1000),
             outcome=outcome,
--- a/bench/main.py
+++ b/bench/main.py
@@ -3,11 +3,18 @@
 import argparse
 from pathlib import Path
 
-from . import calls, decisions, fleets, rates
+from apricotquay.serving.dispatch import Dispatcher
+
+from . import calls, decisions, fleets, queueing, rates
 from .results import Row, save, table
 
 PARTS = {
     "decisions": lambda seed: decisions.measure_all(),
+    "policies": lambda seed: queueing.measure_policies(
+        seed,
+        {"in arrival order": queueing.ArrivalOrder, "in time first": Dispatcher},
+        queueing.DEPLOYMENTS,
+    ),
     "rates": rates.measure_all,
     "calls": lambda seed: calls.measure_all(),
     "harm": lambda seed: (
--- a/bench/queueing.py
+++ b/bench/queueing.py
@@ -18,7 +18,9 @@
 
 from apricotquay.ids import EndpointId
 from apricotquay.serving.dispatch import (
+    Dispatcher,
     Granted,
+    Rank,
     Refused,
     Revoked,
     Ticket,
@@ -66,6 +68,18 @@
     engines_lost: int = 0
 
 
+DEPLOYMENTS = {
+    "pelletier": Deployment(),
+    "teranga": Deployment(
+        online_worth=2.9,
+        online_late_worth=0.44,
+        online_hold_s=0.7,
+        first_event_s=0.03,
+        item_worth=18.0,
+        item_late_worth=1.8,
+    ),
+}
+
 TROUBLES = (
     Trouble("calm"),
     Trouble("online x1.6", online_x=1.6),
@@ -76,6 +90,14 @@
 )
 
 
+class ArrivalOrder(Dispatcher):
+    """The baseline: online first, each class by its due times, late or not."""
+
+    def _rank(self, ticket: Ticket, now_s: float) -> Rank:
+        online = ticket.work is Work.ONLINE
+        return Rank.ONLINE_IN_TIME if online else Rank.BATCH_IN_TIME
+
+
 class Request(msgspec.Struct):
     """One caller's request or one batch item, over its attempts."""
 
