Add a soak of real programs behind faults from outside

A store, servers and daemons run as processes; a loopback proxy delays, resets, cuts one way and silences; signals stop, pause, kill and restart; a judge compares what callers got with what servers ran. Clocks are not stepped: that needs rights that this workplace does not give; a pause moves them for the paused process.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,10 @@
 BIN := .venv/bin
 DAEMONS ?= 3
 ENDPOINTS ?= 2
+SEED ?= 1
+SECONDS ?= 20
 
-.PHONY: demo fleet test check format bench clean
+.PHONY: demo fleet test check format bench soak clean
 
 .venv/.ready: requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -34,5 +36,8 @@
 bench: .venv/.ready
 	$(BIN)/python -m bench.main
 
+soak: .venv/.ready
+	$(BIN)/python -m standins.soak --seed $(SEED) --seconds $(SECONDS)
+
 clean:
 	rm -rf .venv build
--- a/standins/keyedlog.py
+++ b/standins/keyedlog.py
@@ -1,7 +1,9 @@
 """A stand-in of the platform's keyed log, in memory, with faults on demand."""
 
 import asyncio
+import time
 from collections.abc import Callable
+from typing import NamedTuple
 
 from apricotquay.serving.keyedlog import (
     Assignment,
@@ -19,6 +21,13 @@
 PARTS = 12
 
 
+class _Membership(NamedTuple):
+    """A member's topics, and when it is taken for gone."""
+
+    topics: list[Topic]
+    until_s: float
+
+
 class MemoryLog:
     """Implements `KeyedLog`. Shared by all members of a test.
 
@@ -33,7 +42,7 @@
         self._partitions: dict[Shard, list[KeyedRecord]] = {}
         self._first: dict[Shard, int] = {}
         self._late: list[tuple] = []
-        self._members: dict[str, dict[MemberName, list[Topic]]] = {}
+        self._members: dict[str, dict[MemberName, _Membership]] = {}
         self._changed = asyncio.Event()
 
     def expire(self) -> None:
@@ -104,7 +113,8 @@
     ) -> Assignment:
         """Join a group; shards are dealt in turn."""
         self._check_up()
-        self._members.setdefault(group, {})[member] = topics
+        until_s = time.monotonic() + ttl_ms / 1000
+        self._members.setdefault(group, {})[member] = _Membership(topics, until_s)
         owned = {s for s, m in (await self.owners(group)).items() if m == member}
         return Assignment(len(self._members[group]), frozenset(owned))
 
@@ -116,8 +126,14 @@
     async def owners(self, group: str) -> dict[Shard, MemberName]:
         """Return who owns what."""
         self._check_up()
-        members = sorted(self._members.get(group, {}))
-        topics = sorted({t for ts in self._members.get(group, {}).values() for t in ts})
+        now_s = time.monotonic()
+        joined = {
+            name: membership
+            for name, membership in self._members.get(group, {}).items()
+            if membership.until_s > now_s
+        }
+        members = sorted(joined)
+        topics = sorted({t for m in joined.values() for t in m.topics})
         return {
             Shard(topic, number): members[number % len(members)]
             for topic in topics
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -168,13 +168,13 @@
         self._server = HttpServer(self._handle, _limits)
         self._tasks: list[asyncio.Task] = []
 
-    async def start(self, host: str, port: int, store: str) -> int:
-        """Listen and register in the store."""
+    async def start(self, host: str, port: int, store: str, shown_port: int = 0) -> int:
+        """Listen, and register in the store, under another port if one is given."""
         port = await self._server.start(host, port)
         client = StoreClient(*_address(store))
         entry = {
             "service": "llm",
-            "address": f"{host}:{port}",
+            "address": f"{host}:{shown_port or port}",
             "zone": "z",
             "version": "v1",
             "slots": SLOTS,
@@ -304,10 +304,11 @@
         port: int = 0,
         host: str = "127.0.0.1",
         step_s: float = 0.01,
+        shown_port: int = 0,
     ) -> None:
         """Run a model server."""
         server = ModelServer(name, step_s)
-        asyncio.run(_until_stopped(lambda: server.start(host, port, store)))
+        asyncio.run(_until_stopped(lambda: server.start(host, port, store, shown_port)))
 
 
 if __name__ == "__main__":
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -33,6 +33,7 @@
         self._servers: dict[str, asyncio.Server] = {}
         self._faults: dict[tuple[str, str], Fault] = {}
         self._targets: dict[str, Address] = {}
+        self._open: dict[str, set[asyncio.StreamWriter]] = {}
 
     def start(self) -> None:
         """Start the thread."""
@@ -66,6 +67,22 @@
         """Return the faults between a source's host and a target, to be set."""
         return self._faults.setdefault((source_host, name), Fault())
 
+    def silence(self, name: str) -> None:
+        """Let the open connections to a target go silent for good; new ones work."""
+        for place in [p for p in self._faults if p[1] == name]:
+            fault = self._faults.pop(place)
+            fault.cut_requests = True
+            fault.cut_answers = True
+
+    def reset(self, name: str) -> None:
+        """Reset the open connections to a target."""
+
+        def reset_all() -> None:
+            for writer in self._open.pop(name, set()):
+                self._reset(writer)
+
+        self._loop.call_soon_threadsafe(reset_all)
+
     def heal(self) -> None:
         """Take back all faults."""
         for fault in self._faults.values():
@@ -86,10 +103,13 @@
         except OSError:
             self._reset(writer)
             return
+        writers = self._open.setdefault(name, set())
+        writers.update((writer, up_writer))
         await asyncio.gather(
             self._pump(reader, up_writer, lambda: fault.cut_requests, fault),
             self._pump(up_reader, writer, lambda: fault.cut_answers, fault),
         )
+        writers.difference_update((writer, up_writer))
 
     async def _pump(self, reader, writer, is_cut, fault: Fault) -> None:
         try:
