Forget old jobs; keep to limits that change; say on draining that a connection ends

Found while writing the tests of callers' connections: an answer that began before a drain did not announce the close, long headers in one read were taken, an idle limit that was raised did not hold for open connections, and a request with both a length and an encoding was taken. Jobs that are over are dropped from the log twice the time that results must be readable.

--- a/apricotquay/events.py
+++ b/apricotquay/events.py
@@ -63,6 +63,7 @@
     ITEM_ATTEMPT_ENDED = (1708, "attempt at a batch item ended")
     ITEM_LISTED = (1709, "batch item listed")
     JOB_REFUSED = (1710, "job refused")
+    JOB_FORGOTTEN = (1711, "job forgotten after its time")
     ORDER_SENT = (1801, "model order sent")
     ORDER_REFUSED = (1802, "model order refused by endpoint")
 
--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -34,6 +34,7 @@
 # A job's answer is due in a time of this share of the time that its caller has.
 SUBMIT_SHARE = 0.75
 MAX_SUBMIT_S = 3.0
+BODILESS = (204, 304)
 JSON = (b"content-type", b"application/json")
 # The answers of the closed list hold here as they are, but for what callers of
 # the platform would misread: a request that crashes endpoints is refused as one
@@ -68,8 +69,9 @@
 
     async def start(self, status: int, headers: HeaderList) -> None:
         """Send the head of a server's answer; its body is sent in chunks."""
-        chunked = (b"transfer-encoding", b"chunked")
-        await self._exchange.start(status, [*headers, chunked])
+        if status not in BODILESS:
+            headers = [*headers, (b"transfer-encoding", b"chunked")]
+        await self._exchange.start(status, headers)
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
--- a/apricotquay/platform/settings.py
+++ b/apricotquay/platform/settings.py
@@ -10,10 +10,14 @@
 from ..settings import convert_checked
 
 PATH_VARIABLE = "APRICOTQUAY_BOOT"
+# Clocks differ between VMs, and callers read a little after their time.
+KEPT_MARGIN = 2.0
 
 
 class _Bounds(msgspec.Struct, frozen=True):
     grace_s: float = 8.0
+    # How long after its submission a batch job's results must be readable.
+    status_s: float = 120.0
 
 
 class _Store(msgspec.Struct):
@@ -64,6 +68,7 @@
         boot.platform.parts,
         boot.bootstrap,
         boot.bounds.grace_s,
+        boot.bounds.status_s * KEPT_MARGIN,
     )
 
 
--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -33,6 +33,7 @@
 SWEEP_S = 0.5
 HANDOVER_WAIT_S = 0.6
 PROGRESS_INTERVAL_S = 1.0
+FORGET_INTERVAL_S = 10.0
 # How fresh the configuration has to be before a missing route ends its items.
 VIEW_FRESH_S = 2.5
 ITEM_TIMEOUT_MS = 60_000
@@ -137,7 +138,9 @@
         metrics: ServingMetrics,
         clock: Clock,
         reporter: Reporter,
+        jobs_kept_s: float,
     ) -> None:
+        self._kept_ms: int = int(jobs_kept_s * 1000)
         self._jobs: Jobs = jobs
         self._view: View = view
         self._slots: Slots = slots
@@ -151,6 +154,7 @@
         self._items: dict[ItemPlace, RunningItem] = {}
         self._gained_s: dict[int, float] = {}
         self._kept_s: float = 0.0
+        self._forgot_s: float = 0.0
         self._main: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -188,6 +192,7 @@
             self._sweep()
             self._keep_progress()
             await self._jobs.drop_unused()
+            await self._forget_old()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(SWEEP_S):
                     await self._wake.wait()
@@ -234,6 +239,14 @@
         for item in self._items.values():
             self._put_progress(item)
 
+    async def _forget_old(self) -> None:
+        now_s = self._clock.now_s()
+        if now_s - self._forgot_s < FORGET_INTERVAL_S:
+            return
+        self._forgot_s = now_s
+        for partition in self._jobs.owned():
+            await partition.forget_old(self._kept_ms)
+
     def _open_items(self) -> Iterator[tuple[Partition, Job, int]]:
         """Yield the items to run; a shard's owner before has a moment to give what
         it has of them."""
--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes.py
@@ -94,6 +94,7 @@
 
     def _see(self, endpoint: EndpointId, suspects: list[str]) -> None:
         now_s = self._clock.now_s()
+        self._quarantine.tick(now_s)
         convicted = self._quarantine.see_death(endpoint, suspects, now_s)
         self._reporter.write(
             Event.ENDPOINT_DIED,
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -89,7 +89,8 @@
     """What a daemon needs to know at its start.
 
     `starts_full` tells that the whole fleet starts for the first time, so that
-    teams have their bursts. `grace_s` is the time from SIGTERM to SIGKILL.
+    teams have their bursts. `grace_s` is the time from SIGTERM to SIGKILL, and
+    `jobs_kept_s` how long after its submission a job that is over can be read.
     """
 
     vm_id: str
@@ -104,6 +105,7 @@
     shards: int
     starts_full: bool
     grace_s: float
+    jobs_kept_s: float = 240.0
 
 
 class Daemon:
@@ -146,7 +148,9 @@
         )
         self.jobs = Jobs(log, self.shards, self.peers, self.clock, self.reporter)
         work = (self.view, self.slots, engines, self.crashes, self.metrics)
-        self.runner = BatchRunner(self.jobs, *work, self.clock, self.reporter)
+        self.runner = BatchRunner(
+            self.jobs, *work, self.clock, self.reporter, settings.jobs_kept_s
+        )
         self.online = OnlinePath(
             self.view,
             self.rates,
--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -26,6 +26,7 @@
 HOLD_SMOOTHING = 0.05
 # From a slot to the first event at the caller.
 FIRST_EVENT_S = 0.08
+MAX_HOMES = 10_000
 
 
 class Work(enum.Enum):
@@ -291,6 +292,8 @@
         most = max(s.free / s.count for s in usable)
         slots = self._random.choice([s for s in usable if s.free / s.count == most])
         if ticket.prefix:
+            if len(self._homes) >= MAX_HOMES:
+                self._homes.clear()
             self._homes[ticket.prefix] = slots.endpoint
         return slots
 
--- a/apricotquay/serving/http1.py
+++ b/apricotquay/serving/http1.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import h11
 import msgspec
@@ -207,23 +207,19 @@
         state: h11.Connection,
         writer: asyncio.StreamWriter,
         request: HttpRequest,
-        arrived_s: float,
+        closes_after: Callable[[], bool],
     ) -> None:
         self._state: h11.Connection = state
         self._writer: asyncio.StreamWriter = writer
         self.request: HttpRequest = request
-        self.arrived_s: float = arrived_s
-        self.close_after: bool = False
-        self.started: bool = False
         self.aborted: bool = False
-        self._has_body: bool = True
+        self._closes_after: Callable[[], bool] = closes_after
 
     async def start(self, status: int, headers: HeaderList) -> None:
         """Send the status line and headers."""
         headers = list(headers)
-        if self.close_after:
+        if self._closes_after():
             headers.append((b"connection", b"close"))
-        self.started = True
         await self._write(h11.Response(status_code=status, headers=headers))
 
     async def send(self, data: bytes) -> None:
@@ -240,9 +236,8 @@
             *response.headers,
             (b"content-length", b"%d" % len(response.body)),
         ]
-        if self.close_after:
+        if self._closes_after():
             headers.append((b"connection", b"close"))
-        self.started = True
         data = self._state.send(
             h11.Response(status_code=response.status, headers=headers)
         )
@@ -327,9 +322,9 @@
         if request is None:
             return False
         self.is_idle = False
-        now_s = asyncio.get_running_loop().time()
-        exchange = Exchange(self._state, self._writer, request, now_s)
-        exchange.close_after = self._server.is_draining
+        exchange = Exchange(
+            self._state, self._writer, request, lambda: self._server.is_draining
+        )
         await self._handle_watched(exchange)
         done = self._state.our_state is h11.DONE
         return done and not exchange.aborted and not self._server.is_draining
@@ -381,6 +376,7 @@
                     return None
             elif isinstance(event, h11.Request):
                 head = event
+                self._check_head(event)
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > self._limits.max_body_bytes:
@@ -396,23 +392,36 @@
             else:
                 return None
 
+    def _check_head(self, head: h11.Request) -> None:
+        """Reject what is too large, and what two parties could read differently."""
+        size = sum(len(name) + len(value) + 4 for name, value in head.headers)
+        if size > self._limits.max_header_bytes:
+            raise RequestRejected(431, "headers too large")
+        names = [name for name, _ in head.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            raise RequestRejected(400, "a length and an encoding that gives another")
+
     async def _receive(self, in_request: bool) -> bool:
         """Read more bytes; False when the connection ended or stayed idle."""
         begun = in_request or bool(self._state.trailing_data[0])
-        limit_s = (
-            self._limits.header_timeout_s if begun else self._limits.idle_timeout_s
-        )
-        try:
-            async with asyncio.timeout(limit_s):
-                data = await self._reader.read(READ_BYTES)
-        except TimeoutError:
-            if begun:
-                raise RequestRejected(408, "request not received in time") from None
-            return False
-        if not data:
-            return False
-        self._state.receive_data(data)
-        return True
+        loop = asyncio.get_running_loop()
+        since_s = loop.time()
+        while (left_s := self._wait_limit_s(begun) - (loop.time() - since_s)) > 0:
+            try:
+                async with asyncio.timeout(left_s):
+                    data = await self._reader.read(READ_BYTES)
+            except TimeoutError:
+                # The limit may have been raised meanwhile; then the wait goes on.
+                continue
+            self._state.receive_data(data)
+            return bool(data)
+        if begun:
+            raise RequestRejected(408, "request not received in time")
+        return False
+
+    def _wait_limit_s(self, begun: bool) -> float:
+        limits = self._server.limits()
+        return limits.header_timeout_s if begun else limits.idle_timeout_s
 
     async def _reject(self, rejected: RequestRejected) -> None:
         if self._state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- a/apricotquay/serving/jobrecords.py
+++ b/apricotquay/serving/jobrecords.py
@@ -13,6 +13,7 @@
 
 import hashlib
 import zlib
+from collections.abc import Iterator
 
 import cbor2
 import msgspec
@@ -166,6 +167,18 @@
     return KeyedRecord(_progress_key(key, item), None)
 
 
+def drop_job(header: JobHeader) -> Iterator[KeyedRecord]:
+    """Yield the records that drop all of a job, its header last."""
+    key = job_key(header.team, header.id)
+    for number in range(header.part_count):
+        yield KeyedRecord(f"p/{key}/{number}".encode(), None)
+    for item in range(len(header.item_tokens)):
+        yield KeyedRecord(f"r/{key}/{item}".encode(), None)
+        yield drop_progress(key, item)
+    yield KeyedRecord(f"c/{key}".encode(), None)
+    yield KeyedRecord(f"j/{key}".encode(), None)
+
+
 def _progress_key(key: str, item: int) -> bytes:
     return f"w/{key}/{item}".encode()
 
--- a/apricotquay/serving/jobtable.py
+++ b/apricotquay/serving/jobtable.py
@@ -121,6 +121,14 @@
         waiting = self.waiting_tokens(submission.team, submission.host, path_prefix)
         return waiting + submission.tokens <= submission.max_token_backlog
 
+    def forgettable(self, now_ms: int, kept_ms: int) -> Iterator[Job]:
+        """Yield the jobs that are over and were submitted so long ago."""
+        return (
+            job
+            for job in self.jobs.values()
+            if not job.is_open and now_ms - job.header.submitted_ms > kept_ms
+        )
+
     def open_jobs(self) -> Iterator[Job]:
         """Yield the jobs with items to run."""
         return (job for job in self.jobs.values() if job.is_open)
--- a/apricotquay/serving/partition.py
+++ b/apricotquay/serving/partition.py
@@ -13,6 +13,7 @@
     ProgressRecord,
     ResultRecord,
     Submission,
+    drop_job,
     drop_progress,
     encode_cancel,
     encode_progress,
@@ -170,6 +171,21 @@
         except LogError as exc:
             self._reporter.lost("partition", str(exc), part=self.number)
 
+    async def forget_old(self, kept_ms: int) -> None:
+        """Drop the records of jobs that are over and old, so that the log does not
+        grow with the jobs that ever were."""
+        now_ms = self._clock.wall_ms()
+        for job in list(self.table.forgettable(now_ms, kept_ms)):
+            try:
+                for call in _in_calls(list(drop_job(job.header))):
+                    await self._log.append(JOBS, self.number, call, None)
+            except LogError as exc:
+                self._reporter.lost("partition", str(exc), part=self.number)
+                return
+            self._reporter.write(
+                Event.JOB_FORGOTTEN, job=job.header.id, team=job.header.team
+            )
+
     async def wait_for_results(self, job: Job, after: int, wait_s: float) -> None:
         """Return when a job has more results than `after`, or after the wait."""
         with contextlib.suppress(TimeoutError):
--- a/tests/test_serving_jobs.py
+++ b/tests/test_serving_jobs.py
@@ -333,6 +333,28 @@
 
         self.play(scenario)
 
+    def test_old_jobs_leave_nothing_in_the_log(self):
+        """Those that are over; an open one stays whatever its age."""
+
+        async def scenario(log, open_partition):
+            owner = open_partition()
+            for name in ("over", "open"):
+                await owner.accept(submission(name), "/batch/", self.limit_s())
+            over = owner.table.find(TEAM, JobId("over"))
+            for item in range(3):
+                owner.put_progress(over, item, ProgressRecord(1, ["a"]))
+            await owner.flush()
+            await owner.cancel(over, self.limit_s())
+            await owner.forget_old(1_000)
+            page = await log.newest(partition_module.JOBS, 0)
+            key = job_key(TEAM, JobId("over")).encode()
+            self.assertEqual([], [r.key for r in page.records if key in r.key])
+            await owner.confirm()
+            self.assertIsNone(owner.table.find(TEAM, JobId("over")))
+            self.assertIsNotNone(owner.table.find(TEAM, JobId("open")))
+
+        self.play(scenario)
+
     def test_cancel_is_seen_by_the_owner(self):
         """Even if another daemon wrote it."""
 
