Let only one fault of the soak start a program again

Traced in d2's lines 1001 to 1003: two SIGTERMs overlapped, the daemon ended 2.6 s after each, and the second fault waited for the end of the process that the first had started. The soak was at fault; it now watches the process that it signalled.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -43,6 +43,8 @@
 EVENTS = 12
 STEP_S = 0.02
 SETTLE_S = 25.0
+GRACE_S = 8.0
+LONGEST_PAUSE_S = 3.0
 # Within this time after the store has taken it, a withdrawn key stops.
 REVOKE_S = 7.0
 KEYS = {"small": ["k-small"], "large": ["k-large"]}
@@ -81,12 +83,29 @@
         if self._process.poll() is None:
             self._process.send_signal(number)
 
-    async def ended(self, limit_s: float) -> int | None:
-        """Wait for its end; return the exit code, None if it goes on."""
+    async def stop_and_start(self, limit_s: float) -> bool:
+        """Stop it gracefully and start it again; return whether it ended in time.
+
+        Other faults may stop or kill it meanwhile: only one starts it again.
+        """
+        stopped = self._process
+        self.signal(signal.SIGTERM)
         limit = time.monotonic() + limit_s
-        while self._process.poll() is None and time.monotonic() < limit:
+        while stopped.poll() is None and time.monotonic() < limit:
             await asyncio.sleep(0.02)
-        return self._process.poll()
+        in_time = stopped.poll() is not None
+        if self._process is stopped:
+            self.kill()
+            self.start()
+        return in_time
+
+    async def kill_and_start(self, pause_s: float) -> None:
+        """Kill it and start it again after a pause."""
+        killed = self._process
+        self.kill()
+        await asyncio.sleep(pause_s)
+        if self._process is killed:
+            self.start()
 
     def kill(self) -> None:
         """End it at once."""
@@ -361,30 +380,22 @@
 
     async def _kill_daemon(self) -> None:
         program = self._rng.choice(self._daemons)
-        program.kill()
-        await asyncio.sleep(self._rng.uniform(0.0, 0.5))
-        program.start()
+        await program.kill_and_start(self._rng.uniform(0.0, 0.5))
 
     async def _stop_daemon(self) -> None:
         program = self._rng.choice(self._daemons)
-        program.signal(signal.SIGTERM)
-        code = await program.ended(12.0)
-        if code is None:
+        if not await program.stop_and_start(GRACE_S + LONGEST_PAUSE_S):
             self.broken.append(f"{program.name} did not end in its grace")
-            program.kill()
-        program.start()
 
     async def _pause_daemon(self) -> None:
         program = self._rng.choice(self._daemons)
         program.signal(signal.SIGSTOP)
-        await asyncio.sleep(self._rng.uniform(0.2, 3.0))
+        await asyncio.sleep(self._rng.uniform(0.2, LONGEST_PAUSE_S))
         program.signal(signal.SIGCONT)
 
     async def _kill_server(self) -> None:
         program = self._rng.choice(self._servers)
-        program.kill()
-        await asyncio.sleep(self._rng.uniform(0.2, 2.0))
-        program.start()
+        await program.kill_and_start(self._rng.uniform(0.2, 2.0))
 
     async def _pause_store(self) -> None:
         self._store.signal(signal.SIGSTOP)
