Share one send between online requests and batch items

Both judged endpoints, watched crashes and read streams in code of their own; it stands once now (attempts.py).

--- a/apricotquay/platform/settings.py
+++ b/apricotquay/platform/settings.py
@@ -10,6 +10,7 @@
 from ..settings import convert_checked
 
 PATH_VARIABLE = "APRICOTQUAY_BOOT"
+READY_PATH = "/-/readyz"
 # Clocks differ between VMs, and callers read a little after their time.
 KEPT_MARGIN = 2.0
 
@@ -69,6 +70,7 @@
         boot.bootstrap,
         boot.bounds.grace_s,
         boot.bounds.status_s * KEPT_MARGIN,
+        READY_PATH,
     )
 
 
--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -10,19 +10,23 @@
 
 from ..clocks import Clock
 from ..events import Event
+from .attempts import Attempts, read_events
 from .catalog import Route
-from .crashes import CrashWatch
 from .dispatch import Work
-from .engine import EngineBrokenError, EngineCall, EngineClient, EngineNotRunError
+from .engine import (
+    EngineAnswer,
+    EngineBrokenError,
+    EngineCall,
+    EngineNotRunError,
+)
 from .jobrecords import ProgressRecord
 from .jobs import Jobs
 from .jobtable import Job
 from .metrics import ServingMetrics
-from .online import fingerprint_of_call
 from .partition import Partition, PendingResult
 from .reporting import Reporter
 from .slots import Lease, SlotRequest, Slots, SlotUnavailableError
-from .sse import EventSplitter, StreamEvent
+from .sse import StreamEvent
 from .view import View
 
 # Items that ask for slots or run at the same time; the service's owner decides
@@ -41,6 +45,7 @@
 FIRST_GUESS_S = 3.0
 SMOOTHING = 0.1
 MIN_LEFT_SHARE = 0.1
+FAILED = 500
 UNPROCESSABLE = 422
 OK = 200
 
@@ -53,7 +58,7 @@
     def __init__(self, known: ProgressRecord | None) -> None:
         self.data: list[str] = list(known.data) if known else []
         self.last_id: int = known.last_id if known else -1
-        self.failures: int = 0
+        self.failures: int = known.failures if known else 0
         self.ran_s: float = 0.0
         self._failed_at: str = ""
 
@@ -76,7 +81,7 @@
 
     def record(self) -> ProgressRecord:
         """Return what the next runner of the item needs."""
-        return ProgressRecord(self.last_id, list(self.data))
+        return ProgressRecord(self.last_id, list(self.data), self.failures)
 
 
 class RunningItem(msgspec.Struct):
@@ -133,8 +138,7 @@
         jobs: Jobs,
         view: View,
         slots: Slots,
-        engines: EngineClient,
-        crashes: CrashWatch,
+        attempts: Attempts,
         metrics: ServingMetrics,
         clock: Clock,
         reporter: Reporter,
@@ -144,8 +148,7 @@
         self._jobs: Jobs = jobs
         self._view: View = view
         self._slots: Slots = slots
-        self._engines: EngineClient = engines
-        self._crashes: CrashWatch = crashes
+        self._attempts: Attempts = attempts
         self._metrics: ServingMetrics = metrics
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
@@ -223,10 +226,8 @@
         self._put_progress(item)
 
     def _put_progress(self, item: RunningItem) -> None:
-        known = item.job.progress.get(item.index)
-        last_id = known.last_id if known else -1
-        if item.progress.last_id > last_id and not item.task.done():
-            record = item.progress.record()
+        record = item.progress.record()
+        if record.is_news(item.job.progress.get(item.index)) and not item.task.done():
             item.partition.put_progress(item.job, item.index, record)
 
     def _keep_progress(self) -> None:
@@ -388,57 +389,25 @@
             max(1, min(ITEM_TIMEOUT_MS, left_ms)),
             progress.last_id if progress.last_id >= 0 else None,
         )
-        fingerprint = fingerprint_of_call(call)
-        if self._crashes.is_quarantined(fingerprint):
+        if self._attempts.is_quarantined(call):
             return Attempt(Outcome.AGAIN, "crashes endpoints")
-        self._crashes.begin(endpoint.id, fingerprint)
         try:
-            attempt = await self._send(call, endpoint, progress)
-        except EngineNotRunError as exc:
-            if exc.unreachable:
-                now_s = self._clock.now_s()
-                self._view.endpoints.see_failure(endpoint.id, True, now_s)
+            return await self._attempts.run(
+                call, endpoint, IDLE_LIMIT_S, lambda answer: _collect(answer, progress)
+            )
+        except (EngineNotRunError, EngineBrokenError) as exc:
             return Attempt(Outcome.AGAIN, str(exc))
-        except EngineBrokenError as exc:
-            now_s = self._clock.now_s()
-            self._view.endpoints.see_failure(endpoint.id, False, now_s)
-            if exc.reset:
-                self._crashes.see_reset(endpoint, fingerprint)
-            return Attempt(Outcome.AGAIN, str(exc))
-        finally:
-            self._crashes.end(endpoint.id, fingerprint)
-        self._view.endpoints.see_success(endpoint.id)
-        self._crashes.clear(fingerprint)
-        return attempt
 
-    async def _send(self, call: EngineCall, endpoint, progress: ItemProgress):
-        try:
-            async with asyncio.timeout(IDLE_LIMIT_S):
-                answer = await self._engines.send(call, endpoint)
-        except TimeoutError as exc:
-            raise EngineBrokenError("no answer in time") from exc
-        try:
-            if answer.status == UNPROCESSABLE:
-                return Attempt(Outcome.IMPOSSIBLE, "the endpoint cannot do it")
-            if answer.status != OK:
-                return Attempt(Outcome.FAILED, f"status {answer.status}")
-            await self._collect(answer, progress)
-            return Attempt(Outcome.DONE)
-        finally:
-            answer.close()
 
-    async def _collect(self, answer, progress: ItemProgress) -> None:
-        splitter = EventSplitter()
-        body = answer.body()
-        while True:
-            try:
-                async with asyncio.timeout(IDLE_LIMIT_S):
-                    data = await anext(body, None)
-            except TimeoutError as exc:
-                raise EngineBrokenError("stream fell silent") from exc
-            if data is None:
-                break
-            for event in splitter.feed(data):
-                progress.take(event)
-        if splitter.has_rest:
-            raise EngineBrokenError("stream ended within an event")
+async def _collect(answer: EngineAnswer, progress: ItemProgress) -> Attempt:
+    """Read an answer; only the endpoint's own failure counts against the item."""
+    if answer.status == UNPROCESSABLE:
+        return Attempt(Outcome.IMPOSSIBLE, "the endpoint cannot do it")
+    if answer.status == FAILED:
+        return Attempt(Outcome.FAILED, f"status {answer.status}")
+    if answer.status != OK:
+        return Attempt(Outcome.AGAIN, f"status {answer.status}")
+    async for events in read_events(answer, IDLE_LIMIT_S):
+        for event in events:
+            progress.take(event)
+    return Attempt(Outcome.DONE)
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -13,6 +13,7 @@
 from ..errors import PeerUnavailableError
 from ..events import Event
 from ..quarantine import Quarantine
+from .attempts import Attempts
 from .batch import BatchRunner
 from .catalog import Limits
 from .crashes import CrashWatch
@@ -49,7 +50,6 @@
 from .slots import Slots
 from .view import Directory, View
 
-READY_PATH = "/-/readyz"
 FLUSH_S = 0.1
 PULL_INTERVAL_S = 0.4
 # A view that the store has not confirmed for so long is asked for at peers.
@@ -106,6 +106,7 @@
     starts_full: bool
     grace_s: float
     jobs_kept_s: float = 240.0
+    ready_path: str = "/readyz"
 
 
 class Daemon:
@@ -147,7 +148,10 @@
             Quarantine(), engines, self.shards, self.peers, self.clock, self.reporter
         )
         self.jobs = Jobs(log, self.shards, self.peers, self.clock, self.reporter)
-        work = (self.view, self.slots, engines, self.crashes, self.metrics)
+        attempts = Attempts(
+            self.view, engines, self.crashes, self.metrics, self.clock, self.reporter
+        )
+        work = (self.view, self.slots, attempts, self.metrics)
         self.runner = BatchRunner(
             self.jobs, *work, self.clock, self.reporter, settings.jobs_kept_s
         )
@@ -155,8 +159,7 @@
             self.view,
             self.rates,
             self.slots,
-            engines,
-            self.crashes,
+            attempts,
             self.metrics,
             self.clock,
             self.reporter,
@@ -275,7 +278,7 @@
     async def _answer_ready(self, exchange: Exchange) -> None:
         is_ready = self.view.configuration is not None and not self._is_draining
         status = 200 if is_ready else 503
-        if exchange.request.target != READY_PATH:
+        if exchange.request.target != self.settings.ready_path:
             status = 404
         await exchange.respond(HttpResponse(status, []))
 
--- a/apricotquay/serving/jobrecords.py
+++ b/apricotquay/serving/jobrecords.py
@@ -59,10 +59,18 @@
 
 
 class ProgressRecord(msgspec.Struct, frozen=True):
-    """An item's output so far: the events' data up to the id `last_id`."""
+    """An item's output so far: the events' data up to the id `last_id`, -1 for none,
+    and how often it has failed."""
 
     last_id: int
     data: list[str]
+    failures: int = 0
+
+    def is_news(self, known: "ProgressRecord | None") -> bool:
+        """Whether it says more than what is known."""
+        if known is None:
+            return self.last_id >= 0 or self.failures > 0
+        return self.last_id > known.last_id or self.failures > known.failures
 
 
 class Submission(msgspec.Struct, frozen=True):
@@ -151,15 +159,16 @@
 def encode_progress(key: str, item: int, progress: ProgressRecord) -> KeyedRecord:
     """Return the record of an item's progress."""
     text = "\x00".join(progress.data).encode("utf-8", "surrogateescape")
-    value = cbor2.dumps([progress.last_id, zlib.compress(text, 1)])
+    value = cbor2.dumps([progress.last_id, zlib.compress(text, 1), progress.failures])
     return KeyedRecord(_progress_key(key, item), value)
 
 
 def decode_progress(value: bytes) -> ProgressRecord:
     """Decode a progress record."""
-    last_id, packed = cbor2.loads(value)
+    last_id, packed, failures = cbor2.loads(value)
     text = zlib.decompress(packed).decode("utf-8", "surrogateescape")
-    return ProgressRecord(last_id, text.split("\x00"))
+    data = text.split("\x00") if last_id >= 0 else []
+    return ProgressRecord(last_id, data, failures)
 
 
 def drop_progress(key: str, item: int) -> KeyedRecord:
--- a/apricotquay/serving/jobtable.py
+++ b/apricotquay/serving/jobtable.py
@@ -68,10 +68,11 @@
     def see_progress(self, item: int, progress: ProgressRecord) -> None:
         """Take in what an item has produced, if that is more than is known."""
         known = self.progress.get(item)
-        if item not in self.open_items:
+        if item not in self.open_items or not progress.is_news(known):
             return
-        if known is None or known.last_id < progress.last_id:
-            self.progress[item] = progress
+        if known is not None and known.last_id > progress.last_id:
+            progress = ProgressRecord(known.last_id, known.data, progress.failures)
+        self.progress[item] = progress
 
     def list_result(self, item: int, result: ResultRecord) -> None:
         """Take in a result; pages of the log may bring them out of order."""
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -1,9 +1,7 @@
 """The path of an online request: admission, slot, attempts, stream, resume."""
 
 import asyncio
-import hashlib
 import random
-from collections.abc import AsyncIterator
 from typing import Protocol
 
 import msgspec
@@ -12,15 +10,13 @@
 from ..errors import ErrorKind, Ran, RequestError
 from ..events import Event
 from ..ids import EndpointId, TeamId
+from .attempts import Attempts, read_events
 from .catalog import Configuration, Route, RouteKind, Team
-from .crashes import CrashWatch
 from .dispatch import Work
-from .endpoints import Endpoint
 from .engine import (
     EngineAnswer,
     EngineBrokenError,
     EngineCall,
-    EngineClient,
     EngineNotRunError,
 )
 from .http1 import HeaderList
@@ -28,7 +24,7 @@
 from .ratekeeper import RateKeeper
 from .reporting import Reporter
 from .slots import Lease, SlotRequest, Slots, SlotUnavailableError
-from .sse import EventSplitter
+from .sse import StreamEvent
 from .view import View
 
 # A caller gives a stream up after two seconds without an event, so another
@@ -85,15 +81,6 @@
         """Answer with an error of the closed list."""
 
 
-def fingerprint_of_call(call: EngineCall) -> str:
-    """Return what stays the same when a caller sends a request again."""
-    digest = hashlib.blake2b(digest_size=12)
-    for part in (call.target.encode(), (call.team or "").encode(), call.body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
-
-
 class Admitted(msgspec.Struct, frozen=True):
     """What admission found: the route, the team and the version that said so."""
 
@@ -106,7 +93,6 @@
     """What an online request has got so far."""
 
     def __init__(self, request: OnlineRequest) -> None:
-        self.request_id: str = request.id
         self.slot_by: str = ""
         self.slot_wait_ms: int = 0
         self.last_id: int | None = request.resume_after
@@ -121,6 +107,24 @@
         self.endpoint: str = ""
         self.offered: bool = False
 
+    def see_failure(
+        self, endpoint: EndpointId, reason: str, *, may_have_run: bool
+    ) -> None:
+        """Note a failed send."""
+        self.failed_at.add(endpoint)
+        self.reasons.append(reason)
+        if may_have_run:
+            self.attempts += 1
+            self.may_have_run = True
+        else:
+            self.not_run += 1
+
+    def see_event(self, event: StreamEvent) -> None:
+        """Note an event that is passed on; a gap before it breaks the attempt."""
+        if self.last_id is not None and event.id != self.last_id + 1:
+            raise EngineBrokenError(f"event {event.id} came after {self.last_id}")
+        self.last_id = event.id
+
 
 class OnlinePath:
     """Runs online requests. Used by the callers' interface."""
@@ -130,8 +134,7 @@
         view: View,
         rates: RateKeeper,
         slots: Slots,
-        engines: EngineClient,
-        crashes: CrashWatch,
+        attempts: Attempts,
         metrics: ServingMetrics,
         clock: Clock,
         reporter: Reporter,
@@ -139,8 +142,7 @@
         self._view: View = view
         self._rates: RateKeeper = rates
         self._slots: Slots = slots
-        self._engines: EngineClient = engines
-        self._crashes: CrashWatch = crashes
+        self._attempts: Attempts = attempts
         self._metrics: ServingMetrics = metrics
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
@@ -292,58 +294,31 @@
         """Send once; return whether the answer is delivered."""
         endpoint = self._view.endpoints.get(lease.endpoint)
         if endpoint is None or endpoint.is_leaving:
-            progress.not_run += 1
-            progress.failed_at.add(lease.endpoint)
-            progress.reasons.append("endpoint left")
+            progress.see_failure(lease.endpoint, "endpoint left", may_have_run=False)
             return False
         call = self._call(request, admitted.team, progress, limit_s)
-        fingerprint = fingerprint_of_call(call)
-        if self._crashes.is_quarantined(fingerprint):
+        if self._attempts.is_quarantined(call):
             raise RequestError(
                 ErrorKind.REQUEST_QUARANTINED, "this request crashes endpoints"
             )
         progress.endpoint = endpoint.id
-        self._crashes.begin(endpoint.id, fingerprint)
+        route = admitted.route
+        head_limit_s = FIRST_EVENT_LIMIT_S if route.is_idempotent else None
         try:
-            await self._send(call, endpoint, admitted.route, caller, progress)
+            await self._attempts.run(
+                call,
+                endpoint,
+                head_limit_s,
+                lambda answer: self._pass_on(answer, route, caller, progress),
+            )
         except EngineNotRunError as exc:
-            progress.not_run += 1
-            self._note_failure(endpoint, progress, str(exc), exc.unreachable)
+            progress.see_failure(endpoint.id, str(exc), may_have_run=False)
             return False
         except EngineBrokenError as exc:
-            progress.attempts += 1
-            progress.may_have_run = True
-            self._note_failure(endpoint, progress, str(exc), False)
-            if exc.reset:
-                self._crashes.see_reset(endpoint, fingerprint)
+            progress.see_failure(endpoint.id, str(exc), may_have_run=True)
             return False
-        finally:
-            self._crashes.end(endpoint.id, fingerprint)
-        self._view.endpoints.see_success(endpoint.id)
-        self._crashes.clear(fingerprint)
         return True
 
-    def _note_failure(
-        self, endpoint: Endpoint, progress: Progress, reason: str, unreachable: bool
-    ) -> None:
-        progress.failed_at.add(endpoint.id)
-        progress.reasons.append(reason)
-        now_s = self._clock.now_s()
-        self._metrics.count("attempts_failed")
-        self._reporter.write(
-            Event.ATTEMPT_ENDED,
-            request=progress.request_id,
-            endpoint=endpoint.id,
-            address=f"{endpoint.host}:{endpoint.port}",
-            reason=reason,
-            unreachable=unreachable,
-            last_event=progress.last_id,
-        )
-        if self._view.endpoints.see_failure(endpoint.id, unreachable, now_s):
-            self._reporter.write(
-                Event.ENDPOINT_EJECTED, endpoint=endpoint.id, reason=reason
-            )
-
     def _call(
         self,
         request: OnlineRequest,
@@ -366,27 +341,13 @@
             progress.last_id,
         )
 
-    async def _send(
-        self,
-        call: EngineCall,
-        endpoint: Endpoint,
-        route: Route,
-        caller: Caller,
-        progress: Progress,
+    async def _pass_on(
+        self, answer: EngineAnswer, route: Route, caller: Caller, progress: Progress
     ) -> None:
-        limit_s = FIRST_EVENT_LIMIT_S if route.is_idempotent else None
-        try:
-            async with asyncio.timeout(limit_s):
-                answer = await self._engines.send(call, endpoint)
-        except TimeoutError as exc:
-            raise EngineBrokenError("no answer in time") from exc
-        try:
-            if route.kind is RouteKind.STREAMING and answer.status == 200:
-                await self._pass_stream(answer, route, caller, progress)
-            else:
-                await self._pass_whole(answer, route, caller, progress)
-        finally:
-            answer.close()
+        if route.kind is RouteKind.STREAMING and answer.status == 200:
+            await self._pass_stream(answer, route, caller, progress)
+        else:
+            await self._pass_whole(answer, route, caller, progress)
 
     async def _pass_whole(
         self, answer: EngineAnswer, route: Route, caller: Caller, progress: Progress
@@ -421,21 +382,12 @@
         self, answer: EngineAnswer, route: Route, caller: Caller, progress: Progress
     ) -> None:
         """Pass whole events on as they come."""
-        splitter = EventSplitter()
         limit_s = EVENT_LIMIT_S if route.is_resumable else None
-        async for data in _limited(answer.body(), limit_s):
-            whole = b""
-            for event in splitter.feed(data):
-                if progress.last_id is not None and event.id != progress.last_id + 1:
-                    raise EngineBrokenError(
-                        f"event {event.id} came after {progress.last_id}"
-                    )
-                progress.last_id = event.id
-                whole += event.raw
-            if whole:
-                await self._pass_events(answer, caller, progress, whole)
-        if splitter.has_rest:
-            raise EngineBrokenError("stream ended within an event")
+        async for events in read_events(answer, limit_s):
+            for event in events:
+                progress.see_event(event)
+            whole = b"".join(event.raw for event in events)
+            await self._pass_events(answer, caller, progress, whole)
         if not progress.started:
             await caller.start(answer.status, answer.headers)
             progress.started = True
@@ -510,18 +462,3 @@
             took_ms=int((now_s - request.arrived_s) * 1000),
             outcome=outcome,
         )
-
-
-async def _limited(
-    body: AsyncIterator[bytes], limit_s: float | None
-) -> AsyncIterator[bytes]:
-    """Yield the parts of a body; a pause over the limit breaks it."""
-    while True:
-        try:
-            async with asyncio.timeout(limit_s):
-                data = await anext(body, None)
-        except TimeoutError as exc:
-            raise EngineBrokenError("stream fell silent") from exc
-        if data is None:
-            return
-        yield data
--- a/apricotquay/serving/partition.py
+++ b/apricotquay/serving/partition.py
@@ -347,8 +347,7 @@
             job = self.table.jobs.get(key)
             if job is None or item not in job.open_items or job.is_cancelled:
                 continue
-            known = job.progress.get(item)
-            if known is not None and known.last_id >= record.last_id:
+            if not record.is_news(job.progress.get(item)):
                 continue
             encoded = encode_progress(key, item, record)
             size += len(encoded.value)
--- a/tests/test_serving_jobs.py
+++ b/tests/test_serving_jobs.py
@@ -355,6 +355,28 @@
 
         self.play(scenario)
 
+    def test_failures_of_an_item_outlive_its_owner(self):
+        """So that it is not tried for ever; they never hide what was produced."""
+
+        async def scenario(log, open_partition):
+            first = open_partition()
+            await first.accept(submission(), "/batch/", self.limit_s())
+            job = first.table.find(TEAM, JobId("job"))
+            first.put_progress(job, 1, ProgressRecord(4, ["a"], 1))
+            await first.flush()
+            first.put_progress(job, 1, ProgressRecord(-1, [], 2))
+            first.put_progress(job, 2, ProgressRecord(-1, [], 1))
+            await first.flush()
+            second = open_partition()
+            await second.confirm()
+            known = second.table.find(TEAM, JobId("job")).progress
+            self.assertEqual(2, job.progress[1].failures)
+            self.assertEqual(4, job.progress[1].last_id)
+            self.assertEqual(ProgressRecord(-1, [], 1), known[2])
+            self.assertEqual(2, known[1].failures)
+
+        self.play(scenario)
+
     def test_cancel_is_seen_by_the_owner(self):
         """Even if another daemon wrote it."""
 
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -9,6 +9,7 @@
 from apricotquay.ids import EndpointId, RouteName, TeamId
 from apricotquay.quarantine import Quarantine
 from apricotquay.serving import online as online_module
+from apricotquay.serving.attempts import Attempts
 from apricotquay.serving.catalog import (
     Configuration,
     Limits,
@@ -182,15 +183,10 @@
         reporter = quiet_reporter()
         slots = FreeSlots()
         crashes = CrashWatch(Quarantine(), engines, None, None, clock, reporter)
+        metrics = ServingMetrics()
+        attempts = Attempts(view, engines, crashes, metrics, clock, reporter)
         path = OnlinePath(
-            view,
-            rates or OpenRates(),
-            slots,
-            engines,
-            crashes,
-            ServingMetrics(),
-            clock,
-            reporter,
+            view, rates or OpenRates(), slots, attempts, metrics, clock, reporter
         )
         kept = KeptAnswer()
 
