Give the soak's and the tests' daemons hosts of their own

Hosts of their own with fixed ports below those of outgoing connections, as the older fleet tests have them.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -169,7 +169,7 @@
         client = StoreClient(*_address(store))
         entry = {
             "service": "llm",
-            "address": f"{host}:{shown_port or port}",
+            "address": shown or f"{host}:{port}",
             "zone": "z",
             "version": "v1",
             "slots": SLOTS,
@@ -299,11 +299,11 @@
         port: int = 0,
         host: str = "127.0.0.1",
         step_s: float = 0.01,
-        shown_port: int = 0,
+        shown: str = "",
     ) -> None:
         """Run a model server."""
         server = ModelServer(name, step_s)
-        asyncio.run(_until_stopped(lambda: server.start(host, port, store, shown_port)))
+        asyncio.run(_until_stopped(lambda: server.start(host, port, store, shown)))
 
 
 if __name__ == "__main__":
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -17,7 +17,6 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -30,11 +29,12 @@
 from apricotquay.serving.http1 import HttpError, HttpRequest, HttpResponse, find_header
 from apricotquay.serving.httpclient import open_client
 
-from .addresses import Address
+from .addresses import ADMIN_PORT, PEER_PORT, SERVER_PORT, Address, AddressBook
 from .platform import configuration, write_configuration
 from .proxy import FaultProxy
 
-HOST = "127.0.0.1"
+# Where connections that are not bound come from.
+SOURCE_HOST = "127.0.0.1"
 EVENTS = 12
 STEP_S = 0.02
 SETTLE_S = 25.0
@@ -46,13 +46,6 @@
 REFUSALS = (429, 503)
 
 
-def free_address() -> Address:
-    """Return an address that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return Address(HOST, sock.getsockname()[1])
-
-
 class Program:
     """A process that the soak started; ended by its id alone."""
 
@@ -149,10 +142,11 @@
         self._seconds: float = seconds
         self._folder = Path(tempfile.mkdtemp(prefix="soak-"))
         self._proxy = FaultProxy()
-        self._store_address = free_address()
+        self._book = AddressBook()
+        self._store_address = self._book.address()
         self._store = self._program(
             "store",
-            ["standins.platform", "store", "--port", str(self._store_address.port)],
+            ["standins.platform", "store", *_listen_args(self._store_address)],
         )
         self._callers: list[Address] = []
         self._proxy_targets: list[tuple[str, Address, Address]] = []
@@ -186,19 +180,19 @@
         return Program(name, args, self._folder / f"{name}.out", env)
 
     def _daemon(self, number: int) -> Program:
-        store = free_address()
+        store = self._book.address()
         self._proxy_targets.append((f"store-{number}", store, self._store_address))
-        callers, ready, peers = free_address(), free_address(), free_address()
-        self._callers.append(callers)
+        host = self._book.host()
+        self._callers.append(Address(host, SERVER_PORT))
         boot = {
             "node": f"d{number}",
-            "ip": HOST,
+            "ip": host,
             "listen": {
-                "front": f"{HOST}:{callers.port}",
-                "ready": f"{HOST}:{ready.port}",
-                "control": f"{HOST}:{peers.port}",
+                "front": f"{host}:{SERVER_PORT}",
+                "ready": f"{host}:{ADMIN_PORT}",
+                "control": f"{host}:{PEER_PORT}",
             },
-            "platform": {"address": f"{HOST}:{store.port}", "parts": 12},
+            "platform": {"address": _text(store), "parts": 12},
             "bootstrap": True,
             "bounds": {"grace_s": 8},
         }
@@ -208,11 +202,11 @@
         return self._program(f"d{number}", args, APRICOTQUAY_BOOT=str(path))
 
     def _server(self, number: int) -> Program:
-        shown, real = free_address(), free_address()
+        shown, real = self._book.address(), self._book.address()
         self._proxy_targets.append((f"server-{number}", shown, real))
         args = ["standins.platform", "server", "--name", f"i-{number}"]
-        args += ["--store", f"{HOST}:{self._store_address.port}"]
-        args += ["--port", str(real.port), "--shown-port", str(shown.port)]
+        args += ["--store", _text(self._store_address), *_listen_args(real)]
+        args += ["--shown", _text(shown)]
         return self._program(f"i{number}", [*args, "--step-s", str(STEP_S)])
 
     async def _start(self) -> None:
@@ -231,7 +225,7 @@
         }
         keys["small"] = [*keys["small"], f"k-{self._version}"]
         try:
-            store = f"{HOST}:{self._store_address.port}"
+            store = _text(self._store_address)
             await write_configuration(store, configuration(self._version, keys))
         except Exception:
             # The store is being paused or starts; the operator tries again.
@@ -399,7 +393,7 @@
 
     async def _harm_link(self) -> None:
         name, _, _ = self._rng.choice(self._proxy_targets)
-        fault = self._proxy.fault(HOST, name)
+        fault = self._proxy.fault(SOURCE_HOST, name)
         kind = self._rng.choice(["delay", "reset", "one way", "silence"])
         if kind == "delay":
             fault.delay_s = self._rng.uniform(0.01, 0.3)
@@ -519,6 +513,14 @@
         )
 
 
+def _text(address: Address) -> str:
+    return f"{address.host}:{address.port}"
+
+
+def _listen_args(address: Address) -> list[str]:
+    return ["--host", address.host, "--port", str(address.port)]
+
+
 def main(
     seed: int = 1, seconds: float = 20.0, daemons: int = 4, servers: int = 3
 ) -> None:
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -15,6 +15,7 @@
 from apricotquay.serving.daemon import Address, Daemon, ServingSettings
 from apricotquay.serving.http1 import HttpRequest, HttpResponse
 from apricotquay.serving.httpclient import open_client
+from standins.addresses import ADMIN_PORT, PEER_PORT, SERVER_PORT, AddressBook
 from standins.platform import (
     ModelServer,
     StoreServer,
@@ -26,18 +27,10 @@
 from .test_serving_jobs import quiet_reporter
 
 HOST = "127.0.0.1"
+BOOK = AddressBook()
 WAIT_S = 20.0
 
 
-async def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    server = await asyncio.start_server(lambda r, w: None, HOST, 0)
-    port = server.sockets[0].getsockname()[1]
-    server.close()
-    await server.wait_closed()
-    return port
-
-
 class PlatformFleet:
     """A store, servers and daemons; what the servers ran is in `runs`."""
 
@@ -77,13 +70,14 @@
     async def add_daemon(self, name: str) -> Daemon:
         """Start a daemon."""
         host, _, port = self.store_address.rpartition(":")
+        vm_host = BOOK.host()
         settings = ServingSettings(
             name,
             "z",
             Address(host, int(port)),
-            Address(HOST, await free_port()),
-            Address(HOST, await free_port()),
-            Address(HOST, await free_port()),
+            Address(vm_host, SERVER_PORT),
+            Address(vm_host, ADMIN_PORT),
+            Address(vm_host, PEER_PORT),
             None,
             "/metrics",
             [],
