--- a/standins/platform.py
+++ b/standins/platform.py
@@ -163,8 +163,8 @@
         self._server = HttpServer(self._handle, _limits)
         self._tasks: list[asyncio.Task] = []
 
-    async def start(self, host: str, port: int, store: str, shown_port: int = 0) -> int:
-        """Listen, and register in the store, under another port if one is given."""
+    async def start(self, host: str, port: int, store: str, shown: str = "") -> int:
+        """Listen, and register in the store, under another address if it is given."""
         port = await self._server.start(host, port)
         client = StoreClient(*_address(store))
         entry = {
