--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 demo: .venv/.ready
 	$(BIN)/python -m standins.demo demo --daemons $(DAEMONS) --endpoints $(ENDPOINTS)
+	$(BIN)/python -m standins.platformdemo
 
 fleet: .venv/.ready
 	$(BIN)/python -m standins.demo fleet --daemons $(DAEMONS) --endpoints $(ENDPOINTS)
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -14,14 +14,10 @@
 import base64
 import contextlib
 import json
-import os
 import random
 import signal
-import subprocess
 import sys
-import tempfile
 import time
-from pathlib import Path
 
 import fire
 import msgspec
@@ -29,16 +25,14 @@
 from apricotquay.serving.http1 import HttpError, HttpRequest, HttpResponse, find_header
 from apricotquay.serving.httpclient import open_client
 
-from .addresses import ADMIN_PORT, PEER_PORT, SERVER_PORT, Address, AddressBook
 from .platform import configuration, write_configuration
-from .proxy import FaultProxy
+from .processes import GRACE_S, PlatformProcesses
 
 # Where connections that are not bound come from.
 SOURCE_HOST = "127.0.0.1"
 EVENTS = 12
 STEP_S = 0.02
 SETTLE_S = 25.0
-GRACE_S = 8.0
 LONGEST_PAUSE_S = 3.0
 # Within this time after the store has taken it, a withdrawn key stops.
 REVOKE_S = 7.0
@@ -46,70 +40,6 @@
 REFUSALS = (429, 503)
 
 
-class Program:
-    """A process that the soak started; ended by its id alone."""
-
-    def __init__(self, name: str, args: list[str], out: Path, env: dict) -> None:
-        self.name: str = name
-        self.out: Path = out
-        self._args: list[str] = args
-        self._env: dict = {**os.environ, **env}
-        self._process: subprocess.Popen | None = None
-
-    def start(self) -> None:
-        """Start it; its output is appended to a file."""
-        with self.out.open("ab") as out:
-            self._process = subprocess.Popen(
-                [sys.executable, "-m", *self._args],
-                stdout=out,
-                stderr=out,
-                env=self._env,
-            )
-
-    def signal(self, number: int) -> None:
-        """Send a signal if it runs."""
-        if self._process.poll() is None:
-            self._process.send_signal(number)
-
-    async def stop_and_start(self, limit_s: float) -> bool:
-        """Stop it gracefully and start it again; return whether it ended in time.
-
-        Other faults may stop or kill it meanwhile: only one starts it again.
-        """
-        stopped = self._process
-        self.signal(signal.SIGTERM)
-        limit = time.monotonic() + limit_s
-        while stopped.poll() is None and time.monotonic() < limit:
-            await asyncio.sleep(0.02)
-        in_time = stopped.poll() is not None
-        if self._process is stopped:
-            self.kill()
-            self.start()
-        return in_time
-
-    async def kill_and_start(self, pause_s: float) -> None:
-        """Kill it and start it again after a pause."""
-        killed = self._process
-        self.kill()
-        await asyncio.sleep(pause_s)
-        if self._process is killed:
-            self.start()
-
-    def kill(self) -> None:
-        """End it at once."""
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGKILL)
-        self._process.wait()
-
-    def lines(self) -> list[dict]:
-        """Return the JSON lines of its output."""
-        lines = []
-        for line in self.out.read_bytes().splitlines():
-            with contextlib.suppress(ValueError):
-                lines.append(json.loads(line))
-        return lines
-
-
 class Sent(msgspec.Struct):
     """One attempt of a caller, and how it ended: status 0 for a broken one."""
 
@@ -140,18 +70,10 @@
         self.broken: list[str] = []
         self._rng = random.Random(seed)
         self._seconds: float = seconds
-        self._folder = Path(tempfile.mkdtemp(prefix="soak-"))
-        self._proxy = FaultProxy()
-        self._book = AddressBook()
-        self._store_address = self._book.address()
-        self._store = self._program(
-            "store",
-            ["standins.platform", "store", *_listen_args(self._store_address)],
-        )
-        self._callers: list[Address] = []
-        self._proxy_targets: list[tuple[str, Address, Address]] = []
-        self._daemons = [self._daemon(n) for n in range(daemons)]
-        self._servers = [self._server(n) for n in range(servers)]
+        self._fleet = PlatformProcesses(daemons, servers, STEP_S)
+        self._proxy = self._fleet.proxy
+        self._callers = self._fleet.callers
+        self._daemons = self._fleet.daemons
         self._sent: list[Sent] = []
         self._jobs: list[Job] = []
         self._stopping: bool = False
@@ -160,7 +82,6 @@
 
     async def run(self) -> list[str]:
         """Play the run; return the broken promises."""
-        self._proxy.start()
         try:
             await self._start()
             callers = [asyncio.create_task(self._call_often(n)) for n in range(8)]
@@ -171,51 +92,13 @@
             await self._settle()
             self._judge_runs()
         finally:
-            for program in (*self._daemons, *self._servers, self._store):
-                program.kill()
-            self._proxy.close()
+            self._fleet.close()
         return self.broken
 
-    def _program(self, name: str, args: list[str], **env: str) -> Program:
-        return Program(name, args, self._folder / f"{name}.out", env)
-
-    def _daemon(self, number: int) -> Program:
-        store = self._book.address()
-        self._proxy_targets.append((f"store-{number}", store, self._store_address))
-        host = self._book.host()
-        self._callers.append(Address(host, SERVER_PORT))
-        boot = {
-            "node": f"d{number}",
-            "ip": host,
-            "listen": {
-                "front": f"{host}:{SERVER_PORT}",
-                "ready": f"{host}:{ADMIN_PORT}",
-                "control": f"{host}:{PEER_PORT}",
-            },
-            "platform": {"address": _text(store), "parts": 12},
-            "bootstrap": True,
-            "bounds": {"grace_s": 8},
-        }
-        path = self._folder / f"d{number}.json"
-        path.write_text(json.dumps(boot))
-        args = ["apricotquay.platform"]
-        return self._program(f"d{number}", args, APRICOTQUAY_BOOT=str(path))
-
-    def _server(self, number: int) -> Program:
-        shown, real = self._book.address(), self._book.address()
-        self._proxy_targets.append((f"server-{number}", shown, real))
-        args = ["standins.platform", "server", "--name", f"i-{number}"]
-        args += ["--store", _text(self._store_address), *_listen_args(real)]
-        args += ["--shown", _text(shown)]
-        return self._program(f"i{number}", [*args, "--step-s", str(STEP_S)])
-
     async def _start(self) -> None:
-        for name, listen, target in self._proxy_targets:
-            self._proxy.open(name, listen, target)
-        self._store.start()
+        self._fleet.start_store()
         await self._until(self._configure)
-        for program in (*self._servers, *self._daemons):
-            program.start()
+        self._fleet.start()
         for number in range(len(self._daemons)):
             await self._until(lambda n=number: self._serves(n))
 
@@ -225,8 +108,8 @@
         }
         keys["small"] = [*keys["small"], f"k-{self._version}"]
         try:
-            store = _text(self._store_address)
-            await write_configuration(store, configuration(self._version, keys))
+            value = configuration(self._version, keys)
+            await write_configuration(self._fleet.store_address, value)
         except Exception:
             # The store is being paused or starts; the operator tries again.
             return False
@@ -383,16 +266,16 @@
         program.signal(signal.SIGCONT)
 
     async def _kill_server(self) -> None:
-        program = self._rng.choice(self._servers)
+        program = self._rng.choice(self._fleet.servers)
         await program.kill_and_start(self._rng.uniform(0.2, 2.0))
 
     async def _pause_store(self) -> None:
-        self._store.signal(signal.SIGSTOP)
+        self._fleet.store.signal(signal.SIGSTOP)
         await asyncio.sleep(self._rng.uniform(0.2, 2.5))
-        self._store.signal(signal.SIGCONT)
+        self._fleet.store.signal(signal.SIGCONT)
 
     async def _harm_link(self) -> None:
-        name, _, _ = self._rng.choice(self._proxy_targets)
+        name = self._rng.choice(self._fleet.links)
         fault = self._proxy.fault(SOURCE_HOST, name)
         kind = self._rng.choice(["delay", "reset", "one way", "silence"])
         if kind == "delay":
@@ -468,7 +351,7 @@
     def _judge_runs(self) -> None:
         """Compare what callers got with what servers ran."""
         runs: dict[str, list[dict]] = {}
-        for program in self._servers:
+        for program in self._fleet.servers:
             for line in program.lines():
                 if "ran" in line:
                     runs.setdefault(line["ran"], []).append(line)
@@ -509,18 +392,11 @@
         accepted = sum(1 for job in self._jobs if 202 in job.answers)
         return (
             f"requests by status {dict(sorted(by_status.items()))}, "
-            f"jobs accepted {accepted} of {len(self._jobs)}, logs in {self._folder}"
+            f"jobs accepted {accepted} of {len(self._jobs)}, "
+            f"logs in {self._fleet.folder}"
         )
 
 
-def _text(address: Address) -> str:
-    return f"{address.host}:{address.port}"
-
-
-def _listen_args(address: Address) -> list[str]:
-    return ["--host", address.host, "--port", str(address.port)]
-
-
 def main(
     seed: int = 1, seconds: float = 20.0, daemons: int = 4, servers: int = 3
 ) -> None:
