Show what became of an id from the daemons' logs

'apricotquay trace ID FILES' merges the lines about a request, job, item, endpoint or fingerprint over all daemons; 'timeline' counts events by slots of time.

--- a/apricotquay/cmdline.py
+++ b/apricotquay/cmdline.py
@@ -15,6 +15,7 @@
 from .errors import ErrorKind, LogUnavailableError, RequestError
 from .ids import hash_key
 from .logclient import HttpLog
+from .loglines import format_line, lines_about, read_lines, timeline
 from .operations import ConfigHistory, diff_lines, promote, withdraw_key
 from .replay import Replayer, load_trace
 
@@ -52,6 +53,24 @@
     def __init__(self) -> None:
         self.report = Report()
 
+    def trace(self, wanted: str, *logs: str) -> None:
+        """Show all log lines about an id, over all daemons, in their order.
+
+        Args:
+            wanted: a request's, job's, item's or endpoint's id, or a fingerprint.
+            logs: files of daemons' standard output.
+        """
+        found = lines_about(read_lines(logs), str(wanted))
+        for line in found:
+            print(format_line(line))
+        if not found:
+            print(f"no line about {wanted} in {len(logs)} files")
+
+    def timeline(self, *logs: str, slot_s: int = 2) -> None:
+        """Show how many events of each kind there were, by slots of time."""
+        for row in timeline(read_lines(logs), slot_s):
+            print(row)
+
     def validate(self, document: str) -> None:
         """Check a document and say what is wrong with it."""
         checked = parse_document(Path(document).read_text(), document)
--- /dev/null
+++ b/tests/test_loglines.py
@@ -0,0 +1,64 @@
+"""Reading daemons' logs."""
+
+import json
+import tempfile
+
+from apricotquay.loglines import format_line, lines_about, read_lines, timeline
+
+from .base import ApricotTest
+
+LINES = [
+    {
+        "vm": "b",
+        "number": 1601,
+        "at_ms": 5_200,
+        "event": "request ended",
+        "request": "r1",
+    },
+    {"vm": "a", "number": 1605, "at_ms": 5_100, "event": "attempt", "request": "r1"},
+    {
+        "vm": "a",
+        "number": 1601,
+        "at_ms": 9_000,
+        "event": "request ended",
+        "request": "r2",
+    },
+    {"vm": "a", "number": 1506, "at_ms": 9_100, "event": "died", "suspects": {"f": 1}},
+]
+
+
+class LogLinesTest(ApricotTest):
+    """From files to what a person reads."""
+
+    def write(self) -> str:
+        """Return a file with the lines and some that are none."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = f"{folder.name}/d.log"
+        with open(path, "w") as file:
+            file.write("Traceback of another program\n{cut short\n[1]\n")
+            for line in LINES:
+                file.write(f"  5.1 front-1 {json.dumps(line)}\n")
+        return path
+
+    def test_lines_about_an_id_come_in_their_order(self):
+        """Over all daemons; other lines are passed over."""
+        found = lines_about(read_lines([self.write()]), "r1")
+        self.assertEqual([5_100, 5_200], [line["at_ms"] for line in found])
+        self.assertEqual([9_100], [x["at_ms"] for x in lines_about(LINES, "f")])
+
+    def test_line_is_shown_with_its_fields(self):
+        """Time and VM first."""
+        self.assertEqual(
+            "00:00:05.200 b 1601 request ended: request=r1", format_line(LINES[0])
+        )
+
+    def test_timeline_counts_by_slots(self):
+        """One row for each that has lines."""
+        self.assertEqual(
+            [
+                "00:00:04 1 x 1601 request ended, 1 x 1605 attempt",
+                "00:00:08 1 x 1506 died, 1 x 1601 request ended",
+            ],
+            list(timeline(LINES, 2)),
+        )
