Tell of dropped log lines only when the line itself has room

Found while testing the writer: the line that tells of dropped lines was itself dropped and taken for told (9480 told of 9481).

--- a/apricotquay/serving/reporting.py
+++ b/apricotquay/serving/reporting.py
@@ -27,12 +27,17 @@
         self._rest: bytes = b""
         os.set_blocking(descriptor, False)
 
+    @property
+    def has_room(self) -> bool:
+        """Whether the next line would be queued."""
+        return len(self._lines) < MAX_LINES
+
     def info(self, line: bytes) -> None:
         """Queue one line."""
-        if len(self._lines) >= MAX_LINES:
-            self.dropped += 1
-        else:
+        if self.has_room:
             self._lines.append(line)
+        else:
+            self.dropped += 1
 
     def flush(self) -> None:
         """Write what the descriptor takes now."""
@@ -112,8 +117,8 @@
 
     def flush(self) -> None:
         """Hand queued lines to the system; called by the daemon's ticker."""
+        self._writer.flush()
         dropped = self._writer.dropped
-        if dropped > self._dropped_told:
+        if dropped > self._dropped_told and self._writer.has_room:
             self.write(Event.LOG_LINES_DROPPED, dropped=dropped)
             self._dropped_told = dropped
-        self._writer.flush()
--- a/tests/test_serving_jobs.py
+++ b/tests/test_serving_jobs.py
@@ -38,6 +38,7 @@
     """Takes log lines and forgets them."""
 
     dropped = 0
+    has_room = True
 
     def info(self, line: bytes) -> None:
         """Forget a line."""
--- /dev/null
+++ b/tests/test_serving_reporting.py
@@ -0,0 +1,85 @@
+"""The log writer: bounded, never waiting, and honest about what it dropped."""
+
+import json
+import os
+
+from apricotquay.clocks import SystemClock
+from apricotquay.events import Event
+from apricotquay.serving import reporting
+from apricotquay.serving.metrics import ServingMetrics
+from apricotquay.serving.reporting import LineWriter, Reporter
+
+from .base import ApricotTest
+
+
+class ReporterTest(ApricotTest):
+    """Lines through a pipe that may be full."""
+
+    def setUp(self):
+        super().setUp()
+        self.read_end, self.write_end = os.pipe()
+        self.addCleanup(os.close, self.read_end)
+        self.addCleanup(os.close, self.write_end)
+        self.reporter = Reporter("vm-1", SystemClock(), LineWriter(self.write_end))
+
+    def lines(self) -> list[dict]:
+        """Return what has been written so far."""
+        os.set_blocking(self.read_end, False)
+        data = b""
+        try:
+            while chunk := os.read(self.read_end, 1 << 20):
+                data += chunk
+                self.reporter.flush()
+        except BlockingIOError:
+            pass
+        return [json.loads(line) for line in data.splitlines()]
+
+    def test_event_carries_its_number_and_fields(self):
+        """As one JSON line."""
+        self.reporter.write(Event.JOB_ACCEPTED, job="j1", items=3)
+        self.reporter.flush()
+        (line,) = self.lines()
+        self.assertEqual(
+            ("vm-1", 1701, "j1", 3),
+            (line["vm"], line["number"], line["job"], line["items"]),
+        )
+
+    def test_reader_that_stops_costs_lines_and_no_time(self):
+        """What does not fit is dropped, counted and told."""
+        self.patch(reporting, "MAX_LINES", 50)
+        for number in range(5_000):
+            self.reporter.write(Event.JOB_ACCEPTED, job="x" * 200, items=number)
+            self.reporter.flush()
+        dropped = self.reporter.dropped
+        self.assertGreater(dropped, 0)
+        lines = self.lines()
+        self.reporter.flush()
+        lines += self.lines()
+        told = [x["dropped"] for x in lines if x["number"] == 1207]
+        self.assertEqual([dropped], told)
+
+    def test_lost_dependency_is_told_once_until_it_is_back(self):
+        """A line each for the loss and the return."""
+        for _ in range(3):
+            self.reporter.lost("store", "no answer", topic="t")
+        self.reporter.regained("store", topic="t")
+        self.reporter.regained("store", topic="t")
+        self.reporter.flush()
+        self.assertEqual([1204, 1205], [line["number"] for line in self.lines()])
+
+
+class MetricsTest(ApricotTest):
+    """The text for a collector."""
+
+    def test_counters_gauges_and_quantiles(self):
+        """One value a line."""
+        metrics = ServingMetrics()
+        metrics.count("items_done", 2)
+        metrics.set("shards_owned", 3)
+        for value in range(1, 101):
+            metrics.see_ms("first_event", value)
+        text = metrics.text()
+        self.assertIn("apricotquay_items_done 2\n", text)
+        self.assertIn("apricotquay_shards_owned 3\n", text)
+        self.assertIn('apricotquay_first_event_ms{quantile="0.5"} 50\n', text)
+        self.assertIn("apricotquay_first_event_ms_count 100\n", text)
