--- a/apricotquay/errors.py
+++ b/apricotquay/errors.py
@@ -147,9 +147,13 @@
     """A peer gave no answer.
 
     `refused` is true when its port refused the connection, which proves that
-    the process is gone; otherwise the peer may be alive but out of reach.
+    the process is gone; otherwise the peer may be alive but out of reach. `sent`
+    is true when the peer may have got the call and may act on it.
     """
 
-    def __init__(self, message: str, *, refused: bool = False) -> None:
+    def __init__(
+        self, message: str, *, refused: bool = False, sent: bool = False
+    ) -> None:
         super().__init__(message)
         self.refused: bool = refused
+        self.sent: bool = sent
--- a/apricotquay/serving/jobs.py
+++ b/apricotquay/serving/jobs.py
@@ -41,6 +41,8 @@
 UNKNOWN_JOB = "unknown_job"
 OUTCOME_UNKNOWN = "outcome_unknown"
 
+SILENT = NotHere("the owner did not answer")
+
 
 class JobsUnavailableError(ApricotquayError):
     """The state of a job cannot be told for sure at the moment."""
@@ -104,7 +106,11 @@
         )
         reply = await self._ask(submission.team, message, wait_s / 2 + 0.2)
         if not isinstance(reply, JobAnswer) or reply.outcome == REFUSED:
+            may_be_accepted = reply is SILENT
             reply = await self._submit_here(message, wait_s / 2)
+            if may_be_accepted and reply.outcome != DONE:
+                # The owner may still accept it, so nothing else may be promised.
+                reply = JobAnswer(OUTCOME_UNKNOWN)
         self._reporter.write(
             Event.JOB_ACCEPTED if reply.outcome == DONE else Event.JOB_REFUSED,
             job=submission.id,
@@ -164,7 +170,9 @@
     async def _ask(
         self, team: TeamId, message: Message, timeout_s: float
     ) -> Message | None:
-        """Ask the owner; None when it is this daemon, unknown or silent."""
+        """Ask the owner; None when it is this daemon or surely did not get the
+        call, SILENT when it may act on it.
+        """
         owner = self._shards.owner(self._number(team))
         if owner is None or owner == self._shards.address:
             return None
@@ -172,7 +180,7 @@
             return await self._peers.call(owner, message, timeout_s)
         except PeerUnavailableError as exc:
             self._reporter.lost("owner", str(exc), address=owner)
-            return None
+            return SILENT if exc.sent else None
 
     def _open(self, number: int) -> Partition:
         partition = self._partitions.get(number)
--- a/apricotquay/serving/partition.py
+++ b/apricotquay/serving/partition.py
@@ -38,6 +38,8 @@
 RETRY_PAUSE_S = 0.25
 # Bytes of records in one call; the store takes 2 MiB.
 MAX_APPEND_BYTES = 1_900_000
+# Results and progress share one call, since its condition holds for that call.
+MAX_RESULT_BYTES = 1_300_000
 MAX_PROGRESS_BYTES = 500_000
 RESULT_RETRY_S = 0.3
 
@@ -119,7 +121,7 @@
         Raises JobRefused when it surely is not accepted, JobOutcomeUnknown when
         an append without an answer leaves that open at `limit_s`.
         """
-        records = encode_submission(submission)
+        *parts, last = _in_calls(encode_submission(submission))
         unknown = False
         must_confirm = self._end is None
         async with self._lock:
@@ -132,7 +134,11 @@
                     if not self.table.fits(submission, path_prefix):
                         await self.confirm()
                         self._check_fits(submission, path_prefix, unknown)
-                    await self._append(records)
+                    if parts:
+                        await self._upload(parts)
+                        parts = []
+                        continue
+                    await self._append(last)
                 except LogConflictError:
                     must_confirm = True
                 except LogError as exc:
@@ -211,25 +217,25 @@
         else:
             raise JobRefused(str(exc), over_cap=False) from exc
 
-    async def _append(self, records: list[KeyedRecord]) -> None:
-        """Append at the folded end and fold what was appended.
-
-        Parts of a large job go ahead in calls of their own; only the last call,
-        which holds the header, counts.
-        """
-        calls = list(_in_calls(records))
-        for call in calls[:-1]:
+    async def _upload(self, calls: list[list[KeyedRecord]]) -> None:
+        """Append the parts of a job that does not fit into one call. They mean
+        nothing without its header, which goes last and on condition."""
+        for call in calls:
             await self._log.append(JOBS, self.number, call, None)
-        if len(calls) > 1:
-            await self.confirm()
+
+    async def _append(self, records: list[KeyedRecord]) -> None:
+        """Append at the folded end, in one call, and fold what was appended."""
         sent_s = self._clock.now_s()
         end = self._end
-        offset = await self._log.append(JOBS, self.number, calls[-1], end)
+        if end is None:
+            # Without a folded state there is no condition to append on.
+            raise LogConflictError(0)
+        offset = await self._log.append(JOBS, self.number, records, end)
         async with self._read_lock:
             if self._end == offset:
                 numbered = [
                     KeyedRecord(r.key, r.value, offset + n)
-                    for n, r in enumerate(calls[-1])
+                    for n, r in enumerate(records)
                 ]
                 self._fold(numbered, offset + len(numbered))
                 self.confirmed_s = sent_s
@@ -242,8 +248,6 @@
                     async with self._read_lock:
                         await self._catch_up(0)
                 await self._follow_once()
-            except LogExpiredError:
-                self._end = None
             except LogError as exc:
                 self._reporter.lost("partition", str(exc), part=self.number)
                 await asyncio.sleep(RETRY_PAUSE_S)
@@ -252,7 +256,12 @@
 
     async def _follow_once(self) -> None:
         sent_s = self._clock.now_s()
-        page = await self._log.read(JOBS, self.number, self._end, FOLLOW_WAIT_MS)
+        try:
+            page = await self._log.read(JOBS, self.number, self._end, FOLLOW_WAIT_MS)
+        except LogExpiredError:
+            async with self._read_lock:
+                await self._reload()
+            return
         async with self._read_lock:
             self._fold(page.records, page.end)
             if self._end >= page.end:
@@ -354,39 +363,40 @@
             if size < MAX_PROGRESS_BYTES and len(encoded.value) < MAX_PART_BYTES:
                 yield encoded
 
-    def _numbered(self, taken: list[PendingResult]):
-        """Give positions to the results of items that nobody has listed."""
+    def _numbered(self, taken: list[PendingResult]) -> Iterator[KeyedRecord]:
+        """Give positions to the results of items that nobody has listed.
+
+        What does not fit into the call is taken out of `taken` and waits, with all
+        that comes after it, so that positions have no gap.
+        """
         next_positions: dict[str, int] = {}
         seen: set[tuple[str, int]] = set()
         size = 0
-        for pending in list(taken):
+        for index, pending in enumerate(list(taken)):
             job = pending.job
             known = self.table.jobs.get(job.key)
             place = (job.key, pending.item)
             if known is None or pending.item not in known.open_items or place in seen:
                 continue
-            seen.add(place)
-            position = next_positions.setdefault(job.key, len(known.listed))
-            next_positions[job.key] += 1
-            record = encode_result(
-                job.key,
-                pending.item,
-                ResultRecord(
-                    position,
-                    job.items[pending.item].id,
-                    pending.is_done,
-                    pending.text,
-                ),
-            )
+            position = next_positions.get(job.key, len(known.listed))
+            record = _result_record(pending, position)
             size += len(record.value)
-            if size > MAX_APPEND_BYTES:
-                taken.remove(pending)
-                continue
+            if size > MAX_RESULT_BYTES and seen:
+                del taken[index:]
+                return
+            seen.add(place)
+            next_positions[job.key] = position + 1
             yield record
             if pending.item in known.progress:
                 yield drop_progress(job.key, pending.item)
 
 
+def _result_record(pending: PendingResult, position: int) -> KeyedRecord:
+    item_id = pending.job.items[pending.item].id
+    result = ResultRecord(position, item_id, pending.is_done, pending.text)
+    return encode_result(pending.job.key, pending.item, result)
+
+
 def _in_calls(records: list[KeyedRecord]):
     """Split records into calls that the store takes, keeping their order."""
     call: list[KeyedRecord] = []
--- a/apricotquay/serving/peers.py
+++ b/apricotquay/serving/peers.py
@@ -16,6 +16,8 @@
 OPEN_TIMEOUT_S = 0.4
 # After a failure a peer is left alone for so long.
 PAUSE_S = 0.5
+# A link on which nothing has come for so long, though a call waits, is dead.
+SILENT_S = 1.0
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 
 Handler = Callable[["Link", Message], Awaitable[Message | None]]
@@ -30,6 +32,7 @@
         self._socket = socket
         self._handler: Handler = handler
         self._reporter: Reporter = reporter
+        self._heard_s: float = asyncio.get_running_loop().time()
         self._numbers = itertools.count(1)
         self._calls: dict[int, asyncio.Future] = {}
         self._outgoing: asyncio.Queue[bytes] = asyncio.Queue()
@@ -40,7 +43,11 @@
         self._outgoing.put_nowait(encode_frame(0, message))
 
     async def call(self, message: Message, timeout_s: float) -> Message:
-        """Send a call and wait for its reply; a silent link is closed."""
+        """Send a call and wait for its reply.
+
+        A link that has been silent for a while is closed then; one that is only
+        slow goes on, since others wait for answers on it.
+        """
         number = next(self._numbers)
         reply = asyncio.get_running_loop().create_future()
         self._calls[number] = reply
@@ -50,7 +57,9 @@
                 return await reply
         except TimeoutError as exc:
             self.close()
-            raise PeerUnavailableError("peer did not answer in time") from exc
+            raise PeerUnavailableError(
+                "peer did not answer in time", sent=True
+            ) from exc
         finally:
             self._calls.pop(number, None)
 
@@ -73,6 +82,7 @@
             self._end()
 
     def _take(self, data: bytes) -> None:
+        self._heard_s = asyncio.get_running_loop().time()
         number, message = decode_frame(data)
         if number < 0:
             reply = self._calls.get(-number)
@@ -100,7 +110,9 @@
             task.cancel()
         for reply in self._calls.values():
             if not reply.done():
-                reply.set_exception(PeerUnavailableError("peer's connection ended"))
+                reply.set_exception(
+                    PeerUnavailableError("peer's connection ended", sent=True)
+                )
         for callback in self.on_close:
             callback()
 
--- a/tests/test_serving_jobs.py
+++ b/tests/test_serving_jobs.py
@@ -6,6 +6,7 @@
 from parameterized import parameterized
 
 from apricotquay.clocks import SystemClock
+from apricotquay.errors import PeerUnavailableError
 from apricotquay.ids import JobId, TeamId
 from apricotquay.serving import partition as partition_module
 from apricotquay.serving.jobrecords import (
@@ -18,6 +19,7 @@
     encode_submission,
     job_key,
 )
+from apricotquay.serving.jobs import OUTCOME_UNKNOWN, OVER_CAP, REFUSED, Jobs
 from apricotquay.serving.jobtable import JobTable
 from apricotquay.serving.keyedlog import KeyedRecord
 from apricotquay.serving.partition import (
@@ -334,6 +336,91 @@
 
         self.play(scenario)
 
+    def test_results_beyond_one_call_are_listed_without_gaps(self):
+        """In one order, by two owners that write at the same time."""
+
+        async def scenario(log, open_partition):
+            rng = random.Random(1)
+            first, second = open_partition(), open_partition()
+            await first.accept(submission(items=24), "/batch/", self.limit_s())
+            await second.confirm()
+            self.patch(partition_module, "MAX_RESULT_BYTES", 4_000)
+            for owner in (first, second):
+                job = owner.table.find(TEAM, JobId("job"))
+                for item in range(24):
+                    text = "".join(rng.choices("abcdefghij", k=1_500))
+                    owner.put_result(PendingResult(job, item, True, text))
+            judge = open_partition()
+            await judge.confirm()
+            job = judge.table.find(TEAM, JobId("job"))
+            while job.open_items or len(job.listed) < 24:
+                await judge.confirm()
+                await asyncio.sleep(0.01)
+            self.assertEqual(list(range(24)), [r.position for r in job.listed])
+            self.assertEqual(24, len({r.item_id for r in job.listed}))
+
+        self.play(scenario)
+
+    @parameterized.expand([(seed,) for seed in range(6)])
+    def test_every_decision_is_appended_on_condition(self, seed):
+        """Also while the log forgets its history before the eyes of its readers."""
+
+        async def scenario(log, open_partition):
+            rng = random.Random(seed)
+            unconditional = []
+            append = log.append
+
+            async def watched(topic, part, records, at):
+                if at is None:
+                    unconditional.extend(r.key[:1] for r in records)
+                await asyncio.sleep(0)
+                return await append(topic, part, records, at)
+
+            log.append = watched
+            owners = [open_partition(), open_partition()]
+            await owners[0].accept(submission(items=20), "/batch/", self.limit_s())
+            await owners[1].confirm()
+            for item in range(20):
+                for owner in owners:
+                    job = owner.table.find(TEAM, JobId("job"))
+                    owner.put_result(PendingResult(job, item, True, f"t{item}"))
+                log.expire()
+                for owner in owners:
+                    owner._end = rng.choice([owner._end, 0])
+                await asyncio.sleep(rng.uniform(0.0, 0.003))
+            judge = open_partition()
+            await judge.confirm()
+            while judge.table.find(TEAM, JobId("job")).open_items:
+                await judge.confirm()
+                await asyncio.sleep(0.005)
+            self.assertEqual([], unconditional)
+            listed = judge.table.find(TEAM, JobId("job")).listed
+            self.assertEqual(20, len({r.item_id for r in listed}))
+
+        self.play(scenario)
+
+    def test_large_job_is_decided_on_after_its_parts(self):
+        """What others accepted while they went is counted."""
+
+        async def scenario(log, open_partition):
+            self.patch(partition_module, "MAX_APPEND_BYTES", 300_000)
+            first, second = open_partition(), open_partition()
+            large = [
+                submission(f"large{n}", items=20, cap=250, size=40_000)
+                for n in range(2)
+            ]
+            outcomes = await asyncio.gather(
+                first.accept(large[0], "/batch/", self.limit_s()),
+                second.accept(large[1], "/batch/", self.limit_s()),
+                return_exceptions=True,
+            )
+            judge = open_partition()
+            await judge.confirm()
+            self.assertEqual(200, judge.table.waiting_tokens(TEAM, "host", "/batch/"))
+            self.assertEqual(1, sum(1 for outcome in outcomes if outcome is None))
+
+        self.play(scenario)
+
     def test_old_jobs_leave_nothing_in_the_log(self):
         """Those that are over; an open one stays whatever its age."""
 
@@ -393,3 +480,56 @@
             self.assertEqual(0, known.waiting_tokens)
 
         self.play(scenario)
+
+
+class SilentOwner:
+    """Peers whose owner takes a call and does not answer, or is not reached."""
+
+    def __init__(self, sent: bool) -> None:
+        self._sent = sent
+
+    async def call(self, address, message, timeout_s):
+        """Fail."""
+        raise PeerUnavailableError("silent", sent=self._sent)
+
+
+class OtherOwner:
+    """Shards that another daemon owns."""
+
+    count = 12
+    address = "me:1"
+    owned: frozenset[int] = frozenset()
+
+    def owner(self, number: int) -> str:
+        """Return the other."""
+        return "other:1"
+
+
+class ForwardedJobTest(ApricotTest):
+    """A job handed to an owner that does not answer."""
+
+    @parameterized.expand(
+        [
+            ("took the call, store away", True, True, OUTCOME_UNKNOWN),
+            ("not reached, store away", False, True, REFUSED),
+            ("took the call, over the cap", True, False, OUTCOME_UNKNOWN),
+            ("not reached, over the cap", False, False, OVER_CAP),
+        ]
+    )
+    def test_refusal_is_only_said_when_nobody_can_accept_it_later(
+        self, _name, sent, is_down, outcome
+    ):
+        """Neither 503 nor 429 while the owner may still append it."""
+
+        async def run() -> str:
+            log = MemoryLog()
+            log.is_down = is_down
+            jobs = Jobs(
+                log, OtherOwner(), SilentOwner(sent), SystemClock(), quiet_reporter()
+            )
+            try:
+                return await jobs.submit(submission(cap=10), "/batch/", 0.2)
+            finally:
+                await jobs.close()
+
+        self.assertEqual(outcome, asyncio.run(run()))
