--- a/apricotquay/serving/peers.py
+++ b/apricotquay/serving/peers.py
@@ -56,7 +56,8 @@
             async with asyncio.timeout(timeout_s):
                 return await reply
         except TimeoutError as exc:
-            self.close()
+            if asyncio.get_running_loop().time() - self._heard_s > SILENT_S:
+                self.close()
             raise PeerUnavailableError(
                 "peer did not answer in time", sent=True
             ) from exc
--- a/tests/test_serving_peers.py
+++ b/tests/test_serving_peers.py
@@ -99,4 +99,5 @@
             )
 
         self.patch(peers_module, "SILENT_S", 0.1)
+        self.patch(peers_module, "PAUSE_S", 0.0)
         self.play(answer, scenario)
