Convict no request that completes for others

Ruled out: slots, configuration and links (in order in d2's lines). A completion now speaks for a request for ten minutes, and notices to other daemons leave such requests out.

--- a/apricotquay/poison.py
+++ b/apricotquay/poison.py
@@ -68,7 +68,7 @@
     def clear(self, fingerprint: str) -> None:
         """A request completed."""
         with self._lock:
-            self._quarantine.clear(fingerprint)
+            self._quarantine.clear(fingerprint, self._clock.now_s())
 
     def check_death(self, entry: VmEntry, fingerprint: str) -> bool:
         """Find out whether an endpoint died, and suspect what ran there."""
--- a/apricotquay/quarantine.py
+++ b/apricotquay/quarantine.py
@@ -4,18 +4,24 @@
 request is convicted at its third death, and only if nothing else that ran at
 that death has as many: an innocent one that ran beside the culprit each time
 ties with it, and the next death tells them apart. Deaths that a convicted
-request explains do not count against others. A suspect that completes is
-cleared.
+request explains do not count against others. A request that completes is
+cleared, and for a while no death counts against it: many callers may send the
+same request, and those of them that run beside unrelated deaths prove nothing.
 """
 
+import collections
 import enum
 import hashlib
+from collections.abc import Iterable
 
 DEATHS_TO_QUARANTINE = 3
 # With so many deaths a tie no longer protects.
 DEATHS_WITHOUT_DOUBT = 5
 SUSPICION_S = 600.0
 QUARANTINE_S = 24 * 3600.0
+# How long a completion speaks for a fingerprint, and how many are remembered.
+PROVEN_S = 600.0
+MAX_PROVEN = 20_000
 # Several daemons may report the same death a little apart.
 SAME_DEATH_S = 3.0
 
@@ -49,13 +55,19 @@
         self._deaths: list[_Death] = []
         self._quarantined: dict[str, float] = {}
         self._found_here: set[str] = set()
+        self._proven: collections.OrderedDict[str, float] = collections.OrderedDict()
+
+    def unproven(self, fingerprints: Iterable[str], now_s: float) -> list[str]:
+        """Return the fingerprints that have not completed lately."""
+        oldest_s = now_s - PROVEN_S
+        return [f for f in fingerprints if self._proven.get(f, oldest_s) <= oldest_s]
 
     def see_death(
         self, endpoint: str, fingerprints: list[str], now_s: float
     ) -> list[str]:
         """Count an endpoint's death; return fingerprints now to be quarantined."""
         death = self._death_of(endpoint, now_s)
-        death.suspects.update(fingerprints)
+        death.suspects.update(self.unproven(fingerprints, now_s))
         if self._is_explained(death):
             return []
         self._acquit_tied(death)
@@ -70,8 +82,12 @@
         """Quarantine a fingerprint, found here or reported by another daemon."""
         self._quarantined[fingerprint] = until_s
 
-    def clear(self, fingerprint: str) -> None:
+    def clear(self, fingerprint: str, now_s: float) -> None:
         """A request completed, so its fingerprint crashes no endpoint."""
+        self._proven[fingerprint] = now_s
+        self._proven.move_to_end(fingerprint)
+        if len(self._proven) > MAX_PROVEN:
+            self._proven.popitem(last=False)
         for death in self._deaths:
             death.suspects.discard(fingerprint)
 
--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes.py
@@ -59,7 +59,7 @@
 
     def clear(self, fingerprint: str) -> None:
         """A request completed."""
-        self._quarantine.clear(fingerprint)
+        self._quarantine.clear(fingerprint, self._clock.now_s())
 
     def see_reset(self, endpoint: Endpoint, fingerprint: str) -> None:
         """A connection ended in the middle: find out whether the endpoint died."""
@@ -76,6 +76,7 @@
     async def _check(self, endpoint: Endpoint, suspects: list[str]) -> None:
         if not await self._is_dead(endpoint):
             return
+        suspects = self._quarantine.unproven(suspects, self._clock.now_s())
         self._see(endpoint.id, suspects)
         message = CrashSeen(endpoint.id, suspects)
         for address in self._shards.addresses():
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -15,7 +15,7 @@
 from apricotquay.ids import MemberId, rendezvous_order
 from apricotquay.membership import MemberState, MemberView, News, VmEntry
 from apricotquay.online import Progress, final_error
-from apricotquay.quarantine import Quarantine, Standing
+from apricotquay.quarantine import PROVEN_S, Quarantine, Standing
 from apricotquay.retries import RetryBudget
 from apricotquay.routing import EndpointTable
 from apricotquay.spare import BatchAllowance
@@ -433,7 +433,7 @@
         quarantine = Quarantine()
         quarantine.see_death("e1", ["bad", "good"], 0.0)
         self.assertIs(Standing.SUSPECT, quarantine.standing("good", 1.0))
-        quarantine.clear("good")
+        quarantine.clear("good", 2.0)
         self.assertEqual([], quarantine.see_death("e2", ["bad", "other"], 10.0))
         convicted = quarantine.see_death("e3", ["bad", "third"], 20.0)
         self.assertEqual(["bad"], convicted)
@@ -442,6 +442,23 @@
         self.assertIs(Standing.CLEAR, quarantine.standing("third", 21.0))
         self.assertIs(Standing.QUARANTINED, quarantine.standing("bad", 21.0))
 
+    def test_request_that_completes_elsewhere_is_no_culprit(self):
+        """Many callers send the same; some of them run beside unrelated deaths."""
+        quarantine = Quarantine()
+        quarantine.clear("popular", 0.0)
+        for number in range(6):
+            quarantine.see_death(f"e{number}", ["popular"], number * 10.0)
+        self.assertIs(Standing.CLEAR, quarantine.standing("popular", 61.0))
+
+    def test_completion_speaks_for_a_request_only_for_a_while(self):
+        """Endpoints change."""
+        quarantine = Quarantine()
+        quarantine.clear("old", 0.0)
+        for number in range(3):
+            quarantine.see_death(f"e{number}", ["old"], PROVEN_S + number * 10.0)
+        standing = quarantine.standing("old", PROVEN_S + 31.0)
+        self.assertIs(Standing.QUARANTINED, standing)
+
     def test_two_deaths_convict_nobody(self):
         """An innocent request that ran beside two unrelated deaths goes on."""
         quarantine = Quarantine()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,8 @@
             ("short", 1, 5),
             # Two SIGTERMs overlapped: the soak waited for the wrong process.
             ("overlapping stops", 14, 8),
+            # Servers that were killed convicted a request that all callers sent.
+            ("killed servers", 101, 10),
         ]
     )
     def test_no_promise_is_broken(self, _name, seed, seconds):
