Go on after errors that nobody foresaw

Found by reading: a background task that failed ended for good and without a line; an item whose header HTTP does not know stayed begun for ever; a request's handler that failed closed the connection without an answer. Tasks are now logged and begun again, and the caller gets 500.

--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -13,7 +13,7 @@
 from ..serving import jobs as job_outcomes
 from ..serving.catalog import RouteKind
 from ..serving.http1 import HeaderList, HttpRequest, HttpResponse, end_to_end_headers
-from ..serving.httpserver import Exchange
+from ..serving.httpserver import CallerGone, Exchange
 from ..serving.jobrecords import JobItem, Submission
 from ..serving.jobs import Jobs, JobsUnavailableError
 from ..serving.messages import JobPage
@@ -61,9 +61,11 @@
 
     def __init__(self, exchange: Exchange) -> None:
         self._exchange: Exchange = exchange
+        self.has_started: bool = False
 
     async def start(self, status: int, headers: HeaderList) -> None:
         """Send the head of a server's answer; its body is sent in chunks."""
+        self.has_started = True
         if status not in BODILESS:
             headers = [*headers, (b"transfer-encoding", b"chunked")]
         await self._exchange.start(status, headers)
@@ -82,6 +84,7 @@
 
     async def refuse(self, error: RequestError) -> None:
         """Answer with the status of an error."""
+        self.has_started = True
         await self._exchange.respond(error_response(error))
 
 
@@ -127,6 +130,21 @@
             )
             self._report_refusal(request, path, error)
             await caller.refuse(error)
+        except (CallerGone, OSError):
+            raise
+        except Exception as exc:
+            # Nobody foresaw it: the caller is told, and the daemon goes on.
+            await self._end_unforeseen(request, path, caller, exc)
+
+    async def _end_unforeseen(
+        self, request: HttpRequest, path: str, caller: ExchangeCaller, exc: Exception
+    ) -> None:
+        error = RequestError(ErrorKind.INTERNAL, repr(exc)[:200])
+        self._report_refusal(request, path, error)
+        if caller.has_started:
+            caller.abort()
+        else:
+            await caller.refuse(error)
 
     async def _dispatch(
         self,
--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -5,6 +5,7 @@
 import enum
 import random
 from collections.abc import Iterator
+from functools import partial
 
 import msgspec
 
@@ -27,6 +28,7 @@
 from .reporting import Reporter
 from .slots import Lease, SlotRequest, Slots, SlotUnavailableError
 from .sse import StreamEvent
+from .tasks import start_task
 from .view import View
 
 # Items that ask for slots or run at the same time; the service's owner decides
@@ -123,7 +125,7 @@
     REVOKED = "revoked"
 
 
-class Attempt(msgspec.Struct, frozen=True):
+class ItemAttempt(msgspec.Struct, frozen=True):
     """The end of an attempt, with its reason for the log."""
 
     outcome: Outcome
@@ -162,7 +164,7 @@
 
     def start(self) -> None:
         """Start to run items."""
-        self._main = asyncio.create_task(self._loop())
+        self._main = start_task("batch", self._loop, self._reporter)
 
     def wake(self) -> None:
         """Look for items now."""
@@ -216,7 +218,7 @@
     ) -> None:
         progress = ItemProgress(job.progress.get(index))
         item = RunningItem(partition, job, index, progress)
-        item.task = asyncio.create_task(self._run(item))
+        item.task = start_task("item", partial(self._run, item), self._reporter)
         self._items[place] = item
 
     def _give_up(self, place: ItemPlace) -> None:
@@ -317,7 +319,7 @@
 
     async def _try(
         self, job: Job, index: int, route: Route, progress: ItemProgress
-    ) -> Attempt:
+    ) -> ItemAttempt:
         service = route.service_for(random.random())
         due_s = self._clock.now_s() + (job.header.due_ms - self._clock.wall_ms()) / 1000
         item = job.items[index]
@@ -328,7 +330,7 @@
         try:
             lease = await self._slots.acquire(service, wanted)
         except SlotUnavailableError as exc:
-            return Attempt(Outcome.AGAIN, str(exc))
+            return ItemAttempt(Outcome.AGAIN, str(exc))
         begun_s = self._clock.now_s()
         current = asyncio.current_task()
         revoked = False
@@ -348,7 +350,7 @@
             attempt.cancel()
             if not revoked or current.cancelling():
                 raise
-            result = Attempt(Outcome.REVOKED)
+            result = ItemAttempt(Outcome.REVOKED)
             self._metrics.count("items_paused")
         finally:
             self._slots.release(lease)
@@ -370,10 +372,10 @@
 
     async def _attempt(
         self, job: Job, index: int, route: Route, progress: ItemProgress, lease: Lease
-    ) -> Attempt:
+    ) -> ItemAttempt:
         endpoint = self._view.endpoints.get(lease.endpoint)
         if endpoint is None or endpoint.is_leaving:
-            return Attempt(Outcome.AGAIN, "endpoint left")
+            return ItemAttempt(Outcome.AGAIN, "endpoint left")
         item = job.items[index]
         left_ms = job.header.give_up_ms - self._clock.wall_ms()
         call = EngineCall(
@@ -390,24 +392,24 @@
             progress.last_id if progress.last_id >= 0 else None,
         )
         if self._attempts.is_quarantined(call):
-            return Attempt(Outcome.AGAIN, "crashes endpoints")
+            return ItemAttempt(Outcome.AGAIN, "crashes endpoints")
         try:
             return await self._attempts.run(
                 call, endpoint, IDLE_LIMIT_S, lambda answer: _collect(answer, progress)
             )
         except (EngineNotRunError, EngineBrokenError) as exc:
-            return Attempt(Outcome.AGAIN, str(exc))
+            return ItemAttempt(Outcome.AGAIN, str(exc))
 
 
-async def _collect(answer: EngineAnswer, progress: ItemProgress) -> Attempt:
+async def _collect(answer: EngineAnswer, progress: ItemProgress) -> ItemAttempt:
     """Read an answer; only the endpoint's own failure counts against the item."""
     if answer.status == UNPROCESSABLE:
-        return Attempt(Outcome.IMPOSSIBLE, "the endpoint cannot do it")
+        return ItemAttempt(Outcome.IMPOSSIBLE, "the endpoint cannot do it")
     if answer.status == FAILED:
-        return Attempt(Outcome.FAILED, f"status {answer.status}")
+        return ItemAttempt(Outcome.FAILED, f"status {answer.status}")
     if answer.status != OK:
-        return Attempt(Outcome.AGAIN, f"status {answer.status}")
+        return ItemAttempt(Outcome.AGAIN, f"status {answer.status}")
     async for events in read_events(answer, IDLE_LIMIT_S):
         for event in events:
             progress.take(event)
-    return Attempt(Outcome.DONE)
+    return ItemAttempt(Outcome.DONE)
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -49,6 +49,7 @@
 from .reporting import Reporter
 from .shards import Shards
 from .slots import Slots
+from .tasks import start_task
 from .view import Directory, View
 
 FLUSH_S = 0.1
@@ -141,7 +142,9 @@
             log, address, incarnation, settings.shards, self.clock, self.reporter
         )
         name = f"{address}/{incarnation}"
-        self.slots = Slots(self.view, self.shards, self.peers, self.clock, name)
+        self.slots = Slots(
+            self.view, self.shards, self.peers, self.clock, name, self.reporter
+        )
         self.rates = RateKeeper(
             self.view, self.shards, self.peers, self.clock, settings.starts_full
         )
@@ -189,8 +192,8 @@
         self.runner.start()
         await self.callers.start(settings.callers.host, settings.callers.port)
         self._tasks = [
-            asyncio.create_task(self._flush_loop()),
-            asyncio.create_task(self._pull_loop()),
+            start_task("flush", self._flush_loop, self.reporter),
+            start_task("pull", self._pull_loop, self.reporter),
         ]
         self.reporter.write(
             Event.DAEMON_STARTED,
--- a/apricotquay/serving/partition.py
+++ b/apricotquay/serving/partition.py
@@ -31,6 +31,7 @@
     Topic,
 )
 from .reporting import Reporter
+from .tasks import start_task
 
 JOBS = Topic("keyed.jobs")
 FOLLOW_WAIT_MS = 1_000
@@ -96,8 +97,8 @@
     def start(self) -> None:
         """Start to follow the partition and to write results."""
         self._tasks = [
-            asyncio.create_task(self._follow()),
-            asyncio.create_task(self._write_results()),
+            start_task("follow jobs", self._follow, self._reporter),
+            start_task("write results", self._write_results, self._reporter),
         ]
 
     async def close(self) -> None:
--- a/apricotquay/serving/shards.py
+++ b/apricotquay/serving/shards.py
@@ -11,6 +11,7 @@
 from .keyedlog import KeyedLog, LogError, MemberName, Shard
 from .partition import JOBS
 from .reporting import Reporter
+from .tasks import start_task
 
 GROUP = "daemons"
 TTL_MS = 1_500
@@ -59,8 +60,8 @@
     def start(self) -> None:
         """Join the group."""
         self._tasks = [
-            asyncio.create_task(self._join_loop()),
-            asyncio.create_task(self._owners_loop()),
+            start_task("join", self._join_loop, self._reporter),
+            start_task("owners", self._owners_loop, self._reporter),
         ]
 
     async def close(self) -> None:
--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -23,8 +23,10 @@
     TicketList,
 )
 from .peers import Link, Peers
+from .reporting import Reporter
 from .shards import Shards, shard_number
 from .slotowner import SECONDS_TO_MS, SlotTables
+from .tasks import start_task
 from .view import View
 
 # The owner answers within two network round trips unless it is in trouble.
@@ -89,8 +91,15 @@
     """Used by the online path and the batch runner."""
 
     def __init__(
-        self, view: View, shards: Shards, peers: Peers, clock: Clock, name: str
+        self,
+        view: View,
+        shards: Shards,
+        peers: Peers,
+        clock: Clock,
+        name: str,
+        reporter: Reporter,
     ) -> None:
+        self._reporter: Reporter = reporter
         self.tables = SlotTables(view, clock)
         self.tables.on_own_decision = self._take_own_decision
         self._view: View = view
@@ -114,8 +123,8 @@
     def start(self) -> None:
         """Start to refuse late tickets and to tell owners what is held."""
         self._tasks = [
-            asyncio.create_task(self._tick_loop()),
-            asyncio.create_task(self._list_loop()),
+            start_task("late tickets", self._tick_loop, self._reporter),
+            start_task("list tickets", self._list_loop, self._reporter),
         ]
 
     def close(self) -> None:
--- /dev/null
+++ b/apricotquay/serving/tasks.py
@@ -0,0 +1,28 @@
+"""Background tasks that go on after an error that nobody foresaw."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from ..events import Event
+from .reporting import Reporter
+
+RESTART_PAUSE_S = 0.5
+
+
+def start_task(
+    name: str, run: Callable[[], Awaitable[None]], reporter: Reporter
+) -> asyncio.Task:
+    """Start a task that is logged and begun again when it fails."""
+    return asyncio.create_task(_supervise(name, run, reporter))
+
+
+async def _supervise(
+    name: str, run: Callable[[], Awaitable[None]], reporter: Reporter
+) -> None:
+    while True:
+        try:
+            await run()
+            return
+        except Exception as exc:
+            reporter.write(Event.THREAD_FAILED, task=name, error=repr(exc)[:200])
+            await asyncio.sleep(RESTART_PAUSE_S)
--- a/apricotquay/serving/view.py
+++ b/apricotquay/serving/view.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import msgspec
@@ -16,6 +17,7 @@
 from .endpoints import Endpoint, EndpointTable
 from .keyedlog import KeyedLog, KeyedRecord, LogError, LogExpiredError, Page, Topic
 from .reporting import Reporter
+from .tasks import start_task
 
 FOLLOW_WAIT_MS = 1_000
 RETRY_PAUSE_S = 0.2
@@ -72,8 +74,11 @@
 
     def start(self) -> None:
         """Start to follow the platform."""
-        followers = [self._follow(topic) for topic in self._fresh]
-        self._tasks = [asyncio.create_task(c) for c in (*followers, self._expire())]
+        self._tasks = [
+            start_task(f"follow {topic}", partial(self._follow, topic), self._reporter)
+            for topic in self._fresh
+        ]
+        self._tasks.append(start_task("expire", self._expire, self._reporter))
 
     async def close(self) -> None:
         """Stop."""
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -155,8 +155,8 @@
             await asyncio.sleep(0.05)
 
 
-class PlatformFleetTest(ApricotTest):
-    """What callers get."""
+class PlatformTest(ApricotTest):
+    """Base class of tests on a fleet."""
 
     def play(self, scenario, daemons=2, servers=2, step_s=0.001) -> None:
         """Run a scenario on a fleet of its own."""
@@ -174,6 +174,10 @@
 
         asyncio.run(run())
 
+
+class PlatformFleetTest(PlatformTest):
+    """What callers get."""
+
     def test_stream_is_served_by_every_daemon(self):
         """Whole, with the server's signature and without the caller's key."""
 
--- a/tests/test_serving_slots.py
+++ b/tests/test_serving_slots.py
@@ -66,7 +66,12 @@
         port = await self.peers.start("127.0.0.1", 0)
         self.shards = GivenShards(f"127.0.0.1:{port}")
         self.slots = Slots(
-            FixedView(), self.shards, self.peers, SystemClock(), self.name
+            FixedView(),
+            self.shards,
+            self.peers,
+            SystemClock(),
+            self.name,
+            quiet_reporter(),
         )
         self.slots.start()
 
