Keep suspects of different daemons apart, so the third crash convicts

Suspects of one death were kept apart only within one daemon. An innocent request that another daemon retried could land beside the culprit again, twice in a row, and then tied with it at the third death; the rule waits for a fourth in that case.

The test now shows the deaths as the daemons counted them when it fails.

Change: each suspect has an endpoint of its own by rendezvous over the suspects and endpoints that all daemons know.

--- a/apricotquay/gate.py
+++ b/apricotquay/gate.py
@@ -11,7 +11,7 @@
 from .fairness import FairQueue
 from .fleet import Fleet
 from .ids import EndpointId, TeamId
-from .routing import Endpoint
+from .routing import Endpoint, Suspicion
 
 START_TOKENS_PER_S = 200.0
 RATE_WEIGHT = 0.1
@@ -21,7 +21,7 @@
 class Ticket:
     """One request that asks for an endpoint; woken when it gets one.
 
-    `suspect` is the fingerprint of a request that may crash endpoints, else "".
+    `suspicion` is set for a request that may crash endpoints.
     """
 
     def __init__(
@@ -32,7 +32,7 @@
         cost: float,
         prefix: str,
         deadline_s: float,
-        suspect: str = "",
+        suspicion: Suspicion | None = None,
     ) -> None:
         self.team: TeamId = team
         self.weight: float = weight
@@ -40,7 +40,7 @@
         self.cost: float = cost
         self.prefix: str = prefix
         self.deadline_s: float = deadline_s
-        self.suspect: str = suspect
+        self.suspicion: Suspicion | None = suspicion
         self.excluded: set[EndpointId] = set()
         self.endpoint: Endpoint | None = None
         self.abandoned: bool = False
@@ -66,7 +66,7 @@
     def acquire(self, ticket: Ticket) -> Endpoint:
         """Return an endpoint for a request, waiting in the fair queue if need be."""
         with self._fleet.lock:
-            queue = self._queue_of(ticket.target, bool(ticket.suspect))
+            queue = self._queue_of(ticket.target, ticket.suspicion is not None)
             if not queue:
                 self._try_grant(ticket)
             if ticket.endpoint is None:
@@ -79,7 +79,8 @@
         """Give a ticket's endpoint back and let the next request through."""
         with self._fleet.lock:
             ticket.endpoint.online -= 1
-            ticket.endpoint.suspects.discard(ticket.suspect)
+            if ticket.suspicion is not None:
+                ticket.endpoint.suspects.discard(ticket.suspicion.fingerprint)
             self._see_speed(ticket.target, tokens, duration_s)
             self._pump(ticket.target, suspect=True)
             self._pump(ticket.target, suspect=False)
@@ -111,13 +112,13 @@
             ticket.excluded,
             self._clock.now_s(),
             self._rng,
-            bool(ticket.suspect),
+            ticket.suspicion,
         )
         if isinstance(choice, Success):
             endpoint = choice.unwrap()
             endpoint.online += 1
-            if ticket.suspect:
-                endpoint.suspects.add(ticket.suspect)
+            if ticket.suspicion is not None:
+                endpoint.suspects.add(ticket.suspicion.fingerprint)
             ticket.endpoint = endpoint
             self.on_change()
             return True
--- a/apricotquay/online.py
+++ b/apricotquay/online.py
@@ -20,7 +20,7 @@
 from .poison import PoisonWatch
 from .quarantine import Standing
 from .retries import RetryBudget
-from .routing import Endpoint
+from .routing import Endpoint, Suspicion
 
 MAX_ATTEMPTS = 4
 RETRY_PAUSE_S = 0.05
@@ -262,7 +262,6 @@
             raise final_error(progress.last_error, progress.ran) from exc
 
     def _ticket(self, request: OnlineRequest) -> Ticket:
-        standing = self._poison.standing(request.fingerprint)
         return Ticket(
             request.team,
             request.weight,
@@ -270,9 +269,15 @@
             request.cost,
             request.prefix,
             request.deadline_s,
-            suspect=request.fingerprint if standing is Standing.SUSPECT else "",
+            self._suspicion(request),
         )
 
+    def _suspicion(self, request: OnlineRequest) -> Suspicion | None:
+        suspects = self._poison.suspects()
+        if request.fingerprint not in suspects:
+            return None
+        return Suspicion(request.fingerprint, tuple(suspects))
+
     def _after_failure(
         self,
         request: OnlineRequest,
--- a/apricotquay/poison.py
+++ b/apricotquay/poison.py
@@ -65,6 +65,11 @@
         with self._lock:
             return self._quarantine.standing(fingerprint, self._clock.now_s())
 
+    def suspects(self) -> list[str]:
+        """Return all fingerprints that are suspects, in an order that daemons share."""
+        with self._lock:
+            return self._quarantine.suspects(self._clock.now_s())
+
     def clear(self, fingerprint: str) -> None:
         """A request completed."""
         with self._lock:
--- a/apricotquay/quarantine.py
+++ b/apricotquay/quarantine.py
@@ -108,6 +108,11 @@
             return Standing.SUSPECT
         return Standing.CLEAR
 
+    def suspects(self, now_s: float) -> list[str]:
+        """Return all fingerprints that are suspects, in an order that daemons share."""
+        named = {f for death in self._deaths for f in death.suspects}
+        return sorted(f for f in named if self.standing(f, now_s) is Standing.SUSPECT)
+
     def tick(self, now_s: float) -> None:
         """Forget what has expired."""
         for fingerprint in [f for f, u in self._quarantined.items() if u <= now_s]:
--- a/apricotquay/routing.py
+++ b/apricotquay/routing.py
@@ -27,6 +27,13 @@
     known: int
 
 
+class Suspicion(msgspec.Struct, frozen=True):
+    """A request that may crash endpoints, among all such requests of the fleet."""
+
+    fingerprint: str
+    among: tuple[str, ...]
+
+
 class Endpoint:
     """One endpoint as this daemon sees it."""
 
@@ -146,21 +153,26 @@
         excluded: set[EndpointId],
         now_s: float,
         rng: random.Random,
-        suspect: bool = False,
+        suspicion: Suspicion | None = None,
     ) -> Result[Endpoint, NoEndpoint]:
         """Choose an endpoint with room for one more online request.
 
         Of two random candidates the less loaded is taken. The candidate that
-        the prompt's prefix hashes to is preferred while its load is close.
+        the prompt's prefix hashes to is preferred while its load is close. A
+        suspect goes where no other suspect runs, its own place before all.
         """
         usable = self._usable(target, excluded, now_s)
         if not usable:
             return Failure(NoEndpoint(0))
         roomy = [e for e in usable if e.online_total(now_s) < e.slots]
-        if suspect:
+        if suspicion is not None:
             roomy = [e for e in roomy if not e.suspects]
         if not roomy:
             return Failure(NoEndpoint(len(usable)))
+        if suspicion is not None:
+            own = self._place_of(suspicion, target, now_s)
+            if own in roomy:
+                return Success(own)
         pair = rng.sample(roomy, min(2, len(roomy)))
         best = min(pair, key=lambda e: (e.load(now_s), e.first_token_ms))
         if not prefix:
@@ -220,6 +232,26 @@
         endpoint.ejected_until_s = now_s + pause_s
         return True
 
+    def _place_of(
+        self, suspicion: Suspicion, target: str, now_s: float
+    ) -> Endpoint | None:
+        """Return the endpoint that a suspect has to itself.
+
+        Daemons that know the same suspects and endpoints agree on it, so that
+        suspects which different daemons retry do not meet again.
+        """
+        every = [e for e in self.serving(target) if not e.is_ejected(now_s)]
+        left: list[Endpoint] = []
+        for fingerprint in sorted({suspicion.fingerprint, *suspicion.among}):
+            left = left or list(every)
+            if not left:
+                return None
+            place = max(left, key=lambda e: stable_hash(fingerprint, e.id))
+            if fingerprint == suspicion.fingerprint:
+                return place
+            left.remove(place)
+        return None
+
     def _usable(
         self, target: str, excluded: set[EndpointId], now_s: float
     ) -> list[Endpoint]:
--- a/tests/test_fleet_online.py
+++ b/tests/test_fleet_online.py
@@ -5,7 +5,9 @@
 
 from openai import OpenAI
 from parameterized import parameterized
+from testtools.content import text_content
 
+from apricotquay.events import Event
 from standins.engine import POISON_MARK, answer_text
 from standins.fleet import FleetSpec, TeamSpec
 
@@ -240,6 +242,22 @@
     fresh_fleet = True
     spec = FleetSpec(daemons=3, engines=6)
 
+    def setUp(self) -> None:
+        """Show what the daemons made of each death if a test fails."""
+        super().setUp()
+        self.addCleanup(
+            lambda: self.addDetail("deaths", text_content(self.death_lines()))
+        )
+
+    def death_lines(self) -> str:
+        """Return the log lines on deaths and convictions."""
+        wanted = {Event.ENDPOINT_DIED, Event.REQUEST_QUARANTINED}
+        numbers = {event.number for event in wanted}
+        lines = self.fleet.logs().splitlines(keepends=True)
+        return "".join(
+            line for line in lines if json.loads(line).get("number") in numbers
+        )
+
     def test_poisoned_request_is_stopped_and_innocents_complete(self):
         """It kills three engines at most, whichever daemon it is sent to."""
         load = Load(lambda n: self.chat(n % 3, f"innocent {n}", 20), 6)
