--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -327,6 +327,7 @@
         wanted = SlotRequest(
             Work.BATCH, due_s, due_s + FAR_AWAY_S, needs_s, avoid=progress.avoid()
         )
+        asked_s = self._clock.now_s()
         try:
             lease = await self._slots.acquire(service, wanted)
         except SlotUnavailableError as exc:
@@ -367,6 +368,8 @@
             outcome=result.outcome.value,
             reason=result.reason,
             last_event=progress.last_id,
+            slot_wait_ms=int((begun_s - asked_s) * 1000),
+            ran_ms=int(ran_s * 1000),
         )
         return result
 
