--- a/apricotquay/platform/store.py
+++ b/apricotquay/platform/store.py
@@ -2,17 +2,20 @@
 
 import asyncio
 import base64
+import random
 import struct
 import urllib.parse
 
 import msgspec
 
+from ..serving.backoff import Backoff
 from ..serving.http1 import HttpError, HttpRequest, HttpResponse
 from ..serving.httpclient import ClientConnection, open_client
 from ..serving.keyedlog import (
     Assignment,
     KeyedRecord,
     LogConflictError,
+    LogError,
     LogExpiredError,
     LogOutcomeUnknownError,
     LogRefusedError,
@@ -26,6 +29,11 @@
 CALL_TIMEOUT_S = 1.0
 # A lost answer must cost less than the time after which a member is taken for gone.
 JOIN_TIMEOUT_S = 0.4
+# A page is up to a megabyte, and a fleet that starts reads them all at once.
+PAGE_TIMEOUT_S = 2.5
+PAGE_TRIES = 4
+PAGE_PAUSE_S = 0.2
+MAX_PAGE_PAUSE_S = 0.8
 # What a waiting read may take beyond the time it asked to wait.
 WAIT_MARGIN_S = 0.6
 MAX_IDLE_CONNECTIONS = 4
@@ -105,8 +113,7 @@
             query = {"topic": topic, "part": part}
             if after:
                 query["after"] = after
-            response = await self._call("GET", "/-/log-newest", query)
-            reply = self._decoded(response, _NewestReply)
+            reply = await self._newest_page(query)
             if first_end is None:
                 first_end = reply.end
             for item in reply.items:
@@ -116,6 +123,28 @@
                 return Page(records, first_end)
             after = reply.items[-1].key
 
+    async def _newest_page(self, query: dict) -> _NewestReply:
+        """Return one page; a later page that fails is asked for again by itself.
+
+        A walk that began anew at each refusal would load a busy store with pages
+        that have been read already. The first page's failure is for the caller,
+        who has to know soon that the store is away.
+        """
+        if "after" not in query:
+            return await self._try_newest_page(query, CALL_TIMEOUT_S)
+        backoff = Backoff(PAGE_PAUSE_S, MAX_PAGE_PAUSE_S, random.Random())
+        for _ in range(PAGE_TRIES - 1):
+            try:
+                return await self._try_newest_page(query, PAGE_TIMEOUT_S)
+            except LogError:
+                # Only the last failure is for the caller to report.
+                await asyncio.sleep(backoff.next_s())
+        return await self._try_newest_page(query, PAGE_TIMEOUT_S)
+
+    async def _try_newest_page(self, query: dict, timeout_s: float) -> _NewestReply:
+        response = await self._call("GET", "/-/log-newest", query, timeout_s=timeout_s)
+        return self._decoded(response, _NewestReply)
+
     async def read(self, topic: Topic, part: int, start: int, wait_ms: int) -> Page:
         """Return records from an offset."""
         query = {
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -1,8 +1,6 @@
 """One daemon: builds the parts, answers peers, and stops without cutting requests."""
 
 import asyncio
-import math
-import random
 import secrets
 import signal
 from collections.abc import Callable
@@ -10,7 +8,6 @@
 import msgspec
 
 from ..clocks import Clock, SystemClock
-from ..errors import PeerUnavailableError
 from ..events import Event
 from ..quarantine import Quarantine
 from .attempts import Attempts
@@ -40,7 +37,6 @@
     SubmitJob,
     TakeToken,
     TicketList,
-    ViewRecords,
 )
 from .metrics import ServingMetrics
 from .online import OnlinePath
@@ -51,13 +47,9 @@
 from .slots import Slots
 from .tasks import start_task
 from .view import Directory, View
+from .viewexchange import ViewExchange
 
 FLUSH_S = 0.1
-PULL_INTERVAL_S = 0.4
-# A view that the store has not confirmed for so long is asked for at peers.
-PULL_AFTER_S = 1.4
-PULL_TIMEOUT_S = 0.5
-PULL_PEERS = 3
 # The balancer needs two misses, a second apart, to send no new connections.
 LEAVE_ROTATION_S = 2.6
 DRAIN_CHECK_S = 0.05
@@ -129,7 +121,6 @@
         self.clock: Clock = clock or SystemClock()
         self.reporter: Reporter = reporter or Reporter(settings.vm_id, self.clock)
         self.metrics: ServingMetrics = ServingMetrics()
-        self._seeds: list[str] = settings.seeds
         self._reload = reload
         self._is_draining: bool = False
         self._stop = asyncio.Event()
@@ -141,6 +132,9 @@
         self.shards = Shards(
             log, address, incarnation, settings.shards, self.clock, self.reporter
         )
+        self.exchange = ViewExchange(
+            self.view, self.shards, self.peers, settings.seeds, self.reporter
+        )
         name = f"{address}/{incarnation}"
         self.slots = Slots(
             self.view, self.shards, self.peers, self.clock, name, self.reporter
@@ -188,12 +182,12 @@
         self.jobs.on_change = self.runner.wake
         self.view.start()
         self.shards.start()
+        self.exchange.start()
         self.slots.start()
         self.runner.start()
         await self.callers.start(settings.callers.host, settings.callers.port)
         self._tasks = [
             start_task("flush", self._flush_loop, self.reporter),
-            start_task("pull", self._pull_loop, self.reporter),
         ]
         self.reporter.write(
             Event.DAEMON_STARTED,
@@ -243,6 +237,7 @@
         await self.runner.close()
         await self.jobs.close()
         self.slots.close()
+        await self.exchange.close()
         await self.shards.close()
         await self.view.close()
         await self.peers.close()
@@ -272,12 +267,12 @@
         if self._reload is None:
             return
         try:
-            self._seeds = self._reload().seeds
+            self.exchange.seeds = self._reload().seeds
         except Exception as exc:
             # The settings before stay in force; a bad file must not end a daemon.
             self.reporter.write(Event.SETTINGS_RELOADED, error=str(exc))
             return
-        self.reporter.write(Event.SETTINGS_RELOADED, seeds=self._seeds)
+        self.reporter.write(Event.SETTINGS_RELOADED, seeds=self.exchange.seeds)
 
     async def _answer_ready(self, exchange: Exchange) -> None:
         is_ready = self.view.configuration is not None and not self._is_draining
@@ -310,48 +305,9 @@
             self.crashes.take(message)
             return None
         if isinstance(message, PullView):
-            return self._answer_pull(message)
+            return self.exchange.answer(message)
         return NotHere("not a call")
 
-    def _answer_pull(self, message: PullView) -> Message:
-        view = self.view
-        configuration = []
-        version = view.configuration.version if view.configuration else -1
-        if version > message.version and view.configuration_raw is not None:
-            configuration = [view.configuration_raw]
-        endpoints = [
-            record
-            for record in view.endpoints_raw.values()
-            if record.offset > message.endpoint_mark
-        ]
-        owners, age_s = self.shards.known_owners()
-        age_ms = int(age_s * 1000) if math.isfinite(age_s) else -1
-        return ViewRecords(configuration, endpoints, owners, age_ms)
-
-    async def _pull_loop(self) -> None:
-        """Ask a peer for the view while the store does not confirm it."""
-        while True:
-            await asyncio.sleep(PULL_INTERVAL_S * random.uniform(0.8, 1.2))
-            if self.view.age_s() > PULL_AFTER_S or not self.shards.is_confirmed:
-                known = {*self.shards.addresses(), *self._seeds}
-                known.discard(str(self.settings.peers))
-                asked = random.sample(sorted(known), min(PULL_PEERS, len(known)))
-                await asyncio.gather(*map(self._pull, asked))
-
-    async def _pull(self, address: str) -> None:
-        version = self.view.configuration.version if self.view.configuration else -1
-        message = PullView(version, self.view.endpoint_mark())
-        try:
-            reply = await self.peers.call(address, message, PULL_TIMEOUT_S)
-        except PeerUnavailableError:
-            # Peers reports the loss; others are asked at the next turn.
-            return
-        if isinstance(reply, ViewRecords):
-            self.view.take_records(reply.configuration, reply.endpoints)
-            self.shards.see_peer()
-            if reply.owners_age_ms >= 0:
-                self.shards.take_owners(reply.owners, reply.owners_age_ms / 1000)
-
     async def _flush_loop(self) -> None:
         while True:
             await asyncio.sleep(FLUSH_S)
--- a/apricotquay/serving/shards.py
+++ b/apricotquay/serving/shards.py
@@ -8,6 +8,7 @@
 from ..clocks import Clock
 from ..events import Event
 from ..ids import stable_hash
+from .backoff import Backoff
 from .keyedlog import KeyedLog, LogError, MemberName, Shard
 from .partition import JOBS
 from .reporting import Reporter
@@ -136,6 +137,7 @@
         return sorted(set(self._owners.values()) - {self.address})
 
     async def _join_loop(self) -> None:
+        backoff = Backoff(JOIN_RETRY_S, JOIN_INTERVAL_S, random.Random())
         while not self._is_leaving:
             sent_s = self._clock.now_s()
             try:
@@ -147,6 +149,7 @@
                 # gets the shards, and if it serves others, peers tell of it.
                 self._reporter.lost("group", str(exc))
             else:
+                backoff.reset()
                 self._reporter.regained("group")
                 self._joined_s = sent_s
                 self._generation = assignment.generation
@@ -154,7 +157,7 @@
                     self._own(frozenset(s.number for s in assignment.shards))
                 await asyncio.sleep(JOIN_INTERVAL_S * random.uniform(0.8, 1.2))
                 continue
-            await asyncio.sleep(JOIN_RETRY_S)
+            await asyncio.sleep(backoff.next_s())
 
     async def _owners_loop(self) -> None:
         while True:
--- a/apricotquay/serving/view.py
+++ b/apricotquay/serving/view.py
@@ -13,6 +13,7 @@
 from ..errors import ApricotquayError
 from ..events import Event
 from ..ids import EndpointId
+from .backoff import Backoff
 from .catalog import Configuration
 from .endpoints import Endpoint, EndpointTable
 from .keyedlog import KeyedLog, KeyedRecord, LogError, LogExpiredError, Page, Topic
@@ -21,6 +22,7 @@
 
 FOLLOW_WAIT_MS = 1_000
 RETRY_PAUSE_S = 0.2
+MAX_RETRY_PAUSE_S = 0.8
 TICK_S = 0.1
 
 
@@ -106,6 +108,7 @@
 
     async def _follow(self, topic: Topic) -> None:
         fresh = self._fresh[topic]
+        backoff = Backoff(RETRY_PAUSE_S, MAX_RETRY_PAUSE_S, random.Random())
         while True:
             try:
                 await self._follow_once(topic, fresh)
@@ -115,8 +118,9 @@
                 if topic == self._directory.endpoint_topic:
                     self.endpoints.see_away(self._clock.now_s())
                 self._reporter.lost("store", str(exc), topic=topic)
-                await asyncio.sleep(RETRY_PAUSE_S * (0.5 + random.random()))
+                await asyncio.sleep(backoff.next_s())
             else:
+                backoff.reset()
                 self._reporter.regained("store", topic=topic)
 
     async def _follow_once(self, topic: Topic, fresh: Fresh) -> None:
--- /dev/null
+++ b/apricotquay/serving/viewexchange.py
@@ -0,0 +1,98 @@
+"""Passes the platform's records between daemons while the store is out of reach."""
+
+import asyncio
+import contextlib
+import math
+import random
+
+from ..errors import PeerUnavailableError
+from .messages import Message, PullView, ViewRecords
+from .peers import Peers
+from .reporting import Reporter
+from .shards import Shards
+from .tasks import start_task
+from .view import View
+
+PULL_INTERVAL_S = 0.4
+# A view that the store has not confirmed for so long is asked for at peers.
+PULL_AFTER_S = 1.4
+PULL_TIMEOUT_S = 0.5
+PULL_PEERS = 3
+# A whole view is large, so that a daemon without any asks one peer at a time.
+PULL_PEERS_AT_START = 1
+
+
+class ViewExchange:
+    """Asks peers for what is newer than this daemon's view, and answers them.
+
+    One a daemon. `seeds` are asked besides the owners of shards.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        shards: Shards,
+        peers: Peers,
+        seeds: list[str],
+        reporter: Reporter,
+    ) -> None:
+        self.seeds: list[str] = seeds
+        self._view: View = view
+        self._shards: Shards = shards
+        self._peers: Peers = peers
+        self._reporter: Reporter = reporter
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start to ask peers whenever the store does not confirm the view."""
+        self._task = start_task("pull", self._loop, self._reporter)
+
+    async def close(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+
+    def answer(self, message: PullView) -> Message:
+        """Return what is newer here than a peer's view."""
+        view = self._view
+        configuration = []
+        version = view.configuration.version if view.configuration else -1
+        if version > message.version and view.configuration_raw is not None:
+            configuration = [view.configuration_raw]
+        endpoints = [
+            record
+            for record in view.endpoints_raw.values()
+            if record.offset > message.endpoint_mark
+        ]
+        owners, age_s = self._shards.known_owners()
+        age_ms = int(age_s * 1000) if math.isfinite(age_s) else -1
+        return ViewRecords(configuration, endpoints, owners, age_ms)
+
+    async def _loop(self) -> None:
+        while True:
+            await asyncio.sleep(PULL_INTERVAL_S * random.uniform(0.8, 1.2))
+            if self._view.age_s() > PULL_AFTER_S or not self._shards.is_confirmed:
+                await asyncio.gather(*map(self._pull, self._peers_to_ask()))
+
+    def _peers_to_ask(self) -> list[str]:
+        known = {*self._shards.addresses(), *self.seeds} - {self._shards.address}
+        has_view = self._view.endpoint_mark() >= 0
+        count = PULL_PEERS if has_view else PULL_PEERS_AT_START
+        return random.sample(sorted(known), min(count, len(known)))
+
+    async def _pull(self, address: str) -> None:
+        view = self._view
+        version = view.configuration.version if view.configuration else -1
+        message = PullView(version, view.endpoint_mark())
+        try:
+            reply = await self._peers.call(address, message, PULL_TIMEOUT_S)
+        except PeerUnavailableError:
+            # Peers reports the loss; others are asked at the next turn.
+            return
+        if isinstance(reply, ViewRecords):
+            view.take_records(reply.configuration, reply.endpoints)
+            self._shards.see_peer()
+            if reply.owners_age_ms >= 0:
+                self._shards.take_owners(reply.owners, reply.owners_age_ms / 1000)
--- /dev/null
+++ b/tests/test_serving_viewexchange.py
@@ -0,0 +1,84 @@
+"""The exchange of views between daemons while the store is out of reach."""
+
+import asyncio
+import json
+
+from apricotquay.platform.wire import PlatformDirectory
+from apricotquay.serving import viewexchange
+from apricotquay.serving.keyedlog import KeyedRecord, Shard
+from apricotquay.serving.messages import PullView
+from apricotquay.serving.partition import JOBS
+from apricotquay.serving.shards import Shards
+from apricotquay.serving.view import View
+from apricotquay.serving.viewexchange import ViewExchange
+
+from .base import ApricotTest
+from .test_platform_wire import SERVER, config
+from .test_serving_jobs import quiet_reporter
+from .test_serving_shards import StepClock
+
+
+class DirectPeers:
+    """Calls the exchanges of other daemons without a network, and counts."""
+
+    def __init__(self) -> None:
+        self.exchanges: dict[str, ViewExchange] = {}
+        self.records_sent: int = 0
+
+    async def call(self, address: str, message: PullView, _timeout_s: float):
+        """Return the answer of the exchange at an address."""
+        reply = self.exchanges[address].answer(message)
+        self.records_sent += len(reply.endpoints)
+        await asyncio.sleep(0)
+        return reply
+
+
+class ExchangeTest(ApricotTest):
+    """Daemons that the store does not answer."""
+
+    def exchange(self, address: str, peers: DirectPeers) -> ViewExchange:
+        """Return the exchange of a daemon without any view."""
+        clock = StepClock()
+        view = View(None, PlatformDirectory(), clock, quiet_reporter())
+        shards = Shards(None, address, "x", 12, clock, quiet_reporter())
+        seeds = ["a:1", "b:1", "c:1", "d:1"]
+        exchange = ViewExchange(view, shards, peers, seeds, quiet_reporter())
+        peers.exchanges[address] = exchange
+        return exchange
+
+    def fill(self, exchange: ViewExchange, count: int) -> None:
+        """Give an exchange a configuration, endpoints and owners."""
+        value = json.dumps(SERVER).encode()
+        servers = [KeyedRecord(f"i-{n}".encode(), value, n) for n in range(count)]
+        exchange._view.take_records([config()], servers)
+        exchange._shards._read_s = exchange._shards._clock.now_s()
+        exchange._shards._take({Shard(JOBS, 0): "b:1/x"})
+
+    def test_daemon_without_a_view_gets_it_once(self):
+        """A whole fleet that starts at once must not send each view three times."""
+        peers = DirectPeers()
+        for address in ("a:1", "b:1", "c:1"):
+            self.fill(self.exchange(address, peers), 50)
+        late = self.exchange("d:1", peers)
+
+        async def run() -> None:
+            late.start()
+            while late._view.configuration is None:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+            await late.close()
+
+        self.patch(viewexchange, "PULL_INTERVAL_S", 0.01)
+        asyncio.run(run())
+        self.assertEqual(50, peers.records_sent)
+        self.assertEqual(50, len(late._view.endpoints_raw))
+        self.assertEqual("b:1", late._shards.owner(0))
+
+    def test_only_newer_records_are_sent(self):
+        """A peer that has nearly all gets the rest."""
+        peers = DirectPeers()
+        exchange = self.exchange("a:1", peers)
+        self.fill(exchange, 10)
+        reply = exchange.answer(PullView(7, 7))
+        self.assertEqual([], reply.configuration)
+        self.assertEqual([b"i-8", b"i-9"], [r.key for r in reply.endpoints])
