Model: recorded loads, engines that queue, confidence, a bound from the future

Loads are now values of their own (made up, or read from a fleet's log lines), engines queue in order of arrival, so that tables which know only their own tickets can be played, attempts may hang, and each mean comes with its 95 % margin over eight seeds. The bound is a linear program over the same load (scipy, for measurements only).

--- a/bench/main.py
+++ b/bench/main.py
@@ -3,18 +3,12 @@
 import argparse
 from pathlib import Path
 
-from apricotquay.serving.dispatch import Dispatcher
-
-from . import calls, decisions, fleets, queueing, rates
+from . import calls, decisions, fleets, policies, rates
 from .results import Row, save, table
 
 PARTS = {
     "decisions": lambda seed: decisions.measure_all(),
-    "policies": lambda seed: queueing.measure_policies(
-        seed,
-        {"in arrival order": queueing.ArrivalOrder, "in time first": Dispatcher},
-        queueing.DEPLOYMENTS,
-    ),
+    "policies": policies.measure_policies,
     "rates": rates.measure_all,
     "calls": lambda seed: calls.measure_all(),
     "harm": lambda seed: (
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,91 @@
+"""Compares policies on the queueing model, with repeats and confidence."""
+
+import math
+import statistics
+from collections.abc import Iterator, Sequence
+
+from apricotquay.serving.dispatch import Work
+
+from .clairvoyant import best_shares
+from .loads import DEPLOYMENTS, Deployment, Trouble, steady_load
+from .queueing import ArrivalOrder, Model, OwnTables, Policy
+from .results import Row
+
+REPEATS = 8
+# Student's t at 95 % for 7 degrees of freedom, since there are eight repeats.
+T_95 = 2.365
+DAEMONS = 10
+
+TROUBLES = (
+    Trouble("calm"),
+    Trouble("online x1.6", online_x=1.6),
+    Trouble("online x2.5", online_x=2.5),
+    Trouble("jobs x4", jobs_x=4.0),
+    Trouble("two engines lost", engines_lost=2),
+    Trouble("all three", online_x=1.6, jobs_x=3.0, engines_lost=1),
+    Trouble("a tenth of attempts hang", hung_share=0.1),
+)
+
+POLICIES = (
+    Policy("in time first"),
+    Policy("in arrival order", ArrivalOrder),
+    Policy("own counts of ten daemons", lambda seed: OwnTables(DAEMONS, seed)),
+    Policy("lengths of items known", knows_length=True),
+    Policy("attempts given up after 0.2 s", first_event_limit_s=0.2),
+)
+
+
+def measure_policies(
+    seed: int,
+    policies: Sequence[Policy] = POLICIES,
+    deployments: dict[str, Deployment] = DEPLOYMENTS,
+    troubles: Sequence[Trouble] = TROUBLES,
+    repeats: int = REPEATS,
+) -> Iterator[Row]:
+    """Yield the worth by class of each policy over the same loads, and what a
+    scheduler that knew the future could get of them; the first is the baseline.
+    """
+    for name, deployment in deployments.items():
+        for trouble in troubles:
+            loads = [steady_load(deployment, trouble, seed + n) for n in range(repeats)]
+            base: dict[Work, float] = {}
+            for policy in policies:
+                shares = _shares_of(policy, deployment, loads, seed)
+                yield from _rows(f"{name}, {trouble.name}: {policy.name}", shares, base)
+            best = [best_shares(deployment, load) for load in loads[:1]]
+            yield from _rows(f"{name}, {trouble.name}: knows the future", best, base)
+
+
+def _shares_of(
+    policy: Policy, deployment: Deployment, loads: list, seed: int
+) -> list[dict[Work, float]]:
+    shares = []
+    for number, load in enumerate(loads):
+        model = Model(deployment, load, policy, seed + number)
+        model.play()
+        shares.append({work: model.shares(work) for work in Work})
+    return shares
+
+
+def _rows(
+    scenario: str, shares: list[dict[Work, float]], base: dict[Work, float]
+) -> Iterator[Row]:
+    for work in Work:
+        values = [share[work] for share in shares]
+        value = statistics.fmean(values)
+        yield Row(
+            scenario,
+            f"{work.value} worth",
+            value,
+            "",
+            base.get(work),
+            margin_of(values),
+        )
+        base.setdefault(work, value)
+
+
+def margin_of(values: list[float]) -> float | None:
+    """Return half the width of the 95 % interval of a mean; None of one value."""
+    if len(values) < 2:
+        return None
+    return T_95 * statistics.stdev(values) / math.sqrt(len(values))
--- a/bench/queueing.py
+++ b/bench/queueing.py
@@ -1,23 +1,25 @@
-"""A model of engines, callers and one dispatcher in virtual time.
-
-Engines run a fixed number of requests at once, whose steps do not slow each
-other; callers come in a steady beat of calm and peak, leave after their
-patience, and come back once after a refusal. Online requests ask for a first
-event within an objective, batch items for their end by a due time. Figures come
-from a `Deployment`; the result is the worth of what was served as a share of
-what was asked, by class.
+"""A model of engines, callers and dispatchers in virtual time.
+
+Engines run a fixed number of requests at once, first come first served, whose
+steps do not slow each other. Callers leave after their patience, and come back
+once after a refusal. Online requests ask for a first event within an objective,
+batch items for their end by a due time. The result is the worth of what was
+served as a share of what was asked, by class.
 """
 
+import collections
 import heapq
 import itertools
 import random
 import statistics
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
 import msgspec
 
 from apricotquay.ids import EndpointId
 from apricotquay.serving.dispatch import (
+    Decision,
     Dispatcher,
     Granted,
     Rank,
@@ -28,66 +30,37 @@
     Work,
 )
 
-from .results import Row
+from .loads import Deployment, JobArrival, Load, OnlineArrival
 
-PERIOD_S, CALM_S = 5.8, 3.4
-CALM_SHARE, PEAK_SHARE = 0.383, 1.87
 # A stopped item is free again after the connection's end has reached its engine.
 STOP_S = 0.005
 RESUME_S = 0.02
+TICK_S = 0.05
+MIN_NEEDS_S = 0.3
+# What a caller's patience leaves for the way back.
+PATIENCE_MARGIN_S = 0.1
+FIRST_EVENT_LIMIT_S = 0.9
 
 
-class Deployment(msgspec.Struct, frozen=True):
-    """Figures of a deployment and its load."""
+class SlotTable(Protocol):
+    """What the model asks of a dispatcher; `Dispatcher` is one."""
 
-    engines: int = 6
-    slots: int = 8
-    online_per_s: float = 27.0
-    online_hold_s: float = 0.65
-    objective_s: float = 0.3
-    first_event_s: float = 0.06
-    patience_s: float = 2.0
-    deadline_s: float = 5.0
-    online_worth: float = 5.7
-    online_late_worth: float = 0.86
-    jobs_per_s: float = 0.343
-    items_per_job: int = 10
-    item_hold_s: float = 4.7
-    item_due_s: float = 18.0
-    item_worth: float = 35.0
-    item_late_worth: float = 3.5
-    length_s: float = 60.0
+    def set_endpoints(
+        self, counts: dict[EndpointId, int], now_s: float
+    ) -> list[Decision]:
+        """Take in which endpoints take new work, and their slots."""
 
+    def ask(self, ticket: Ticket, now_s: float) -> list[Decision]:
+        """Grant a slot, queue the ticket or refuse it."""
 
-class Trouble(msgspec.Struct, frozen=True):
-    """What happens in the middle of the run, from a third to two thirds."""
+    def release(self, ticket_id: TicketId, now_s: float) -> list[Decision]:
+        """Free a slot or leave the queue."""
 
-    name: str
-    online_x: float = 1.0
-    jobs_x: float = 1.0
-    engines_lost: int = 0
-
-
-DEPLOYMENTS = {
-    "pelletier": Deployment(),
-    "teranga": Deployment(
-        online_worth=2.9,
-        online_late_worth=0.44,
-        online_hold_s=0.7,
-        first_event_s=0.03,
-        item_worth=18.0,
-        item_late_worth=1.8,
-    ),
-}
-
-TROUBLES = (
-    Trouble("calm"),
-    Trouble("online x1.6", online_x=1.6),
-    Trouble("online x2.5", online_x=2.5),
-    Trouble("jobs x4", jobs_x=4.0),
-    Trouble("two engines lost", engines_lost=2),
-    Trouble("all three", online_x=1.6, jobs_x=3.0, engines_lost=1),
-)
+    def tick(self, now_s: float) -> list[Decision]:
+        """Refuse what waits too long."""
+
+    def is_waiting(self, ticket_id: TicketId) -> bool:
+        """Whether a ticket waits for a slot."""
 
 
 class ArrivalOrder(Dispatcher):
@@ -98,6 +71,51 @@
         return Rank.ONLINE_IN_TIME if online else Rank.BATCH_IN_TIME
 
 
+class OwnTables:
+    """A table a daemon, each of which knows only what it sent itself."""
+
+    def __init__(self, daemons: int, seed: int) -> None:
+        self._tables = [Dispatcher(seed + n) for n in range(daemons)]
+        self._table_of: dict[TicketId, Dispatcher] = {}
+        self._rng = random.Random(seed)
+
+    def set_endpoints(
+        self, counts: dict[EndpointId, int], now_s: float
+    ) -> list[Decision]:
+        """Tell all daemons."""
+        return self._all(lambda table: table.set_endpoints(counts, now_s))
+
+    def ask(self, ticket: Ticket, now_s: float) -> list[Decision]:
+        """Ask the daemon that the request came to."""
+        table = self._table_of[ticket.id] = self._rng.choice(self._tables)
+        return table.ask(ticket, now_s)
+
+    def release(self, ticket_id: TicketId, now_s: float) -> list[Decision]:
+        """Tell the daemon that has the ticket."""
+        return self._table_of[ticket_id].release(ticket_id, now_s)
+
+    def tick(self, now_s: float) -> list[Decision]:
+        """Refuse what waits too long anywhere."""
+        return self._all(lambda table: table.tick(now_s))
+
+    def is_waiting(self, ticket_id: TicketId) -> bool:
+        """Whether a ticket waits at its daemon."""
+        return self._table_of[ticket_id].is_waiting(ticket_id)
+
+    def _all(self, call: Callable[[Dispatcher], list[Decision]]) -> list[Decision]:
+        return [decision for table in self._tables for decision in call(table)]
+
+
+class Policy(msgspec.Struct, frozen=True):
+    """What is compared: how slots are given, what is known of items' lengths, and
+    after how long without a first event an attempt is given up."""
+
+    name: str
+    make_table: Callable[[int], SlotTable] = Dispatcher
+    knows_length: bool = False
+    first_event_limit_s: float = FIRST_EVENT_LIMIT_S
+
+
 class Request(msgspec.Struct):
     """One caller's request or one batch item, over its attempts."""
 
@@ -106,209 +124,256 @@
     first_s: float
     due_s: float
     hold_s: float
+    hangs: bool = False
     sent_s: float = 0.0
+    begun_s: float = 0.0
     refused_fast: bool = False
     done_part_s: float = 0.0
     run: int = 0
+    attempt: int = 0
     worth_share: float = 0.0
+    slot_wait_s: float | None = None
+    is_in_time: bool = False
     is_over: bool = False
 
 
+class _Engine:
+    """One engine: what runs there, and what waits in order of arrival."""
+
+    def __init__(self, slots: int) -> None:
+        self.slots: int = slots
+        self.running: set[TicketId] = set()
+        self.waiting: collections.deque[TicketId] = collections.deque()
+
+
 class Model:
-    """Plays one load against one dispatcher."""
+    """Plays one load against one policy."""
 
     def __init__(
-        self, deployment: Deployment, trouble: Trouble, seed: int, make: Callable
+        self, deployment: Deployment, load: Load, policy: Policy, seed: int
     ) -> None:
-        self.deployment: Deployment = deployment
-        self.trouble: Trouble = trouble
         self.requests: list[Request] = []
-        self._rng = random.Random(seed)
-        self._dispatcher = make(seed)
+        self.busy_slot_s: dict[Work, float] = dict.fromkeys(Work, 0.0)
+        self._deployment: Deployment = deployment
+        self._load: Load = load
+        self._policy: Policy = policy
+        self._table: SlotTable = policy.make_table(seed)
+        self._engines: dict[EndpointId, _Engine] = {}
+        self._place: dict[TicketId, _Engine] = {}
+        self._tickets: dict[TicketId, Request] = {}
         self._events: list = []
         self._order = itertools.count()
-        self._tickets: dict[TicketId, Request] = {}
 
     def play(self) -> None:
-        """Run to the end of the load."""
-        d = self.deployment
-        self._set_engines(0.0, d.engines)
-        third_s = d.length_s / 3
-        lost = d.engines - self.trouble.engines_lost
-        self._at(third_s, lambda now_s: self._set_engines(now_s, lost))
-        self._at(2 * third_s, lambda now_s: self._set_engines(now_s, d.engines))
-        for at_s in self._arrivals(d.online_per_s, self.trouble.online_x, beat=True):
-            self._at(at_s, self._online_arrives)
-        for at_s in self._arrivals(d.jobs_per_s, self.trouble.jobs_x, beat=False):
-            self._at(at_s, self._job_arrives)
-        for tick in range(int(d.length_s * 2 / 0.05)):
-            self._at(tick * 0.05, lambda now_s: self._decide(self._dispatcher.tick, []))
+        """Run to the end of the load and of what it left waiting."""
+        for change in self._load.engines:
+            self._at(change.at_s, lambda s, n=change.engines: self._set_engines(s, n))
+        for arrival in self._load.online:
+            self._at(arrival.at_s, lambda s, a=arrival: self._online_arrives(s, a))
+        for job in self._load.jobs:
+            self._at(job.at_s, lambda s, j=job: self._job_arrives(s, j))
+        for tick in range(int(self._load.length_s * 2 / TICK_S)):
+            self._at(tick * TICK_S, self._tick)
         while self._events:
-            self._now_s, _, call = heapq.heappop(self._events)
-            call(self._now_s)
+            now_s, _, call = heapq.heappop(self._events)
+            call(now_s)
 
     def shares(self, work: Work) -> float:
         """Return the worth of what was served over what was asked."""
-        asked = [r for r in self.requests if r.work is work]
-        return statistics.fmean(r.worth_share for r in asked) if asked else 1.0
-
-    def _arrivals(self, per_s: float, x: float, beat: bool) -> Iterator[float]:
-        now_s = 0.0
-        length_s = self.deployment.length_s
-        while now_s < length_s:
-            share = 1.0
-            if beat:
-                share = CALM_SHARE if now_s % PERIOD_S < CALM_S else PEAK_SHARE
-            if length_s / 3 <= now_s < 2 * length_s / 3:
-                share *= x
-            now_s += self._rng.expovariate(per_s * share)
-            yield now_s
-
-    def _at(self, at_s: float, call: Callable) -> None:
+        return _mean(r.worth_share for r in self.requests if r.work is work)
+
+    def in_time(self, work: Work) -> float:
+        """Return the share that was served in time."""
+        return _mean(r.is_in_time for r in self.requests if r.work is work)
+
+    def slot_waits_s(self, work: Work) -> list[float]:
+        """Return how long requests waited for their first slot, sorted."""
+        waits = (r.slot_wait_s for r in self.requests if r.work is work)
+        return sorted(wait for wait in waits if wait is not None)
+
+    def _at(self, at_s: float, call: Callable[[float], None]) -> None:
         heapq.heappush(self._events, (at_s, next(self._order), call))
 
-    def _set_engines(self, now_s: float, count: int) -> None:
-        counts = {EndpointId(f"e{n}"): self.deployment.slots for n in range(count)}
-        self._carry_out(self._dispatcher.set_endpoints(counts, now_s), now_s)
+    def _tick(self, now_s: float) -> None:
+        self._carry_out(self._table.tick(now_s), now_s)
 
-    def _online_arrives(self, now_s: float) -> None:
-        d = self.deployment
-        hold_s = max(0.1, self._rng.gauss(d.online_hold_s, d.online_hold_s / 4))
+    def _set_engines(self, now_s: float, count: int) -> None:
+        """Let so many engines take work; the others end what they run."""
+        ids = [EndpointId(f"e{n}") for n in range(count)]
+        for endpoint in ids:
+            self._engines.setdefault(endpoint, _Engine(self._deployment.slots))
+        counts = dict.fromkeys(ids, self._deployment.slots)
+        self._carry_out(self._table.set_endpoints(counts, now_s), now_s)
+
+    def _online_arrives(self, now_s: float, arrival: OnlineArrival) -> None:
+        due_s = now_s + self._deployment.objective_s
         request = Request(
             len(self.requests),
             Work.ONLINE,
             now_s,
-            now_s + d.objective_s,
-            hold_s,
-            now_s,
+            due_s,
+            arrival.hold_s,
+            arrival.hangs,
         )
         self.requests.append(request)
+        self._send_online(request, now_s)
+
+    def _send_online(self, request: Request, now_s: float) -> None:
+        """A caller sends a request, for the first time or after a refusal."""
+        d = self._deployment
+        request.sent_s = now_s
+        request.attempt += 1
+        attempt = request.attempt
+        self._at(now_s + d.patience_s, lambda s: self._leave(request, attempt, s))
         self._ask_online(request, now_s)
 
     def _ask_online(self, request: Request, now_s: float) -> None:
-        d = self.deployment
-        request.sent_s = now_s
+        d = self._deployment
         request.run += 1
         ticket = Ticket(
-            TicketId(f"{request.number}/{request.run}"),
+            _ticket_id(request),
             Work.ONLINE,
-            now_s + d.objective_s,
-            now_s + d.patience_s - 0.1,
+            request.sent_s + d.objective_s,
+            request.sent_s + d.patience_s - PATIENCE_MARGIN_S,
         )
         self._tickets[ticket.id] = request
-        run = request.run
-        self._at(now_s + d.patience_s, lambda at_s: self._leave(request, run, at_s))
-        self._carry_out(self._dispatcher.ask(ticket, now_s), now_s)
+        self._carry_out(self._table.ask(ticket, now_s), now_s)
 
-    def _leave(self, request: Request, run: int, now_s: float) -> None:
+    def _leave(self, request: Request, attempt: int, now_s: float) -> None:
         """The caller's patience ends before a first event."""
-        ticket_id = TicketId(f"{request.number}/{run}")
-        if not request.is_over and self._dispatcher.is_waiting(ticket_id):
+        ticket_id = _ticket_id(request)
+        is_waiting = self._table.is_waiting(ticket_id)
+        if request.attempt == attempt and not request.is_over and is_waiting:
             request.is_over = True
-            self._carry_out(self._dispatcher.release(ticket_id, now_s), now_s)
-
-    def _job_arrives(self, now_s: float) -> None:
-        d = self.deployment
-        for _ in range(d.items_per_job):
-            hold_s = max(1.0, self._rng.gauss(d.item_hold_s, d.item_hold_s / 4))
-            due_s = now_s + d.item_due_s
-            item = Request(len(self.requests), Work.BATCH, now_s, due_s, hold_s)
+            self._carry_out(self._table.release(ticket_id, now_s), now_s)
+
+    def _job_arrives(self, now_s: float, job: JobArrival) -> None:
+        for hold_s in job.holds_s:
+            number = len(self.requests)
+            item = Request(number, Work.BATCH, now_s, job.due_s, hold_s, sent_s=now_s)
             self.requests.append(item)
             self._ask_batch(item, now_s)
 
     def _ask_batch(self, item: Request, now_s: float) -> None:
         item.run += 1
-        needs_s = max(0.3, self.deployment.item_hold_s - item.done_part_s)
-        ticket = Ticket(
-            TicketId(f"{item.number}/{item.run}"),
-            Work.BATCH,
-            item.due_s,
-            now_s + 3600,
-            needs_s,
-        )
+        item.sent_s = now_s
+        length_s = self._deployment.item_hold_s
+        if self._policy.knows_length:
+            length_s = item.hold_s
+        needs_s = max(MIN_NEEDS_S, length_s - item.done_part_s)
+        ticket = Ticket(_ticket_id(item), Work.BATCH, item.due_s, now_s + 3600, needs_s)
         self._tickets[ticket.id] = item
-        self._carry_out(self._dispatcher.ask(ticket, now_s), now_s)
+        self._carry_out(self._table.ask(ticket, now_s), now_s)
 
-    def _decide(self, call: Callable, args: list) -> None:
-        self._carry_out(call(self._now_s, *args), self._now_s)
-
-    def _carry_out(self, decisions, now_s: float) -> None:
+    def _carry_out(self, decisions: Iterable[Decision], now_s: float) -> None:
         for decision in decisions:
             request = self._tickets[decision.ticket]
             if isinstance(decision, Granted):
-                self._begin(request, decision.ticket, now_s)
+                self._arrive(decision, now_s)
             elif isinstance(decision, Refused):
                 self._refuse(request, decision.wait_s, now_s)
             elif isinstance(decision, Revoked):
-                self._stop(request, decision.ticket, now_s)
+                self._at(
+                    now_s + STOP_S,
+                    lambda s, t=decision.ticket, r=request: self._stop(r, t, s),
+                )
+
+    def _arrive(self, granted: Granted, now_s: float) -> None:
+        """A request reaches its engine and waits there while that is full."""
+        engine = self._engines[granted.endpoint]
+        self._place[granted.ticket] = engine
+        engine.waiting.append(granted.ticket)
+        self._start_waiting(engine, now_s)
+
+    def _start_waiting(self, engine: _Engine, now_s: float) -> None:
+        while engine.waiting and len(engine.running) < engine.slots:
+            ticket_id = engine.waiting.popleft()
+            engine.running.add(ticket_id)
+            self._begin(self._tickets[ticket_id], ticket_id, now_s)
 
     def _begin(self, request: Request, ticket_id: TicketId, now_s: float) -> None:
-        left_s = request.hold_s - request.done_part_s
+        request.begun_s = now_s
+        if request.slot_wait_s is None:
+            request.slot_wait_s = now_s - request.sent_s
         if request.work is Work.ONLINE:
-            request.worth_share = self._online_share(request, now_s)
-        elif request.done_part_s:
+            limit_s = self._policy.first_event_limit_s
+            if request.hangs:
+                request.hangs = False
+                self._at(now_s + limit_s, lambda s: self._try_other(ticket_id, s))
+                return
+            self._see_first_event(request, now_s)
+        left_s = request.hold_s - request.done_part_s
+        if request.done_part_s:
             left_s += RESUME_S
-        request.sent_s = now_s if request.work is Work.BATCH else request.sent_s
-        run = request.run
-        self._at(now_s + left_s, lambda at_s: self._end(request, ticket_id, run, at_s))
-
-    def _online_share(self, request: Request, now_s: float) -> float:
-        """Return what a first event is worth: one in time after a refusal at once
-        is half way between in time and late."""
-        d = self.deployment
+        self._at(now_s + left_s, lambda s: self._end(request, ticket_id, s))
+
+    def _try_other(self, ticket_id: TicketId, now_s: float) -> None:
+        """Give up an attempt that hangs."""
+        request = self._tickets[ticket_id]
+        self._free(ticket_id, now_s)
+        self._ask_online(request, now_s)
+
+    def _see_first_event(self, request: Request, now_s: float) -> None:
+        """Value a first event: one in time after a refusal at once is half way
+        between in time and late."""
+        d = self._deployment
         late_share = d.online_late_worth / d.online_worth
+        request.worth_share = late_share
         if now_s + d.first_event_s > request.sent_s + d.objective_s:
-            return late_share
-        if request.run == 1:
-            return 1.0
-        return (1.0 + late_share) / 2 if request.refused_fast else late_share
-
-    def _end(self, request: Request, ticket_id, run: int, now_s: float) -> None:
-        if request.run != run or request.is_over:
+            return
+        if request.attempt == 1:
+            request.worth_share = 1.0
+            request.is_in_time = True
+        elif request.refused_fast:
+            request.worth_share = (1.0 + late_share) / 2
+
+    def _end(self, request: Request, ticket_id: TicketId, now_s: float) -> None:
+        if ticket_id not in self._place or request.is_over:
             return
         request.is_over = True
         if request.work is Work.BATCH:
-            d = self.deployment
-            is_late = now_s > request.due_s
-            request.worth_share = d.item_late_worth / d.item_worth if is_late else 1.0
-        self._carry_out(self._dispatcher.release(ticket_id, now_s), now_s)
+            d = self._deployment
+            request.is_in_time = now_s <= request.due_s
+            late_share = d.item_late_worth / d.item_worth
+            request.worth_share = 1.0 if request.is_in_time else late_share
+        self._free(ticket_id, now_s)
 
     def _stop(self, item: Request, ticket_id: TicketId, now_s: float) -> None:
-        item.done_part_s += now_s - item.sent_s
-        item.run += 1
-
-        def again(at_s: float) -> None:
-            self._carry_out(self._dispatcher.release(ticket_id, at_s), at_s)
-            self._ask_batch(item, at_s)
-
-        self._at(now_s + STOP_S, again)
+        """A batch item gives its slot up and asks for another."""
+        engine = self._place.get(ticket_id)
+        if engine is None:
+            return
+        if ticket_id in engine.running:
+            item.done_part_s += now_s - item.begun_s
+        self._free(ticket_id, now_s)
+        self._ask_batch(item, now_s)
+
+    def _free(self, ticket_id: TicketId, now_s: float) -> None:
+        engine = self._place.pop(ticket_id)
+        if ticket_id in engine.running:
+            engine.running.discard(ticket_id)
+            request = self._tickets[ticket_id]
+            self.busy_slot_s[request.work] += now_s - request.begun_s
+        else:
+            engine.waiting.remove(ticket_id)
+        self._carry_out(self._table.release(ticket_id, now_s), now_s)
+        self._start_waiting(engine, now_s)
 
     def _refuse(self, request: Request, wait_s: float, now_s: float) -> None:
-        d = self.deployment
-        if request.run >= 2:
+        d = self._deployment
+        if request.attempt >= 2 or request.begun_s:
             request.is_over = True
             return
         request.refused_fast = now_s - request.first_s <= d.objective_s / 4
         left_s = request.first_s + d.deadline_s - now_s
         at_s = now_s + max(0.1, min(wait_s, left_s / 3))
-        self._at(at_s, lambda back_s: self._ask_online(request, back_s))
-
-
-def measure_policies(
-    seed: int, policies: dict[str, Callable], deployments: dict[str, Deployment]
-) -> Iterator[Row]:
-    """Yield the worth by class of each policy; the first is the baseline."""
-    for (name, deployment), trouble in itertools.product(deployments.items(), TROUBLES):
-        base: dict[Work, float] = {}
-        for policy, make in policies.items():
-            for work in Work:
-                shares = []
-                for repeat in range(3):
-                    model = Model(deployment, trouble, seed + repeat, make)
-                    model.play()
-                    shares.append(model.shares(work))
-                value = statistics.fmean(shares)
-                scenario = f"{name}, {trouble.name}: {policy}"
-                figure = f"{work.value} worth"
-                yield Row(scenario, figure, value, "", base.get(work))
-                base.setdefault(work, value)
+        self._at(at_s, lambda s: self._send_online(request, s))
+
+
+def _ticket_id(request: Request) -> TicketId:
+    return TicketId(f"{request.number}/{request.run}")
+
+
+def _mean(values: Iterable[float]) -> float:
+    listed = list(values)
+    return statistics.fmean(listed) if listed else 1.0
--- a/bench/results.py
+++ b/bench/results.py
@@ -12,7 +12,8 @@
 class Row(msgspec.Struct, frozen=True):
     """One measured figure, with its baseline where there is one.
 
-    `ratio` is value over baseline, both of the same run.
+    `ratio` is value over baseline, both of the same run. `margin` is half the
+    width of the value's 95 % interval, where it was repeated.
     """
 
     scenario: str
@@ -20,6 +21,7 @@
     value: float
     unit: str
     baseline: float | None = None
+    margin: float | None = None
 
     @property
     def ratio(self) -> float | None:
@@ -37,6 +39,8 @@
         base = f"{row.baseline:,.4g} {row.unit}" if row.baseline is not None else ""
         ratio = f"{row.ratio:.3f}" if row.ratio is not None else ""
         value = f"{row.value:,.4g} {row.unit}"
+        if row.margin is not None:
+            value += f" ± {row.margin:.2g}"
         lines.append(f"| {row.scenario} | {row.figure} | {value} | {base} | {ratio} |")
     return "\n".join(lines)
 
--- a/tests/test_serving_dispatch.py
+++ b/tests/test_serving_dispatch.py
@@ -14,7 +14,8 @@
     TicketId,
     Work,
 )
-from bench.queueing import Deployment, Model, Trouble
+from bench.loads import Deployment, Trouble, steady_load
+from bench.queueing import Model, Policy
 
 from .base import ApricotTest
 
@@ -178,13 +179,15 @@
     def test_burst_beyond_the_slots_is_still_served_in_time(self, _name, x, share):
         """The worth of what callers get, by the model of engines and callers."""
         trouble = Trouble("burst", online_x=x)
-        model = Model(Deployment(), trouble, 1, Dispatcher)
+        load = steady_load(Deployment(), trouble, 1)
+        model = Model(Deployment(), load, Policy("in time first"), 1)
         model.play()
         self.assertGreater(model.shares(Work.ONLINE), share)
 
     def test_jobs_beyond_the_slots_are_done_in_time_as_far_as_slots_go(self):
         """Four times the jobs: three quarters of the items' worth, not half."""
-        model = Model(Deployment(), Trouble("jobs", jobs_x=4.0), 1, Dispatcher)
+        load = steady_load(Deployment(), Trouble("jobs", jobs_x=4.0), 1)
+        model = Model(Deployment(), load, Policy("in time first"), 1)
         model.play()
         self.assertGreater(model.shares(Work.BATCH), 0.7)
         self.assertGreater(model.shares(Work.ONLINE), 0.99)
