--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -104,6 +104,8 @@
         self.final: tuple[int, HeaderList, bytes] | None = None
         self.reasons: list[str] = []
         self.first_event_s: float | None = None
+        self.last_event_s: float | None = None
+        self.longest_pause_s: float = 0.0
         self.endpoint: str = ""
         self.offered: bool = False
 
@@ -119,6 +121,15 @@
         else:
             self.not_run += 1
 
+    def see_events_at(self, now_s: float) -> None:
+        """Note when events came that are passed on."""
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        if self.last_event_s is not None:
+            pause_s = now_s - self.last_event_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.last_event_s = now_s
+
     def see_event(self, event: StreamEvent) -> None:
         """Note an event that is passed on; a gap before it breaks the attempt."""
         if self.last_id is not None and event.id != self.last_id + 1:
@@ -361,7 +372,7 @@
             progress.final = (answer.status, answer.headers, body)
             if progress.attempts + 1 < route.max_attempts:
                 raise EngineBrokenError(f"status {answer.status}")
-        self._see_first_event(progress)
+        progress.see_events_at(self._clock.now_s())
         await self._deliver(caller, progress, answer.status, answer.headers, body)
 
     async def _deliver(
@@ -396,16 +407,12 @@
     async def _pass_events(
         self, answer: EngineAnswer, caller: Caller, progress: Progress, data: bytes
     ) -> None:
+        progress.see_events_at(self._clock.now_s())
         if not progress.started:
-            self._see_first_event(progress)
             await caller.start(answer.status, answer.headers)
             progress.started = True
         await caller.send(data)
 
-    def _see_first_event(self, progress: Progress) -> None:
-        if progress.first_event_s is None:
-            progress.first_event_s = self._clock.now_s()
-
     async def _end_late(self, caller: Caller, progress: Progress) -> str:
         if progress.started:
             caller.abort()
@@ -459,6 +466,7 @@
             slot_by=progress.slot_by,
             slot_wait_ms=progress.slot_wait_ms,
             first_event_ms=first_ms,
+            longest_pause_ms=int(progress.longest_pause_s * 1000),
             took_ms=int((now_s - request.arrived_s) * 1000),
             outcome=outcome,
         )
