Endpoints that rest still serve online requests when nothing else has room

Now an online request goes to a resting endpoint, or one on trial, when no other has room and no item can give way; items go to none that rests. The limit of a first attempt is learned from six waits instead of sixteen: at three requests a second a daemon, the first five seconds had none.

--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -12,7 +12,8 @@
 import enum
 import heapq
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import NewType
 
 import msgspec
@@ -47,6 +48,18 @@
     BATCH_LATE = 3
 
 
+class Standing(enum.Enum):
+    """How an endpoint has lately served.
+
+    One that RESTS gets no items, one ON_TRIAL few; online requests go to either
+    only where no other has room and no item can make room.
+    """
+
+    USUAL = "usual"
+    ON_TRIAL = "on_trial"
+    RESTS = "rests"
+
+
 class Ticket(msgspec.Struct):
     """A request for a slot.
 
@@ -110,7 +123,7 @@
         self.since_s: dict[TicketId, float] = {}
         self.online_count: int = 0
         self.is_open: bool = True
-        self.is_on_trial: bool = False
+        self.standing: Standing = Standing.USUAL
 
     @property
     def free(self) -> int:
@@ -161,12 +174,9 @@
         self,
         counts: dict[EndpointId, int],
         now_s: float,
-        on_trial: frozenset[EndpointId] = frozenset(),
+        standings: Mapping[EndpointId, Standing] = MappingProxyType({}),
     ) -> list[Decision]:
-        """Take in which endpoints take new work, and their slots.
-
-        Those on trial get online requests only where no other has room.
-        """
+        """Take in which endpoints take new work, their slots, and how they stand."""
         for endpoint, slots in list(self._slots.items()):
             slots.is_open = endpoint in counts
             if not slots.is_open and not slots.running:
@@ -174,7 +184,7 @@
         for endpoint, count in counts.items():
             slots = self._slots.setdefault(endpoint, _Slots(endpoint, count))
             slots.count = count
-            slots.is_on_trial = endpoint in on_trial
+            slots.standing = standings.get(endpoint, Standing.USUAL)
         return list(self._serve_queues(now_s))
 
     def hold(self, ticket: Ticket, endpoint: EndpointId, now_s: float) -> None:
@@ -292,13 +302,7 @@
     def _choose(self, ticket: Ticket) -> _Slots | None:
         """Choose the emptiest endpoint, or the prefix's home if it is no fuller
         than half."""
-        usable = [
-            s
-            for s in self._slots.values()
-            if s.is_open and s.free > 0 and s.endpoint not in ticket.avoid
-        ]
-        if ticket.work is Work.ONLINE:
-            usable = [s for s in usable if not s.is_on_trial] or usable
+        usable = self._usable(ticket)
         if not usable:
             return None
         home = self._homes.get(ticket.prefix)
@@ -313,6 +317,19 @@
             self._homes[ticket.prefix] = slots.endpoint
         return slots
 
+    def _usable(self, ticket: Ticket) -> list[_Slots]:
+        """Return the endpoints with room that a ticket may go to now."""
+        roomy = [
+            s
+            for s in self._slots.values()
+            if s.is_open and s.free > 0 and s.endpoint not in ticket.avoid
+        ]
+        if ticket.work is Work.BATCH:
+            return [s for s in roomy if s.standing is not Standing.RESTS]
+        usual = [s for s in roomy if s.standing is Standing.USUAL]
+        can_make_room = len(self._batch_running) > len(self._revoked)
+        return usual if usual or can_make_room else roomy
+
     def _revoke_for_online(self, now_s: float) -> Iterable[Decision]:
         """Revoke as many batch items as online tickets wait that can be in time."""
         if len(self._batch_running) == len(self._revoked):
--- a/apricotquay/serving/pace.py
+++ b/apricotquay/serving/pace.py
@@ -9,7 +9,7 @@
 import collections
 
 WINDOW = 64
-MIN_SAMPLES = 16
+MIN_SAMPLES = 6
 # Up to a fifth of attempts may hang before the limit takes them for usual.
 USUAL_SHARE = 0.8
 USUAL_TIMES = 3.0
--- a/apricotquay/serving/slotowner.py
+++ b/apricotquay/serving/slotowner.py
@@ -6,7 +6,15 @@
 from ..events import Event
 from ..ids import EndpointId
 from .catalog import ServiceName
-from .dispatch import Decision, Dispatcher, Granted, Refused, Ticket, TicketId
+from .dispatch import (
+    Decision,
+    Dispatcher,
+    Granted,
+    Refused,
+    Standing,
+    Ticket,
+    TicketId,
+)
 from .messages import (
     AskSlot,
     HeldSlot,
@@ -225,15 +233,13 @@
         """Tell a table which endpoints take new work, and how much."""
         now_s = self._clock.now_s()
         listed = list(self._view.endpoints.serving(service))
-        resting = self._outliers.resting(listed, now_s)
-        on_trial = self._outliers.on_trial(listed, now_s)
         default = self._default_slots(service)
-        counts = {
-            entry.id: TRIAL_SLOTS if entry.id in on_trial else entry.slots or default
-            for entry in listed
-            if entry.id not in resting
-        }
-        return table.set_endpoints(counts, now_s, frozenset(on_trial))
+        counts = {entry.id: entry.slots or default for entry in listed}
+        standings = dict.fromkeys(self._outliers.resting(listed, now_s), Standing.RESTS)
+        for endpoint_id in self._outliers.on_trial(listed, now_s):
+            standings[endpoint_id] = Standing.ON_TRIAL
+            counts[endpoint_id] = TRIAL_SLOTS
+        return table.set_endpoints(counts, now_s, standings)
 
     def _default_slots(self, service: ServiceName) -> int:
         configuration = self._view.configuration
--- a/tests/test_serving_dispatch.py
+++ b/tests/test_serving_dispatch.py
@@ -11,6 +11,7 @@
     Granted,
     Refused,
     Revoked,
+    Standing,
     Ticket,
     TicketId,
     Work,
@@ -233,15 +234,29 @@
         self.assertEqual([Granted(TicketId("o"), EndpointId("a"))], decisions)
         self.assertLess(dispatcher.looked_at - before, 2 * MAX_UNPLACED)
 
-    def test_endpoint_on_trial_gets_online_requests_last(self):
-        """Items go there before them."""
-        dispatcher = table(a=1, b=1)
-        counts = {EndpointId("a"): 1, EndpointId("b"): 1}
-        dispatcher.set_endpoints(counts, 0.0, frozenset({EndpointId("a")}))
-        first = dispatcher.ask(online("o1"), 0.0)
-        self.assertEqual([Granted(TicketId("o1"), EndpointId("b"))], first)
-        second = dispatcher.ask(online("o2"), 0.0)
-        self.assertEqual([Granted(TicketId("o2"), EndpointId("a"))], second)
+    @parameterized.expand([(Standing.ON_TRIAL,), (Standing.RESTS,)])
+    def test_endpoint_that_failed_gets_online_requests_last(self, standing):
+        """After the others' room and that of items that can give way."""
+        dispatcher = table(a=1, b=1, c=1)
+        a, b, c = (EndpointId(name) for name in "abc")
+        dispatcher.ask(Ticket(TicketId("i"), Work.BATCH, 9.0, 99.0), 0.0)
+        dispatcher.ask(Ticket(TicketId("i2"), Work.BATCH, 9.0, 99.0), 0.0)
+        free = {a, b, c} - {dispatcher.place_of(TicketId(n)) for n in ("i", "i2")}
+        counts = dict.fromkeys((a, b, c), 1)
+        dispatcher.set_endpoints(counts, 0.0, dict.fromkeys(free, standing))
+        for name in ("o1", "o2"):
+            decisions = dispatcher.ask(online(name), 0.0)
+            self.assertIsInstance(decisions[0], Revoked)
+        third = dispatcher.ask(online("o3"), 0.0)
+        # The one that waits longest takes it; the others get what items give up.
+        self.assertEqual([Granted(TicketId("o1"), *free)], third)
+
+    def test_endpoint_that_rests_gets_no_items(self):
+        """They can wait."""
+        dispatcher = table(a=1)
+        rests = {EndpointId("a"): Standing.RESTS}
+        dispatcher.set_endpoints({EndpointId("a"): 1}, 0.0, rests)
+        self.assertEqual([], dispatcher.ask(batch("i", 9.0), 0.0))
 
 
 class RandomLoadTest(ApricotTest):
