--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -51,8 +51,8 @@
 class Standing(enum.Enum):
     """How an endpoint has lately served.
 
-    One that RESTS gets no items, one ON_TRIAL few; online requests go to either
-    only where no other has room and no item can make room.
+    One that RESTS gets no items, one ON_TRIAL few; online requests that may be
+    repeated go to either where no other has room and no item can make room.
     """
 
     USUAL = "usual"
@@ -67,7 +67,8 @@
     item, is in time. An online request that has no slot at `latest_s`, or cannot
     get one by then, is refused. `needs_s` is how long a batch item will hold its
     slot. `avoid` lists endpoints that failed it already, and `prefix` names the
-    prompt's shared part.
+    prompt's shared part. `may_repeat` tells that it can be sent again if an
+    endpoint fails it half-way.
     """
 
     id: TicketId
@@ -77,6 +78,7 @@
     needs_s: float = 0.0
     prefix: str = ""
     avoid: frozenset[str] = frozenset()
+    may_repeat: bool = True
 
     def is_late(self, now_s: float) -> bool:
         """Whether it would not be in time with a slot now."""
@@ -328,7 +330,9 @@
             return [s for s in roomy if s.standing is not Standing.RESTS]
         usual = [s for s in roomy if s.standing is Standing.USUAL]
         can_make_room = len(self._batch_running) > len(self._revoked)
-        return usual if usual or can_make_room else roomy
+        if usual or can_make_room or not ticket.may_repeat:
+            return usual
+        return roomy
 
     def _revoke_for_online(self, now_s: float) -> Iterable[Decision]:
         """Revoke as many batch items as online tickets wait that can be in time."""
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -26,6 +26,7 @@
     needs_ms: int
     prefix: str
     avoid: list[str]
+    may_repeat: bool = True
 
 
 class SlotQueued(msgspec.Struct, frozen=True, tag="slot_queued"):
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -262,7 +262,15 @@
         service = route.service_for(random.random())
         due_s = request.arrived_s + route.objective_ms / 1000
         while True:
-            lease = await self._acquire(service, request, progress, due_s, limit_s)
+            wanted = SlotRequest(
+                Work.ONLINE,
+                due_s,
+                min(limit_s, request.arrived_s + SLOT_LIMIT_S),
+                prefix=request.prefix,
+                avoid=frozenset(progress.failed_at),
+                may_repeat=route.is_idempotent,
+            )
+            lease = await self._acquire(service, wanted, progress)
             try:
                 lease.use = await self._attempt(
                     request, admitted, caller, progress, lease, limit_s
@@ -276,17 +284,10 @@
                 await asyncio.sleep(NOT_RUN_PAUSE_S * progress.not_run)
 
     async def _acquire(
-        self, service, request: OnlineRequest, progress: Progress, due_s, limit_s
+        self, service: ServiceName, wanted: SlotRequest, progress: Progress
     ) -> Lease:
         if not any(True for _ in self._view.endpoints.serving(service)):
             raise RequestError(ErrorKind.ENDPOINT_MISSING, "no endpoint is listed")
-        wanted = SlotRequest(
-            Work.ONLINE,
-            due_s,
-            min(limit_s, request.arrived_s + SLOT_LIMIT_S),
-            prefix=request.prefix,
-            avoid=frozenset(progress.failed_at),
-        )
         asked_s = self._clock.now_s()
         try:
             lease = await self._slots.acquire(service, wanted)
--- a/apricotquay/serving/slotowner.py
+++ b/apricotquay/serving/slotowner.py
@@ -158,6 +158,7 @@
             message.needs_ms / SECONDS_TO_MS,
             message.prefix,
             frozenset(message.avoid),
+            message.may_repeat,
         )
         self._remember(link, message.service, ticket.id)
         decisions = self.table(message.service).ask(ticket, now_s)
--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -56,6 +56,7 @@
     needs_s: float = 0.0
     prefix: str = ""
     avoid: frozenset[str] = frozenset()
+    may_repeat: bool = True
 
 
 class Lease(msgspec.Struct):
@@ -153,6 +154,7 @@
             wanted.needs_s,
             wanted.prefix,
             self._avoidable(service, wanted.avoid),
+            wanted.may_repeat,
         )
         owner = self._owner(service)
         self._see_owner(service, owner)
@@ -242,6 +244,7 @@
             int(ticket.needs_s * SECONDS_TO_MS),
             ticket.prefix,
             sorted(ticket.avoid),
+            ticket.may_repeat,
         )
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
--- a/tests/test_serving_dispatch.py
+++ b/tests/test_serving_dispatch.py
@@ -251,6 +251,18 @@
         # The one that waits longest takes it; the others get what items give up.
         self.assertEqual([Granted(TicketId("o1"), *free)], third)
 
+    @parameterized.expand([(Standing.ON_TRIAL,), (Standing.RESTS,)])
+    def test_request_that_may_not_be_repeated_waits_for_a_sound_endpoint(
+        self, standing
+    ):
+        """If it failed there, it would be lost."""
+        dispatcher = table(a=1)
+        a = EndpointId("a")
+        dispatcher.set_endpoints({a: 1}, 0.0, {a: standing})
+        self.assertEqual([], dispatcher.ask(online("once", may_repeat=False), 0.0))
+        granted = dispatcher.set_endpoints({a: 1}, 0.1)
+        self.assertEqual([Granted(TicketId("once"), a)], granted)
+
     def test_endpoint_that_rests_gets_no_items(self):
         """They can wait."""
         dispatcher = table(a=1)
