Split the online path: requests and paces are modules of their own

What a request is and has got stands in requests.py, the decision how long an attempt may be silent in pace.py, pure. No behaviour changes; tests of the path, the paces and the platform fleet pass.

--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -18,8 +18,9 @@
 from ..serving.jobs import Jobs, JobsUnavailableError
 from ..serving.messages import JobPage
 from ..serving.metrics import ServingMetrics
-from ..serving.online import Admitted, OnlinePath, OnlineRequest
+from ..serving.online import OnlinePath
 from ..serving.reporting import Reporter
+from ..serving.requests import Admitted, OnlineRequest
 from . import wire
 
 RESULTS_PATH = "/-/lots/"
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -1,16 +1,12 @@
 """The path of an online request: admission, slot, attempts, stream, resume."""
 
 import asyncio
-import collections
 import random
-from typing import Protocol
-
-import msgspec
 
 from ..clocks import Clock
 from ..errors import ErrorKind, Ran, RequestError
 from ..events import Event
-from ..ids import EndpointId, TeamId
+from ..ids import TeamId
 from .attempts import Attempts, read_events
 from .catalog import Configuration, Route, RouteKind, ServiceName, Team
 from .dispatch import Work
@@ -23,18 +19,14 @@
 from .http1 import HeaderList
 from .metrics import ServingMetrics
 from .outliers import SlotUse
-from .pace import ServicePace
+from .pace import Paces, Patience
 from .ratekeeper import RateKeeper
 from .reporting import Reporter
+from .requests import Admitted, Caller, OnlineRequest, Progress
 from .slots import Lease, SlotRequest, Slots, SlotUnavailableError
-from .sse import StreamEvent
 from .view import View
 
-# A caller gives a stream up after two seconds without an event, so another
-# endpoint has to be tried well before.
 SLOT_LIMIT_S = 1.8
-FIRST_EVENT_LIMIT_S = 0.9
-EVENT_LIMIT_S = 0.9
 FIRST_FAILURE_STATUS = 500
 MAX_NOT_RUN = 6
 NOT_RUN_PAUSE_S = 0.02
@@ -43,112 +35,6 @@
 DEADLINE_MARGIN_S = 0.03
 
 
-class OnlineRequest(msgspec.Struct):
-    """A caller's request. `headers` go to the endpoint as they are.
-
-    `patience_ms` is how long the caller waits, `resume_after` the last event
-    that it has of an earlier answer, `prefix` the name of the prompt's shared
-    part. Times in seconds are the clock's.
-    """
-
-    id: str
-    method: str
-    target: str
-    path: str
-    host: str
-    headers: HeaderList
-    body: bytes
-    key: str | None
-    patience_ms: int
-    arrived_s: float
-    resume_after: int | None = None
-    prefix: str = ""
-
-
-class Caller(Protocol):
-    """Where the answer goes. Implemented by the adapter."""
-
-    async def start(self, status: int, headers: HeaderList) -> None:
-        """Send the head of an endpoint's answer."""
-
-    async def send(self, data: bytes) -> None:
-        """Send a part of the body."""
-
-    async def finish(self) -> None:
-        """Complete the answer."""
-
-    def abort(self) -> None:
-        """Break the answer off, visibly."""
-
-    async def refuse(self, error: RequestError) -> None:
-        """Answer with an error of the closed list."""
-
-
-class Admitted(msgspec.Struct, frozen=True):
-    """What admission found: the route, the team and the version that said so."""
-
-    route: Route
-    team: Team | None
-    version: int
-
-
-class Patience(msgspec.Struct, frozen=True):
-    """How long an attempt may be silent before its first event and between events;
-    None where it must not be given up.
-    """
-
-    first_s: float | None
-    pause_s: float | None
-
-
-class Progress:
-    """What an online request has got so far."""
-
-    def __init__(self, request: OnlineRequest) -> None:
-        self.slot_by: str = ""
-        self.slot_wait_ms: int = 0
-        self.last_id: int | None = request.resume_after
-        self.started: bool = False
-        self.attempts: int = 0
-        self.not_run: int = 0
-        self.may_have_run: bool = False
-        self.failed_at: set[EndpointId] = set()
-        self.final: tuple[int, HeaderList, bytes] | None = None
-        self.reasons: list[str] = []
-        self.first_event_s: float | None = None
-        self.last_event_s: float | None = None
-        self.longest_pause_s: float = 0.0
-        self.endpoint: str = ""
-        self.offered: bool = False
-
-    def see_failure(
-        self, endpoint: EndpointId, reason: str, *, may_have_run: bool
-    ) -> None:
-        """Note a failed send."""
-        self.failed_at.add(endpoint)
-        self.reasons.append(reason)
-        if may_have_run:
-            self.attempts += 1
-            self.may_have_run = True
-        else:
-            self.not_run += 1
-
-    def see_events_at(self, now_s: float) -> None:
-        """Note when events came that are passed on."""
-        if self.first_event_s is None:
-            self.first_event_s = now_s
-        if self.last_event_s is not None:
-            pause_s = now_s - self.last_event_s
-            self.longest_pause_s = max(self.longest_pause_s, pause_s)
-        self.last_event_s = now_s
-
-    def see_event(self, event: StreamEvent) -> None:
-        """Note an event that is passed on; a gap before it breaks the attempt."""
-        if self.last_id is not None and event.id != self.last_id + 1:
-            raise EngineBrokenError(f"event {event.id} came after {self.last_id}")
-        self.last_id = event.id
-
-
 class OnlinePath:
     """Runs online requests. Used by the callers' interface."""
 
@@ -169,9 +55,7 @@
         self._metrics: ServingMetrics = metrics
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
-        self._paces: dict[ServiceName, ServicePace] = collections.defaultdict(
-            lambda: ServicePace(FIRST_EVENT_LIMIT_S, EVENT_LIMIT_S)
-        )
+        self._paces = Paces()
 
     def authorize(self, host: str, path: str, key: str | None) -> Admitted:
         """Find the route and the team, or raise what refuses the request."""
@@ -331,7 +215,7 @@
             )
         progress.endpoint = endpoint.id
         route = admitted.route
-        patience = self._patience(route, lease.service, progress)
+        patience = self._paces.patience(route, lease.service, progress.attempts)
         begun_s = self._clock.now_s()
         try:
             await self._attempts.run(
@@ -345,53 +229,22 @@
             return SlotUse.FAILED
         except EngineBrokenError as exc:
             progress.see_failure(endpoint.id, str(exc), may_have_run=True)
-            self._see_silence(lease.service, progress, patience, exc)
+            if exc.silent:
+                had_event = progress.last_event_s is not None
+                self._paces.see_silence(lease.service, patience, had_event)
             return SlotUse.FAILED
-        self._see_pace(lease.service, route, progress, begun_s)
+        self._see_stream(lease.service, route, progress, begun_s)
         return SlotUse.SOUND
 
-    def _patience(
-        self, route: Route, service: ServiceName, progress: Progress
-    ) -> Patience:
-        """Return how long an attempt may be silent; the first one is given up early
-        if another is left.
-        """
-        if not route.is_idempotent:
-            return Patience(None, None)
-        pause_s = EVENT_LIMIT_S if route.is_resumable else None
-        is_first = progress.attempts == 0 and route.max_attempts > 1
-        if not is_first or route.kind is not RouteKind.STREAMING:
-            return Patience(FIRST_EVENT_LIMIT_S, pause_s)
-        pace = self._paces[service]
-        if route.is_resumable:
-            pause_s = pace.pause.limit_s()
-        return Patience(pace.first.limit_s(), pause_s)
-
-    def _see_silence(
-        self,
-        service: ServiceName,
-        progress: Progress,
-        patience: Patience,
-        error: EngineBrokenError,
-    ) -> None:
-        """Count a wait that was given up, so that limits rise if all have to wait."""
-        if not error.silent:
-            return
-        pace = self._paces[service]
-        if progress.last_event_s is None and patience.first_s is not None:
-            pace.first.see(patience.first_s)
-        elif patience.pause_s is not None:
-            pace.pause.see(patience.pause_s)
-
-    def _see_pace(
+    def _see_stream(
         self, service: ServiceName, route: Route, progress: Progress, begun_s: float
     ) -> None:
         if route.kind is not RouteKind.STREAMING or progress.first_event_s is None:
             return
-        pace = self._paces[service]
-        pace.pause.see(progress.longest_pause_s)
-        if progress.first_event_s > begun_s:
-            pace.first.see(progress.first_event_s - begun_s)
+        wait_s = progress.first_event_s - begun_s
+        self._paces.see_stream(
+            service, wait_s if wait_s > 0 else None, progress.longest_pause_s
+        )
 
     def _call(
         self,
--- a/apricotquay/serving/pace.py
+++ b/apricotquay/serving/pace.py
@@ -8,6 +8,14 @@
 
 import collections
 
+import msgspec
+
+from .catalog import Route, RouteKind, ServiceName
+
+# A caller gives a stream up after two seconds without an event, so another
+# endpoint has to be tried well before.
+FIRST_EVENT_LIMIT_S = 0.9
+EVENT_LIMIT_S = 0.9
 WINDOW = 64
 MIN_SAMPLES = 6
 # Up to a fifth of attempts may hang before the limit takes them for usual.
@@ -36,9 +44,63 @@
         return min(self._max_limit_s, max(MIN_LIMIT_S, USUAL_TIMES * usual_s))
 
 
-class ServicePace:
-    """The waits for a first event and within a stream. Used by the online path."""
+class Patience(msgspec.Struct, frozen=True):
+    """How long an attempt may be silent before its first event and between events;
+    None where it must not be given up.
+    """
+
+    first_s: float | None
+    pause_s: float | None
+
+
+class _ServicePace:
+    """The waits for a first event, and the longest ones within a stream."""
+
+    def __init__(self) -> None:
+        self.first: Pace = Pace(FIRST_EVENT_LIMIT_S)
+        self.pause: Pace = Pace(EVENT_LIMIT_S)
+
+
+class Paces:
+    """The paces of all services, and how patient an attempt is. Used by the online
+    path.
+    """
+
+    def __init__(self) -> None:
+        self._of_service: dict[ServiceName, _ServicePace] = collections.defaultdict(
+            _ServicePace
+        )
+
+    def patience(self, route: Route, service: ServiceName, attempts: int) -> Patience:
+        """Return how long an attempt may be silent, after so many that failed; the
+        first one is given up early if another is left.
+        """
+        if not route.is_idempotent:
+            return Patience(None, None)
+        pause_s = EVENT_LIMIT_S if route.is_resumable else None
+        is_first = attempts == 0 and route.max_attempts > 1
+        if not is_first or route.kind is not RouteKind.STREAMING:
+            return Patience(FIRST_EVENT_LIMIT_S, pause_s)
+        pace = self._of_service[service]
+        if route.is_resumable:
+            pause_s = pace.pause.limit_s()
+        return Patience(pace.first.limit_s(), pause_s)
+
+    def see_silence(
+        self, service: ServiceName, patience: Patience, had_event: bool
+    ) -> None:
+        """Count a wait that was given up, so that limits rise if all have to wait."""
+        pace = self._of_service[service]
+        if not had_event and patience.first_s is not None:
+            pace.first.see(patience.first_s)
+        elif patience.pause_s is not None:
+            pace.pause.see(patience.pause_s)
 
-    def __init__(self, max_first_s: float, max_pause_s: float) -> None:
-        self.first: Pace = Pace(max_first_s)
-        self.pause: Pace = Pace(max_pause_s)
+    def see_stream(
+        self, service: ServiceName, first_wait_s: float | None, pause_s: float
+    ) -> None:
+        """Count the waits of a whole stream; the first is None after a resume."""
+        pace = self._of_service[service]
+        pace.pause.see(pause_s)
+        if first_wait_s is not None:
+            pace.first.see(first_wait_s)
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -8,7 +8,7 @@
 from apricotquay.clocks import SystemClock
 from apricotquay.ids import EndpointId, RouteName, TeamId
 from apricotquay.quarantine import Quarantine
-from apricotquay.serving import online as online_module
+from apricotquay.serving import online as online_module, pace
 from apricotquay.serving.attempts import Attempts
 from apricotquay.serving.catalog import (
     Configuration,
@@ -24,9 +24,10 @@
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
 from apricotquay.serving.engine import EngineBrokenError, EngineNotRunError
 from apricotquay.serving.metrics import ServingMetrics
-from apricotquay.serving.online import OnlinePath, OnlineRequest
+from apricotquay.serving.online import OnlinePath
 from apricotquay.serving.pace import Pace
 from apricotquay.serving.ratekeeper import RateDecision
+from apricotquay.serving.requests import OnlineRequest
 from apricotquay.serving.slots import Lease
 
 from .base import ApricotTest
@@ -315,7 +316,7 @@
     )
     def test_broken_stream_goes_on_elsewhere(self, _name, parts):
         """After its last event, where the route allows; nothing is doubled."""
-        self.patch(online_module, "EVENT_LIMIT_S", 0.05)
+        self.patch(pace, "EVENT_LIMIT_S", 0.05)
         rest = ScriptedAnswer(200, [event(2), event(3)])
         kept, engines = self.play(
             route(is_resumable=True), [ScriptedAnswer(200, parts), rest]
