--- a/apricotquay/cmdline.py
+++ b/apricotquay/cmdline.py
@@ -13,6 +13,7 @@
 from .clocks import SystemClock
 from .document import parse_document
 from .errors import ErrorKind, LogUnavailableError, RequestError
+from .fleetpage import fleet_page, fleet_slots
 from .ids import hash_key
 from .logclient import HttpLog
 from .loglines import format_line, lines_about, read_lines, timeline
@@ -26,6 +27,18 @@
 class Report:
     """Reports over all daemons."""
 
+    def fleet(self, *logs: str, page: str, slot_s: float = 1.0) -> None:
+        """Draw a fleet's day from its daemons' logs as one self-contained HTML page.
+
+        Args:
+            logs: the daemons' log files.
+            page: path of the page.
+            slot_s: length of the slots of time that are drawn, in seconds.
+        """
+        slots = fleet_slots(read_lines(logs), slot_s)
+        Path(page).write_text(fleet_page(slots))
+        print(f"{page}: {len(slots)} slots of {slot_s:g} s from {len(logs)} files")
+
     def burn(self, admin: str, log: str, environment: str, page: str = "") -> None:
         """Show how fast teams use their error budgets.
 
