--- a/bench/policies.py
+++ b/bench/policies.py
@@ -48,12 +48,14 @@
     for name, deployment in deployments.items():
         for trouble in troubles:
             loads = [steady_load(deployment, trouble, seed + n) for n in range(repeats)]
-            base: dict[Work, float] = {}
+            scenario = f"{name}, {trouble.name}"
+            base = None
             for policy in policies:
                 shares = _shares_of(policy, deployment, loads, seed)
-                yield from _rows(f"{name}, {trouble.name}: {policy.name}", shares, base)
-            best = [best_shares(deployment, load) for load in loads[:1]]
-            yield from _rows(f"{name}, {trouble.name}: knows the future", best, base)
+                yield from _rows(f"{scenario}: {policy.name}", shares, base)
+                base = base or shares
+            best = [best_shares(deployment, loads[0])]
+            yield from _rows(f"{scenario}: knows the future", best, base)
 
 
 def _shares_of(
@@ -68,20 +70,27 @@
 
 
 def _rows(
-    scenario: str, shares: list[dict[Work, float]], base: dict[Work, float]
+    scenario: str,
+    shares: list[dict[Work, float]],
+    base: list[dict[Work, float]] | None,
 ) -> Iterator[Row]:
+    """Yield a row a class; its margin is that of the difference to the baseline,
+    load by load, since all policies play the same loads.
+    """
     for work in Work:
         values = [share[work] for share in shares]
-        value = statistics.fmean(values)
+        before = [share[work] for share in base] if base else None
+        spread = values
+        if before and len(before) == len(values):
+            spread = [v - b for v, b in zip(values, before, strict=True)]
         yield Row(
             scenario,
             f"{work.value} worth",
-            value,
+            statistics.fmean(values),
             "",
-            base.get(work),
-            margin_of(values),
+            statistics.fmean(before) if before else None,
+            margin_of(spread),
         )
-        base.setdefault(work, value)
 
 
 def margin_of(values: list[float]) -> float | None:
