Believe a removal at once when the list was away for this daemon alone

Now the grace is counted from the list's return (1.9 s, under the two seconds in which work has to end), and a removal is believed at once if peers read from the store while this daemon could not: endpoints could renew their entries then. Seven cases of the decision in test_serving_view; "long after the return" and "away for this daemon alone" fail before.

--- a/apricotquay/serving/endpoints.py
+++ b/apricotquay/serving/endpoints.py
@@ -7,11 +7,14 @@
 from ..ids import EndpointId
 from .catalog import ServiceName
 
-# How long an entry that went while the platform's list was away is still used:
-# living endpoints are listed again within two seconds of its return.
-RETURN_GRACE_S = 2.2
-# A removal that was read so soon after the list came back may be such an entry.
-AWAY_MEMORY_S = 3.0
+# How long after the return of the platform's list an entry is still used that went
+# while it was away: living endpoints are listed again by then. Less than the time
+# in which work to an endpoint that leaves has to end.
+RETURN_GRACE_S = 1.9
+# A list that others have read so long after this daemon lost it, and not too long
+# ago, is away for this daemon alone.
+AWAY_ALONE_S = 1.0
+READ_ELSEWHERE_FRESH_S = 3.0
 EJECT_BASE_S = 0.4
 EJECT_MAX_S = 3.0
 EJECT_AFTER_FAILURES = 3
@@ -49,15 +52,32 @@
         self._offsets: dict[EndpointId, int] = {}
         self._gone_at_s: dict[EndpointId, float] = {}
         self._health: dict[EndpointId, Health] = {}
-        self._away_until_s: float = float("-inf")
+        self._away_since_s: float | None = None
+        self._returned_s: float = float("-inf")
+        self._read_elsewhere_s: float = float("-inf")
+        self._was_away_alone: bool = False
 
     def get(self, endpoint_id: EndpointId) -> Endpoint | None:
         """Return an endpoint that may still be used."""
         return self._entries.get(endpoint_id)
 
     def see_away(self, now_s: float) -> None:
-        """The list cannot be read; what it drops now may come back."""
-        self._away_until_s = now_s + AWAY_MEMORY_S
+        """The list cannot be read; what it drops meanwhile may come back."""
+        if self._away_since_s is None:
+            self._away_since_s = now_s
+
+    def see_back(self, now_s: float) -> None:
+        """The list can be read."""
+        if self._away_since_s is not None:
+            self._was_away_alone = self._is_away_alone(now_s)
+            self._away_since_s = None
+            self._returned_s = now_s
+
+    def see_read_elsewhere(self, read_s: float) -> None:
+        """Another daemon read from the platform at a time. While it serves others
+        endpoints can renew their entries, so one that goes is gone.
+        """
+        self._read_elsewhere_s = max(self._read_elsewhere_s, read_s)
 
     def apply(
         self, endpoint_id: EndpointId, entry: Endpoint | None, offset: int, now_s: float
@@ -131,11 +151,26 @@
     def _remove(self, endpoint_id: EndpointId, now_s: float) -> bool:
         if endpoint_id not in self._entries:
             return False
-        if now_s < self._away_until_s:
-            self._gone_at_s[endpoint_id] = now_s + RETURN_GRACE_S
+        kept_until_s = self._kept_until_s(now_s)
+        if now_s < kept_until_s:
+            self._gone_at_s[endpoint_id] = kept_until_s
             return False
         del self._entries[endpoint_id]
         return True
 
+    def _is_away_alone(self, now_s: float) -> bool:
+        read_s = self._read_elsewhere_s
+        is_later = read_s > self._away_since_s + AWAY_ALONE_S
+        return is_later and now_s - read_s < READ_ELSEWHERE_FRESH_S
+
+    def _kept_until_s(self, now_s: float) -> float:
+        """Return until when an entry that goes now is kept, since it may only have
+        lapsed.
+        """
+        if self._away_since_s is None:
+            returned_s = self._returned_s
+            return now_s if self._was_away_alone else returned_s + RETURN_GRACE_S
+        return now_s if self._is_away_alone(now_s) else now_s + RETURN_GRACE_S
+
     def _health_of(self, endpoint_id: EndpointId) -> Health:
         return self._health.setdefault(endpoint_id, Health())
--- a/apricotquay/serving/view.py
+++ b/apricotquay/serving/view.py
@@ -106,6 +106,10 @@
         self._take(self._directory.configuration_topic, configuration)
         self._take(self._directory.endpoint_topic, endpoints)
 
+    def see_read_elsewhere(self, age_s: float) -> None:
+        """A peer read from the store so long ago."""
+        self.endpoints.see_read_elsewhere(self._clock.now_s() - age_s)
+
     async def _follow(self, topic: Topic) -> None:
         fresh = self._fresh[topic]
         backoff = Backoff(RETRY_PAUSE_S, MAX_RETRY_PAUSE_S, random.Random())
@@ -122,6 +126,8 @@
             else:
                 backoff.reset()
                 self._reporter.regained("store", topic=topic)
+                if topic == self._directory.endpoint_topic:
+                    self.endpoints.see_back(self._clock.now_s())
 
     async def _follow_once(self, topic: Topic, fresh: Fresh) -> None:
         sent_s = self._clock.now_s()
--- a/apricotquay/serving/viewexchange.py
+++ b/apricotquay/serving/viewexchange.py
@@ -92,7 +92,9 @@
             # Peers reports the loss; others are asked at the next turn.
             return
         if isinstance(reply, ViewRecords):
-            view.take_records(reply.configuration, reply.endpoints)
             self._shards.see_peer()
             if reply.owners_age_ms >= 0:
-                self._shards.take_owners(reply.owners, reply.owners_age_ms / 1000)
+                age_s = reply.owners_age_ms / 1000
+                view.see_read_elsewhere(age_s)
+                self._shards.take_owners(reply.owners, age_s)
+            view.take_records(reply.configuration, reply.endpoints)
--- a/tests/test_serving_view.py
+++ b/tests/test_serving_view.py
@@ -8,7 +8,6 @@
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.endpoints import (
-    AWAY_MEMORY_S,
     EJECT_AFTER_FAILURES,
     RETURN_GRACE_S,
     Endpoint,
@@ -62,15 +61,40 @@
         """Living endpoints are back within it; the others are gone."""
         table = self.table(2)
         table.see_away(5.0)
+        table.see_back(8.0)
         for name in ("e0", "e1"):
-            table.apply(EndpointId(name), None, 10, 5.0 + AWAY_MEMORY_S / 2)
+            table.apply(EndpointId(name), None, 10, 8.5)
         self.assertEqual(["e0", "e1"], self.names(table))
-        table.apply(EndpointId("e0"), entry("e0"), 12, 6.0)
-        later_s = 5.0 + AWAY_MEMORY_S / 2 + RETURN_GRACE_S
+        table.apply(EndpointId("e0"), entry("e0"), 12, 9.0)
+        later_s = 8.0 + RETURN_GRACE_S
         self.assertEqual([], table.expire(later_s - 0.1))
         self.assertEqual(["e1"], table.expire(later_s))
         self.assertEqual(["e0"], self.names(table))
 
+    @parameterized.expand(
+        [
+            ("long after the return", 8.0, None, 8.0 + RETURN_GRACE_S + 0.1, True),
+            ("soon after the return", 8.0, None, 8.9, False),
+            ("away for this daemon alone", 8.0, 7.5, 8.9, True),
+            ("others read it before", 8.0, 5.5, 8.9, False),
+            ("others lost it as well since", 12.0, 7.5, 12.9, False),
+            ("still away, read elsewhere", None, 7.5, 8.0, True),
+            ("still away for all", None, None, 8.0, False),
+        ]
+    )
+    def test_removal_is_believed_at_once_unless_it_may_be_a_lapse(
+        self, _name, back_s, read_elsewhere_s, removed_s, is_believed
+    ):
+        """Work to an endpoint that leaves has to end within two seconds."""
+        table = self.table(1)
+        table.see_away(5.0)
+        if read_elsewhere_s is not None:
+            table.see_read_elsewhere(read_elsewhere_s)
+        if back_s is not None:
+            table.see_back(back_s)
+        table.apply(EndpointId("e0"), None, 10, removed_s)
+        self.assertEqual([] if is_believed else ["e0"], self.names(table))
+
     def test_failing_endpoint_is_ejected_and_comes_back(self):
         """After some failures in a row, for longer each time."""
         table = self.table(4)
