--- /dev/null
+++ b/apricotquay/jobreplies.py
@@ -0,0 +1,45 @@
+"""What a partition's holder tells of jobs and items."""
+
+from .jobs import ITEM_STATES, Job
+from .messages import JobReply
+from .partition import Partition
+
+
+def job_reply(job: Job) -> JobReply:
+    """Return a job's state as its holder answers it."""
+    counts = job.counts()
+    return JobReply(
+        held=True,
+        known=True,
+        job_key=job.job_key,
+        digest=job.digest,
+        accepted_at_ms=job.accepted_at_ms,
+        finished_at_ms=job.finished_at_ms,
+        cancelled_at_ms=job.cancelled_at_ms,
+        total=counts.total,
+        open=counts.open,
+        done=counts.done,
+        failed=counts.failed,
+        cancelled=counts.cancelled,
+        unknown=counts.unknown,
+    )
+
+
+def explain_item(partition: Partition, job: Job, index: int) -> list[str]:
+    """Return lines that tell an operator where an item stands."""
+    state = ITEM_STATES[job.states[index]]
+    lines = [
+        f"job {job.id} of team {job.team}, accepted at {job.accepted_at_ms} ms",
+        f"item {index}: {state}",
+        f"request stands in {partition.stream} at offset {job.chunk_of(index).offset}",
+    ]
+    offset = job.result_offsets[index]
+    if offset >= 0:
+        lines.append(f"result stands at offset {offset}")
+    handed = partition.backlog.handed.get((job.id, index))
+    if handed is not None:
+        lines.append(f"runs at {handed.runner}")
+    failures = partition.backlog.failures.get((job.id, index), 0)
+    if failures:
+        lines.append(f"failed {failures} times since the partition was taken over")
+    return lines
--- a/apricotquay/jobstore.py
+++ b/apricotquay/jobstore.py
@@ -17,7 +17,7 @@
 from .fleet import Fleet
 from .follow import Ticker, WorkerPool
 from .ids import JobId, MemberId, ResourceName, TeamId, stable_hash
-from .jobs import ITEM_STATES, Job
+from .jobreplies import explain_item, job_reply
 from .logclient import Appender, Log
 from .membership import MemberState
 from .messages import (
@@ -180,7 +180,7 @@
             job = partition.fold.jobs.get(message.job)
             if job is None or job.team != message.team:
                 return JobReply(held=True)
-            return _job_reply(job)
+            return job_reply(job)
 
     def answer_results(self, message: QueryResults) -> ResultsReply:
         """Answer as the holder of a partition."""
@@ -206,7 +206,7 @@
             job = partition.fold.jobs.get(message.job)
             if job is None or not 0 <= message.index < job.item_count:
                 return TextReply([f"{message.job}: no such item"])
-            return TextReply(_explain(partition, job, message.index))
+            return TextReply(explain_item(partition, job, message.index))
 
     def answer_pull(self, message: PullItems) -> PulledItems:
         """Hand out items of all partitions held here."""
@@ -490,41 +490,3 @@
                 Event.LEASE_HANDED_OVER, resource=partition.resource, to=member
             )
             return
-
-
-def _job_reply(job: Job) -> JobReply:
-    counts = job.counts()
-    return JobReply(
-        held=True,
-        known=True,
-        job_key=job.job_key,
-        digest=job.digest,
-        accepted_at_ms=job.accepted_at_ms,
-        finished_at_ms=job.finished_at_ms,
-        cancelled_at_ms=job.cancelled_at_ms,
-        total=counts.total,
-        open=counts.open,
-        done=counts.done,
-        failed=counts.failed,
-        cancelled=counts.cancelled,
-        unknown=counts.unknown,
-    )
-
-
-def _explain(partition: Partition, job: Job, index: int) -> list[str]:
-    state = ITEM_STATES[job.states[index]]
-    lines = [
-        f"job {job.id} of team {job.team}, accepted at {job.accepted_at_ms} ms",
-        f"item {index}: {state}",
-        f"request stands in {partition.stream} at offset {job.chunk_of(index).offset}",
-    ]
-    offset = job.result_offsets[index]
-    if offset >= 0:
-        lines.append(f"result stands at offset {offset}")
-    handed = partition.backlog.handed.get((job.id, index))
-    if handed is not None:
-        lines.append(f"runs at {handed.runner}")
-    failures = partition.backlog.failures.get((job.id, index), 0)
-    if failures:
-        lines.append(f"failed {failures} times since the partition was taken over")
-    return lines
--- a/apricotquay/leaseholder.py
+++ b/apricotquay/leaseholder.py
@@ -2,17 +2,15 @@
 
 import threading
 from collections.abc import Callable
-from typing import Protocol
-
-import msgspec
 
 from .clocks import Clock
 from .errors import LogUnavailableError, PeerUnavailableError
 from .events import Event, EventLog
 from .fleet import Fleet
 from .follow import StreamFollower, Ticker, WorkerPool
-from .ids import MemberId, ResourceName, StreamName, TeamId
+from .ids import MemberId, ResourceName, StreamName
 from .leases import Held, LeaseKeeper, LeaseState, LeaseTable
+from .leaseuse import HandedOver, LeaseUser, Levels
 from .logclient import Appender, Log, ReadPage
 from .membership import MemberState
 from .messages import (
@@ -42,54 +40,6 @@
 INTERIM_ASKED = 2
 
 
-class Levels(msgspec.Struct, frozen=True):
-    """What a holder that leaves hands to its successor: bucket levels by team.
-
-    `full` says that a team without a level has its whole burst.
-    """
-
-    levels: dict[TeamId, float] = {}
-    full: bool = False
-
-
-class HandedOver(msgspec.Struct, frozen=True):
-    """A hand-over to this daemon, and the claim under which it was made."""
-
-    fencing: int
-    state: Levels
-
-
-class LeaseUser(Protocol):
-    """Whoever acts under a lease and keeps something in memory for its term."""
-
-    def begin_term(
-        self, started_s: float, first_ever: bool, given: Levels | None
-    ) -> None:
-        """The right to act began anew; `given` comes from a hand-over."""
-
-    def end_term(self) -> Levels:
-        """The right to act was given up; return what the next holder needs."""
-
-
-class Lease:
-    """One resource, its keeper and its user."""
-
-    def __init__(self, keeper: LeaseKeeper, user: LeaseUser) -> None:
-        self.keeper: LeaseKeeper = keeper
-        self.user: LeaseUser = user
-        self.term: int = 0
-        self.handed_over: HandedOver | None = None
-        self.claim_after_s: float = 0.0
-        self.free_since_s: float | None = None
-        self.preferred_since_s: tuple[MemberId, float] | None = None
-        self.was_active: bool = False
-
-    @property
-    def held(self) -> Held | None:
-        """The newest claim of the resource."""
-        return self.keeper.held
-
-
 class LeaseHolder:
     """Claims and keeps the leases of its resources. Used by the rate limiter and
     the placement of models.
--- a/apricotquay/limiter.py
+++ b/apricotquay/limiter.py
@@ -10,8 +10,9 @@
 from .errors import ErrorKind, PeerUnavailableError, RequestError
 from .fleet import Fleet
 from .ids import MemberId, ResourceName, TeamId, stable_hash
-from .leaseholder import ASK_TIMEOUT_S, LeaseHolder, Levels
+from .leaseholder import ASK_TIMEOUT_S, LeaseHolder
 from .leases import Held
+from .leaseuse import Levels
 from .messages import TakeToken, TokenReply
 from .settings import Settings
 
--- a/apricotquay/messages.py
+++ b/apricotquay/messages.py
@@ -176,6 +176,18 @@
     tokens: int = 0
     ran: str = "unknown"
 
+    def lost(self) -> "ItemReport":
+        """Return the report of an attempt whose outcome nobody knows."""
+        return ItemReport(
+            self.resource,
+            self.claim,
+            self.job,
+            self.index,
+            self.attempt,
+            "outcome_lost",
+            b"",
+        )
+
 
 class ReportItems(msgspec.Struct, frozen=True, tag="report_items"):
     """A runner reports items to the holder of their partition."""
--- a/apricotquay/partition.py
+++ b/apricotquay/partition.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .backlog import Backlog, Choice, Partial
+from .carrying import Carrier
 from .clocks import Clock
 from .errors import ErrorKind, LogUnavailableError, Ran
 from .events import Event, EventLog
@@ -34,8 +35,6 @@
 SNAPSHOT_EVERY_RECORDS = 400
 FIRST_LOAD_WINDOW = 512
 RESULTS_A_RECORD = 500
-CARRY_SHARE = 0.5
-CARRIED_A_RECORD = 200
 
 
 def partition_stream(resource: ResourceName) -> StreamName:
@@ -75,7 +74,6 @@
         self._log: Log = log
         self._appender: Appender = appender
         self._cache: RecordCache = cache
-        self._retention_ms: int = retention_ms
         self._item_attempts: int = item_attempts
         self._clock: Clock = clock
         self._events: EventLog = events
@@ -84,7 +82,7 @@
         )
         self._results: list[ItemResult] = []
         self._records_since_snapshot: int = 0
-        self._marks: list[tuple[int, int]] = []
+        self._carrier = Carrier(self.stream, appender, cache, retention_ms)
         self._finished: set[JobId] = set()
 
     def start(self) -> None:
@@ -166,7 +164,7 @@
                 if job.attempts.get(report.index) != report.attempt:
                     return
                 if not report.outcome and report.ran != "not_run":
-                    report = _lost(report)
+                    report = report.lost()
             if not report.outcome:
                 self._take_back(job, report)
                 return
@@ -323,8 +321,7 @@
             if self.fold.fencing != before:
                 self._begin_term()
             self._records_since_snapshot += 1
-            if not self._marks or entry.offset - self._marks[-1][0] >= 16:
-                self._marks.append((entry.offset, entry.at_ms))
+            self._carrier.see_record(entry.offset, entry.at_ms)
 
     def _begin_term(self) -> None:
         """A claim was folded in: what an earlier term had in memory is void."""
@@ -454,28 +451,22 @@
     def _carry_if_due(self) -> None:
         """Append again what is needed and would be dropped soon."""
         now_ms = self._clock.wall_ms()
-        limit_ms = now_ms - int(self._retention_ms * CARRY_SHARE)
-        before = 0
         with self.lock:
-            while len(self._marks) > 1 and self._marks[1][1] < limit_ms:
-                before = self._marks.pop(0)[0] + 16
-            if self._marks and self._marks[0][1] < limit_ms:
-                before = max(before, self._marks[0][0] + 1)
+            before = self._carrier.due_before(now_ms)
             if not before:
                 return
             chunks = list(self.fold.stale_chunks(before))
             results = list(self.fold.stale_results(before))
             claim = self.fold.fencing
         try:
-            self._carry_chunks(chunks, claim)
-            self._carry_results(results, claim)
+            self._carrier.carry(chunks, results, claim)
         except LogUnavailableError:
             return
         with self.lock:
             self.lock.wait_for(lambda: not self._carry_left(before), FOLD_TIMEOUT_S)
-            # The claim itself would be dropped, so it is renewed by a snapshot
-            # that holds it.
-            self._marks = [m for m in self._marks if m[0] >= before]
+            self._carrier.forget_before(before)
+        # The claim itself would be dropped, so it is renewed by a snapshot that
+        # holds it.
         self.append_snapshot()
 
     def _carry_left(self, before: int) -> bool:
@@ -483,25 +474,6 @@
             self.fold.stale_chunks(before)
         )
 
-    def _carry_chunks(self, chunks: list, claim: int) -> None:
-        for job, place in chunks:
-            items = self._cache.get(self.stream, place.offset).items
-            record = CarriedChunk(claim, job.id, place.first, items)
-            self._appender.append(self.stream, record, APPEND_TIMEOUT_S)
-
-    def _carry_results(self, results: list, claim: int) -> None:
-        for start in range(0, len(results), CARRIED_A_RECORD):
-            part = results[start : start + CARRIED_A_RECORD]
-            carried = [self._stored_result(*place) for place in part]
-            record = CarriedResults(claim, [r for r in carried if r is not None])
-            self._appender.append(self.stream, record, APPEND_TIMEOUT_S)
-
-    def _stored_result(self, offset: int, job: Job, index: int) -> ItemResult | None:
-        for result in self._cache.get(self.stream, offset).results:
-            if result.job == job.id and result.index == index:
-                return result
-        return None
-
     def _note_finished(self) -> None:
         with self.lock:
             ended = [
@@ -516,16 +488,3 @@
             cancelled = bool(job.cancelled_at_ms)
             event = Event.JOB_CANCELLED if cancelled else Event.JOB_FINISHED
             self._events.write(event, job=job.id, team=job.team)
-
-
-def _lost(report: ItemReport) -> ItemReport:
-    """Return the report of an attempt whose outcome nobody knows."""
-    return ItemReport(
-        report.resource,
-        report.claim,
-        report.job,
-        report.index,
-        report.attempt,
-        "outcome_lost",
-        b"",
-    )
--- a/apricotquay/placer.py
+++ b/apricotquay/placer.py
@@ -7,7 +7,8 @@
 from .fleet import Fleet
 from .follow import Ticker
 from .ids import EndpointId, ModelName, ResourceName
-from .leaseholder import LeaseHolder, Levels
+from .leaseholder import LeaseHolder
+from .leaseuse import Levels
 from .membership import VmEntry
 from .orders import Loaded, LoadOrder, plan_loads
 
