--- a/apricotquay/leaseholder.py
+++ b/apricotquay/leaseholder.py
@@ -10,7 +10,7 @@
 from .follow import StreamFollower, Ticker, WorkerPool
 from .ids import MemberId, ResourceName, StreamName
 from .leases import Held, LeaseKeeper, LeaseState, LeaseTable
-from .leaseuse import HandedOver, LeaseUser, Levels
+from .leaseuse import HandedOver, Lease, LeaseUser, Levels
 from .logclient import Appender, Log, ReadPage
 from .membership import MemberState
 from .messages import (
