An endpoint that comes back really is on trial

Found while reading the diff: the owner's tables were told anew only when the set of endpoints at rest or on trial changed, so the step from rest to trial went unnoticed; such an endpoint rested three seconds longer and came back with all its slots.

--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -168,6 +168,11 @@
         slots = self._slots.get(endpoint)
         return len(slots.running) if slots else 0
 
+    def slots_of(self, endpoint: EndpointId) -> int:
+        """Return how many slots of an endpoint may be used, 0 if it is not known."""
+        slots = self._slots.get(endpoint)
+        return slots.count if slots else 0
+
     def place_of(self, ticket_id: TicketId) -> EndpointId | None:
         """Return the endpoint that a ticket holds a slot of."""
         return self._place.get(ticket_id)
--- a/apricotquay/serving/slotowner.py
+++ b/apricotquay/serving/slotowner.py
@@ -55,8 +55,8 @@
     """
 
     def __init__(self, view: View, clock: Clock, reporter: Reporter) -> None:
-        # Endpoints that rest or are on trial, since they failed too often.
-        self.set_aside: set[EndpointId] = set()
+        # Of the endpoints that rest or are on trial, since they failed too often.
+        self.standings: dict[EndpointId, Standing] = {}
         self._view: View = view
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
@@ -129,9 +129,13 @@
         fail too often.
         """
         now_s = self._clock.now_s()
-        set_aside = self._find_set_aside(now_s)
-        if set_aside != self.set_aside:
-            self.set_aside = set_aside
+        standings = {
+            endpoint_id: standing
+            for service in self._tables
+            for endpoint_id, standing in self._standings_of(service, now_s).items()
+        }
+        if standings != self.standings:
+            self.standings = standings
             self.refresh()
         for table in self._tables.values():
             if table.waiting_count:
@@ -222,24 +226,27 @@
             if isinstance(decision, Refused):
                 self._forget_ticket(decision.ticket)
 
-    def _find_set_aside(self, now_s: float) -> set[EndpointId]:
-        found: set[EndpointId] = set()
-        for service in self._tables:
-            listed = list(self._view.endpoints.serving(service))
-            found |= self._outliers.resting(listed, now_s)
-            found |= self._outliers.on_trial(listed, now_s)
-        return found
+    def _standings_of(
+        self, service: ServiceName, now_s: float
+    ) -> dict[EndpointId, Standing]:
+        listed = list(self._view.endpoints.serving(service))
+        resting = self._outliers.resting(listed, now_s)
+        on_trial = self._outliers.on_trial(listed, now_s)
+        return dict.fromkeys(resting, Standing.RESTS) | dict.fromkeys(
+            on_trial, Standing.ON_TRIAL
+        )
 
     def _set_endpoints(self, service: ServiceName, table: Dispatcher) -> list[Decision]:
         """Tell a table which endpoints take new work, and how much."""
         now_s = self._clock.now_s()
-        listed = list(self._view.endpoints.serving(service))
+        standings = self._standings_of(service, now_s)
         default = self._default_slots(service)
-        counts = {entry.id: entry.slots or default for entry in listed}
-        standings = dict.fromkeys(self._outliers.resting(listed, now_s), Standing.RESTS)
-        for endpoint_id in self._outliers.on_trial(listed, now_s):
-            standings[endpoint_id] = Standing.ON_TRIAL
-            counts[endpoint_id] = TRIAL_SLOTS
+        counts = {
+            entry.id: TRIAL_SLOTS
+            if standings.get(entry.id) is Standing.ON_TRIAL
+            else entry.slots or default
+            for entry in self._view.endpoints.serving(service)
+        }
         return table.set_endpoints(counts, now_s, standings)
 
     def _default_slots(self, service: ServiceName) -> int:
