--- a/standins/platform.py
+++ b/standins/platform.py
@@ -11,12 +11,14 @@
 import base64
 import contextlib
 import json
+import os
 import random
 import signal
 import struct
 import sys
 import time
 import urllib.parse
+from collections.abc import Callable
 
 import fire
 
@@ -154,12 +156,15 @@
 class ModelServer:
     """Server of the service "llm": streams as many events as a request asks for.
 
-    The request's body is `events=N`, or `fail=STATUS` for an error response.
+    The request's body is `events=N`, `fail=STATUS` for an error response, or
+    `crash=1` to end the server without an answer.
     """
 
     def __init__(self, name: str, step_s: float, record_run=None) -> None:
         self.name: str = name
         self.running: int = 0
+        self.on_crash: Callable[[], None] = lambda: os._exit(1)
+        self.fails_all_with: int = 0
         self._step_s: float = step_s
         self._record_run = record_run or (
             lambda run: print(json.dumps(run), flush=True)
@@ -237,9 +242,13 @@
             }
         )
         head = [*head, (b"response-stamp", f"{self.name}.{request_id}".encode())]
-        if options.get("fail"):
-            await exchange.respond(HttpResponse(int(options["fail"]), head, b"no"))
+        status = self.fails_all_with or int(options.get("fail", 0))
+        if status:
+            await exchange.respond(HttpResponse(status, head, b"no"))
             return
+        if options.get("crash"):
+            self.on_crash()
+            await asyncio.Event().wait()
         chunked = (b"transfer-encoding", b"chunked")
         await exchange.start(200, [*head, chunked])
         for number in range(after + 1, int(options.get("events", 5))):
