--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -76,10 +76,19 @@
         try:
             result = await self._send(call, endpoint, response_timeout_s, consume)
         except RequestNotRunError as exc:
-            self._record_failure(call, endpoint, str(exc), exc.unreachable)
+            self._record_failure(
+                call, endpoint, fingerprint, exc, unreachable=exc.unreachable
+            )
             raise
         except AttemptFailedError as exc:
-            self._record_failure(call, endpoint, str(exc), False)
+            self._record_failure(
+                call,
+                endpoint,
+                fingerprint,
+                exc,
+                reset=exc.reset,
+                timed_out=exc.timed_out,
+            )
             if exc.reset:
                 self._crash_detector.handle_connection_reset(endpoint, fingerprint)
             raise
@@ -109,16 +118,28 @@
             response.close()
 
     def _record_failure(
-        self, call: EngineCall, endpoint: Endpoint, reason: str, unreachable: bool
+        self,
+        call: EngineCall,
+        endpoint: Endpoint,
+        fingerprint: str,
+        error: Exception,
+        *,
+        unreachable: bool = False,
+        reset: bool = False,
+        timed_out: bool = False,
     ) -> None:
+        reason = str(error)
         self._metrics.count("attempts_failed")
         self._reporter.write(
             Event.ATTEMPT_ENDED,
             request=call.request_id,
             endpoint=endpoint.id,
             address=f"{endpoint.host}:{endpoint.port}",
+            fingerprint=fingerprint,
             reason=reason,
             unreachable=unreachable,
+            reset=reset,
+            timed_out=timed_out,
             resumed_after=call.resume_after,
         )
         now_s = self._clock.now_s()
--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes.py
@@ -75,6 +75,9 @@
 
     async def _check_crash(self, endpoint: Endpoint, suspects: list[str]) -> None:
         if not await self._has_crashed(endpoint):
+            self._reporter.write(
+                Event.CRASH_NOT_CONFIRMED, endpoint=endpoint.id, suspects=suspects
+            )
             return
         suspects = self._quarantine.without_recent_completion(
             suspects, self._clock.now_s()
