--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -13,6 +13,7 @@
     HttpRequest,
     end_to_end_headers,
     find_header,
+    is_success,
 )
 from ..serving.httpclient import ClientConnection, open_client
 from . import wire
@@ -21,7 +22,6 @@
 # can still be sent to another endpoint in time.
 CONNECT_TIMEOUT_S = 0.15
 MISDIRECTED_REQUEST = 421
-MIN_SUCCESS, MAX_SUCCESS = 200, 299
 # Response headers that are not forwarded to callers.
 INTERNAL_HEADERS = frozenset((b"content-length", wire.SERVER_LOAD, wire.NOT_RUN))
 
@@ -120,6 +120,5 @@
         raise AttemptFailedError("the answer belongs to another request")
     if find_header(headers, b"content-encoding") is not None:
         raise AttemptFailedError("the answer is encoded")
-    is_success = MIN_SUCCESS <= head.status_code <= MAX_SUCCESS
-    if is_success and find_header(headers, wire.SIGNATURE) is None:
+    if is_success(head.status_code) and find_header(headers, wire.SIGNATURE) is None:
         raise AttemptFailedError("the answer has no signature")
--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -20,6 +20,7 @@
     EngineResponse,
     RequestNotRunError,
 )
+from .http1 import is_success
 from .metrics import ServingMetrics
 from .reporting import Reporter
 from .sse import EventSplitter, StreamEvent
@@ -74,7 +75,9 @@
         fingerprint = fingerprint_of(call)
         self._crash_detector.begin_attempt(endpoint.id, fingerprint)
         try:
-            result = await self._send(call, endpoint, response_timeout_s, consume)
+            status, result = await self._send(
+                call, endpoint, response_timeout_s, consume
+            )
         except RequestNotRunError as exc:
             self._record_failure(
                 call, endpoint, fingerprint, exc, unreachable=exc.unreachable
@@ -95,7 +98,9 @@
         finally:
             self._crash_detector.end_attempt(endpoint.id, fingerprint)
         self._view.endpoints.record_success(endpoint.id)
-        self._crash_detector.record_completion(fingerprint)
+        # An endpoint may answer with a failure without having run the request.
+        if is_success(status):
+            self._crash_detector.record_completion(fingerprint)
         return result
 
     async def _send(
@@ -104,7 +109,8 @@
         endpoint: Endpoint,
         response_timeout_s: float | None,
         consume: Callable[[EngineResponse], Awaitable[T]],
-    ) -> T:
+    ) -> tuple[int, T]:
+        """Return the status of the response and what `consume` made of it."""
         try:
             async with asyncio.timeout(response_timeout_s):
                 response = await self._engines.send(call, endpoint)
@@ -113,7 +119,7 @@
                 f"no answer within {response_timeout_s:.2f} s", timed_out=True
             ) from exc
         try:
-            return await consume(response)
+            return response.status, await consume(response)
         finally:
             response.close()
 
--- a/apricotquay/serving/http1.py
+++ b/apricotquay/serving/http1.py
@@ -4,6 +4,7 @@
 
 # Maximum size of one read from a socket.
 READ_BYTES = 65_536
+MIN_SUCCESS, MAX_SUCCESS = 200, 299
 
 HeaderList = list[tuple[bytes, bytes]]
 
@@ -62,6 +63,11 @@
     body: bytes = b""
 
 
+def is_success(status: int) -> bool:
+    """Whether a status says that the request was carried out."""
+    return MIN_SUCCESS <= status <= MAX_SUCCESS
+
+
 def find_header(headers: HeaderList, name: bytes) -> str | None:
     """Return the first value of a header, given its lower-case name."""
     for key, value in headers:
