--- a/apricotquay/serving/view.py
+++ b/apricotquay/serving/view.py
@@ -2,27 +2,21 @@
 
 import asyncio
 import contextlib
-import random
 from collections.abc import Callable
 from functools import partial
 from typing import Protocol
 
-import msgspec
-
 from ..clocks import Clock
 from ..errors import ApricotquayError
 from ..events import Event
 from ..ids import EndpointId
-from .backoff import Backoff
 from .catalog import Configuration
 from .endpoints import Endpoint, EndpointTable
-from .keyedlog import KeyedLog, KeyedRecord, LogError, LogExpiredError, Page, Topic
+from .keyedlog import KeyedLog, KeyedRecord, Page, Topic
 from .reporting import Reporter
 from .tasks import start_task
+from .topicfollower import TopicFollower
 
-READ_WAIT_MS = 1_000
-RETRY_DELAY_S = 0.2
-MAX_RETRY_DELAY_S = 0.8
 EXPIRE_INTERVAL_S = 0.1
 
 
@@ -46,16 +40,6 @@
         """Return the id of the endpoint that a record describes."""
 
 
-class TopicProgress(msgspec.Struct):
-    """How far a topic has been read; all records before `confirmed_s` are applied.
-
-    Offsets only rise within one daemon.
-    """
-
-    end: int = -1
-    confirmed_s: float = float("-inf")
-
-
 class View:
     """Follows both topics and applies records that peers send. One per daemon."""
 
@@ -67,36 +51,44 @@
         self.on_change: Callable[[], None] = lambda: None
         self.configuration_record: KeyedRecord | None = None
         self.endpoint_records: dict[bytes, KeyedRecord] = {}
-        self._log: KeyedLog = log
         self._directory: Directory = directory
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
-        self._progress: dict[Topic, TopicProgress] = {
-            directory.configuration_topic: TopicProgress(),
-            directory.endpoint_topic: TopicProgress(),
-        }
-        self._tasks: list[asyncio.Task] = []
+        topics = (directory.configuration_topic, directory.endpoint_topic)
+        self._followers: list[TopicFollower] = [
+            TopicFollower(
+                log,
+                topic,
+                partial(self._apply, topic),
+                partial(self._apply_newest, topic),
+                clock,
+                reporter,
+            )
+            for topic in topics
+        ]
+        endpoint_follower = self._followers[-1]
+        endpoint_follower.on_lost = self._record_list_unavailable
+        endpoint_follower.on_recovered = self._record_list_available
+        self._expiry: asyncio.Task | None = None
 
     def start(self) -> None:
         """Start following the platform's topics."""
-        self._tasks = [
-            start_task(f"follow {topic}", partial(self._follow, topic), self._reporter)
-            for topic in self._progress
-        ]
-        self._tasks.append(start_task("expire", self._expire, self._reporter))
+        for follower in self._followers:
+            follower.start()
+        self._expiry = start_task("expire", self._expire, self._reporter)
 
     async def close(self) -> None:
         """Stop."""
-        for task in self._tasks:
-            task.cancel()
-        for task in self._tasks:
+        for follower in self._followers:
+            await follower.close()
+        if self._expiry is not None:
+            self._expiry.cancel()
             with contextlib.suppress(asyncio.CancelledError):
-                await task
+                await self._expiry
 
     def age_s(self) -> float:
         """Return the time since the less recently confirmed topic was confirmed."""
-        oldest_s = min(progress.confirmed_s for progress in self._progress.values())
-        return self._clock.now_s() - oldest_s
+        return max(follower.age_s() for follower in self._followers)
 
     def newest_endpoint_offset(self) -> int:
         """Return the newest known offset of the endpoint topic, -1 for none."""
@@ -113,36 +105,11 @@
         """Record that a peer read from the store `age_s` ago."""
         self.endpoints.record_peer_read(self._clock.now_s() - age_s)
 
-    async def _follow(self, topic: Topic) -> None:
-        progress = self._progress[topic]
-        backoff = Backoff(RETRY_DELAY_S, MAX_RETRY_DELAY_S, random.Random())
-        while True:
-            try:
-                await self._follow_once(topic, progress)
-            except LogExpiredError:
-                progress.end = -1
-            except LogError as exc:
-                if topic == self._directory.endpoint_topic:
-                    self.endpoints.record_list_unavailable(self._clock.now_s())
-                self._reporter.report_lost("store", str(exc), topic=topic)
-                await asyncio.sleep(backoff.next_s())
-            else:
-                backoff.reset()
-                self._reporter.report_recovered("store", topic=topic)
-                if topic == self._directory.endpoint_topic:
-                    self.endpoints.record_list_available(self._clock.now_s())
-
-    async def _follow_once(self, topic: Topic, progress: TopicProgress) -> None:
-        sent_s = self._clock.now_s()
-        if progress.end < 0:
-            page = await self._log.read_newest(topic, 0)
-            self._apply_newest(topic, page)
-        else:
-            page = await self._log.read(topic, 0, progress.end, READ_WAIT_MS)
-            self._apply(topic, page.records)
-        last = max((r.offset + 1 for r in page.records), default=0)
-        progress.end = max(progress.end, last) if progress.end >= 0 else page.end
-        progress.confirmed_s = sent_s
+    def _record_list_unavailable(self) -> None:
+        self.endpoints.record_list_unavailable(self._clock.now_s())
+
+    def _record_list_available(self) -> None:
+        self.endpoints.record_list_available(self._clock.now_s())
 
     def _apply_newest(self, topic: Topic, page: Page) -> None:
         """Apply the newest record of each key; remove older endpoints that it lacks."""
