--- a/apricotquay/quarantine.py
+++ b/apricotquay/quarantine.py
@@ -90,6 +90,15 @@
         """Quarantine a fingerprint, identified here or by another daemon."""
         self._quarantined[fingerprint] = until_s
 
+    def release(self, fingerprint: str) -> None:
+        """End the quarantine of a request that has completed at an endpoint."""
+        self._quarantined.pop(fingerprint, None)
+        self._quarantined_here.discard(fingerprint)
+
+    def quarantined_here(self) -> dict[str, float]:
+        """Return when the quarantines that this daemon concluded end."""
+        return {f: self._quarantined[f] for f in sorted(self._quarantined_here)}
+
     def record_completion(self, fingerprint: str, now_s: float) -> None:
         """Clear the fingerprint of a request that completed: it crashes no endpoint."""
         self._completed_s[fingerprint] = now_s
@@ -163,8 +172,7 @@
         """Undo quarantines concluded before all reports of a crash had arrived."""
         for fingerprint in crash.suspects & self._quarantined_here:
             if self._has_tie(fingerprint, crash):
-                self._quarantined_here.discard(fingerprint)
-                self._quarantined.pop(fingerprint, None)
+                self.release(fingerprint)
 
     def _find_cause(self, crash: _Crash) -> str | None:
         """Return the fingerprint to quarantine for a crash, if it is unambiguous."""
--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes.py
@@ -1,6 +1,7 @@
 """Detects crashes of endpoints and reports the requests that ran there."""
 
 import asyncio
+import contextlib
 from collections import Counter
 
 from ..clocks import Clock
@@ -8,22 +9,38 @@
 from ..events import Event
 from ..ids import EndpointId
 from ..quarantine import QUARANTINE_S, Quarantine, QuarantineStatus
+from .crashlog import (
+    CRASHES,
+    CompletionReport,
+    CrashLog,
+    CrashRecord,
+    CrashReport,
+    QuarantineMark,
+)
 from .endpoints import Endpoint
 from .engine import EngineClient
+from .keyedlog import KeyedRecord
 from .messages import CrashSeen
 from .peers import Peers
 from .reporting import Reporter
-from .shards import Shards
+from .shards import Shards, shard_number
+from .tasks import start_task
 
 RECHECK_DELAY_S = 0.1
+UPKEEP_INTERVAL_S = 10.0
 
 
 class CrashDetector:
-    """Shared by online and batch work. Reports each crash to the shards' owners."""
+    """Counts crashes by request, over all daemons. Shared by online and batch work.
+
+    What is known is derived from the crash log alone, so all daemons come to the same
+    conclusion, also those that start later.
+    """
 
     def __init__(
         self,
         quarantine: Quarantine,
+        crash_log: CrashLog,
         engines: EngineClient,
         shards: Shards,
         peers: Peers,
@@ -31,13 +48,30 @@
         reporter: Reporter,
     ) -> None:
         self._quarantine: Quarantine = quarantine
+        self._crash_log: CrashLog = crash_log
         self._engines: EngineClient = engines
         self._shards: Shards = shards
         self._peers: Peers = peers
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
         self._running: dict[EndpointId, Counter] = {}
+        self._suspects_of_check: dict[EndpointId, set[str]] = {}
         self._tasks: set[asyncio.Task] = set()
+        self._marked: set[str] = set()
+        self._upkeep: asyncio.Task | None = None
+        crash_log.apply = self._apply
+
+    def start(self) -> None:
+        """Start the regular upkeep of the crash log."""
+        self._upkeep = start_task("crash upkeep", self._upkeep_loop, self._reporter)
+
+    async def close(self) -> None:
+        """Stop."""
+        for task in (self._upkeep, *self._tasks):
+            if task is not None:
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
 
     def begin_attempt(self, endpoint: EndpointId, fingerprint: str) -> None:
         """Record that a request is sent to an endpoint."""
@@ -58,23 +92,37 @@
         return status is QuarantineStatus.QUARANTINED
 
     def record_completion(self, fingerprint: str) -> None:
-        """Record that a request completed."""
-        self._quarantine.record_completion(fingerprint, self._clock.now_s())
+        """Record that a request completed; report it if it is suspected."""
+        now_s = self._clock.now_s()
+        is_suspect = (
+            self._quarantine.status(fingerprint, now_s) is not QuarantineStatus.CLEAR
+        )
+        self._quarantine.record_completion(fingerprint, now_s)
+        if is_suspect:
+            report = CompletionReport(fingerprint, self._clock.wall_ms())
+            self._publish(report)
 
     def handle_connection_reset(self, endpoint: Endpoint, fingerprint: str) -> None:
         """Check whether an endpoint crashed after a connection ended mid-response."""
-        running_here = self._running.get(endpoint.id, Counter())
-        suspects = sorted({fingerprint, *running_here})
-        task = asyncio.ensure_future(self._check_crash(endpoint, suspects))
+        suspects = {fingerprint, *self._running.get(endpoint.id, Counter())}
+        if endpoint.id in self._suspects_of_check:
+            self._suspects_of_check[endpoint.id] |= suspects
+            return
+        self._suspects_of_check[endpoint.id] = suspects
+        task = asyncio.ensure_future(self._check_crash(endpoint))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     def handle_crash_seen(self, message: CrashSeen) -> None:
-        """Record a crash that a peer reported."""
-        self._record_crash(EndpointId(message.endpoint), message.fingerprints)
+        """Apply a record that a peer sent, which may not be in the log yet."""
+        self._crash_log.apply_from_peer(
+            [KeyedRecord(message.key, message.value)], is_complete=False
+        )
 
-    async def _check_crash(self, endpoint: Endpoint, suspects: list[str]) -> None:
-        if not await self._has_crashed(endpoint):
+    async def _check_crash(self, endpoint: Endpoint) -> None:
+        has_crashed = await self._has_crashed(endpoint)
+        suspects = sorted(self._suspects_of_check.pop(endpoint.id))
+        if not has_crashed:
             self._reporter.write(
                 Event.CRASH_NOT_CONFIRMED, endpoint=endpoint.id, suspects=suspects
             )
@@ -82,13 +130,25 @@
         suspects = self._quarantine.without_recent_completion(
             suspects, self._clock.now_s()
         )
-        self._record_crash(endpoint.id, suspects)
-        message = CrashSeen(endpoint.id, suspects)
+        report = CrashReport(
+            endpoint.id, endpoint.started_ms, suspects, self._clock.wall_ms()
+        )
+        if not suspects:
+            self._report_crash(report)
+            return
+        await self._tell_owners(self._publish(report))
+
+    def _publish(self, record: CrashRecord) -> KeyedRecord:
+        return self._crash_log.add(record)
+
+    async def _tell_owners(self, keyed: KeyedRecord) -> None:
+        """Send a record directly, in case the store is slow or away."""
+        message = CrashSeen(keyed.key, keyed.value)
         for address in self._shards.addresses():
             try:
                 (await self._peers.connect(address)).send(message)
             except PeerUnavailableError:
-                # Peers logs the failure; that daemon detects later crashes itself.
+                # Peers logs the failure; that daemon learns of the crash from the log.
                 continue
 
     async def _has_crashed(self, endpoint: Endpoint) -> bool:
@@ -98,19 +158,65 @@
         await asyncio.sleep(RECHECK_DELAY_S)
         return await self._engines.refuses_connections(endpoint)
 
-    def _record_crash(self, endpoint: EndpointId, suspects: list[str]) -> None:
+    def _apply(self, record: CrashRecord) -> None:
+        """Apply a record of this or another daemon."""
         now_s = self._clock.now_s()
+        age_s = max(0.0, (self._clock.wall_ms() - record.at_ms) / 1000)
         self._quarantine.tick(now_s)
-        quarantined = self._quarantine.record_crash(endpoint, suspects, now_s)
-        self._reporter.write(
-            Event.ENDPOINT_CRASHED,
-            endpoint=endpoint,
-            suspects=self._quarantine.crash_counts(suspects),
-        )
+        if isinstance(record, CrashReport):
+            self._apply_crash(record, now_s - age_s)
+        elif isinstance(record, CompletionReport):
+            self._quarantine.record_completion(record.fingerprint, now_s - age_s)
+            self._quarantine.release(record.fingerprint)
+            if self._keeps_log:
+                self._crash_log.delete_marks(record.fingerprint)
+        elif self._quarantine.without_recent_completion([record.fingerprint], now_s):
+            until_s = now_s + (record.until_ms - self._clock.wall_ms()) / 1000
+            self._quarantine.add_quarantined(record.fingerprint, until_s)
+            self._marked.add(record.fingerprint)
+
+    def _apply_crash(self, report: CrashReport, at_s: float) -> None:
+        # An endpoint may start again under its id, so the start is part of the name.
+        start = f"{report.endpoint}/{report.started_ms}"
+        quarantined = self._quarantine.record_crash(start, report.fingerprints, at_s)
+        self._report_crash(report)
         for fingerprint in quarantined:
             self._reporter.write(
                 Event.REQUEST_QUARANTINED,
                 fingerprint=fingerprint,
-                endpoint=endpoint,
+                endpoint=report.endpoint,
                 for_s=QUARANTINE_S,
             )
+
+    def _report_crash(self, report: CrashReport) -> None:
+        self._reporter.write(
+            Event.ENDPOINT_CRASHED,
+            endpoint=report.endpoint,
+            started_ms=report.started_ms,
+            crashed_ms=report.at_ms,
+            suspects=self._quarantine.crash_counts(report.fingerprints),
+        )
+
+    @property
+    def _keeps_log(self) -> bool:
+        """Whether this daemon is the one that deletes records and marks conclusions."""
+        return shard_number(CRASHES, self._shards.count) in self._shards.owned
+
+    async def _upkeep_loop(self) -> None:
+        """Forget expired records; for all daemons, one of them updates the log."""
+        while True:
+            await asyncio.sleep(UPKEEP_INTERVAL_S)
+            if self._keeps_log:
+                self._mark_quarantined()
+                self._crash_log.delete_expired()
+            self._crash_log.expire()
+
+    def _mark_quarantined(self) -> None:
+        """Store conclusions, which outlive the reports that led to them."""
+        now_s, now_ms = self._clock.now_s(), self._clock.wall_ms()
+        quarantined = self._quarantine.quarantined_here()
+        self._marked &= set(quarantined)
+        for fingerprint in quarantined.keys() - self._marked:
+            until_ms = now_ms + int((quarantined[fingerprint] - now_s) * 1000)
+            self._publish(QuarantineMark(fingerprint, now_ms, until_ms))
+        self._marked |= set(quarantined)
--- /dev/null
+++ b/apricotquay/serving/crashlog.py
@@ -0,0 +1,261 @@
+"""Crash reports of all daemons, kept in the platform's log.
+
+Every daemon follows the topic, so that one that starts, or was cut off, knows what the
+others saw. While the store is away, peers pass the reports on, and those that could
+not be appended are appended when it is back.
+"""
+
+import asyncio
+import collections
+import contextlib
+import itertools
+import math
+import random
+from collections.abc import Callable, Iterator
+
+import cbor2
+import msgspec
+
+from ..clocks import Clock
+from ..events import Event
+from ..ids import EndpointId
+from ..quarantine import SUSPECT_RETENTION_S
+from .backoff import Backoff
+from .keyedlog import KeyedLog, KeyedRecord, LogError, Page, Topic
+from .reporting import Reporter
+from .tasks import start_task
+from .topicfollower import RETRY_DELAY_S, TopicFollower
+
+CRASHES = Topic("keyed.crashes")
+MAX_APPEND_RETRY_DELAY_S = 0.8
+MAX_RECORDS_PER_APPEND = 200
+# Reports that wait for the store; the oldest are dropped beyond this.
+MAX_PENDING_RECORDS = 2_000
+MAX_KNOWN_RECORDS = 20_000
+# A peer may have received a report somewhat before it was appended.
+PEER_MARGIN_S = 3.0
+ALL_RECORDS = -1
+
+
+class CrashReport(msgspec.Struct, frozen=True, tag="crash"):
+    """The requests that one daemon ran at an endpoint when that crashed.
+
+    `at_ms` is the reporting daemon's Unix time.
+    """
+
+    endpoint: EndpointId
+    started_ms: int
+    fingerprints: list[str]
+    at_ms: int
+
+
+class CompletionReport(msgspec.Struct, frozen=True, tag="completion"):
+    """A suspect request completed, so it crashes no endpoint."""
+
+    fingerprint: str
+    at_ms: int
+
+
+class QuarantineMark(msgspec.Struct, frozen=True, tag="quarantine"):
+    """A request is quarantined; outlives the reports that led to it."""
+
+    fingerprint: str
+    at_ms: int
+    until_ms: int
+
+
+CrashRecord = CrashReport | CompletionReport | QuarantineMark
+
+
+def expiry_ms(record: CrashRecord) -> int:
+    """Return the Unix time at which a record says nothing any more."""
+    if isinstance(record, QuarantineMark):
+        return record.until_ms
+    return record.at_ms + int(SUSPECT_RETENTION_S * 1000)
+
+
+def encode_crash_record(record: CrashRecord) -> bytes:
+    """Encode the value of a record of the topic."""
+    return cbor2.dumps(msgspec.to_builtins(record))
+
+
+def decode_crash_record(value: bytes) -> CrashRecord:
+    """Decode the value of a record; raise ValueError if it is malformed."""
+    try:
+        return msgspec.convert(cbor2.loads(value), CrashRecord)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, TypeError) as exc:
+        raise ValueError(f"malformed crash record: {exc}") from exc
+
+
+class _KnownRecord(msgspec.Struct, frozen=True):
+    """A record that has been applied, and when this daemon received it."""
+
+    record: CrashRecord
+    value: bytes
+    received_s: float
+
+
+class CrashLog:
+    """Appends this daemon's crash records and applies those of all daemons.
+
+    `apply` is called once for each new record. Used by `CrashDetector` and
+    `ViewExchange`.
+    """
+
+    def __init__(
+        self, log: KeyedLog, name: str, clock: Clock, reporter: Reporter
+    ) -> None:
+        self.apply: Callable[[CrashRecord], None] = lambda record: None
+        self._log: KeyedLog = log
+        self._name: str = name
+        self._clock: Clock = clock
+        self._reporter: Reporter = reporter
+        self._numbers = itertools.count(1)
+        self._known: dict[bytes, _KnownRecord] = {}
+        self._pending: collections.deque[KeyedRecord] = collections.deque()
+        self._pending_event = asyncio.Event()
+        self._last_peer_sync_s: float = float("-inf")
+        self._follower = TopicFollower(
+            log, CRASHES, self._apply_all, self._apply_newest, clock, reporter
+        )
+        self._writer: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start following the topic and writing to it."""
+        self._follower.start()
+        self._writer = start_task("write crashes", self._write, self._reporter)
+
+    async def close(self) -> None:
+        """Stop. Records that wait for the store are lost."""
+        await self._follower.close()
+        if self._writer is not None:
+            self._writer.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._writer
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the earlier reports have been read from the store or a peer."""
+        return math.isfinite(max(self._follower.confirmed_s, self._last_peer_sync_s))
+
+    def blind_ms(self) -> int:
+        """Return how far back reports may be missing, ALL_RECORDS if all may be."""
+        if not math.isfinite(self._follower.confirmed_s):
+            return ALL_RECORDS
+        return int((self._follower.age_s() + PEER_MARGIN_S) * 1000)
+
+    def add(self, record: CrashRecord) -> KeyedRecord:
+        """Apply a record of this daemon and append it to the log soon."""
+        key = f"{self._name}/{next(self._numbers)}".encode()
+        keyed = KeyedRecord(key, encode_crash_record(record))
+        self._apply_record(keyed)
+        self._append_later([keyed])
+        return keyed
+
+    def apply_from_peer(self, records: list[KeyedRecord], is_complete: bool) -> None:
+        """Apply records that a peer sent; `is_complete` if it sent all it knows."""
+        self._apply_all(records)
+        if is_complete:
+            self._last_peer_sync_s = self._clock.now_s()
+
+    def records_since(self, blind_ms: int) -> list[KeyedRecord]:
+        """Return the records received in the last `blind_ms`; ALL_RECORDS for all."""
+        oldest_s = self._clock.now_s() - blind_ms / 1000
+        return [
+            KeyedRecord(key, known.value)
+            for key, known in self._known.items()
+            if blind_ms == ALL_RECORDS or known.received_s >= oldest_s
+        ]
+
+    def expire(self) -> None:
+        """Forget the records that say nothing any more."""
+        for key in self._expired_keys():
+            del self._known[key]
+
+    def delete_expired(self) -> None:
+        """Delete expired records from the log. One daemon does this for all."""
+        keys = list(self._expired_keys())
+        self._append_later([KeyedRecord(key, None) for key in keys])
+
+    def delete_marks(self, fingerprint: str) -> None:
+        """Delete the quarantine marks of a request from the log."""
+        marks = [
+            key
+            for key, known in self._known.items()
+            if isinstance(known.record, QuarantineMark)
+            and known.record.fingerprint == fingerprint
+        ]
+        self._append_later([KeyedRecord(key, None) for key in marks])
+
+    def _expired_keys(self) -> list[bytes]:
+        now_ms = self._clock.wall_ms()
+        return [k for k, v in self._known.items() if expiry_ms(v.record) <= now_ms]
+
+    def _append_later(self, records: list[KeyedRecord]) -> None:
+        self._pending.extend(records)
+        while len(self._pending) > MAX_PENDING_RECORDS:
+            dropped = self._pending.popleft()
+            self._reporter.write(
+                Event.RECORD_SKIPPED,
+                topic=CRASHES,
+                offset=-1,
+                reason=f"too many wait for the store: {dropped.key.decode()}",
+            )
+        self._pending_event.set()
+
+    async def _write(self) -> None:
+        backoff = Backoff(RETRY_DELAY_S, MAX_APPEND_RETRY_DELAY_S, random.Random())
+        while True:
+            await self._pending_event.wait()
+            batch = list(itertools.islice(self._pending, MAX_RECORDS_PER_APPEND))
+            if not batch:
+                self._pending_event.clear()
+                continue
+            try:
+                # A repeated append writes the same keys and values again.
+                await self._log.append(CRASHES, 0, batch, None)
+            except LogError as exc:
+                self._reporter.report_lost("crash log", str(exc))
+                await asyncio.sleep(backoff.next_s())
+                continue
+            backoff.reset()
+            self._reporter.report_recovered("crash log")
+            self._remove_pending(batch)
+
+    def _remove_pending(self, batch: list[KeyedRecord]) -> None:
+        """Remove appended records; some may have been dropped meanwhile."""
+        appended = {id(record) for record in batch}
+        while self._pending and id(self._pending[0]) in appended:
+            self._pending.popleft()
+
+    def _apply_newest(self, page: Page) -> None:
+        self._apply_all(page.records)
+
+    def _apply_all(self, records: list[KeyedRecord]) -> None:
+        for record in self._newest_of_each_key(records):
+            self._apply_record(record)
+
+    def _newest_of_each_key(self, records: list[KeyedRecord]) -> Iterator[KeyedRecord]:
+        yield from {record.key: record for record in records}.values()
+
+    def _apply_record(self, keyed: KeyedRecord) -> None:
+        if keyed.value is None:
+            self._known.pop(keyed.key, None)
+            return
+        if keyed.key in self._known:
+            return
+        try:
+            record = decode_crash_record(keyed.value)
+        except ValueError as exc:
+            self._reporter.write(
+                Event.RECORD_SKIPPED,
+                topic=CRASHES,
+                offset=keyed.offset,
+                reason=str(exc),
+            )
+            return
+        self._known[keyed.key] = _KnownRecord(record, keyed.value, self._clock.now_s())
+        if len(self._known) > MAX_KNOWN_RECORDS:
+            del self._known[next(iter(self._known))]
+        if expiry_ms(record) > self._clock.wall_ms():
+            self.apply(record)
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -14,6 +14,7 @@
 from .batch import BatchRunner
 from .catalog import Limits
 from .crashes import CrashDetector
+from .crashlog import CrashLog
 from .engine import EngineClient
 from .http1 import HttpResponse
 from .httpserver import Exchange, HttpServer, ServerLimits
@@ -136,10 +137,16 @@
         self.shards = Shards(
             log, address, incarnation, settings.shards, self.clock, self.reporter
         )
+        name = f"{address}/{incarnation}"
+        self.crash_log = CrashLog(log, name, self.clock, self.reporter)
         self.exchange = ViewExchange(
-            self.view, self.shards, self.peers, settings.seeds, self.reporter
+            self.view,
+            self.shards,
+            self.peers,
+            settings.seeds,
+            self.crash_log,
+            self.reporter,
         )
-        name = f"{address}/{incarnation}"
         self.slots = SlotAllocator(
             self.view, self.shards, self.peers, self.clock, name, self.reporter
         )
@@ -147,7 +154,13 @@
             self.view, self.shards, self.peers, self.clock, settings.starts_full
         )
         self.crashes = CrashDetector(
-            Quarantine(), engines, self.shards, self.peers, self.clock, self.reporter
+            Quarantine(),
+            self.crash_log,
+            engines,
+            self.shards,
+            self.peers,
+            self.clock,
+            self.reporter,
         )
         self.jobs = Jobs(log, self.shards, self.peers, self.clock, self.reporter)
         attempts = AttemptRunner(
@@ -186,6 +199,8 @@
         self.jobs.on_change = self.runner.wake
         self.view.start()
         self.shards.start()
+        self.crash_log.start()
+        self.crashes.start()
         self.exchange.start()
         self.slots.start()
         self.runner.start()
@@ -242,6 +257,8 @@
         await self.jobs.close()
         self.slots.close()
         await self.exchange.close()
+        await self.crashes.close()
+        await self.crash_log.close()
         await self.shards.close()
         await self.view.close()
         await self.peers.close()
@@ -279,7 +296,8 @@
         self.reporter.write(Event.SETTINGS_RELOADED, seeds=self.exchange.seeds)
 
     async def _handle_ready(self, exchange: Exchange) -> None:
-        is_ready = self.view.configuration is not None and not self._is_draining
+        knows_platform = self.view.configuration is not None and self.crash_log.is_known
+        is_ready = knows_platform and not self._is_draining
         status = 200 if is_ready else 503
         if exchange.request.target != self.settings.ready_path:
             status = 404
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -182,30 +182,35 @@
     """Requests from a peer all records that are newer than the sender's view.
 
     `version` is the sender's configuration, `endpoint_mark` its newest offset of the
-    endpoint topic; both are -1 for none.
+    endpoint topic; both are -1 for none. Crash records are requested that the peer
+    received in the last `crashes_ms`; -1 requests all.
     """
 
     version: int
     endpoint_mark: int
+    crashes_ms: int = -1
 
 
 class ViewRecords(msgspec.Struct, frozen=True, tag="view_records"):
     """Newer records of the platform, and the shard owners that the sender knows.
 
     `owners_age_ms` is the time since the store returned them, -1 if it never did.
+    `are_crashes_known` tells whether the sender itself knows all crash records.
     """
 
     configuration: list[KeyedRecord]
     endpoints: list[KeyedRecord]
     owners: dict[str, str]
     owners_age_ms: int
+    crashes: list[KeyedRecord] = []
+    are_crashes_known: bool = False
 
 
 class CrashSeen(msgspec.Struct, frozen=True, tag="crash_seen"):
-    """An endpoint crashed while the requests with these fingerprints ran there."""
+    """A record of the crash log that may not be in the store yet."""
 
-    endpoint: str
-    fingerprints: list[str]
+    key: bytes
+    value: bytes
 
 
 class CallNotServed(msgspec.Struct, frozen=True, tag="not_here"):
--- a/apricotquay/serving/viewexchange.py
+++ b/apricotquay/serving/viewexchange.py
@@ -6,6 +6,7 @@
 import random
 
 from ..errors import PeerUnavailableError
+from .crashlog import CrashLog
 from .messages import Message, PullView, ViewRecords
 from .peers import Peers
 from .reporting import Reporter
@@ -34,10 +35,12 @@
         shards: Shards,
         peers: Peers,
         seeds: list[str],
+        crash_log: CrashLog,
         reporter: Reporter,
     ) -> None:
         self.seeds: list[str] = seeds
         self._view: View = view
+        self._crash_log: CrashLog = crash_log
         self._shards: Shards = shards
         self._peers: Peers = peers
         self._reporter: Reporter = reporter
@@ -68,7 +71,14 @@
         ]
         owners, age_s = self._shards.known_owners()
         age_ms = int(age_s * 1000) if math.isfinite(age_s) else -1
-        return ViewRecords(configuration, endpoints, owners, age_ms)
+        return ViewRecords(
+            configuration,
+            endpoints,
+            owners,
+            age_ms,
+            self._crash_log.records_since(message.crashes_ms),
+            self._crash_log.is_known,
+        )
 
     async def _pull_loop(self) -> None:
         while True:
@@ -85,7 +95,9 @@
     async def _pull(self, address: str) -> None:
         view = self._view
         version = view.configuration.version if view.configuration else -1
-        message = PullView(version, view.newest_endpoint_offset())
+        message = PullView(
+            version, view.newest_endpoint_offset(), self._crash_log.blind_ms()
+        )
         try:
             reply = await self._peers.call(address, message, PULL_TIMEOUT_S)
         except PeerUnavailableError:
@@ -98,3 +110,4 @@
                 view.record_peer_read(age_s)
                 self._shards.apply_owners(reply.owners, age_s)
             view.apply_records(reply.configuration, reply.endpoints)
+            self._crash_log.apply_from_peer(reply.crashes, reply.are_crashes_known)
--- /dev/null
+++ b/tests/test_serving_crashlog.py
@@ -0,0 +1,218 @@
+"""Crash reports in the log: who learns of them, and for how long they are kept."""
+
+import asyncio
+
+from parameterized import parameterized
+
+from apricotquay.ids import EndpointId
+from apricotquay.quarantine import QUARANTINE_S, SUSPECT_RETENTION_S, Quarantine
+from apricotquay.serving import crashes as crashes_module
+from apricotquay.serving.crashes import CrashDetector
+from apricotquay.serving.crashlog import (
+    ALL_RECORDS,
+    CRASHES,
+    CompletionReport,
+    CrashLog,
+    CrashReport,
+    decode_crash_record,
+)
+from apricotquay.serving.keyedlog import KeyedRecord, Shard
+from standins.keyedlog import MemoryLog
+
+from .base import ApricotTest
+from .test_serving_jobs import quiet_reporter
+from .test_serving_shards import ManualClock
+
+BAD = "bad"
+TIMEOUT_S = 20.0
+
+
+def stored_records(log: MemoryLog) -> list[KeyedRecord]:
+    """Return the newest record of each key of the topic."""
+    records = log._partitions.get(Shard(CRASHES, 0), [])
+    newest = {record.key: record for record in records}
+    return [record for record in newest.values() if record.value]
+
+
+def stored_reports(log: MemoryLog) -> list[KeyedRecord]:
+    """Return the crash reports that the log keeps."""
+    decoded = [decode_crash_record(record.value) for record in stored_records(log)]
+    return [record for record in decoded if isinstance(record, CrashReport)]
+
+
+class OwnedShards:
+    """Shards of a daemon that owns all of them."""
+
+    count = 12
+    owned = frozenset(range(12))
+
+    def addresses(self) -> list[str]:
+        """Return no other daemon."""
+        return []
+
+
+class KnowingDaemon:
+    """The crash log and the detector of one daemon."""
+
+    def __init__(self, name: str, log: MemoryLog, clock: ManualClock) -> None:
+        reporter = quiet_reporter()
+        self.crash_log = CrashLog(log, name, clock, reporter)
+        self.detector = CrashDetector(
+            Quarantine(), self.crash_log, None, OwnedShards(), None, clock, reporter
+        )
+        self._clock = clock
+
+    def start(self) -> None:
+        """Start following the log."""
+        self.crash_log.start()
+        self.detector.start()
+
+    async def close(self) -> None:
+        """Stop."""
+        await self.detector.close()
+        await self.crash_log.close()
+
+    def report_crash(self, endpoint: str, *fingerprints: str) -> None:
+        """Report a crash that this daemon saw."""
+        suspects = list(fingerprints)
+        at_ms = self._clock.wall_ms()
+        self.crash_log.add(CrashReport(EndpointId(endpoint), 1, suspects, at_ms))
+
+    def refuses(self, fingerprint: str = BAD) -> bool:
+        """Whether the daemon refuses a request."""
+        return self.detector.is_quarantined(fingerprint)
+
+
+class CrashLogTest(ApricotTest):
+    """Several daemons with one log."""
+
+    def run_daemons(self, scenario, count: int = 2) -> None:
+        """Run a scenario with daemons that have started."""
+
+        async def run() -> None:
+            log, clock = MemoryLog(), ManualClock()
+            daemons = [KnowingDaemon(f"d{n}", log, clock) for n in range(count)]
+            for daemon in daemons:
+                daemon.start()
+            try:
+                async with asyncio.timeout(TIMEOUT_S):
+                    await scenario(log, clock, daemons)
+            finally:
+                for daemon in daemons:
+                    await daemon.close()
+
+        self.patch(crashes_module, "UPKEEP_INTERVAL_S", 0.02)
+        asyncio.run(run())
+
+    async def wait_until(self, condition) -> None:
+        """Wait until a condition holds."""
+        while not condition():
+            await asyncio.sleep(0.01)
+
+    @parameterized.expand([("running", False), ("started later", True)])
+    def test_reports_of_several_daemons_add_up_at_each(self, _name, starts_later):
+        """Each daemon saw one of the three crashes."""
+
+        async def scenario(log, clock, daemons):
+            for number, daemon in enumerate(daemons[:3]):
+                daemon.report_crash(f"e{number}", BAD, f"beside-{number}")
+            learner = daemons[3]
+            if starts_later:
+                learner = KnowingDaemon("late", log, clock)
+                daemons.append(learner)
+                learner.start()
+            await self.wait_until(learner.refuses)
+            self.assertFalse(learner.refuses("beside-1"))
+
+        self.run_daemons(scenario, count=4)
+
+    @parameterized.expand([("refuse",), ("drop",), ("lose",)])
+    def test_report_made_in_an_outage_reaches_all_afterwards(self, fault):
+        """Reports wait for the store; one that was appended unseen counts once."""
+
+        async def scenario(log, clock, daemons):
+            log.choose_fault = lambda: fault
+            for number in range(3):
+                daemons[0].report_crash(f"e{number}", BAD)
+            await asyncio.sleep(0.3)
+            log.choose_fault = lambda: ""
+            await self.wait_until(daemons[1].refuses)
+
+        self.run_daemons(scenario)
+
+    def test_peer_passes_on_what_the_store_did_not_take(self):
+        """A daemon that starts in an outage knows the crashes from its peer."""
+
+        async def scenario(log, clock, daemons):
+            log.is_down = True
+            for number in range(3):
+                daemons[0].report_crash(f"e{number}", BAD)
+            records = daemons[0].crash_log.records_since(ALL_RECORDS)
+            learner = KnowingDaemon("late", log, clock)
+            self.assertFalse(learner.crash_log.is_known)
+            self.assertEqual(ALL_RECORDS, learner.crash_log.blind_ms())
+            learner.crash_log.apply_from_peer(records, is_complete=True)
+            self.assertTrue(learner.crash_log.is_known)
+            self.assertTrue(learner.refuses())
+
+        self.run_daemons(scenario)
+
+    def test_only_records_that_a_peer_may_lack_are_sent(self):
+        """A whole history would be sent at each pull of a long outage."""
+
+        async def scenario(log, clock, daemons):
+            daemons[0].report_crash("old", BAD)
+            clock.at_s += 30.0
+            daemons[0].report_crash("new", BAD)
+            self.assertEqual(1, len(daemons[0].crash_log.records_since(10_000)))
+
+        self.run_daemons(scenario)
+
+    def test_completion_anywhere_ends_a_quarantine_everywhere(self):
+        """A popular request ran beside unrelated crashes and completes elsewhere."""
+
+        async def scenario(log, clock, daemons):
+            for number in range(3):
+                daemons[0].report_crash(f"e{number}", BAD)
+            for daemon in daemons:
+                await self.wait_until(daemon.refuses)
+            daemons[1].crash_log.add(CompletionReport(BAD, clock.wall_ms()))
+            await self.wait_until(lambda: not daemons[0].refuses())
+            learner = KnowingDaemon("late", log, clock)
+            daemons.append(learner)
+            learner.start()
+            await self.wait_until(lambda: learner.crash_log.is_known)
+            self.assertFalse(learner.refuses())
+
+        self.run_daemons(scenario)
+
+    def test_quarantine_outlives_the_reports_that_led_to_it(self):
+        """A daemon that starts an hour later still refuses; a day later it does not."""
+
+        async def scenario(log, clock, daemons):
+            for number in range(3):
+                daemons[0].report_crash(f"e{number}", BAD)
+            await self.wait_until(lambda: len(stored_records(log)) >= 4)
+            clock.at_s += SUSPECT_RETENTION_S + 1
+            await self.wait_until(lambda: not stored_reports(log))
+            learner = KnowingDaemon("late", log, clock)
+            daemons.append(learner)
+            learner.start()
+            await self.wait_until(learner.refuses)
+            clock.at_s += QUARANTINE_S
+            self.assertFalse(learner.refuses())
+            await self.wait_until(lambda: not stored_records(log))
+
+        self.run_daemons(scenario)
+
+    def test_malformed_record_is_skipped(self):
+        """Another build may write records of another form."""
+
+        async def scenario(log, clock, daemons):
+            records = [KeyedRecord(b"x", b"\xff"), KeyedRecord(b"y", b"\x01")]
+            await log.append(CRASHES, 0, records, None)
+            for number in range(3):
+                daemons[0].report_crash(f"e{number}", BAD)
+            await self.wait_until(daemons[1].refuses)
+
+        self.run_daemons(scenario)
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -20,6 +20,7 @@
     WeightedService,
 )
 from apricotquay.serving.crashes import CrashDetector
+from apricotquay.serving.crashlog import CrashLog
 from apricotquay.serving.dispatch import Ticket, TicketId, Work
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
 from apricotquay.serving.engine import AttemptFailedError, RequestNotRunError
@@ -29,6 +30,7 @@
 from apricotquay.serving.requests import OnlineRequest
 from apricotquay.serving.slots import SlotLease
 from apricotquay.serving.timeouts import AdaptiveTimeout
+from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
 from .test_serving_jobs import quiet_reporter
@@ -191,7 +193,10 @@
         view = FakeView(tested_route)
         reporter = quiet_reporter()
         slots = FakeSlots()
-        crashes = CrashDetector(Quarantine(), engines, None, None, clock, reporter)
+        crash_log = CrashLog(MemoryLog(), "d", clock, reporter)
+        crashes = CrashDetector(
+            Quarantine(), crash_log, engines, None, None, clock, reporter
+        )
         metrics = ServingMetrics()
         attempts = AttemptRunner(view, engines, crashes, metrics, clock, reporter)
         handler = OnlineRequestHandler(
--- a/tests/test_serving_viewexchange.py
+++ b/tests/test_serving_viewexchange.py
@@ -5,12 +5,14 @@
 
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving import viewexchange
+from apricotquay.serving.crashlog import CrashLog
 from apricotquay.serving.keyedlog import KeyedRecord, Shard
 from apricotquay.serving.messages import PullView
 from apricotquay.serving.partition import JOBS
 from apricotquay.serving.shards import Shards
 from apricotquay.serving.view import View
 from apricotquay.serving.viewexchange import ViewExchange
+from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
 from .test_platform_wire import SERVER, config
@@ -42,7 +44,8 @@
         view = View(None, PlatformDirectory(), clock, quiet_reporter())
         shards = Shards(None, address, "x", 12, clock, quiet_reporter())
         seeds = ["a:1", "b:1", "c:1", "d:1"]
-        exchange = ViewExchange(view, shards, peers, seeds, quiet_reporter())
+        crash_log = CrashLog(MemoryLog(), address, clock, quiet_reporter())
+        exchange = ViewExchange(view, shards, peers, seeds, crash_log, quiet_reporter())
         peers.exchanges[address] = exchange
         return exchange
 
