--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -67,12 +67,15 @@
         endpoint: Endpoint,
         response_timeout_s: float | None,
         consume: Callable[[EngineResponse], Awaitable[T]],
+        *,
+        may_crash_endpoints: bool = True,
     ) -> T:
         """Send a call and consume its response; errors are recorded and re-raised.
 
-        `response_timeout_s` limits the time until the response begins.
+        `response_timeout_s` limits the time until the response begins. No crash is
+        ever attributed to a call without `may_crash_endpoints`.
         """
-        fingerprint = fingerprint_of(call)
+        fingerprint = fingerprint_of(call) if may_crash_endpoints else None
         self._crash_detector.begin_attempt(endpoint.id, fingerprint)
         try:
             status, result = await self._send(
@@ -99,7 +102,7 @@
             self._crash_detector.end_attempt(endpoint.id, fingerprint)
         self._view.endpoints.record_success(endpoint.id)
         # An endpoint may answer with a failure without having run the request.
-        if is_success(status):
+        if fingerprint is not None and is_success(status):
             self._crash_detector.record_completion(fingerprint)
         return result
 
@@ -127,7 +130,7 @@
         self,
         call: EngineCall,
         endpoint: Endpoint,
-        fingerprint: str,
+        fingerprint: str | None,
         error: Exception,
         *,
         unreachable: bool = False,
--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -37,6 +37,8 @@
 MAX_CONCURRENT_ITEMS = 48
 EVENT_TIMEOUT_S = 3.0
 RETRY_DELAY_S = 0.25
+FRUITLESS_BEFORE_BACKOFF = 3
+MAX_RETRY_DELAY_S = 4.0
 SCHEDULE_INTERVAL_S = 0.5
 HANDOVER_DELAY_S = 0.6
 PROGRESS_INTERVAL_S = 1.0
@@ -64,6 +66,17 @@
         self.failures: int = known.failures if known else 0
         self.ran_s: float = 0.0
         self._failed_endpoint: str = ""
+        self._fruitless_in_a_row: int = 0
+
+    def retry_delay_s(self, was_fruitless: bool) -> float:
+        """Return how long to wait before the next attempt.
+
+        An item whose connections keep ending before any output may be the cause of
+        it, so it is still run, but ever less often.
+        """
+        self._fruitless_in_a_row = self._fruitless_in_a_row + 1 if was_fruitless else 0
+        doublings = max(0, self._fruitless_in_a_row - FRUITLESS_BEFORE_BACKOFF)
+        return min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2**doublings)
 
     def endpoints_to_avoid(self) -> frozenset[str]:
         """Return the endpoint of the last attempt if that failed."""
@@ -132,11 +145,15 @@
 
 
 class AttemptResult(msgspec.Struct, frozen=True):
-    """The result of an attempt; `reason` is written to the log."""
+    """The result of an attempt; `reason` is written to the log.
+
+    `was_fruitless` means that the connection ended before any new event.
+    """
 
     outcome: Outcome
     reason: str = ""
     slot_outcome: SlotOutcome = SlotOutcome.UNKNOWN
+    was_fruitless: bool = False
 
 
 class BatchRunner:
@@ -303,7 +320,8 @@
                 self._finish_item(item, is_done=False)
                 return
             if result.outcome is not Outcome.REVOKED:
-                await asyncio.sleep(RETRY_DELAY_S * random.uniform(0.5, 1.5))
+                delay_s = progress.retry_delay_s(result.was_fruitless)
+                await asyncio.sleep(delay_s * random.uniform(0.5, 1.5))
 
     def _find_route(self, job: Job, index: int) -> Route | None:
         configuration = self._view.configuration
@@ -417,17 +435,25 @@
             max(1, min(ITEM_TIMEOUT_MS, remaining_ms)),
             progress.last_id if progress.last_id >= 0 else None,
         )
-        if self._attempts.is_quarantined(call):
-            return AttemptResult(Outcome.RETRY, "crashes endpoints")
+        last_id = progress.last_id
         try:
             return await self._attempts.run(
                 call,
                 endpoint,
                 EVENT_TIMEOUT_S,
                 lambda response: _read_output(response, progress),
+                # An accepted item is owed, whatever ended while it ran.
+                may_crash_endpoints=False,
             )
-        except (RequestNotRunError, AttemptFailedError) as exc:
+        except RequestNotRunError as exc:
             return AttemptResult(Outcome.RETRY, str(exc), SlotOutcome.FAILED)
+        except AttemptFailedError as exc:
+            return AttemptResult(
+                Outcome.RETRY,
+                str(exc),
+                SlotOutcome.FAILED,
+                was_fruitless=exc.reset and progress.last_id == last_id,
+            )
 
 
 async def _read_output(
--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes.py
@@ -73,12 +73,16 @@
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
 
-    def begin_attempt(self, endpoint: EndpointId, fingerprint: str) -> None:
-        """Record that a request is sent to an endpoint."""
+    def begin_attempt(self, endpoint: EndpointId, fingerprint: str | None) -> None:
+        """Record that a request is sent to an endpoint; None cannot be a suspect."""
+        if fingerprint is None:
+            return
         self._running.setdefault(endpoint, Counter())[fingerprint] += 1
 
-    def end_attempt(self, endpoint: EndpointId, fingerprint: str) -> None:
+    def end_attempt(self, endpoint: EndpointId, fingerprint: str | None) -> None:
         """Record that a request no longer runs at an endpoint."""
+        if fingerprint is None:
+            return
         counter = self._running[endpoint]
         counter[fingerprint] -= 1
         if counter[fingerprint] <= 0:
@@ -102,9 +106,15 @@
             report = CompletionReport(fingerprint, self._clock.wall_ms())
             self._publish(report)
 
-    def handle_connection_reset(self, endpoint: Endpoint, fingerprint: str) -> None:
+    def handle_connection_reset(
+        self, endpoint: Endpoint, fingerprint: str | None
+    ) -> None:
         """Check whether an endpoint crashed after a connection ended mid-response."""
-        suspects = {fingerprint, *self._running.get(endpoint.id, Counter())}
+        suspects = set(self._running.get(endpoint.id, Counter()))
+        if fingerprint is not None:
+            suspects.add(fingerprint)
+        if not suspects:
+            return
         if endpoint.id in self._suspects_of_check:
             self._suspects_of_check[endpoint.id] |= suspects
             return
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -39,6 +39,7 @@
 JSON_HEADERS = [(b"content-type", b"application/json")]
 REGISTER_RETRY_DELAY_S = 0.5
 SLOTS_PER_SERVER = 8
+HOLD_INTERVAL_S = 0.01
 SERVER_LIMITS = ServerLimits(65_536, 8 * 1024 * 1024, 10.0, 60.0)
 
 
@@ -163,8 +164,10 @@
     def __init__(self, name: str, step_s: float, record_run=None) -> None:
         self.name: str = name
         self.running: int = 0
+        self.running_ids: set[str] = set()
         self.on_crash: Callable[[], None] = lambda: os._exit(1)
         self.fails_all_with: int = 0
+        self.is_holding: bool = False
         self._step_s: float = step_s
         self._record_run = record_run or (
             lambda run: print(json.dumps(run), flush=True)
@@ -222,10 +225,12 @@
             await exchange.respond(HttpResponse(503, [*head, (b"not-run", b"1")]))
             return
         self.running += 1
+        self.running_ids.add(request_id)
         try:
             await self._run(exchange, request_id, head)
         finally:
             self.running -= 1
+            self.running_ids.discard(request_id)
 
     async def _run(self, exchange: Exchange, request_id: str, head: list) -> None:
         request = exchange.request
@@ -253,6 +258,8 @@
         await exchange.start(200, [*head, chunked])
         for number in range(after + 1, int(options.get("events", 5))):
             await asyncio.sleep(self._step_s * random.uniform(0.5, 1.5))
+            while self.is_holding:
+                await asyncio.sleep(HOLD_INTERVAL_S)
             text = f"id: {number}\ndata: {request_id}-{number}\n\n"
             await exchange.send(text.encode())
         await exchange.finish()
