--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -28,6 +28,9 @@
 
 T = TypeVar("T")
 
+MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
+
 
 def fingerprint_of(call: EngineCall) -> str:
     """Return a hash that is the same when a caller sends a request again."""
@@ -158,6 +161,22 @@
             )
 
 
+async def read_body(response: EngineResponse) -> bytes:
+    """Read a response that is not a stream.
+
+    Raises AttemptFailedError when it is longer than MAX_BODY_BYTES: an endpoint in
+    trouble may send bytes without end.
+    """
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.body():
+        size += len(part)
+        if size > MAX_BODY_BYTES:
+            raise AttemptFailedError(f"body of more than {MAX_BODY_BYTES} bytes")
+        parts.append(part)
+    return b"".join(parts)
+
+
 async def read_events(
     response: EngineResponse,
     first_event_timeout_s: float | None,
@@ -166,24 +185,42 @@
     """Yield the whole events of a stream; events that arrive together in one list.
 
     Raises AttemptFailedError when the wait for the first or a later event exceeds
-    its timeout, or when the stream ends within an event.
+    its timeout, when an event has no id or is longer than MAX_EVENT_BYTES, or when
+    the stream ends within an event.
     """
     splitter = EventSplitter()
     body = response.body()
     timeout_s = first_event_timeout_s
+    due_s = _due_s(timeout_s)
     while True:
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout_at(due_s):
                 data = await anext(body, None)
         except TimeoutError as exc:
             raise AttemptFailedError(
-                f"stream silent for {timeout_s:.2f} s", timed_out=True
+                f"stream without an event for {timeout_s:.2f} s", timed_out=True
             ) from exc
         if data is None:
             break
         events = list(splitter.feed(data))
+        _check_events(splitter, events)
         if events:
-            timeout_s = event_timeout_s
             yield events
+            timeout_s = event_timeout_s
+            due_s = _due_s(timeout_s)
     if splitter.has_partial_event:
         raise AttemptFailedError("stream ended within an event")
+
+
+def _due_s(timeout_s: float | None) -> float | None:
+    """Return when a wait that begins now times out, in the event loop's time."""
+    if timeout_s is None:
+        return None
+    return asyncio.get_running_loop().time() + timeout_s
+
+
+def _check_events(splitter: EventSplitter, events: list[StreamEvent]) -> None:
+    if splitter.buffered_bytes > MAX_EVENT_BYTES:
+        raise AttemptFailedError(f"event of more than {MAX_EVENT_BYTES} bytes")
+    if any(event.id < 0 for event in events):
+        raise AttemptFailedError("an event has no id")
--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -11,7 +11,7 @@
 
 from ..clocks import Clock
 from ..events import Event
-from .attempts import AttemptRunner, read_events
+from .attempts import MAX_BODY_BYTES, AttemptRunner, read_events
 from .catalog import Route
 from .dispatch import Work
 from .engine import (
@@ -99,6 +99,11 @@
         self.data.append(event.data)
         self.last_id = event.id
 
+    def discard_output(self) -> None:
+        """Forget the output so far; the next attempt starts from the beginning."""
+        self.data.clear()
+        self.last_id = -1
+
     def to_record(self) -> ProgressRecord:
         """Return the record from which another daemon can resume the item."""
         return ProgressRecord(self.last_id, list(self.data), self.failures)
@@ -467,7 +472,12 @@
         return AttemptResult(Outcome.FAILED, f"status {response.status}")
     if response.status != OK:
         return AttemptResult(Outcome.RETRY, f"status {response.status}")
+    size = 0
     async for events in read_events(response, EVENT_TIMEOUT_S, EVENT_TIMEOUT_S):
+        size += sum(len(event.raw) for event in events)
+        if size > MAX_BODY_BYTES:
+            progress.discard_output()
+            raise AttemptFailedError(f"output of more than {MAX_BODY_BYTES} bytes")
         for event in events:
             progress.append_event(event)
     return AttemptResult(Outcome.DONE, slot_outcome=SlotOutcome.SUCCEEDED)
--- a/apricotquay/serving/httpclient.py
+++ b/apricotquay/serving/httpclient.py
@@ -7,6 +7,8 @@
 
 from .http1 import READ_BYTES, HttpError, HttpRequest, HttpResponse
 
+MAX_INTERIM_RESPONSES = 8
+
 
 class ClientConnection:
     """A connection to a server for one request at a time.
@@ -55,12 +57,13 @@
 
     async def read_head(self) -> h11.Response:
         """Wait for the status and headers of the response."""
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise HttpError("connection closed before a response")
+        raise HttpError("too many interim responses")
 
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body; return only when the body is complete."""
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -7,7 +7,7 @@
 from ..errors import ErrorKind, Ran, RequestError
 from ..events import Event
 from ..ids import TeamId
-from .attempts import AttemptRunner, read_events
+from .attempts import AttemptRunner, read_body, read_events
 from .catalog import Configuration, Route, RouteKind, ServiceName, Team
 from .dispatch import Work
 from .engine import (
@@ -310,8 +310,7 @@
         """Forward a response that is not a stream, once it is complete."""
         if progress.response_started:
             raise AttemptFailedError(f"status {response.status} within a stream")
-        parts = [part async for part in response.body()]
-        body = b"".join(parts)
+        body = await read_body(response)
         if response.status >= MIN_FAILURE_STATUS and route.is_idempotent:
             progress.failure_response = (response.status, response.headers, body)
             if progress.failed_attempts + 1 < route.max_attempts:
--- a/apricotquay/serving/sse.py
+++ b/apricotquay/serving/sse.py
@@ -24,6 +24,11 @@
         """Whether the buffer holds part of an event."""
         return bool(self._buffer.strip())
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The size of the part of an event that the buffer holds."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> Iterator[StreamEvent]:
         """Buffer bytes and yield the events that are complete."""
         self._buffer += data
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -1,11 +1,14 @@
 """Checks of servers' responses, with a server that sends scripted bytes."""
 
 import asyncio
+import itertools
 
 from parameterized import parameterized
 
 from apricotquay.ids import EndpointId, TeamId
 from apricotquay.platform.engines import ServerClient
+from apricotquay.serving import attempts as attempts_module
+from apricotquay.serving.batch import ItemProgress, _read_output
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.engine import (
@@ -196,3 +199,116 @@
             self.assertTrue(await ServerClient().refuses_connections(endpoint))
 
         asyncio.run(run())
+
+
+STREAM_HEAD = response(extra=b"Transfer-Encoding: chunked\r\n", body=b"")
+CLOSED_HEAD = response(extra=b"Connection: close\r\n", body=b"")
+LONG_HEAD = response(extra=b"Content-Length: 99999999999\r\n", body=b"")
+CHUNK = b"1000\r\n" + b"x" * 4096 + b"\r\n"
+JUNK_EVENT_CHUNK = b"6\r\nxyz:\n\n\r\n"
+JUNK_EVENT = b"data: x\n\n"
+# The server stops here and keeps the connection open, so that a test ends.
+MAX_SENT_BYTES = 64 * 1024 * 1024
+# More than the code reads of any response, with the sockets' buffers.
+MAX_READ_BYTES = 32 * 1024 * 1024
+TIMEOUT_S = 20.0
+
+
+async def read_whole(answer) -> None:
+    """Read a response that is not a stream."""
+    await attempts_module.read_body(answer)
+
+
+async def read_stream(answer) -> None:
+    """Read a stream of events as online requests do."""
+    async for _ in attempts_module.read_events(answer, None, None):
+        pass
+
+
+async def read_item(answer) -> None:
+    """Read the output of a batch item."""
+    await _read_output(answer, ItemProgress(None))
+
+
+def number_events():
+    """Yield the events of a stream that never ends."""
+    for number in itertools.count():
+        yield b"id: %d\ndata: %s\n\n" % (number, b"y" * 4096)
+
+
+class EndlessResponseTest(ApricotTest):
+    """Servers whose bytes come until the caller closes."""
+
+    def read_endless(self, start: bytes, parts, read) -> tuple[str, int]:
+        """Return how the call ended and how many bytes the server sent."""
+        sent = 0
+
+        async def serve(reader, writer) -> None:
+            nonlocal sent
+            await reader.read(65_536)
+            try:
+                for part in itertools.chain((start,), parts):
+                    writer.write(part)
+                    await writer.drain()
+                    sent += len(part)
+                    if sent > MAX_SENT_BYTES:
+                        await reader.read()
+            except OSError:
+                writer.close()
+
+        async def run() -> str:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            endpoint = Endpoint(
+                EndpointId("i-1"), ServiceName("llm"), "127.0.0.1", port
+            )
+            call = EngineCall("a1", "POST", "/x", [(b"host", b"h")], b"", None, 1000)
+            try:
+                async with asyncio.timeout(TIMEOUT_S):
+                    answer = await ServerClient().send(call, endpoint)
+                    try:
+                        await read(answer)
+                    finally:
+                        answer.close()
+                return COMPLETE
+            except AttemptFailedError:
+                return FAILED
+            finally:
+                server.close()
+
+        return asyncio.run(run()), sent
+
+    @parameterized.expand(
+        [
+            ("status line", b"", b"x" * 4096, read_whole),
+            ("header", HEAD + b"X: ", b"y" * 4096, read_whole),
+            ("header lines", HEAD, b"X: y\r\n" * 500, read_whole),
+            ("interim responses", b"", b"HTTP/1.1 102 P\r\n\r\n", read_whole),
+            ("body until close", CLOSED_HEAD, b"y" * 4096, read_whole),
+            ("body of a great length", LONG_HEAD, b"y" * 4096, read_whole),
+            ("body in chunks", STREAM_HEAD, CHUNK, read_whole),
+            ("chunk header", STREAM_HEAD, b"0" * 4096, read_whole),
+            ("trailers", STREAM_HEAD + b"0\r\n", b"X: y\r\n" * 500, read_whole),
+            ("stream without events", STREAM_HEAD, CHUNK, read_stream),
+            ("stream until close", CLOSED_HEAD, b"y" * 4096, read_stream),
+            ("events without ids", STREAM_HEAD, JUNK_EVENT_CHUNK, read_stream),
+            ("item without events", STREAM_HEAD, CHUNK, read_item),
+            ("item of events without ids", CLOSED_HEAD, JUNK_EVENT, read_item),
+        ]
+    )
+    def test_bytes_without_end_are_cut_off(self, _name, start, part, read):
+        """Memory stays bounded, and the attempt ends before its timeout."""
+        outcome, sent = self.read_endless(start, itertools.repeat(part), read)
+        self.assertEqual(FAILED, outcome)
+        self.assertLess(sent, MAX_READ_BYTES)
+
+    def test_item_whose_events_never_end_is_cut_off(self):
+        """What came is dropped, so that the next attempt begins anew."""
+        progress = ItemProgress(None)
+
+        async def read(answer) -> None:
+            await _read_output(answer, progress)
+
+        outcome, sent = self.read_endless(CLOSED_HEAD, number_events(), read)
+        self.assertEqual((FAILED, []), (outcome, progress.data))
+        self.assertLess(sent, MAX_READ_BYTES)
