--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -79,12 +79,15 @@
         ever attributed to a call without `may_crash_endpoints`.
         """
         fingerprint = fingerprint_of(call) if may_crash_endpoints else None
-        self._crash_detector.begin_attempt(endpoint.id, fingerprint)
+        self._crash_detector.begin_attempt(endpoint, fingerprint)
+        was_abandoned = True
         try:
             status, result = await self._send(
                 call, endpoint, response_timeout_s, consume
             )
+            was_abandoned = False
         except RequestNotRunError as exc:
+            was_abandoned = False
             self._record_failure(
                 call, endpoint, fingerprint, exc, unreachable=exc.unreachable
             )
@@ -102,7 +105,9 @@
                 self._crash_detector.handle_connection_reset(endpoint, fingerprint)
             raise
         finally:
-            self._crash_detector.end_attempt(endpoint.id, fingerprint)
+            self._crash_detector.end_attempt(
+                endpoint, fingerprint, was_abandoned=was_abandoned
+            )
         self._view.endpoints.record_success(endpoint.id)
         # An endpoint may answer with a failure without having run the request.
         if fingerprint is not None and is_success(status):
--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes.py
@@ -28,6 +28,27 @@
 
 RECHECK_DELAY_S = 0.1
 UPKEEP_INTERVAL_S = 10.0
+# Some endpoints go on with a request whose connection was closed.
+ABANDONED_MAY_RUN_S = 3.0
+
+
+class _EndpointAttempts:
+    """What this daemon runs, or ran a moment ago, at one start of an endpoint.
+
+    `reported` holds what this daemon has reported for a crash of this start.
+    """
+
+    def __init__(self, endpoint: Endpoint, running: Counter) -> None:
+        self.endpoint: Endpoint = endpoint
+        self.running: Counter = running
+        self.abandoned_s: dict[str, float] = {}
+        self.reported: set[str] = set()
+
+    def suspects(self, now_s: float) -> set[str]:
+        """Return the fingerprints that may run there now."""
+        oldest_s = now_s - ABANDONED_MAY_RUN_S
+        self.abandoned_s = {f: s for f, s in self.abandoned_s.items() if s > oldest_s}
+        return {*self.running, *self.abandoned_s}
 
 
 class CrashDetector:
@@ -54,7 +75,7 @@
         self._peers: Peers = peers
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
-        self._running: dict[EndpointId, Counter] = {}
+        self._attempts: dict[EndpointId, _EndpointAttempts] = {}
         self._suspects_of_check: dict[EndpointId, set[str]] = {}
         self._tasks: set[asyncio.Task] = set()
         self._marked: set[str] = set()
@@ -73,22 +94,23 @@
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
 
-    def begin_attempt(self, endpoint: EndpointId, fingerprint: str | None) -> None:
+    def begin_attempt(self, endpoint: Endpoint, fingerprint: str | None) -> None:
         """Record that a request is sent to an endpoint; None cannot be a suspect."""
-        if fingerprint is None:
-            return
-        self._running.setdefault(endpoint, Counter())[fingerprint] += 1
+        if fingerprint is not None:
+            self._attempts_at(endpoint).running[fingerprint] += 1
 
-    def end_attempt(self, endpoint: EndpointId, fingerprint: str | None) -> None:
-        """Record that a request no longer runs at an endpoint."""
+    def end_attempt(
+        self, endpoint: Endpoint, fingerprint: str | None, *, was_abandoned: bool
+    ) -> None:
+        """Record that an attempt ended; an abandoned one may still run there."""
         if fingerprint is None:
             return
-        counter = self._running[endpoint]
-        counter[fingerprint] -= 1
-        if counter[fingerprint] <= 0:
-            del counter[fingerprint]
-        if not counter:
-            del self._running[endpoint]
+        attempts = self._attempts_at(endpoint)
+        attempts.running[fingerprint] -= 1
+        if attempts.running[fingerprint] <= 0:
+            del attempts.running[fingerprint]
+        if was_abandoned:
+            attempts.abandoned_s[fingerprint] = self._clock.now_s()
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Whether a request must not run again."""
@@ -103,18 +125,19 @@
         )
         self._quarantine.record_completion(fingerprint, now_s)
         if is_suspect:
-            report = CompletionReport(fingerprint, self._clock.wall_ms())
-            self._publish(report)
+            self._crash_log.add(CompletionReport(fingerprint, self._clock.wall_ms()))
 
     def handle_connection_reset(
         self, endpoint: Endpoint, fingerprint: str | None
     ) -> None:
         """Check whether an endpoint crashed after a connection ended mid-response."""
-        suspects = set(self._running.get(endpoint.id, Counter()))
+        suspects = self._attempts_at(endpoint).suspects(self._clock.now_s())
         if fingerprint is not None:
             suspects.add(fingerprint)
-        if not suspects:
-            return
+        if suspects:
+            self._begin_check(endpoint, suspects)
+
+    def _begin_check(self, endpoint: Endpoint, suspects: set[str]) -> None:
         if endpoint.id in self._suspects_of_check:
             self._suspects_of_check[endpoint.id] |= suspects
             return
@@ -143,13 +166,11 @@
         report = CrashReport(
             endpoint.id, endpoint.started_ms, suspects, self._clock.wall_ms()
         )
+        self._attempts_at(endpoint).reported.update(suspects)
         if not suspects:
             self._report_crash(report)
             return
-        await self._tell_owners(self._publish(report))
-
-    def _publish(self, record: CrashRecord) -> KeyedRecord:
-        return self._crash_log.add(record)
+        await self._tell_owners(self._crash_log.add(report))
 
     async def _tell_owners(self, keyed: KeyedRecord) -> None:
         """Send a record directly, in case the store is slow or away."""
@@ -197,6 +218,28 @@
                 endpoint=report.endpoint,
                 for_s=QUARANTINE_S,
             )
+        self._add_own_suspects(report)
+
+    def _add_own_suspects(self, report: CrashReport) -> None:
+        """Check an endpoint that another daemon saw crash for what ran here.
+
+        This daemon's attempts there may have been abandoned, or be silent.
+        """
+        attempts = self._attempts.get(report.endpoint)
+        if attempts is None or attempts.endpoint.started_ms != report.started_ms:
+            return
+        suspects = attempts.suspects(self._clock.now_s())
+        suspects -= attempts.reported.union(report.fingerprints)
+        if suspects:
+            self._begin_check(attempts.endpoint, suspects)
+
+    def _attempts_at(self, endpoint: Endpoint) -> _EndpointAttempts:
+        attempts = self._attempts.get(endpoint.id)
+        if attempts is None or attempts.endpoint.started_ms != endpoint.started_ms:
+            running = attempts.running if attempts else Counter()
+            attempts = _EndpointAttempts(endpoint, running)
+            self._attempts[endpoint.id] = attempts
+        return attempts
 
     def _report_crash(self, report: CrashReport) -> None:
         self._reporter.write(
@@ -220,6 +263,13 @@
                 self._mark_quarantined()
                 self._crash_log.delete_expired()
             self._crash_log.expire()
+            self._forget_idle_endpoints()
+
+    def _forget_idle_endpoints(self) -> None:
+        now_s = self._clock.now_s()
+        idle = [e for e, a in self._attempts.items() if not a.suspects(now_s)]
+        for endpoint_id in idle:
+            del self._attempts[endpoint_id]
 
     def _mark_quarantined(self) -> None:
         """Store conclusions, which outlive the reports that led to them."""
@@ -228,5 +278,5 @@
         self._marked &= set(quarantined)
         for fingerprint in quarantined.keys() - self._marked:
             until_ms = now_ms + int((quarantined[fingerprint] - now_s) * 1000)
-            self._publish(QuarantineMark(fingerprint, now_ms, until_ms))
+            self._crash_log.add(QuarantineMark(fingerprint, now_ms, until_ms))
         self._marked |= set(quarantined)
--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -7,6 +7,7 @@
 from apricotquay.ids import EndpointId
 from apricotquay.quarantine import QUARANTINE_S, SUSPECT_RETENTION_S, Quarantine
 from apricotquay.serving import crashes as crashes_module
+from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.crashes import CrashDetector
 from apricotquay.serving.crashlog import (
     ALL_RECORDS,
@@ -16,6 +17,7 @@
     CrashReport,
     decode_crash_record,
 )
+from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.keyedlog import KeyedRecord, Shard
 from standins.keyedlog import MemoryLog
 
@@ -51,6 +53,21 @@
         return []
 
 
+class RefusingEngines:
+    """Endpoints that have all ended."""
+
+    async def refuses_connections(self, endpoint: Endpoint) -> bool:
+        """Return that the endpoint is gone."""
+        return True
+
+
+def started(name: str, started_ms: int = 1) -> Endpoint:
+    """Return one start of an endpoint."""
+    return Endpoint(
+        EndpointId(name), ServiceName("llm"), "127.0.0.1", 1, started_ms=started_ms
+    )
+
+
 class KnowingDaemon:
     """The crash log and the detector of one daemon."""
 
@@ -58,7 +75,13 @@
         reporter = quiet_reporter()
         self.crash_log = CrashLog(log, name, clock, reporter)
         self.detector = CrashDetector(
-            Quarantine(), self.crash_log, None, OwnedShards(), None, clock, reporter
+            Quarantine(),
+            self.crash_log,
+            RefusingEngines(),
+            OwnedShards(),
+            None,
+            clock,
+            reporter,
         )
         self._clock = clock
 
@@ -78,6 +101,11 @@
         at_ms = self._clock.wall_ms()
         self.crash_log.add(CrashReport(EndpointId(endpoint), 1, suspects, at_ms))
 
+    def abandon(self, endpoint: Endpoint, fingerprint: str) -> None:
+        """Send a request to an endpoint and give up before its answer."""
+        self.detector.begin_attempt(endpoint, fingerprint)
+        self.detector.end_attempt(endpoint, fingerprint, was_abandoned=True)
+
     def refuses(self, fingerprint: str = BAD) -> bool:
         """Whether the daemon refuses a request."""
         return self.detector.is_quarantined(fingerprint)
@@ -205,6 +233,49 @@
 
         self.run_daemons(scenario)
 
+    @parameterized.expand([("same daemon", 0), ("other daemon", 1)])
+    def test_request_abandoned_before_the_crash_is_a_suspect(self, _name, observer):
+        """Another request, perhaps at another daemon, notices the crash."""
+
+        async def scenario(log, clock, daemons):
+            for number in range(3):
+                endpoint = started(f"e{number}")
+                daemons[0].abandon(endpoint, BAD)
+                detector = daemons[observer].detector
+                detector.handle_connection_reset(endpoint, f"beside-{number}")
+            for daemon in daemons:
+                await self.wait_until(daemon.refuses)
+
+        self.run_daemons(scenario)
+
+    def test_request_abandoned_long_before_the_crash_is_no_suspect(self):
+        """By then no endpoint still runs it."""
+
+        async def scenario(log, clock, daemons):
+            for number in range(3):
+                endpoint = started(f"e{number}")
+                daemons[0].abandon(endpoint, BAD)
+                clock.at_s += 10.0
+                daemons[0].detector.handle_connection_reset(endpoint, "beside")
+            await self.wait_until(lambda: daemons[1].refuses("beside"))
+            self.assertFalse(daemons[1].refuses())
+
+        self.run_daemons(scenario)
+
+    def test_crashes_of_two_starts_of_an_endpoint_count_twice(self):
+        """An endpoint may start again under its id within a second."""
+
+        async def scenario(log, clock, daemons):
+            for number in range(3):
+                endpoint = started("e", started_ms=number)
+                daemons[0].detector.handle_connection_reset(endpoint, BAD)
+                await self.wait_until(
+                    lambda n=number: len(stored_reports(log)) == n + 1
+                )
+            await self.wait_until(daemons[1].refuses)
+
+        self.run_daemons(scenario)
+
     def test_malformed_record_is_skipped(self):
         """Another build may write records of another form."""
 
