--- a/apricotquay/events.py
+++ b/apricotquay/events.py
@@ -48,7 +48,7 @@
     ENDPOINT_LISTED = (1504, "endpoint listed or changed")
     ENDPOINT_UNLISTED = (1505, "endpoint no longer listed")
     ENDPOINT_CRASHED = (1506, "endpoint died while requests ran there")
-    CRASH_NOT_CONFIRMED = (1507, "connection ended but the endpoint did not crash")
+    CRASH_NOT_CONFIRMED = (1507, "attempt ended but the endpoint did not crash")
     REQUEST_ENDED = (1601, "request ended")
     REQUEST_RETRIED = (1602, "request retried")
     REQUEST_QUARANTINED = (1603, "request fingerprint quarantined")
--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -101,8 +101,8 @@
                 reset=exc.reset,
                 timed_out=exc.timed_out,
             )
-            if exc.reset:
-                self._crash_detector.handle_connection_reset(endpoint, fingerprint)
+            if exc.reset or exc.timed_out:
+                self._crash_detector.check_endpoint(endpoint, fingerprint)
             raise
         finally:
             self._crash_detector.end_attempt(
--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes.py
@@ -127,10 +127,8 @@
         if is_suspect:
             self._crash_log.add(CompletionReport(fingerprint, self._clock.wall_ms()))
 
-    def handle_connection_reset(
-        self, endpoint: Endpoint, fingerprint: str | None
-    ) -> None:
-        """Check whether an endpoint crashed after a connection ended mid-response."""
+    def check_endpoint(self, endpoint: Endpoint, fingerprint: str | None) -> None:
+        """Check whether an endpoint crashed after an attempt was cut or timed out."""
         suspects = self._attempts_at(endpoint).suspects(self._clock.now_s())
         if fingerprint is not None:
             suspects.add(fingerprint)
--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -1,12 +1,15 @@
 """Crash reports in the log: who learns of them, and for how long they are kept."""
 
 import asyncio
+import contextlib
 
 from parameterized import parameterized
 
 from apricotquay.ids import EndpointId
+from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.quarantine import QUARANTINE_S, SUSPECT_RETENTION_S, Quarantine
 from apricotquay.serving import crashes as crashes_module
+from apricotquay.serving.attempts import AttemptRunner, fingerprint_of
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.crashes import CrashDetector
 from apricotquay.serving.crashlog import (
@@ -18,7 +21,10 @@
     decode_crash_record,
 )
 from apricotquay.serving.endpoints import Endpoint
+from apricotquay.serving.engine import AttemptFailedError, EngineCall
 from apricotquay.serving.keyedlog import KeyedRecord, Shard
+from apricotquay.serving.metrics import ServingMetrics
+from apricotquay.serving.view import View
 from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
@@ -54,7 +60,11 @@
 
 
 class RefusingEngines:
-    """Endpoints that have all ended."""
+    """Endpoints that have all ended, and fall silent rather than close connections."""
+
+    async def send(self, call: EngineCall, endpoint: Endpoint):
+        """Never answer."""
+        await asyncio.Event().wait()
 
     async def refuses_connections(self, endpoint: Endpoint) -> bool:
         """Return that the endpoint is gone."""
@@ -242,12 +252,33 @@
                 endpoint = started(f"e{number}")
                 daemons[0].abandon(endpoint, BAD)
                 detector = daemons[observer].detector
-                detector.handle_connection_reset(endpoint, f"beside-{number}")
+                detector.check_endpoint(endpoint, f"beside-{number}")
             for daemon in daemons:
                 await self.wait_until(daemon.refuses)
 
         self.run_daemons(scenario)
 
+    def test_endpoint_that_falls_silent_as_it_ends_counts_as_crashed(self):
+        """Its connections time out instead of being reset."""
+
+        async def scenario(log, clock, daemons):
+            view = View(log, PlatformDirectory(), clock, quiet_reporter())
+            attempts = AttemptRunner(
+                view,
+                RefusingEngines(),
+                daemons[0].detector,
+                ServingMetrics(),
+                clock,
+                quiet_reporter(),
+            )
+            call = EngineCall("a1", "POST", "/s/1", [], b"bad", None, 1000)
+            for number in range(3):
+                with contextlib.suppress(AttemptFailedError):
+                    await attempts.run(call, started(f"e{number}"), 0.01, None)
+            await self.wait_until(lambda: daemons[1].refuses(fingerprint_of(call)))
+
+        self.run_daemons(scenario)
+
     def test_request_abandoned_long_before_the_crash_is_no_suspect(self):
         """By then no endpoint still runs it."""
 
@@ -256,7 +287,7 @@
                 endpoint = started(f"e{number}")
                 daemons[0].abandon(endpoint, BAD)
                 clock.at_s += 10.0
-                daemons[0].detector.handle_connection_reset(endpoint, "beside")
+                daemons[0].detector.check_endpoint(endpoint, "beside")
             await self.wait_until(lambda: daemons[1].refuses("beside"))
             self.assertFalse(daemons[1].refuses())
 
@@ -268,7 +299,7 @@
         async def scenario(log, clock, daemons):
             for number in range(3):
                 endpoint = started("e", started_ms=number)
-                daemons[0].detector.handle_connection_reset(endpoint, BAD)
+                daemons[0].detector.check_endpoint(endpoint, BAD)
                 await self.wait_until(
                     lambda n=number: len(stored_reports(log)) == n + 1
                 )
