--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -11,6 +11,7 @@
 
 from ..clocks import Clock
 from ..events import Event
+from ..ids import TeamId
 from .crashes import CrashDetector
 from .endpoints import Endpoint
 from .engine import (
@@ -32,10 +33,10 @@
 MAX_EVENT_BYTES = 1024 * 1024
 
 
-def fingerprint_of(call: EngineCall) -> str:
+def fingerprint_of(target: str, team: TeamId | None, body: bytes) -> str:
     """Return a hash that is the same when a caller sends a request again."""
     digest = hashlib.blake2b(digest_size=12)
-    for part in (call.target.encode(), (call.team or "").encode(), call.body):
+    for part in (target.encode(), (team or "").encode(), body):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.hexdigest()
@@ -60,9 +61,9 @@
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
 
-    def is_quarantined(self, call: EngineCall) -> bool:
-        """Whether the call must not be sent because it crashes endpoints."""
-        return self._crash_detector.is_quarantined(fingerprint_of(call))
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Whether a request must not be sent because it crashes endpoints."""
+        return self._crash_detector.is_quarantined(fingerprint)
 
     async def run(
         self,
@@ -78,7 +79,9 @@
         `response_timeout_s` limits the time until the response begins. No crash is
         ever attributed to a call without `may_crash_endpoints`.
         """
-        fingerprint = fingerprint_of(call) if may_crash_endpoints else None
+        fingerprint = None
+        if may_crash_endpoints:
+            fingerprint = fingerprint_of(call.target, call.team, call.body)
         self._crash_detector.begin_attempt(endpoint, fingerprint)
         was_abandoned = True
         try:
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -7,7 +7,7 @@
 from ..errors import ErrorKind, Ran, RequestError
 from ..events import Event
 from ..ids import TeamId
-from .attempts import AttemptRunner, read_body, read_events
+from .attempts import AttemptRunner, fingerprint_of, read_body, read_events
 from .catalog import Configuration, Route, RouteKind, ServiceName, Team
 from .dispatch import Work
 from .engine import (
@@ -93,6 +93,7 @@
         """Serve an admitted request."""
         progress = RequestProgress(request)
         try:
+            self._check_quarantine(request, admission.team)
             await self._check_rate(admission.team)
             deadline_s = request.arrived_s + self._timeout_s(request, admission.route)
             async with asyncio.timeout(max(0.0, deadline_s - self._clock.now_s())):
@@ -124,6 +125,14 @@
             raise RequestError(ErrorKind.KEY_REJECTED, "the key is not known")
         return team
 
+    def _check_quarantine(self, request: OnlineRequest, team: Team | None) -> None:
+        team_id = TeamId(team.id) if team else None
+        fingerprint = fingerprint_of(request.target, team_id, request.body)
+        if self._attempts.is_quarantined(fingerprint):
+            raise RequestError(
+                ErrorKind.REQUEST_QUARANTINED, "this request crashes endpoints"
+            )
+
     async def _check_rate(self, team: Team | None) -> None:
         if team is None:
             return
@@ -219,11 +228,9 @@
         if endpoint is None or endpoint.is_leaving:
             progress.record_failure(lease.endpoint, "endpoint left", may_have_run=False)
             return SlotOutcome.UNKNOWN
+        # Other daemons may have seen it crash endpoints while it waited.
+        self._check_quarantine(request, admission.team)
         call = self._build_call(request, admission.team, progress, deadline_s)
-        if self._attempts.is_quarantined(call):
-            raise RequestError(
-                ErrorKind.REQUEST_QUARANTINED, "this request crashes endpoints"
-            )
         progress.endpoint = endpoint.id
         route = admission.route
         silence_limits = self._timeouts.silence_limits(
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -6,7 +6,6 @@
 
 from apricotquay.ids import TeamId
 from apricotquay.serving.attempts import fingerprint_of
-from apricotquay.serving.engine import EngineCall
 from standins.platform import ModelServer
 
 from .test_platform_fleet import HOST, PlatformFleet, PlatformTest
@@ -109,8 +108,8 @@
 
     def knows(self, daemon) -> bool:
         """Whether a daemon refuses the crashing request."""
-        call = EngineCall("x", "POST", "/s/1", [], CRASHING, TeamId("small"), 1000)
-        return daemon.crashes.is_quarantined(fingerprint_of(call))
+        fingerprint = fingerprint_of("/s/1", TeamId("small"), CRASHING)
+        return daemon.crashes.is_quarantined(fingerprint)
 
     async def assert_serves(self, fleet) -> None:
         """Check that another request is served by all daemons."""
--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -275,7 +275,8 @@
             for number in range(3):
                 with contextlib.suppress(AttemptFailedError):
                     await attempts.run(call, started(f"e{number}"), 0.01, None)
-            await self.wait_until(lambda: daemons[1].refuses(fingerprint_of(call)))
+            fingerprint = fingerprint_of("/s/1", None, b"bad")
+            await self.wait_until(lambda: daemons[1].refuses(fingerprint))
 
         self.run_daemons(scenario)
 
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -225,6 +225,15 @@
         self.assertEqual(0, slots.held)
         return writer, engines
 
+    def test_quarantined_request_waits_for_no_slot_and_costs_no_rate(self):
+        """It is refused at once, as one that has not run."""
+        self.patch(CrashDetector, "is_quarantined", lambda *_: True)
+        self.patch(FakeSlots, "acquire", None)
+        rates = FakeRates(1)
+        writer, engines = self.serve(route(SAFE), [], rates=rates)
+        self.assertEqual("request_quarantined", writer.ending)
+        self.assertEqual(([], 1), (engines.calls, rates.left))
+
     @parameterized.expand(
         [
             ("complete", UNSAFE, [ScriptedResponse(200, [b"a", b"b"])], 200, b"ab"),
