--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -22,7 +22,7 @@
 )
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.engine import AttemptFailedError, EngineCall
-from apricotquay.serving.keyedlog import KeyedRecord, Shard
+from apricotquay.serving.keyedlog import KeyedRecord, LogRefusedError, Shard
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.view import View
 from standins.keyedlog import MemoryLog
@@ -48,6 +48,32 @@
     return [record for record in decoded if isinstance(record, CrashReport)]
 
 
+class GatedLog:
+    """A log that can turn one daemon away."""
+
+    def __init__(self, log: MemoryLog) -> None:
+        self.is_closed: bool = False
+        self.refused: int = 0
+        self._log = log
+
+    async def read_newest(self, *args):
+        """Read unless the gate is closed."""
+        self._check()
+        return await self._log.read_newest(*args)
+
+    async def read(self, *args):
+        """Read unless the gate is closed."""
+        self._check()
+        page = await self._log.read(*args)
+        self._check()
+        return page
+
+    def _check(self) -> None:
+        if self.is_closed:
+            self.refused += 1
+            raise LogRefusedError("turned away")
+
+
 class OwnedShards:
     """Shards of a daemon that owns all of them."""
 
@@ -178,6 +204,26 @@
 
         self.run_daemons(scenario)
 
+    def test_daemon_that_was_cut_off_learns_when_it_is_back(self):
+        """The store turns one daemon away while another reports crashes."""
+
+        async def scenario(log, clock, daemons):
+            gate = GatedLog(log)
+            learner = KnowingDaemon("cut-off", gate, clock)
+            daemons.append(learner)
+            learner.start()
+            await self.wait_until(lambda: learner.crash_log.is_known)
+            gate.is_closed = True
+            await self.wait_until(lambda: gate.refused)
+            for number in range(3):
+                daemons[0].report_crash(f"e{number}", BAD)
+            await self.wait_until(daemons[1].refuses)
+            self.assertFalse(learner.refuses())
+            gate.is_closed = False
+            await self.wait_until(learner.refuses)
+
+        self.run_daemons(scenario)
+
     def test_peer_passes_on_what_the_store_did_not_take(self):
         """A daemon that starts in an outage knows the crashes from its peer."""
 
--- a/tests/test_serving_viewexchange.py
+++ b/tests/test_serving_viewexchange.py
@@ -3,9 +3,10 @@
 import asyncio
 import json
 
+from apricotquay.ids import EndpointId
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving import viewexchange
-from apricotquay.serving.crashlog import CrashLog
+from apricotquay.serving.crashlog import ALL_RECORDS, CrashLog, CrashReport
 from apricotquay.serving.keyedlog import KeyedRecord, Shard
 from apricotquay.serving.messages import PullView
 from apricotquay.serving.partition import JOBS
@@ -77,6 +78,18 @@
         self.assertEqual(50, len(newcomer._view.endpoint_records))
         self.assertEqual("b:1", newcomer._shards.owner(0))
 
+    def test_daemon_that_starts_in_an_outage_gets_crash_reports_from_a_peer(self):
+        """It would otherwise send requests that are known to crash endpoints."""
+        peers = DirectPeers()
+        peer = self.exchange("a:1", peers)
+        self.fill(peer, 1)
+        peer._crash_log.add(CrashReport(EndpointId("e1"), 1, ["bad"], 100_000))
+        peer._crash_log.apply_from_peer([], is_complete=True)
+        newcomer = self.exchange("d:1", peers)
+        asyncio.run(newcomer._pull("a:1"))
+        self.assertTrue(newcomer._crash_log.is_known)
+        self.assertEqual(1, len(newcomer._crash_log.records_since(ALL_RECORDS)))
+
     def test_only_newer_records_are_sent(self):
         """A peer gets only the records that its view lacks."""
         peers = DirectPeers()
