--- a/apricotquay/quarantine.py
+++ b/apricotquay/quarantine.py
@@ -70,6 +70,10 @@
             f for f in fingerprints if self._completed_s.get(f, oldest_s) <= oldest_s
         ]
 
+    def completed_s(self, fingerprint: str) -> float:
+        """Return when a request last completed, -inf if that is not known."""
+        return self._completed_s.get(fingerprint, float("-inf"))
+
     def record_crash(
         self, endpoint: str, fingerprints: list[str], now_s: float
     ) -> list[str]:
@@ -101,7 +105,8 @@
 
     def record_completion(self, fingerprint: str, now_s: float) -> None:
         """Clear the fingerprint of a request that completed: it crashes no endpoint."""
-        self._completed_s[fingerprint] = now_s
+        known_s = self._completed_s.get(fingerprint, now_s)
+        self._completed_s[fingerprint] = max(known_s, now_s)
         self._completed_s.move_to_end(fingerprint)
         if len(self._completed_s) > MAX_COMPLETIONS:
             self._completed_s.popitem(last=False)
--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes.py
@@ -8,7 +8,12 @@
 from ..errors import PeerUnavailableError
 from ..events import Event
 from ..ids import EndpointId
-from ..quarantine import QUARANTINE_S, Quarantine, QuarantineStatus
+from ..quarantine import (
+    COMPLETION_VALID_S,
+    QUARANTINE_S,
+    Quarantine,
+    QuarantineStatus,
+)
 from .crashlog import (
     CRASHES,
     CompletionReport,
@@ -79,6 +84,8 @@
         self._suspects_of_check: dict[EndpointId, set[str]] = {}
         self._tasks: set[asyncio.Task] = set()
         self._marked: set[str] = set()
+        # When some daemon last told that a request completed.
+        self._completion_told_s: dict[str, float] = {}
         self._upkeep: asyncio.Task | None = None
         crash_log.apply = self._apply
 
@@ -125,7 +132,7 @@
         )
         self._quarantine.record_completion(fingerprint, now_s)
         if is_suspect:
-            self._crash_log.add(CompletionReport(fingerprint, self._clock.wall_ms()))
+            self._report_completion(fingerprint)
 
     def check_endpoint(self, endpoint: Endpoint, fingerprint: str | None) -> None:
         """Check whether an endpoint crashed after an attempt was cut or timed out."""
@@ -197,6 +204,7 @@
         elif isinstance(record, CompletionReport):
             self._quarantine.record_completion(record.fingerprint, now_s - age_s)
             self._quarantine.release(record.fingerprint)
+            self._completion_told_s[record.fingerprint] = now_s - age_s
             if self._keeps_log:
                 self._crash_log.delete_marks(record.fingerprint)
         elif self._quarantine.without_recent_completion([record.fingerprint], now_s):
@@ -216,8 +224,24 @@
                 endpoint=report.endpoint,
                 for_s=QUARANTINE_S,
             )
+        self._clear_completed(report)
         self._add_own_suspects(report)
 
+    def _clear_completed(self, report: CrashReport) -> None:
+        """Tell the others which of the suspects have completed here lately."""
+        for fingerprint in report.fingerprints:
+            completed_s = self._quarantine.completed_s(fingerprint)
+            if self._clock.now_s() - completed_s >= COMPLETION_VALID_S:
+                continue
+            told_s = self._completion_told_s.get(fingerprint, float("-inf"))
+            if completed_s - told_s > COMPLETION_VALID_S / 2:
+                self._report_completion(fingerprint)
+
+    def _report_completion(self, fingerprint: str) -> None:
+        age_s = self._clock.now_s() - self._quarantine.completed_s(fingerprint)
+        at_ms = self._clock.wall_ms() - int(age_s * 1000)
+        self._crash_log.add(CompletionReport(fingerprint, at_ms))
+
     def _add_own_suspects(self, report: CrashReport) -> None:
         """Check an endpoint that another daemon saw crash for what ran here.
 
@@ -262,6 +286,15 @@
                 self._crash_log.delete_expired()
             self._crash_log.expire()
             self._forget_idle_endpoints()
+            self._forget_old_completions()
+
+    def _forget_old_completions(self) -> None:
+        oldest_s = self._clock.now_s() - COMPLETION_VALID_S
+        self._completion_told_s = {
+            f: told_s
+            for f, told_s in self._completion_told_s.items()
+            if told_s > oldest_s
+        }
 
     def _forget_idle_endpoints(self) -> None:
         now_s = self._clock.now_s()
--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -7,7 +7,12 @@
 
 from apricotquay.ids import EndpointId
 from apricotquay.platform.wire import PlatformDirectory
-from apricotquay.quarantine import QUARANTINE_S, SUSPECT_RETENTION_S, Quarantine
+from apricotquay.quarantine import (
+    COMPLETION_VALID_S,
+    QUARANTINE_S,
+    SUSPECT_RETENTION_S,
+    Quarantine,
+)
 from apricotquay.serving import crashes as crashes_module
 from apricotquay.serving.attempts import AttemptRunner, fingerprint_of
 from apricotquay.serving.catalog import ServiceName
@@ -120,6 +125,13 @@
             reporter,
         )
         self._clock = clock
+        self.records_read = 0
+        self._apply_record = self.crash_log.apply
+        self.crash_log.apply = self._count_record
+
+    def _count_record(self, record) -> None:
+        self.records_read += 1
+        self._apply_record(record)
 
     def start(self) -> None:
         """Start following the log."""
@@ -142,6 +154,10 @@
         self.detector.begin_attempt(endpoint, fingerprint)
         self.detector.end_attempt(endpoint, fingerprint, was_abandoned=True)
 
+    def has_read(self, count: int) -> bool:
+        """Whether the daemon has read a number of records since its start."""
+        return self.records_read >= count
+
     def refuses(self, fingerprint: str = BAD) -> bool:
         """Whether the daemon refuses a request."""
         return self.detector.is_quarantined(fingerprint)
@@ -270,6 +286,38 @@
 
         self.run_daemons(scenario)
 
+    def test_request_that_completes_at_one_daemon_is_refused_by_none(self):
+        """Many callers send it; other daemons saw it run beside unrelated crashes."""
+
+        async def scenario(log, clock, daemons):
+            daemons[1].detector.record_completion(BAD)
+            for number in range(3):
+                daemons[0].report_crash(f"e{number}", BAD)
+            await self.wait_until(lambda: len(stored_reports(log)) == 3)
+            await self.wait_until(lambda: daemons[1].has_read(3))
+            for daemon in daemons:
+                await self.wait_until(lambda d=daemon: not d.refuses())
+            daemons[0].report_crash("e3", BAD)
+            self.assertFalse(daemons[0].refuses())
+
+        self.run_daemons(scenario, count=3)
+
+    def test_old_completion_is_not_renewed_by_telling_of_it(self):
+        """Otherwise daemons would keep each other from ever counting a crash."""
+
+        async def scenario(log, clock, daemons):
+            daemons[1].detector.record_completion(BAD)
+            for number in range(4):
+                clock.at_s += COMPLETION_VALID_S / 3
+                daemons[0].report_crash(f"e{number}", BAD)
+                await self.wait_until(lambda n=number: daemons[1].has_read(n + 1))
+            for number in range(3):
+                daemons[0].report_crash(f"late-{number}", BAD)
+            for daemon in daemons:
+                await self.wait_until(daemon.refuses)
+
+        self.run_daemons(scenario)
+
     def test_quarantine_outlives_the_reports_that_led_to_it(self):
         """A daemon that starts an hour later still refuses; a day later it does not."""
 
