--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -5,16 +5,16 @@
 import random
 
 from apricotquay.ids import TeamId
+from apricotquay.quarantine import CRASHES_TO_QUARANTINE
 from apricotquay.serving.attempts import fingerprint_of
 from standins.platform import ModelServer
 
 from .test_platform_fleet import HOST, PlatformFleet, PlatformTest
 
-MAX_CRASHES_UNSEEN = 3
-# Retries that may still reach servers once the third crash is known to the fleet.
+# Retries that may still reach servers after the third crash.
 MAX_RETRIES_AFTER = 3
 RESTART_DELAY_S = 0.3
-CONTACT_S = 20.0
+LEARN_TIMEOUT_S = 20.0
 CRASHING = b"crash=1"
 CRASHES_BY_CHANCE = 5
 # More daemons than the group has shards, so that some own none.
@@ -72,9 +72,10 @@
 
     async def crash_three(self) -> None:
         """Send the request until three servers have crashed."""
+        rng = random.Random(0)
         number = 0
-        while self.crashes < MAX_CRASHES_UNSEEN:
-            await self.send(random.choice(self._fleet.daemons), number)
+        while self.crashes < CRASHES_TO_QUARANTINE:
+            await self.send(rng.choice(self._fleet.daemons), number)
             await self.settle()
             number += 1
 
@@ -102,7 +103,7 @@
         """Wait until the whole fleet should know; the bound is checked afterwards."""
         await crashing.settle()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(CONTACT_S):
+            async with asyncio.timeout(LEARN_TIMEOUT_S):
                 while not all(self.knows(daemon) for daemon in fleet.daemons):
                     await asyncio.sleep(0.02)
 
--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -109,7 +109,7 @@
     )
 
 
-class KnowingDaemon:
+class DaemonUnderTest:
     """The crash log and the detector of one daemon."""
 
     def __init__(self, name: str, log: MemoryLog, clock: ManualClock) -> None:
@@ -171,7 +171,7 @@
 
         async def run() -> None:
             log, clock = MemoryLog(), ManualClock()
-            daemons = [KnowingDaemon(f"d{n}", log, clock) for n in range(count)]
+            daemons = [DaemonUnderTest(f"d{n}", log, clock) for n in range(count)]
             for daemon in daemons:
                 daemon.start()
             try:
@@ -198,7 +198,7 @@
                 daemon.report_crash(f"e{number}", BAD, f"beside-{number}")
             learner = daemons[3]
             if starts_later:
-                learner = KnowingDaemon("late", log, clock)
+                learner = DaemonUnderTest("late", log, clock)
                 daemons.append(learner)
                 learner.start()
             await self.wait_until(learner.refuses)
@@ -225,7 +225,7 @@
 
         async def scenario(log, clock, daemons):
             gate = GatedLog(log)
-            learner = KnowingDaemon("cut-off", gate, clock)
+            learner = DaemonUnderTest("cut-off", gate, clock)
             daemons.append(learner)
             learner.start()
             await self.wait_until(lambda: learner.crash_log.is_known)
@@ -248,7 +248,7 @@
             for number in range(3):
                 daemons[0].report_crash(f"e{number}", BAD)
             records = daemons[0].crash_log.records_since(ALL_RECORDS)
-            learner = KnowingDaemon("late", log, clock)
+            learner = DaemonUnderTest("late", log, clock)
             self.assertFalse(learner.crash_log.is_known)
             self.assertEqual(ALL_RECORDS, learner.crash_log.blind_ms())
             learner.crash_log.apply_from_peer(records, is_complete=True)
@@ -278,7 +278,7 @@
                 await self.wait_until(daemon.refuses)
             daemons[1].crash_log.add(CompletionReport(BAD, clock.wall_ms()))
             await self.wait_until(lambda: not daemons[0].refuses())
-            learner = KnowingDaemon("late", log, clock)
+            learner = DaemonUnderTest("late", log, clock)
             daemons.append(learner)
             learner.start()
             await self.wait_until(lambda: learner.crash_log.is_known)
@@ -327,7 +327,7 @@
             await self.wait_until(lambda: len(stored_records(log)) >= 4)
             clock.at_s += SUSPECT_RETENTION_S + 1
             await self.wait_until(lambda: not stored_reports(log))
-            learner = KnowingDaemon("late", log, clock)
+            learner = DaemonUnderTest("late", log, clock)
             daemons.append(learner)
             learner.start()
             await self.wait_until(learner.refuses)
