Give the last attempt up for no silence

Callers saw: streams cut off without their end, and 502 before the first event or for a whole safe request, though the endpoints were sound, silent for a second and went on. Cause: each attempt was given up after at most 0.9 s of silence, also the last one that the route allows; _check_may_retry then found the attempts used up and _end_failed broke the stream off. A route with two attempts lost a stream as soon as two endpoints, or one for 1.3 s, were silent. Class: silence is counted as a failure and spends something scarce. Change: the last attempt has no silence limit. The route's timeout and the caller's deadline end it as before: a stream under way is cut then, any other request gets 504. The stand-in server is silent before its response's head, too, while it holds.

--- a/apricotquay/serving/timeouts.py
+++ b/apricotquay/serving/timeouts.py
@@ -3,7 +3,9 @@
 A request whose attempt hangs can still be in time if another endpoint is tried
 soon. Response times differ by service and load, so the timeout is a multiple of
 recent response times. Only the first attempt of a request is subject to it: if all
-endpoints have become slow, the second attempt has the full time.
+endpoints have become slow, the second attempt has the full time. The last attempt
+that the route allows has no limit, since a sound endpoint may be silent for a while:
+only the route's timeout and the caller end it.
 """
 
 import collections
@@ -75,13 +77,13 @@
         self, route: Route, service: ServiceName, failed_attempts: int
     ) -> SilenceLimits:
         """Return how long an attempt may be silent after `failed_attempts` others; the
-        first attempt is abandoned early if another one is allowed.
+        first attempt is abandoned early, the last one never.
         """
-        if not route.is_idempotent:
+        is_last_attempt = failed_attempts + 1 >= route.max_attempts
+        if not route.is_idempotent or is_last_attempt:
             return SilenceLimits(None, None)
         pause_s = MAX_PAUSE_TIMEOUT_S if route.is_resumable else None
-        is_first_attempt = failed_attempts == 0 and route.max_attempts > 1
-        if not is_first_attempt or route.kind is not RouteKind.STREAMING:
+        if failed_attempts or route.kind is not RouteKind.STREAMING:
             return SilenceLimits(MAX_FIRST_EVENT_TIMEOUT_S, pause_s)
         service_timeouts = self._timeouts_of_service[service]
         if route.is_resumable:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -165,6 +165,7 @@
         self.name: str = name
         self.running: int = 0
         self.running_ids: set[str] = set()
+        self.sent_event_count: int = 0
         self.on_crash: Callable[[], None] = lambda: os._exit(1)
         self.fails_all_with: int = 0
         self.is_holding: bool = False
@@ -255,15 +256,20 @@
             self.on_crash()
             await asyncio.Event().wait()
         chunked = (b"transfer-encoding", b"chunked")
+        await self._wait_while_holding()
         await exchange.start(200, [*head, chunked])
         for number in range(after + 1, int(options.get("events", 5))):
             await asyncio.sleep(self._step_s * random.uniform(0.5, 1.5))
-            while self.is_holding:
-                await asyncio.sleep(HOLD_INTERVAL_S)
+            await self._wait_while_holding()
             text = f"id: {number}\ndata: {request_id}-{number}\n\n"
             await exchange.send(text.encode())
+            self.sent_event_count += 1
         await exchange.finish()
 
+    async def _wait_while_holding(self) -> None:
+        while self.is_holding:
+            await asyncio.sleep(HOLD_INTERVAL_S)
+
 
 async def write_configuration(store: str, value: dict) -> None:
     """Append a configuration as the operator does; raise if that fails."""
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -72,7 +72,10 @@
 
 
 class ScriptedEngines:
-    """Returns or raises the scripted results in order."""
+    """Returns or raises the scripted results in order.
+
+    None hangs, and a list holds a delay in seconds and the result after it.
+    """
 
     def __init__(self, script: list) -> None:
         self.calls: list = []
@@ -82,6 +85,11 @@
         """Return or raise the next scripted result."""
         self.calls.append((call, endpoint.id))
         step = self._script.pop(0)
+        if step is None:
+            await asyncio.sleep(60)
+        if isinstance(step, list):
+            await asyncio.sleep(step[0])
+            step = step[1]
         if isinstance(step, Exception):
             raise step
         return step
@@ -225,6 +233,11 @@
         self.assertEqual(0, slots.held)
         return writer, engines
 
+    def shorten_silence_limits(self) -> None:
+        """Let attempts be abandoned after a short silence."""
+        self.patch(timeouts, "MAX_FIRST_EVENT_TIMEOUT_S", 0.05)
+        self.patch(timeouts, "MAX_PAUSE_TIMEOUT_S", 0.05)
+
     def test_quarantined_request_waits_for_no_slot_and_costs_no_rate(self):
         """It is refused at once, as one that has not run."""
         self.patch(CrashDetector, "is_quarantined", lambda *_: True)
@@ -339,6 +352,66 @@
         writer, _ = self.serve(route(is_resumable=True, max_attempts=1), script)
         self.assertEqual((event(0), "complete"), (writer.body, writer.ending))
 
+    @parameterized.expand(
+        [
+            ("only attempt, before its first event", 1, [[0.3, event(0), event(1)]]),
+            ("only attempt, within its stream", 1, [[event(0), 0.3, event(1)]]),
+            (
+                "second attempt, before its event",
+                2,
+                [[event(0), None], [0.3, event(1)]],
+            ),
+            ("second attempt, from the start", 2, [[None], [0.3, event(0), event(1)]]),
+            ("second, within", 2, [[None], [event(0), 0.3, event(1)]]),
+        ]
+    )
+    def test_stream_of_endpoints_silent_for_a_while_is_not_cut(
+        self, _name, max_attempts, parts
+    ):
+        """All endpoints may be silent at once, and then go on."""
+        self.shorten_silence_limits()
+        writer, engines = self.serve(
+            route(is_resumable=True, max_attempts=max_attempts),
+            [ScriptedResponse(200, list(response)) for response in parts],
+        )
+        self.assertEqual(
+            (200, event(0) + event(1), "complete"),
+            (writer.status, writer.body, writer.ending),
+        )
+        self.assertEqual(max_attempts, len(engines.calls))
+
+    @parameterized.expand([("only attempt", 1), ("second attempt", 2)])
+    def test_whole_answer_of_endpoints_silent_for_a_while_is_awaited(
+        self, _name, max_attempts
+    ):
+        """The last attempt's endpoint answers after the silence limit."""
+        self.shorten_silence_limits()
+        hanging = [None] * (max_attempts - 1)
+        late = [0.3, ScriptedResponse(200, [b"ok"])]
+        writer, engines = self.serve(
+            route(SAFE, max_attempts=max_attempts), [*hanging, late]
+        )
+        self.assertEqual((200, b"ok"), (writer.status, writer.body))
+        self.assertEqual(max_attempts, len(engines.calls))
+
+    @parameterized.expand(
+        [
+            ("before its first event", [None], 504, "deadline_exceeded"),
+            ("within its stream", [event(0), None], 200, "broken off"),
+        ]
+    )
+    def test_silent_last_attempt_ends_at_the_route_timeout(
+        self, _name, parts, status, ending
+    ):
+        """The route's timeout is shorter than the caller's."""
+        self.shorten_silence_limits()
+        writer, engines = self.serve(
+            route(is_resumable=True, max_attempts=1, timeout_ms=400),
+            [ScriptedResponse(200, parts)],
+        )
+        self.assertEqual((status, ending), (writer.status, writer.ending))
+        self.assertEqual(1, len(engines.calls))
+
     def test_stream_is_forwarded_in_complete_events(self):
         """The boundaries of the received chunks do not matter."""
         whole = event(0) + event(1) + event(2)
--- a/tests/test_serving_pace.py
+++ b/tests/test_serving_pace.py
@@ -2,16 +2,29 @@
 
 from parameterized import parameterized
 
+from apricotquay.ids import RouteName
+from apricotquay.serving.catalog import Route, RouteKind, ServiceName, WeightedService
 from apricotquay.serving.timeouts import (
+    MAX_FIRST_EVENT_TIMEOUT_S,
+    MAX_PAUSE_TIMEOUT_S,
     MIN_SAMPLES,
     MIN_TIMEOUT_S,
     TIMEOUT_FACTOR,
     WINDOW_SAMPLES,
     AdaptiveTimeout,
+    AdaptiveTimeouts,
+    SilenceLimits,
 )
 
 from .base import ApricotTest
 
+SERVICE = ServiceName("llm")
+FAST_WAIT_S = 0.06
+FAST = SilenceLimits(FAST_WAIT_S * TIMEOUT_FACTOR, FAST_WAIT_S * TIMEOUT_FACTOR)
+FULL = SilenceLimits(MAX_FIRST_EVENT_TIMEOUT_S, MAX_PAUSE_TIMEOUT_S)
+FULL_WHOLE = SilenceLimits(MAX_FIRST_EVENT_TIMEOUT_S, None)
+UNLIMITED = SilenceLimits(None, None)
+
 
 class AdaptiveTimeoutTest(ApricotTest):
     """The timeout learned from recent waits."""
@@ -49,3 +62,41 @@
         for _ in range(WINDOW_SAMPLES):
             timeout.record_wait(timeout.timeout_s())
         self.assertAlmostEqual(0.9, timeout.timeout_s())
+
+
+class SilenceLimitsTest(ApricotTest):
+    """How long an attempt may be silent, by its route and the attempts before it."""
+
+    @parameterized.expand(
+        [
+            ("stream, only attempt", RouteKind.STREAMING, True, 1, 0, UNLIMITED),
+            ("stream, first of two", RouteKind.STREAMING, True, 2, 0, FAST),
+            ("stream, second of two", RouteKind.STREAMING, True, 2, 1, UNLIMITED),
+            ("stream, second of three", RouteKind.STREAMING, True, 3, 1, FULL),
+            ("stream, third of three", RouteKind.STREAMING, True, 3, 2, UNLIMITED),
+            ("safe, only attempt", RouteKind.SAFE, False, 1, 0, UNLIMITED),
+            ("safe, first of two", RouteKind.SAFE, False, 2, 0, FULL_WHOLE),
+            ("safe, second of two", RouteKind.SAFE, False, 2, 1, UNLIMITED),
+            ("unsafe", RouteKind.UNSAFE, False, 2, 0, UNLIMITED),
+            ("stream not resumable", RouteKind.STREAMING, False, 2, 0, UNLIMITED),
+        ]
+    )
+    def test_last_attempt_is_not_abandoned_for_silence(
+        self, _name, kind, is_resumable, max_attempts, failed_attempts, limits
+    ):
+        """No other endpoint could serve the request after it."""
+        timeouts = AdaptiveTimeouts()
+        for _ in range(WINDOW_SAMPLES):
+            timeouts.record_stream(SERVICE, FAST_WAIT_S, FAST_WAIT_S)
+        route = Route(
+            RouteName("r"),
+            "h",
+            "/x/",
+            kind,
+            (WeightedService(SERVICE, 1.0),),
+            max_attempts=max_attempts,
+            is_resumable=is_resumable,
+        )
+        self.assertEqual(
+            limits, timeouts.silence_limits(route, SERVICE, failed_attempts)
+        )
