Leave a silent endpoint only for one with a free slot

Callers saw: streams cut off, and 502, while all slots were taken and endpoints were silent for a second. Cause: an attempt past its silence limit was given up first, and only then was a slot sought elsewhere; the slot deadline of 1.8 s since the request's arrival had passed, or no slot came in time, or the only other endpoint was the same one. Neither attempt was left. Change: past the limit a slot at another endpoint is asked for while the attempt goes on. With the slot the attempt is closed, then the next one starts, so that no two overlap; an event that comes first ends the search; without another endpoint or slot the attempt is kept. Weighed: to end the first attempt once the second has answered: two runs would overlap for longer than the 400 ms allowed.

--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -21,6 +21,7 @@
     EngineResponse,
     RequestNotRunError,
 )
+from .handover import Handover
 from .http1 import is_success
 from .metrics import ServingMetrics
 from .reporting import Reporter
@@ -73,11 +74,13 @@
         consume: Callable[[EngineResponse], Awaitable[T]],
         *,
         may_crash_endpoints: bool = True,
+        handover: Handover | None = None,
     ) -> T:
         """Send a call and consume its response; errors are recorded and re-raised.
 
-        `response_timeout_s` limits the time until the response begins. No crash is
-        ever attributed to a call without `may_crash_endpoints`.
+        `response_timeout_s` limits the time until the response begins; with a
+        `handover` the attempt then ends only when another endpoint takes over. No
+        crash is ever attributed to a call without `may_crash_endpoints`.
         """
         fingerprint = None
         if may_crash_endpoints:
@@ -86,7 +89,7 @@
         was_abandoned = True
         try:
             status, result = await self._send(
-                call, endpoint, response_timeout_s, consume
+                call, endpoint, response_timeout_s, consume, handover
             )
             was_abandoned = False
         except RequestNotRunError as exc:
@@ -123,11 +126,13 @@
         endpoint: Endpoint,
         response_timeout_s: float | None,
         consume: Callable[[EngineResponse], Awaitable[T]],
+        handover: Handover | None,
     ) -> tuple[int, T]:
         """Return the status of the response and what `consume` made of it."""
         try:
-            async with asyncio.timeout(response_timeout_s):
-                response = await self._engines.send(call, endpoint)
+            response = await _wait_until(
+                _due_s(response_timeout_s), self._engines.send(call, endpoint), handover
+            )
         except TimeoutError as exc:
             raise AttemptFailedError(
                 f"no answer within {response_timeout_s:.2f} s", timed_out=True
@@ -189,12 +194,14 @@
     response: EngineResponse,
     first_event_timeout_s: float | None,
     event_timeout_s: float | None,
+    handover: Handover | None = None,
 ) -> AsyncIterator[list[StreamEvent]]:
     """Yield the whole events of a stream; events that arrive together in one list.
 
     Raises AttemptFailedError when the wait for the first or a later event exceeds
-    its timeout, when an event has no id or is longer than MAX_EVENT_BYTES, or when
-    the stream ends within an event.
+    its timeout (with a `handover`, when another endpoint then takes over), when an
+    event has no id or is longer than MAX_EVENT_BYTES, or when the stream ends within
+    an event.
     """
     splitter = EventSplitter()
     body = response.body()
@@ -202,8 +209,7 @@
     due_s = _due_s(timeout_s)
     while True:
         try:
-            async with asyncio.timeout_at(due_s):
-                data = await anext(body, None)
+            data = await _wait_until(due_s, anext(body, None), handover)
         except TimeoutError as exc:
             raise AttemptFailedError(
                 f"stream without an event for {timeout_s:.2f} s", timed_out=True
@@ -220,6 +226,16 @@
         raise AttemptFailedError("stream ended within an event")
 
 
+async def _wait_until(
+    due_s: float | None, output: Awaitable[T], handover: Handover | None
+) -> T:
+    """Wait for an endpoint's output; raise TimeoutError if the attempt is to end."""
+    if handover is not None and due_s is not None:
+        return await handover.wait_until(due_s, output)
+    async with asyncio.timeout_at(due_s):
+        return await output
+
+
 def _due_s(timeout_s: float | None) -> float | None:
     """Return when a wait that begins now times out, in the event loop's time."""
     if timeout_s is None:
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import random
+from functools import partial
+
+import msgspec
 
 from ..clocks import Clock
 from ..errors import ErrorKind, Ran, RequestError
@@ -16,6 +19,7 @@
     EngineResponse,
     RequestNotRunError,
 )
+from .handover import Handover
 from .http1 import HeaderList
 from .metrics import ServingMetrics
 from .outliers import SlotOutcome
@@ -162,6 +166,7 @@
         route = admission.route
         service = route.service_for(random.random())
         due_s = request.arrived_s + route.objective_ms / 1000
+        lease: SlotLease | None = None
         while True:
             slot_request = SlotRequest(
                 Work.ONLINE,
@@ -171,19 +176,56 @@
                 avoid=frozenset(progress.failed_endpoints),
                 may_repeat=route.is_idempotent,
             )
-            lease = await self._acquire(service, slot_request, progress)
+            if lease is None:
+                lease = await self._acquire(service, slot_request, progress)
+            handover = self._build_handover(lease, slot_request, deadline_s)
+            next_lease: SlotLease | None = None
             try:
                 lease.outcome = await self._send_once(
-                    request, admission, writer, progress, lease, deadline_s
+                    request, admission, writer, progress, lease, deadline_s, handover
                 )
                 if lease.outcome is SlotOutcome.SUCCEEDED:
                     return
+                self._check_may_retry(route, progress)
+                next_lease = handover.take_lease()
             finally:
+                handover.close()
                 self._slots.release(lease)
-            self._check_may_retry(route, progress)
+            lease = next_lease
             if progress.not_run_count and not progress.may_have_run:
                 await asyncio.sleep(NOT_RUN_BACKOFF_S * progress.not_run_count)
 
+    def _build_handover(
+        self, lease: SlotLease, slot_request: SlotRequest, deadline_s: float
+    ) -> Handover:
+        """Return the handover of an attempt to an endpoint that did not fail yet."""
+        slot_request = msgspec.structs.replace(
+            slot_request,
+            slot_deadline_s=deadline_s,
+            avoid=slot_request.avoid | {lease.endpoint},
+        )
+        return Handover(
+            partial(self._acquire_elsewhere, lease.service, slot_request),
+            self._slots.release,
+            self._reporter,
+        )
+
+    async def _acquire_elsewhere(
+        self, service: ServiceName, slot_request: SlotRequest
+    ) -> SlotLease | None:
+        """Acquire a slot outside `slot_request.avoid`; None if none can be had."""
+        listed = {e.id for e in self._view.endpoints.serving(service)}
+        if not listed - slot_request.avoid:
+            return None
+        try:
+            lease = await self._slots.acquire(service, slot_request)
+        except SlotUnavailableError:
+            return None
+        if lease.endpoint in slot_request.avoid:
+            self._slots.release(lease)
+            return None
+        return lease
+
     async def _acquire(
         self, service: ServiceName, slot_request: SlotRequest, progress: RequestProgress
     ) -> SlotLease:
@@ -222,6 +264,7 @@
         progress: RequestProgress,
         lease: SlotLease,
         deadline_s: float,
+        handover: Handover,
     ) -> SlotOutcome:
         """Send the request to one endpoint and forward a successful response."""
         endpoint = self._view.endpoints.get(lease.endpoint)
@@ -243,8 +286,9 @@
                 endpoint,
                 silence_limits.first_event_s,
                 lambda response: self._forward(
-                    response, route, writer, progress, silence_limits
+                    response, route, writer, progress, silence_limits, handover
                 ),
+                handover=handover,
             )
         except RequestNotRunError as exc:
             progress.record_failure(endpoint.id, str(exc), may_have_run=False)
@@ -301,9 +345,12 @@
         writer: ResponseWriter,
         progress: RequestProgress,
         silence_limits: SilenceLimits,
+        handover: Handover,
     ) -> None:
         if route.kind is RouteKind.STREAMING and response.status == 200:
-            await self._forward_stream(response, silence_limits, writer, progress)
+            await self._forward_stream(
+                response, silence_limits, handover, writer, progress
+            )
         else:
             await self._forward_body(response, route, writer, progress)
 
@@ -345,6 +392,7 @@
         self,
         response: EngineResponse,
         silence_limits: SilenceLimits,
+        handover: Handover,
         writer: ResponseWriter,
         progress: RequestProgress,
     ) -> None:
@@ -352,7 +400,8 @@
         first_s = (
             silence_limits.first_event_s if silence_limits.pause_s is not None else None
         )
-        async for events in read_events(response, first_s, silence_limits.pause_s):
+        batches = read_events(response, first_s, silence_limits.pause_s, handover)
+        async for events in batches:
             for event in events:
                 progress.record_event(event)
             data = b"".join(event.raw for event in events)
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -1,6 +1,7 @@
 """Online requests against scripted endpoints: retry, resumption, refusal."""
 
 import asyncio
+import copy
 from collections.abc import AsyncIterator
 
 from parameterized import parameterized
@@ -28,7 +29,7 @@
 from apricotquay.serving.online import OnlineRequestHandler
 from apricotquay.serving.ratelimiter import RateDecision
 from apricotquay.serving.requests import OnlineRequest
-from apricotquay.serving.slots import SlotLease
+from apricotquay.serving.slots import SlotLease, SlotUnavailableError
 from apricotquay.serving.timeouts import AdaptiveTimeout
 from standins.keyedlog import MemoryLog
 
@@ -100,13 +101,24 @@
 
 
 class FakeSlots:
-    """Grants a slot at the first endpoint that the request does not avoid."""
+    """Grants a slot at the first endpoint that the request does not avoid.
 
-    def __init__(self) -> None:
+    Slots after the first `at_once` are granted after a delay, or never if that is
+    None.
+    """
+
+    def __init__(self, at_once: int = 10, delay_s: float | None = None) -> None:
         self.held = 0
+        self._at_once: int = at_once
+        self._delay_s: float | None = delay_s
 
     async def acquire(self, service, slot_request) -> SlotLease:
         """Return a lease."""
+        self._at_once -= 1
+        if self._at_once < 0:
+            if self._delay_s is None:
+                raise SlotUnavailableError(0.0)
+            await asyncio.sleep(self._delay_s)
         self.held += 1
         names = [e for e in ("e0", "e1", "e2") if e not in slot_request.avoid]
         endpoint = (names or ["e0"])[0]
@@ -131,13 +143,13 @@
 
 
 class FakeView:
-    """A configuration with one route, and three endpoints."""
+    """A configuration with one route, and the endpoints of its service."""
 
-    def __init__(self, route: Route) -> None:
+    def __init__(self, route: Route, endpoint_count: int) -> None:
         team = Team(TeamId("team"), frozenset({"key"}))
         self.configuration = Configuration(3, [route], [], [team], Limits())
         self.endpoints = EndpointTable()
-        for number in range(3):
+        for number in range(endpoint_count):
             entry = Endpoint(EndpointId(f"e{number}"), SERVICE, "127.0.0.1", 1)
             self.endpoints.apply(entry.id, entry, number, 0.0)
 
@@ -194,13 +206,21 @@
 class OnlineRequestHandlerTest(ApricotTest):
     """Single requests through the handler."""
 
-    def serve(self, tested_route: Route, script: list, rates=None, **request):
+    def serve(
+        self,
+        tested_route: Route,
+        script: list,
+        rates=None,
+        slots=None,
+        endpoint_count=3,
+        **request,
+    ):
         """Serve a request; return the recorded response and the engines."""
         engines = ScriptedEngines(script)
         clock = SystemClock()
-        view = FakeView(tested_route)
+        view = FakeView(tested_route, endpoint_count)
         reporter = quiet_reporter()
-        slots = FakeSlots()
+        slots = slots or FakeSlots()
         crash_log = CrashLog(MemoryLog(), "d", clock, reporter)
         crashes = CrashDetector(
             Quarantine(), crash_log, engines, None, None, clock, reporter
@@ -412,6 +432,55 @@
         self.assertEqual((status, ending), (writer.status, writer.ending))
         self.assertEqual(1, len(engines.calls))
 
+    @parameterized.expand(
+        [
+            ("no slot is free elsewhere", FakeSlots(at_once=1), 3),
+            ("a slot is free too late", FakeSlots(at_once=1, delay_s=1.0), 3),
+            ("no other endpoint is listed", FakeSlots(), 1),
+        ]
+    )
+    def test_silent_attempt_without_a_successor_is_kept(
+        self, _name, slots, endpoint_count
+    ):
+        """Its endpoint goes on after a while; each limit is exceeded once."""
+        self.shorten_silence_limits()
+        for tested_route, step in (
+            (
+                route(is_resumable=True),
+                ScriptedResponse(200, [0.2, event(0), event(1)]),
+            ),
+            (
+                route(is_resumable=True),
+                ScriptedResponse(200, [event(0), 0.2, event(1)]),
+            ),
+            (route(SAFE), [0.2, ScriptedResponse(200, [event(0), event(1)])]),
+        ):
+            writer, engines = self.serve(
+                tested_route,
+                [step],
+                slots=copy.copy(slots),
+                endpoint_count=endpoint_count,
+            )
+            self.assertEqual(
+                (200, event(0) + event(1), "complete"),
+                (writer.status, writer.body, writer.ending),
+            )
+            self.assertEqual(["e0"], [name for _, name in engines.calls])
+
+    def test_silent_attempt_ends_when_a_successor_has_a_slot(self):
+        """Only one of the two attempts is ever forwarded."""
+        self.shorten_silence_limits()
+        script = [
+            ScriptedResponse(200, [event(0), None]),
+            ScriptedResponse(200, [event(1)]),
+        ]
+        slots = FakeSlots(at_once=1, delay_s=0.1)
+        writer, engines = self.serve(route(is_resumable=True), script, slots=slots)
+        self.assertEqual(
+            (event(0) + event(1), "complete"), (writer.body, writer.ending)
+        )
+        self.assertEqual(["e0", "e1"], [name for _, name in engines.calls])
+
     def test_stream_is_forwarded_in_complete_events(self):
         """The boundaries of the received chunks do not matter."""
         whole = event(0) + event(1) + event(2)
