Wait for a slot to the end where a request may have run

Callers saw: a stream whose endpoint ended more than 1.8 s after the request came was cut off unless a slot was free at that moment; a safe request got 502. It exists so that a request that was never sent is refused soon; one that may have run cannot be refused any more. Change: such a request waits for its slot until its time limit. The test failed before: "broken off" and "endpoint_failed" instead of "complete".

--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -30,7 +30,7 @@
 from .timeouts import AdaptiveTimeouts, SilenceLimits
 from .view import View
 
-# Counted from the arrival of the request.
+# Counted from the arrival of a request that no endpoint may have run yet.
 SLOT_TIMEOUT_S = 1.8
 MIN_FAILURE_STATUS = 500
 MAX_NOT_RUN_SENDS = 6
@@ -171,7 +171,7 @@
             slot_request = SlotRequest(
                 Work.ONLINE,
                 due_s,
-                min(deadline_s, request.arrived_s + SLOT_TIMEOUT_S),
+                _slot_deadline_s(request, progress, deadline_s),
                 prefix=request.prefix,
                 avoid=frozenset(progress.failed_endpoints),
                 may_repeat=route.is_idempotent,
@@ -483,3 +483,14 @@
             took_ms=int((now_s - request.arrived_s) * 1000),
             outcome=outcome,
         )
+
+
+def _slot_deadline_s(
+    request: OnlineRequest, progress: RequestProgress, deadline_s: float
+) -> float:
+    """Return until when to wait for a slot; a request that may have run cannot be
+    refused any more.
+    """
+    if progress.may_have_run:
+        return deadline_s
+    return min(deadline_s, request.arrived_s + SLOT_TIMEOUT_S)
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -113,7 +113,9 @@
         self._delay_s: float | None = delay_s
 
     async def acquire(self, service, slot_request) -> SlotLease:
-        """Return a lease."""
+        """Return a lease, unless the request's time for it has passed."""
+        if slot_request.slot_deadline_s <= SystemClock().now_s():
+            raise SlotUnavailableError(0.0)
         self._at_once -= 1
         if self._at_once < 0:
             if self._delay_s is None:
@@ -481,6 +483,20 @@
         )
         self.assertEqual(["e0", "e1"], [name for _, name in engines.calls])
 
+    @parameterized.expand(
+        [
+            ("stream", {"is_resumable": True}, [event(0), 0.2, CONNECTION_RESET]),
+            ("whole answer", {"kind": SAFE}, [0.2, CONNECTION_RESET]),
+        ]
+    )
+    def test_request_that_is_reset_late_gets_another_slot(self, _name, fields, parts):
+        """Only a request that was never sent is refused if no slot is free soon."""
+        self.patch(online_module, "SLOT_TIMEOUT_S", 0.1)
+        script = [ScriptedResponse(200, parts), ScriptedResponse(200, [event(1)])]
+        writer, engines = self.serve(route(**fields), script)
+        self.assertEqual("complete", writer.ending)
+        self.assertEqual(["e0", "e1"], [name for _, name in engines.calls])
+
     def test_stream_is_forwarded_in_complete_events(self):
         """The boundaries of the received chunks do not matter."""
         whole = event(0) + event(1) + event(2)
