Take no endpoint for crashed because a connection times out

Callers could see: sound requests refused as crashing ones after endpoints, or the network to them, had been silent. Cause: the check after an attempt that was cut or timed out held each failed connect for a refused one. A stopped endpoint whose queue of connections is full, or a link that loses packets, lets the connect time out; each counted as a crash beneath all requests there, and three quarantine a request. The same class: silence spends the three crashes. Change: only an address that refuses connections counts. The test failed before: "True is not false".

--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -79,13 +79,17 @@
         return ServerResponse(connection, head)
 
     async def refuses_connections(self, endpoint: Endpoint) -> bool:
-        """Whether no connection to the endpoint's address can be opened."""
+        """Whether nothing listens at the endpoint's address.
+
+        An address that is silent proves nothing: a sound endpoint or the network may
+        be silent for a while.
+        """
         try:
             connection = await open_client(
                 endpoint.host, endpoint.port, CONNECT_TIMEOUT_S
             )
-        except HttpError:
-            return True
+        except HttpError as exc:
+            return not exc.timed_out
         connection.close()
         await asyncio.sleep(0)
         return False
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -1,7 +1,9 @@
 """Checks of servers' responses, with a server that sends scripted bytes."""
 
 import asyncio
+import contextlib
 import itertools
+import socket
 
 from parameterized import parameterized
 
@@ -20,6 +22,8 @@
 from .base import ApricotTest
 
 HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Stamp: s\r\n"
+# More than fit into the queue of a listener with the shortest one.
+QUEUED_CONNECTIONS = 8
 NOT_RUN, FAILED, COMPLETE = "not run", "failed", "complete"
 
 
@@ -200,6 +204,21 @@
 
         asyncio.run(run())
 
+    def test_silent_endpoint_is_not_taken_for_a_crashed_one(self):
+        """Its full queue of connections lets a new one time out."""
+        with contextlib.ExitStack() as sockets:
+            listener = sockets.enter_context(socket.socket())
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            for _ in range(QUEUED_CONNECTIONS):
+                queued = sockets.enter_context(socket.socket())
+                queued.setblocking(False)
+                queued.connect_ex(listener.getsockname())
+            endpoint = Endpoint(
+                EndpointId("i-1"), ServiceName("llm"), *listener.getsockname()
+            )
+            self.assertFalse(asyncio.run(ServerClient().refuses_connections(endpoint)))
+
 
 STREAM_HEAD = response(extra=b"Transfer-Encoding: chunked\r\n", body=b"")
 CLOSED_HEAD = response(extra=b"Connection: close\r\n", body=b"")
