Count no refused sends against a request that may have run

Callers could see: a stream under way cut off, a safe request answered 502, within a few milliseconds, because six sends in a row were refused or found no connection. Cause: after a reset the six sends that may be refused were spent without a pause, since only requests that had never run waited between them. Endpoints that are full or cannot be reached for a moment refuse for longer than that. The limit exists to tell the caller soon that a request was not run, which cannot be said of this one. Change: the limit holds for requests that never ran; others go on, with a pause of 20 ms more each time up to 0.2 s, until their time limit.

--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -33,8 +33,10 @@
 # Counted from the arrival of a request that no endpoint may have run yet.
 SLOT_TIMEOUT_S = 1.8
 MIN_FAILURE_STATUS = 500
+# A request that no endpoint may have run yet is refused after so many sends.
 MAX_NOT_RUN_SENDS = 6
 NOT_RUN_BACKOFF_S = 0.02
+MAX_NOT_RUN_BACKOFF_S = 0.2
 MIN_RETRY_AFTER_MS = 100
 # Reserved out of a request's time for sending the response back to the caller.
 DEADLINE_MARGIN_S = 0.03
@@ -192,8 +194,8 @@
                 handover.close()
                 self._slots.release(lease)
             lease = next_lease
-            if progress.not_run_count and not progress.may_have_run:
-                await asyncio.sleep(NOT_RUN_BACKOFF_S * progress.not_run_count)
+            if lease is None:
+                await asyncio.sleep(_backoff_s(progress))
 
     def _build_handover(
         self, lease: SlotLease, slot_request: SlotRequest, deadline_s: float
@@ -247,14 +249,11 @@
     def _check_may_retry(self, route: Route, progress: RequestProgress) -> None:
         """Raise RequestError unless the request may be sent again."""
         reason = progress.reasons[-1]
-        if progress.may_have_run:
-            if (
-                not route.is_idempotent
-                or progress.failed_attempts >= route.max_attempts
-            ):
-                raise RequestError(ErrorKind.ENDPOINT_FAILED, reason, ran=Ran.UNKNOWN)
-        if progress.not_run_count >= MAX_NOT_RUN_SENDS:
-            raise RequestError(ErrorKind.ENDPOINT_REFUSED, reason)
+        if not progress.may_have_run:
+            if progress.not_run_count >= MAX_NOT_RUN_SENDS:
+                raise RequestError(ErrorKind.ENDPOINT_REFUSED, reason)
+        elif not route.is_idempotent or progress.failed_attempts >= route.max_attempts:
+            raise RequestError(ErrorKind.ENDPOINT_FAILED, reason, ran=Ran.UNKNOWN)
 
     async def _send_once(
         self,
@@ -494,3 +493,8 @@
     if progress.may_have_run:
         return deadline_s
     return min(deadline_s, request.arrived_s + SLOT_TIMEOUT_S)
+
+
+def _backoff_s(progress: RequestProgress) -> float:
+    """Return the wait before the next send, by the sends that were not run."""
+    return min(MAX_NOT_RUN_BACKOFF_S, NOT_RUN_BACKOFF_S * progress.not_run_count)
