--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -1,6 +1,7 @@
 """Online requests against scripted endpoints: retry, resumption, refusal."""
 
 import asyncio
+import copy
 from collections.abc import AsyncIterator
 
 from parameterized import parameterized
@@ -28,7 +29,7 @@
 from apricotquay.serving.online import OnlineRequestHandler
 from apricotquay.serving.ratelimiter import RateDecision
 from apricotquay.serving.requests import OnlineRequest
-from apricotquay.serving.slots import SlotLease
+from apricotquay.serving.slots import SlotLease, SlotUnavailableError
 from apricotquay.serving.timeouts import AdaptiveTimeout
 from standins.keyedlog import MemoryLog
 
@@ -72,7 +73,10 @@
 
 
 class ScriptedEngines:
-    """Returns or raises the scripted results in order."""
+    """Returns or raises the scripted results in order.
+
+    None hangs, and a list holds a delay in seconds and the result after it.
+    """
 
     def __init__(self, script: list) -> None:
         self.calls: list = []
@@ -82,6 +86,11 @@
         """Return or raise the next scripted result."""
         self.calls.append((call, endpoint.id))
         step = self._script.pop(0)
+        if step is None:
+            await asyncio.sleep(60)
+        if isinstance(step, list):
+            await asyncio.sleep(step[0])
+            step = step[1]
         if isinstance(step, Exception):
             raise step
         return step
@@ -92,13 +101,26 @@
 
 
 class FakeSlots:
-    """Grants a slot at the first endpoint that the request does not avoid."""
+    """Grants a slot at the first endpoint that the request does not avoid.
 
-    def __init__(self) -> None:
+    Slots after the first `at_once` are granted after a delay, or never if that is
+    None.
+    """
+
+    def __init__(self, at_once: int = 10_000, delay_s: float | None = None) -> None:
         self.held = 0
+        self._at_once: int = at_once
+        self._delay_s: float | None = delay_s
 
     async def acquire(self, service, slot_request) -> SlotLease:
-        """Return a lease."""
+        """Return a lease, unless the request's time for it has passed."""
+        if slot_request.slot_deadline_s <= SystemClock().now_s():
+            raise SlotUnavailableError(0.0)
+        self._at_once -= 1
+        if self._at_once < 0:
+            if self._delay_s is None:
+                raise SlotUnavailableError(0.0)
+            await asyncio.sleep(self._delay_s)
         self.held += 1
         names = [e for e in ("e0", "e1", "e2") if e not in slot_request.avoid]
         endpoint = (names or ["e0"])[0]
@@ -123,13 +145,13 @@
 
 
 class FakeView:
-    """A configuration with one route, and three endpoints."""
+    """A configuration with one route, and the endpoints of its service."""
 
-    def __init__(self, route: Route) -> None:
+    def __init__(self, route: Route, endpoint_count: int) -> None:
         team = Team(TeamId("team"), frozenset({"key"}))
         self.configuration = Configuration(3, [route], [], [team], Limits())
         self.endpoints = EndpointTable()
-        for number in range(3):
+        for number in range(endpoint_count):
             entry = Endpoint(EndpointId(f"e{number}"), SERVICE, "127.0.0.1", 1)
             self.endpoints.apply(entry.id, entry, number, 0.0)
 
@@ -186,13 +208,21 @@
 class OnlineRequestHandlerTest(ApricotTest):
     """Single requests through the handler."""
 
-    def serve(self, tested_route: Route, script: list, rates=None, **request):
+    def serve(
+        self,
+        tested_route: Route,
+        script: list,
+        rates=None,
+        slots=None,
+        endpoint_count=3,
+        **request,
+    ):
         """Serve a request; return the recorded response and the engines."""
         engines = ScriptedEngines(script)
         clock = SystemClock()
-        view = FakeView(tested_route)
+        view = FakeView(tested_route, endpoint_count)
         reporter = quiet_reporter()
-        slots = FakeSlots()
+        slots = slots or FakeSlots()
         crash_log = CrashLog(MemoryLog(), "d", clock, reporter)
         crashes = CrashDetector(
             Quarantine(), crash_log, engines, None, None, clock, reporter
@@ -225,6 +255,11 @@
         self.assertEqual(0, slots.held)
         return writer, engines
 
+    def shorten_silence_limits(self) -> None:
+        """Let attempts be abandoned after a short silence."""
+        self.patch(timeouts, "MAX_FIRST_EVENT_TIMEOUT_S", 0.05)
+        self.patch(timeouts, "MAX_PAUSE_TIMEOUT_S", 0.05)
+
     def test_quarantined_request_waits_for_no_slot_and_costs_no_rate(self):
         """It is refused at once, as one that has not run."""
         self.patch(CrashDetector, "is_quarantined", lambda *_: True)
@@ -339,6 +374,167 @@
         writer, _ = self.serve(route(is_resumable=True, max_attempts=1), script)
         self.assertEqual((event(0), "complete"), (writer.body, writer.ending))
 
+    @parameterized.expand(
+        [
+            ("only attempt, before its first event", 1, [[0.3, event(0), event(1)]]),
+            ("only attempt, within its stream", 1, [[event(0), 0.3, event(1)]]),
+            (
+                "second attempt, before its event",
+                2,
+                [[event(0), None], [0.3, event(1)]],
+            ),
+            ("second attempt, from the start", 2, [[None], [0.3, event(0), event(1)]]),
+            ("second, within", 2, [[None], [event(0), 0.3, event(1)]]),
+        ]
+    )
+    def test_stream_of_endpoints_silent_for_a_while_is_not_cut(
+        self, _name, max_attempts, parts
+    ):
+        """All endpoints may be silent at once, and then go on."""
+        self.shorten_silence_limits()
+        writer, engines = self.serve(
+            route(is_resumable=True, max_attempts=max_attempts),
+            [ScriptedResponse(200, list(response)) for response in parts],
+        )
+        self.assertEqual(
+            (200, event(0) + event(1), "complete"),
+            (writer.status, writer.body, writer.ending),
+        )
+        self.assertEqual(max_attempts, len(engines.calls))
+
+    @parameterized.expand([("only attempt", 1), ("second attempt", 2)])
+    def test_whole_answer_of_endpoints_silent_for_a_while_is_awaited(
+        self, _name, max_attempts
+    ):
+        """The last attempt's endpoint answers after the silence limit."""
+        self.shorten_silence_limits()
+        hanging = [None] * (max_attempts - 1)
+        late = [0.3, ScriptedResponse(200, [b"ok"])]
+        writer, engines = self.serve(
+            route(SAFE, max_attempts=max_attempts), [*hanging, late]
+        )
+        self.assertEqual((200, b"ok"), (writer.status, writer.body))
+        self.assertEqual(max_attempts, len(engines.calls))
+
+    @parameterized.expand(
+        [
+            ("before its first event", [None], 504, "deadline_exceeded"),
+            ("within its stream", [event(0), None], 200, "broken off"),
+        ]
+    )
+    def test_silent_last_attempt_ends_at_the_route_timeout(
+        self, _name, parts, status, ending
+    ):
+        """The route's timeout is shorter than the caller's."""
+        self.shorten_silence_limits()
+        writer, engines = self.serve(
+            route(is_resumable=True, max_attempts=1, timeout_ms=400),
+            [ScriptedResponse(200, parts)],
+        )
+        self.assertEqual((status, ending), (writer.status, writer.ending))
+        self.assertEqual(1, len(engines.calls))
+
+    @parameterized.expand(
+        [
+            ("no slot is free elsewhere", FakeSlots(at_once=1), 3),
+            ("a slot is free too late", FakeSlots(at_once=1, delay_s=1.0), 3),
+            ("no other endpoint is listed", FakeSlots(), 1),
+        ]
+    )
+    def test_silent_attempt_without_a_successor_is_kept(
+        self, _name, slots, endpoint_count
+    ):
+        """Its endpoint goes on after a while; each limit is exceeded once."""
+        self.shorten_silence_limits()
+        for tested_route, step in (
+            (
+                route(is_resumable=True),
+                ScriptedResponse(200, [0.2, event(0), event(1)]),
+            ),
+            (
+                route(is_resumable=True),
+                ScriptedResponse(200, [event(0), 0.2, event(1)]),
+            ),
+            (route(SAFE), [0.2, ScriptedResponse(200, [event(0), event(1)])]),
+        ):
+            writer, engines = self.serve(
+                tested_route,
+                [step],
+                slots=copy.copy(slots),
+                endpoint_count=endpoint_count,
+            )
+            self.assertEqual(
+                (200, event(0) + event(1), "complete"),
+                (writer.status, writer.body, writer.ending),
+            )
+            self.assertEqual(["e0"], [name for _, name in engines.calls])
+
+    def test_silent_attempt_ends_when_a_successor_has_a_slot(self):
+        """Only one of the two attempts is ever forwarded."""
+        self.shorten_silence_limits()
+        script = [
+            ScriptedResponse(200, [event(0), None]),
+            ScriptedResponse(200, [event(1)]),
+        ]
+        slots = FakeSlots(at_once=1, delay_s=0.1)
+        writer, engines = self.serve(route(is_resumable=True), script, slots=slots)
+        self.assertEqual(
+            (event(0) + event(1), "complete"), (writer.body, writer.ending)
+        )
+        self.assertEqual(["e0", "e1"], [name for _, name in engines.calls])
+
+    @parameterized.expand(
+        [
+            ("stream", {"is_resumable": True}, [event(0), 0.2, CONNECTION_RESET]),
+            ("whole answer", {"kind": SAFE}, [0.2, CONNECTION_RESET]),
+        ]
+    )
+    def test_request_that_is_reset_late_gets_another_slot(self, _name, fields, parts):
+        """Only a request that was never sent is refused if no slot is free soon."""
+        self.patch(online_module, "SLOT_TIMEOUT_S", 0.1)
+        script = [ScriptedResponse(200, parts), ScriptedResponse(200, [event(1)])]
+        writer, engines = self.serve(route(**fields), script)
+        self.assertEqual("complete", writer.ending)
+        self.assertEqual(["e0", "e1"], [name for _, name in engines.calls])
+
+    @parameterized.expand(
+        [
+            (
+                "stream, full",
+                {"is_resumable": True},
+                [event(0), CONNECTION_RESET],
+                REFUSED,
+            ),
+            (
+                "stream, unreachable",
+                {"is_resumable": True},
+                [event(0), CONNECTION_RESET],
+                UNREACHABLE,
+            ),
+            ("whole answer", {"kind": SAFE}, [CONNECTION_RESET], REFUSED),
+        ]
+    )
+    def test_request_that_may_have_run_outlasts_endpoints_that_refuse_for_a_while(
+        self, _name, fields, parts, refusal
+    ):
+        """It cannot be refused any more, and refused sends are no attempts."""
+        shorten_backoff(self)
+        script = [
+            ScriptedResponse(200, parts),
+            *[refusal] * (2 * online_module.MAX_NOT_RUN_SENDS),
+            ScriptedResponse(200, [event(1)]),
+        ]
+        writer, engines = self.serve(route(**fields), script)
+        self.assertEqual("complete", writer.ending)
+        self.assertEqual(len(script), len(engines.calls))
+
+    def test_request_that_may_have_run_ends_in_time_if_all_endpoints_refuse(self):
+        """Sends are spaced, so that refusing endpoints get few of them."""
+        script = [ScriptedResponse(200, [CONNECTION_RESET]), *[REFUSED] * 1000]
+        writer, engines = self.serve(route(SAFE, timeout_ms=400), script)
+        self.assertEqual("deadline_exceeded", writer.ending)
+        self.assertLess(len(engines.calls), 40)
+
     def test_stream_is_forwarded_in_complete_events(self):
         """The boundaries of the received chunks do not matter."""
         whole = event(0) + event(1) + event(2)
