Let sound servers fall silent in the soak, beside a route with 2 attempts

- One or all servers are stopped for 1 to 1.6 s, time and again, and go on.
A random generator of its own leaves the other faults of each seed as they were.
- Every other caller uses a route with two attempts.
- A request that is cut off or gets a 5xx other than 503 is a violation unless the daemon or a server that it was sent to was killed, stopped or paused, or that server's connections were reset or blocked, while the request ran; or unless it ended at its time limit.
Silent servers and delays excuse nothing.
Servers are taken from the daemon's log and the servers' own; what neither names excuses nothing.
- The daemon of a kept connection is remembered; a killed server counts as disturbed until it listens again.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -33,10 +33,12 @@
         self._args: list[str] = args
         self._env: dict = {**os.environ, **env}
         self._popen: subprocess.Popen | None = None
+        self._output_start: int = 0
 
     def start(self) -> None:
         """Start the process; its output is appended to a file."""
         with self.output_path.open("ab") as output:
+            self._output_start = output.tell()
             self._popen = subprocess.Popen(
                 [sys.executable, "-m", *self._args],
                 stdout=output,
@@ -44,6 +46,10 @@
                 env=self._env,
             )
 
+    async def is_listening(self) -> bool:
+        """Whether a store or server has printed its port since it was started."""
+        return b'{"port": ' in self.output_path.read_bytes()[self._output_start :]
+
     def send_signal(self, signum: int) -> None:
         """Send a signal if the process runs."""
         if self._popen.poll() is None:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -4,20 +4,23 @@
 
 A store, model servers and daemons run as separate processes. A loopback proxy
 forwards the connections of each daemon to the store and of all daemons to each
-server. Faults start one after the other and overlap. Callers keep their
-connections. After the run, the responses that callers got are compared with the
-runs that the servers logged. Each violated guarantee is printed; the exit code is
-1 if there is any. Only processes started here are signalled, by process id.
+server. Faults start one after the other and overlap; beside them, sound servers
+fall silent and go on. Callers keep their connections. After the run, the responses
+that callers got are compared with the runs that the servers logged. Each violated
+guarantee is printed; the exit code is 1 if there is any. Only processes started here
+are signalled, by process id.
 """
 
 import asyncio
 import base64
+import collections
 import contextlib
 import json
 import random
 import signal
 import sys
 import time
+from collections.abc import Iterator
 
 import fire
 import msgspec
@@ -34,14 +37,25 @@
 EVENT_INTERVAL_S = 0.02
 RECOVERY_TIMEOUT_S = 25.0
 MAX_PAUSE_S = 3.0
+# A sound server may be silent this long and go on.
+SILENCE_S = (1.0, 1.6)
+SILENCE_INTERVAL_S = (0.5, 3.0)
+# A daemon may end a request at its time limit; callers wait longer than that.
+TIME_LIMIT_S = 5.0
+TIME_LIMIT_MARGIN_S = 0.1
+CALLER_TIMEOUT_S = 6.5
 # A withdrawn key is rejected within this time after the store has the record.
 REVOCATION_TIME_S = 7.0
 KEYS = {"small": ["k-small"], "large": ["k-large"]}
+PATHS = {"stream": "/s/1", "two attempts": "/t/1", "unsafe": "/u/1"}
 REFUSAL_STATUSES = (429, 503)
 
 
 class SentRequest(msgspec.Struct):
-    """A request of a caller and its outcome; status 0 if no response was read."""
+    """A request of a caller and its outcome; status 0 if no response was read.
+
+    `is_cut` tells that it was sent to a daemon and not answered in full.
+    """
 
     id: str
     kind: str
@@ -51,6 +65,16 @@
     status: int = 0
     body: bytes = b""
     ended_s: float = 0.0
+    daemon: int = 0
+    is_cut: bool = False
+
+
+class Disturbance(msgspec.Struct):
+    """A fault that may end the requests that a process serves meanwhile."""
+
+    process: str
+    started_s: float
+    ended_s: float = float("inf")
 
 
 class SubmittedJob(msgspec.Struct):
@@ -69,6 +93,8 @@
     def __init__(self, seed: int, seconds: float, daemons: int, servers: int) -> None:
         self.violations: list[str] = []
         self._rng = random.Random(seed)
+        # Separate, so that the other faults of a seed stay as they are.
+        self._silence_rng = random.Random(f"silence{seed}")
         self._seconds: float = seconds
         self._fleet = PlatformProcesses(daemons, servers, EVENT_INTERVAL_S)
         self._proxy = self._fleet.proxy
@@ -79,6 +105,7 @@
         self._stopping: bool = False
         self._version: int = 1
         self._withdrawn: dict[str, float] = {}
+        self._disturbances: list[Disturbance] = []
 
     async def run(self) -> list[str]:
         """Execute the run and return the violated guarantees."""
@@ -109,6 +136,8 @@
         keys["small"] = [*keys["small"], f"k-{self._version}"]
         try:
             value = make_configuration(self._version, keys)
+            two_attempts = {"name": "t", "path_prefix": "/t/", "max_attempts": 2}
+            value["routes"].append({**value["routes"][0], **two_attempts})
             await write_configuration(self._fleet.store_address, value)
         except Exception:
             # The store is paused or starting; the caller retries.
@@ -139,14 +168,14 @@
             (k.replace("_", "-").encode(), v.encode()) for k, v in headers.items()
         ]
         connection.send(HttpRequest(method, target, header_list, body))
-        async with asyncio.timeout(6.5):
+        async with asyncio.timeout(CALLER_TIMEOUT_S):
             return await connection.read_response()
 
     async def _send_request(
         self, request: SentRequest, number: int, connection
     ) -> object | None:
         """Send a request once; return the connection if it can be reused."""
-        path = "/s/1" if request.kind == "stream" else "/u/1"
+        request.daemon = number
         try:
             if connection is None or not connection.is_reusable:
                 address = self._caller_addresses[number]
@@ -154,15 +183,16 @@
             response = await self._exchange(
                 connection,
                 "POST",
-                path,
+                PATHS[request.kind],
                 f"events={EVENTS_PER_REQUEST}".encode(),
                 key=request.key,
                 attempt_id=request.id,
                 deadline_ms="5000",
             )
-        except (HttpError, TimeoutError):
+        except (HttpError, TimeoutError) as exc:
             if connection is not None:
                 connection.close()
+            request.is_cut = not isinstance(exc, HttpError) or exc.sent
             request.ended_s = time.time()
             return None
         request.status, request.body = response.status, response.body
@@ -175,10 +205,10 @@
         rng = random.Random(f"{number}{self._seconds}")
         connection = None
         while not self._stopping:
-            request = self._new_request(
-                rng.choice(["stream", "unsafe"]), rng.choice(list(KEYS))
-            )
-            daemon = number % len(self._daemons)
+            kind = rng.choice(["stream", "unsafe"])
+            if kind == "stream" and number % 2:
+                kind = "two attempts"
+            request = self._new_request(kind, rng.choice(list(KEYS)))
             if connection is None:
                 daemon = rng.randrange(len(self._daemons))
             connection = await self._send_request(request, daemon, connection)
@@ -257,33 +287,61 @@
             self._disturb_connections,
             self._write_new_version,
         ]
-        running: set[asyncio.Task] = set()
+        running = {asyncio.create_task(self._silence_servers(deadline_s))}
         while time.monotonic() < deadline_s:
             running.add(asyncio.create_task(self._rng.choice(faults)()))
             await asyncio.sleep(self._rng.uniform(0.2, 1.5))
         await asyncio.gather(*running)
         self._proxy.clear_faults()
 
+    async def _silence_servers(self, deadline_s: float) -> None:
+        """Stop one or all servers for a moment, time and again; they lose nothing."""
+        rng = self._silence_rng
+        while time.monotonic() < deadline_s:
+            await asyncio.sleep(rng.uniform(*SILENCE_INTERVAL_S))
+            servers = self._fleet.servers
+            if rng.random() < 0.5:
+                servers = [rng.choice(servers)]
+            for process in servers:
+                process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(rng.uniform(*SILENCE_S))
+            for process in servers:
+                process.send_signal(signal.SIGCONT)
+
+    @contextlib.contextmanager
+    def _disturb(self, process: str) -> Iterator[None]:
+        """Record a fault that may end what a process serves."""
+        disturbance = Disturbance(process, time.time())
+        self._disturbances.append(disturbance)
+        yield
+        disturbance.ended_s = time.time()
+
     async def _kill_daemon(self) -> None:
         process = self._rng.choice(self._daemons)
-        await process.kill_and_start(self._rng.uniform(0.0, 0.5))
+        with self._disturb(process.name):
+            await process.kill_and_start(self._rng.uniform(0.0, 0.5))
 
     async def _stop_daemon(self) -> None:
         process = self._rng.choice(self._daemons)
-        if not await process.stop_and_start(SHUTDOWN_GRACE_S + MAX_PAUSE_S):
+        with self._disturb(process.name):
+            in_time = await process.stop_and_start(SHUTDOWN_GRACE_S + MAX_PAUSE_S)
+        if not in_time:
             self.violations.append(
                 f"{process.name} did not stop within its grace period"
             )
 
     async def _pause_daemon(self) -> None:
         process = self._rng.choice(self._daemons)
-        process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self._rng.uniform(0.2, MAX_PAUSE_S))
-        process.send_signal(signal.SIGCONT)
+        with self._disturb(process.name):
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(0.2, MAX_PAUSE_S))
+            process.send_signal(signal.SIGCONT)
 
     async def _kill_server(self) -> None:
         process = self._rng.choice(self._fleet.servers)
-        await process.kill_and_start(self._rng.uniform(0.2, 2.0))
+        with self._disturb(process.name):
+            await process.kill_and_start(self._rng.uniform(0.2, 2.0))
+            await self._wait_until(process.is_listening)
 
     async def _pause_store(self) -> None:
         self._fleet.store.send_signal(signal.SIGSTOP)
@@ -296,15 +354,18 @@
         kind = self._rng.choice(["delay", "reset", "one way", "silence"])
         if kind == "delay":
             fault.delay_s = self._rng.uniform(0.01, 0.3)
-        elif kind == "reset":
-            self._proxy.reset_connections(name)
-        elif kind == "one way":
-            fault.responses_blocked = True
-        else:
-            self._proxy.blackhole_connections(name)
-        await asyncio.sleep(self._rng.uniform(0.3, 2.5))
-        fault.delay_s = 0.0
-        fault.responses_blocked = False
+            await asyncio.sleep(self._rng.uniform(0.3, 2.5))
+            fault.delay_s = 0.0
+            return
+        with self._disturb(name.replace("server-", "i")):
+            if kind == "reset":
+                self._proxy.reset_connections(name)
+            elif kind == "one way":
+                fault.responses_blocked = True
+            else:
+                self._proxy.blackhole_connections(name)
+            await asyncio.sleep(self._rng.uniform(0.3, 2.5))
+            fault.responses_blocked = False
 
     async def _write_new_version(self) -> None:
         """Write a configuration version that replaces the key of the previous one."""
@@ -390,8 +451,44 @@
             statuses = items[run_id].statuses if run_id in items else []
             if statuses and all(status in REFUSAL_STATUSES for status in statuses):
                 self.violations.append(f"{run_id} was run although its job was refused")
+        sent_to = self._read_attempts()
         for request in self._requests:
-            self._check_response(request, runs_by_id.get(request.id, []))
+            runs = runs_by_id.get(request.id, [])
+            self._check_response(request, runs)
+            servers = sent_to[request.daemon].get(request.id, set())
+            self._check_end(request, servers | {run["server"] for run in runs})
+
+    def _read_attempts(self) -> list[dict[str, set[str]]]:
+        """Return, by daemon and request, the servers that the daemon's log names."""
+        attempts = []
+        for process in self._daemons:
+            servers_by_id: dict[str, set[str]] = collections.defaultdict(set)
+            for line in process.read_json_lines():
+                if line.get("endpoint") and "request" in line:
+                    servers_by_id[line["request"]].add(line["endpoint"])
+            attempts.append(servers_by_id)
+        return attempts
+
+    def _check_end(self, request: SentRequest, servers: set[str]) -> None:
+        """Check that a request failed only beside a fault of what served it."""
+        if not request.is_cut and request.status < 500 or request.status == 503:
+            return
+        took_s = request.ended_s - request.at_s
+        if TIME_LIMIT_S - TIME_LIMIT_MARGIN_S <= took_s < CALLER_TIMEOUT_S:
+            return
+        processes = {f"d{request.daemon}", *(s.replace("-", "") for s in servers)}
+        is_disturbed = any(
+            fault.process in processes
+            and fault.started_s <= request.ended_s
+            and fault.ended_s >= request.at_s
+            for fault in self._disturbances
+        )
+        if not is_disturbed:
+            outcome = f"got status {request.status}" if request.status else "was cut"
+            self.violations.append(
+                f"{request.id} {outcome} after {took_s:.2f} s, though "
+                f"{', '.join(sorted(processes))} were sound"
+            )
 
     def _check_response(self, request: SentRequest, runs: list[dict]) -> None:
         if request.kind == "unsafe" and len(runs) > 1:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,8 @@
             ("overlapping stops", 14, 8),
             # Killed servers quarantined a request that all callers had sent.
             ("killed servers", 101, 10),
+            # Servers were silent for a while, and their streams were cut off.
+            ("silent servers", 2003, 8),
         ]
     )
     def test_no_guarantee_is_violated(self, _name, seed, seconds):
