Refuse no request for handovers that wait

Callers saw: while endpoints were silent and all slots taken, new requests were refused at once with 503, more of them since silent attempts keep their slots. Cause: each silent attempt waits for a slot elsewhere, and the estimate of a new request's wait counted these tickets as work ahead of it. They release a slot when they get one. Change: the ticket says that it holds a slot (`holds_slot`), and the estimate leaves it out.

--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -71,7 +71,8 @@
     or cannot get one by then, is refused. `expected_duration_s` is how long a
     batch item will hold its slot. `avoid` lists endpoints where it already failed,
     and `prefix` identifies the shared part of its prompt. `may_repeat` tells
-    whether it can be sent again after an endpoint failed part-way.
+    whether it can be sent again after an endpoint failed part-way, `holds_slot` that
+    another ticket's slot is released when this one gets its own.
     """
 
     id: TicketId
@@ -82,6 +83,7 @@
     prefix: str = ""
     avoid: frozenset[str] = frozenset()
     may_repeat: bool = True
+    holds_slot: bool = False
 
     def is_late(self, now_s: float) -> bool:
         """Whether the ticket would miss `due_s` even with a slot now."""
@@ -274,7 +276,7 @@
     def _expected_wait_s(self) -> float:
         """Estimate a new online ticket's wait; batch items can be preempted."""
         free = sum(s.count - s.online_count for s in self._slots.values() if s.is_open)
-        ahead = len(self._waiting_online)
+        ahead = sum(1 for t in self._waiting_online.values() if not t.holds_slot)
         if ahead < free or not self._slots:
             return 0.0
         return (ahead - free + 1) * self._service_time_s / self._slot_total()
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -31,6 +31,7 @@
     prefix: str
     avoid: list[str]
     may_repeat: bool = True
+    holds_slot: bool = False
 
 
 class SlotQueued(msgspec.Struct, frozen=True, tag="slot_queued"):
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -205,6 +205,7 @@
             slot_request,
             slot_deadline_s=deadline_s,
             avoid=slot_request.avoid | {lease.endpoint},
+            holds_slot=True,
         )
         return Handover(
             partial(self._acquire_elsewhere, lease.service, slot_request),
--- a/apricotquay/serving/slotowner.py
+++ b/apricotquay/serving/slotowner.py
@@ -165,6 +165,7 @@
             message.prefix,
             frozenset(message.avoid),
             message.may_repeat,
+            message.holds_slot,
         )
         self._add_peer_ticket(connection, message.service, ticket.id)
         decisions = self.table(message.service).request_slot(ticket, now_s)
--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -58,6 +58,7 @@
     prefix: str = ""
     avoid: frozenset[str] = frozenset()
     may_repeat: bool = True
+    holds_slot: bool = False
 
 
 class SlotLease(msgspec.Struct):
@@ -160,6 +161,7 @@
             request.prefix,
             self._excluded_endpoints(service, request.avoid),
             request.may_repeat,
+            request.holds_slot,
         )
         owner = self._owner(service)
         self._update_owner(service, owner)
@@ -250,6 +252,7 @@
             ticket.prefix,
             sorted(ticket.avoid),
             ticket.may_repeat,
+            ticket.holds_slot,
         )
         try:
             async with asyncio.timeout(OWNER_ANSWER_TIMEOUT_S):
--- a/tests/test_serving_dispatch.py
+++ b/tests/test_serving_dispatch.py
@@ -109,6 +109,17 @@
         self.assertIsInstance(decisions[0], Refused)
         self.assertGreater(decisions[0].wait_s, 1.0)
 
+    def test_requests_that_would_hand_their_slot_over_lengthen_no_wait(self):
+        """Each of them frees a slot when it gets one, so no one is refused for them."""
+        dispatcher = table(a=2, b=2)
+        for number in range(4):
+            dispatcher.request_slot(online(f"t{number}"), 0.0)
+        for number in range(40):
+            ticket = online(f"h{number}", holds_slot=True)
+            self.assertEqual([], dispatcher.request_slot(ticket, 1.0))
+        new = online("new", due_s=2.0, slot_deadline_s=2.8)
+        self.assertEqual([], dispatcher.request_slot(new, 1.0))
+
     def test_waiting_request_is_refused_at_its_slot_deadline(self):
         """The request is not kept waiting until its caller gives up."""
         dispatcher = table(a=1)
