Answer a request whose wait on a peer, the store or an endpoint fails

Callers saw a connection closed without an answer or a refusal, and the log said "caller left" (online requests) or nothing at all (calls about jobs).

Cause: OSError was taken for the caller's leaving wherever it came from, and TimeoutError, ConnectionResetError and BrokenPipeError of a peer or the store are OSErrors; a CancelledError from a future that another task had cancelled ended the handler like the caller's own leaving.

Now only the exchange knows whether its caller has left (`caller_left`, set when its own connection ends); everything else becomes an answer: 503 if the request has certainly not run, else 502. An unexpected error gave two lines and 500 also for a request that had not run; it is now one line and 503.

No place in today's code was found that raises such an error into a request: peers.py, store.py and httpclient.py convert theirs. So this closes the class; it doesn't explain the report by itself.

--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -1,5 +1,6 @@
 """HTTP interface of the event-loop daemon to callers: online requests, batch jobs."""
 
+import asyncio
 import base64
 import binascii
 import urllib.parse
@@ -20,7 +21,12 @@
 from ..serving.metrics import ServingMetrics
 from ..serving.online import OnlineRequestHandler
 from ..serving.reporting import Reporter
-from ..serving.requests import Admission, OnlineRequest
+from ..serving.requests import (
+    Admission,
+    OnlineRequest,
+    acknowledge_cancellation,
+    interruption_error,
+)
 from . import wire
 
 JOB_RESULTS_PATH = "/-/lots/"
@@ -35,6 +41,8 @@
 # Errors keep the status of their kind except where the platform's callers would
 # misread it: a quarantined request is refused as one that has not run.
 STATUS_OVERRIDES = {ErrorKind.REQUEST_QUARANTINED: 503}
+# Status that promises the caller that its request has not run.
+NOT_RUN_STATUS = 503
 OUTCOME_STATUS = {
     job_outcomes.DONE: 202,
     job_outcomes.OVER_CAP: 429,
@@ -62,6 +70,12 @@
     def __init__(self, exchange: Exchange) -> None:
         self._exchange: Exchange = exchange
         self.has_started: bool = False
+        self.is_logged: bool = False
+
+    @property
+    def caller_left(self) -> bool:
+        """Whether the caller has closed its connection."""
+        return self._exchange.caller_left
 
     async def start(self, status: int, headers: HeaderList) -> None:
         """Send the status and headers; the body is sent with chunked encoding."""
@@ -91,6 +105,8 @@
 def error_response(error: RequestError) -> HttpResponse:
     """Return the response for an error."""
     status = STATUS_OVERRIDES.get(error.kind, error.status)
+    if error.kind is ErrorKind.INTERNAL and error.ran is Ran.NOT_RUN:
+        status = NOT_RUN_STATUS
     headers = [JSON_CONTENT_TYPE]
     if error.retry_after_ms and error.ran is Ran.NOT_RUN:
         headers.append((b"retry-after", f"{error.retry_after_ms / 1000:.3f}".encode()))
@@ -130,16 +146,28 @@
             )
             self._report_refusal(request, path, error)
             await writer.refuse(error)
-        except (CallerDisconnectedError, OSError):
+        except CallerDisconnectedError as exc:
+            self._report_abandoned(request, path, writer, exc)
             raise
+        except asyncio.CancelledError as exc:
+            if exchange.caller_left:
+                self._report_abandoned(request, path, writer, exc)
+                raise
+            acknowledge_cancellation()
+            await self._handle_unexpected_error(request, path, writer, exc)
         except Exception as exc:
             # An unexpected error ends this request only; the daemon keeps running.
             await self._handle_unexpected_error(request, path, writer, exc)
 
     async def _handle_unexpected_error(
-        self, request: HttpRequest, path: str, writer: ExchangeWriter, exc: Exception
+        self,
+        request: HttpRequest,
+        path: str,
+        writer: ExchangeWriter,
+        exc: BaseException,
     ) -> None:
-        error = RequestError(ErrorKind.INTERNAL, repr(exc)[:200])
+        may_have_run = request.method != "GET"
+        error = interruption_error(repr(exc)[:200], may_have_run=may_have_run)
         self._report_refusal(request, path, error)
         if writer.has_started:
             writer.abort()
@@ -167,6 +195,7 @@
             await self._handle_submission(exchange, request, host, path, admission)
             return
         online = _build_online_request(request, host, path, key, self._clock.now_s())
+        writer.is_logged = True
         await self._online.serve(online, admission, writer)
 
     async def _handle_submission(
@@ -235,6 +264,24 @@
     def _authenticate(self, request: HttpRequest) -> TeamId:
         return self._online.team_of(request.header(wire.CALLER_KEY))
 
+    def _report_abandoned(
+        self,
+        request: HttpRequest,
+        path: str,
+        writer: ExchangeWriter,
+        exc: BaseException,
+    ) -> None:
+        if writer.is_logged:
+            return
+        self._metrics.count("requests_abandoned")
+        self._reporter.write(
+            Event.REQUEST_ABANDONED,
+            request=request.header(wire.REQUEST_ID),
+            path=path,
+            version=self._online.version,
+            reason=repr(exc)[:80],
+        )
+
     def _report_refusal(
         self, request: HttpRequest, path: str, error: RequestError
     ) -> None:
--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -32,6 +32,7 @@
         self._writer: asyncio.StreamWriter = writer
         self.request: HttpRequest = request
         self.aborted: bool = False
+        self.caller_left: bool = False
         self._should_close: Callable[[], bool] = should_close
 
     async def start(self, status: int, headers: HeaderList) -> None:
@@ -75,12 +76,14 @@
 
     async def _flush(self, data: bytes | None) -> None:
         if self._writer.is_closing():
+            self.caller_left = True
             raise CallerDisconnectedError
         if data:
             self._writer.write(data)
         try:
             await self._writer.drain()
         except OSError as exc:
+            self.caller_left = True
             raise CallerDisconnectedError from exc
 
 
@@ -150,6 +153,7 @@
         try:
             await asyncio.wait({handler, monitor}, return_when=asyncio.FIRST_COMPLETED)
             if not handler.done():
+                exchange.caller_left = True
                 handler.cancel()
                 with contextlib.suppress(
                     asyncio.CancelledError, CallerDisconnectedError
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -17,11 +17,19 @@
     RequestNotRunError,
 )
 from .http1 import HeaderList
+from .httpserver import CallerDisconnectedError
 from .metrics import ServingMetrics
 from .outliers import SlotOutcome
 from .ratelimiter import RateLimiter
 from .reporting import Reporter
-from .requests import Admission, OnlineRequest, RequestProgress, ResponseWriter
+from .requests import (
+    Admission,
+    OnlineRequest,
+    RequestProgress,
+    ResponseWriter,
+    acknowledge_cancellation,
+    interruption_error,
+)
 from .slots import SlotAllocator, SlotLease, SlotRequest, SlotUnavailableError
 from .timeouts import AdaptiveTimeouts, SilenceLimits
 from .view import View
@@ -90,8 +98,25 @@
     async def serve(
         self, request: OnlineRequest, admission: Admission, writer: ResponseWriter
     ) -> None:
-        """Serve an admitted request."""
+        """Serve an admitted request; its end is logged, whatever ends it."""
         progress = RequestProgress(request)
+        outcome = "broken off by an error"
+        try:
+            outcome = await self._serve(request, admission, writer, progress)
+        except (CallerDisconnectedError, asyncio.CancelledError) as exc:
+            outcome = f"caller left: {exc!r}"[:80]
+            raise
+        finally:
+            self._report(request, admission, progress, outcome)
+
+    async def _serve(
+        self,
+        request: OnlineRequest,
+        admission: Admission,
+        writer: ResponseWriter,
+        progress: RequestProgress,
+    ) -> str:
+        """Serve a request and return its outcome; only the caller's leaving raises."""
         try:
             self._check_quarantine(request, admission.team)
             await self._check_rate(admission.team)
@@ -100,15 +125,21 @@
                 await self._run_attempts(
                     request, admission, writer, progress, deadline_s
                 )
-            outcome = "answered"
+            return "answered"
         except TimeoutError:
-            outcome = await self._end_timed_out(writer, progress)
+            return await self._end_timed_out(writer, progress)
         except RequestError as exc:
-            outcome = await self._end_failed(writer, progress, exc)
-        except BaseException as exc:
-            self._report(request, admission, progress, f"caller left: {exc!r}"[:80])
+            return await self._end_failed(writer, progress, exc)
+        except CallerDisconnectedError:
             raise
-        self._report(request, admission, progress, outcome)
+        except asyncio.CancelledError as exc:
+            if writer.caller_left:
+                raise
+            acknowledge_cancellation()
+            return await self._end_interrupted(writer, progress, exc)
+        except Exception as exc:
+            # An unexpected error ends this request only; the daemon keeps running.
+            return await self._end_interrupted(writer, progress, exc)
 
     def _authenticate(
         self, configuration: Configuration, route: Route, key: str | None
@@ -283,6 +314,7 @@
         if remaining_ms <= 0:
             raise TimeoutError
         progress.was_sent = True
+        progress.is_at_endpoint = True
         return EngineCall(
             request.id,
             request.method,
@@ -358,8 +390,8 @@
             data = b"".join(event.raw for event in events)
             await self._forward_events(response, writer, progress, data)
         if not progress.response_started:
-            await writer.start(response.status, response.headers)
             progress.response_started = True
+            await writer.start(response.status, response.headers)
         await writer.finish()
 
     async def _forward_events(
@@ -371,8 +403,8 @@
     ) -> None:
         progress.record_event_time(self._clock.now_s())
         if not progress.response_started:
-            await writer.start(response.status, response.headers)
             progress.response_started = True
+            await writer.start(response.status, response.headers)
         await writer.send(data)
 
     async def _end_timed_out(
@@ -387,6 +419,13 @@
         await writer.refuse(RequestError(kind, "no answer in time"))
         return kind.value
 
+    async def _end_interrupted(
+        self, writer: ResponseWriter, progress: RequestProgress, exc: BaseException
+    ) -> str:
+        may_have_run = progress.may_have_run or progress.is_at_endpoint
+        error = interruption_error(repr(exc)[:200], may_have_run=may_have_run)
+        return await self._end_failed(writer, progress, error)
+
     async def _end_failed(
         self, writer: ResponseWriter, progress: RequestProgress, error: RequestError
     ) -> str:
--- a/apricotquay/serving/requests.py
+++ b/apricotquay/serving/requests.py
@@ -1,16 +1,19 @@
 """Online requests of the event-loop daemon: admission, progress, response writer."""
 
+import asyncio
 from typing import Protocol
 
 import msgspec
 
-from ..errors import RequestError
+from ..errors import ErrorKind, Ran, RequestError
 from ..ids import EndpointId
 from .catalog import Route, Team
 from .engine import AttemptFailedError
 from .http1 import HeaderList
 from .sse import StreamEvent
 
+INTERRUPTION_RETRY_AFTER_MS = 300
+
 
 class OnlineRequest(msgspec.Struct):
     """A caller's request to the event-loop daemon. `headers` are forwarded unchanged.
@@ -35,7 +38,12 @@
 
 
 class ResponseWriter(Protocol):
-    """Sends a response to the caller. Implemented by the platform's adapter."""
+    """Sends a response to the caller. Implemented by the platform's adapter.
+
+    `caller_left` tells whether the caller has closed its connection.
+    """
+
+    caller_left: bool
 
     async def start(self, status: int, headers: HeaderList) -> None:
         """Send the status and headers of an endpoint's response."""
@@ -84,11 +92,13 @@
         self.longest_pause_s: float = 0.0
         self.endpoint: str = ""
         self.was_sent: bool = False
+        self.is_at_endpoint: bool = False
 
     def record_failure(
         self, endpoint: EndpointId, reason: str, *, may_have_run: bool
     ) -> None:
         """Record a failed send."""
+        self.is_at_endpoint = False
         self.failed_endpoints.add(endpoint)
         self.reasons.append(reason)
         if may_have_run:
@@ -113,3 +123,22 @@
                 f"event {event.id} came after {self.last_event_id}"
             )
         self.last_event_id = event.id
+
+
+def interruption_error(reason: str, *, may_have_run: bool) -> RequestError:
+    """Return the error of a request that ends for a failure inside the daemon."""
+    if may_have_run:
+        return RequestError(ErrorKind.OUTCOME_UNKNOWN, reason)
+    return RequestError(
+        ErrorKind.INTERNAL,
+        reason,
+        ran=Ran.NOT_RUN,
+        retry_after_ms=INTERRUPTION_RETRY_AFTER_MS,
+    )
+
+
+def acknowledge_cancellation() -> None:
+    """Let the current task go on after a cancellation that it handles."""
+    task = asyncio.current_task()
+    while task.cancelling():
+        task.uncancel()
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -141,6 +141,8 @@
 class RecordingWriter:
     """Records the response that a caller gets."""
 
+    caller_left = False
+
     def __init__(self) -> None:
         self.status: int | None = None
         self.body: bytes = b""
