Log connections that are closed within a request

A request that was never read whole, one that was refused while it was read (400, 408, 413, 431) and one whose handler ended with an error left no line in the log, so a lost request could not be told from one that the daemon had not received.

Idle ends write nothing. An error of a handler is no longer swallowed as the caller's leaving. A request that is being received counts as busy, so a drain waits for it.

--- a/apricotquay/events.py
+++ b/apricotquay/events.py
@@ -55,6 +55,7 @@
     REQUEST_REFUSED = (1604, "request refused")
     ATTEMPT_ENDED = (1605, "attempt at an endpoint ended")
     REQUEST_ABANDONED = (1606, "request abandoned by its caller")
+    CONNECTION_FAILED = (1607, "connection closed within a request")
     JOB_ACCEPTED = (1701, "job accepted")
     JOB_FINISHED = (1702, "job finished")
     JOB_CANCELLED = (1703, "job cancelled")
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -182,7 +182,9 @@
         handler = interface(
             self.online, self.jobs, self.metrics, self.clock, self.reporter
         )
-        self.callers = HttpServer(handler, self._server_limits)
+        self.callers = HttpServer(
+            handler, self._server_limits, self._report_connection_failure
+        )
         self.ready = HttpServer(self._handle_ready, self._server_limits)
         self.metrics_server = HttpServer(self._handle_metrics, self._server_limits)
 
@@ -276,6 +278,12 @@
             limits.idle_timeout_ms / 1000,
         )
 
+    def _report_connection_failure(self, reason: str, status: int | None) -> None:
+        self.metrics.count("connections_failed")
+        self.reporter.write_limited(
+            Event.CONNECTION_FAILED, reason=reason, status=status
+        )
+
     def _on_view_change(self) -> None:
         self.slots.refresh()
         self.runner.wake()
--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -7,7 +7,9 @@
 import h11
 import msgspec
 
-from .http1 import READ_BYTES, HeaderList, HttpError, HttpRequest, HttpResponse
+from .http1 import READ_BYTES, HeaderList, HttpRequest, HttpResponse
+
+MAX_REASON_CHARS = 200
 
 
 class CallerDisconnectedError(Exception):
@@ -120,6 +122,7 @@
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
         )
         self.is_idle: bool = True
+        self.is_receiving: bool = False
 
     async def run(self) -> None:
         """Serve requests until the connection is closed."""
@@ -127,19 +130,27 @@
             while await self._serve_request():
                 self._protocol.start_next_cycle()
         except RequestRejectedError as exc:
+            self._server.on_failure(str(exc), exc.status)
             await self._reject(exc)
-        except (CallerDisconnectedError, OSError, HttpError, TimeoutError):
+        except CallerDisconnectedError:
             # There is no one to respond to; handlers log the outcome of requests.
             pass
+        except Exception as exc:
+            self._server.on_failure(repr(exc)[:MAX_REASON_CHARS], None)
         finally:
             self._writer.close()
 
     async def _serve_request(self) -> bool:
         self.is_idle = True
-        request = await self._read_request()
+        try:
+            request = await self._read_request()
+        except OSError as exc:
+            self._report_closed(f"connection broke: {exc}")
+            return False
         if request is None:
+            self._report_closed("closed by the caller")
             return False
-        self.is_idle = False
+        self.is_idle = self.is_receiving = False
         exchange = Exchange(
             self._protocol, self._writer, request, lambda: self._server.is_draining
         )
@@ -180,6 +191,16 @@
             if len(self._protocol.trailing_data[0]) > self._limits.max_body_bytes:
                 return
 
+    def report_stop(self) -> None:
+        """Report a request that the server's stop keeps from being read whole."""
+        if self.is_receiving:
+            self._server.on_failure("closed by the daemon's stop", None)
+
+    def _report_closed(self, reason: str) -> None:
+        """Report the end of the connection if it is within a request."""
+        if self.is_receiving:
+            self._server.on_failure(reason, None)
+
     async def _read_request(self) -> HttpRequest | None:
         head = None
         parts: list[bytes] = []
@@ -232,6 +253,8 @@
     async def _receive(self, in_request: bool) -> bool:
         """Read more data; return False if the connection ended or idled out."""
         has_begun = in_request or bool(self._protocol.trailing_data[0])
+        self.is_receiving = has_begun
+        self.is_idle = not has_begun
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         while (
@@ -244,6 +267,9 @@
                 # The limit may have been raised during the wait, which then continues.
                 continue
             self._protocol.receive_data(data)
+            if data:
+                self.is_receiving = True
+                self.is_idle = False
             return bool(data)
         if has_begun:
             raise RequestRejectedError(408, "timed out while receiving the request")
@@ -267,24 +293,35 @@
 
 
 class HttpServer:
-    """HTTP server of the event-loop daemon, which creates one for each address."""
+    """HTTP server of the event-loop daemon, which creates one for each address.
+
+    `on_failure` is told of each connection that is closed before a request on it has
+    been read whole or by an error of a handler: why, and the status of the refusal.
+    """
 
     def __init__(
         self,
         handler: Callable[["Exchange"], Awaitable[None]],
         limits: Callable[[], ServerLimits],
+        on_failure: Callable[[str, int | None], None] = lambda reason, status: None,
     ) -> None:
         self.handler = handler
         self.limits = limits
+        self.on_failure = on_failure
         self.is_draining: bool = False
         self._server: asyncio.Server | None = None
         self._connections: dict[ServerConnection, asyncio.Task] = {}
 
     @property
     def busy_count(self) -> int:
-        """Number of connections with a request in progress."""
+        """Number of connections with a request that is received or in progress."""
         return sum(1 for c in self._connections if not c.is_idle)
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
     async def start(self, host: str, port: int) -> int:
         """Listen and return the port."""
         self._server = await asyncio.start_server(self._accept, host, port, backlog=512)
@@ -308,6 +345,7 @@
         try:
             await connection.run()
         except asyncio.CancelledError:
+            connection.report_stop()
             writer.transport.abort()
         finally:
             del self._connections[connection]
--- a/apricotquay/serving/reporting.py
+++ b/apricotquay/serving/reporting.py
@@ -12,6 +12,8 @@
 
 MAX_QUEUED_LINES = 4_000
 WRITE_BATCH_BYTES = 65_536
+# Lines a second of an event that callers can cause at will.
+LIMITED_LINES_PER_S = 10
 
 
 class LineWriter:
@@ -61,6 +63,27 @@
         return b"\n".join(batch) + b"\n"
 
 
+class LineLimit:
+    """Admits LIMITED_LINES_PER_S lines a second. Pure."""
+
+    def __init__(self) -> None:
+        self._second: int = -1
+        self._admitted: int = 0
+        self._suppressed: int = 0
+
+    def admit(self, now_s: float) -> int | None:
+        """Return how many lines were suppressed before this one; None suppresses it."""
+        if int(now_s) != self._second:
+            self._second = int(now_s)
+            self._admitted = 0
+        if self._admitted >= LIMITED_LINES_PER_S:
+            self._suppressed += 1
+            return None
+        self._admitted += 1
+        suppressed, self._suppressed = self._suppressed, 0
+        return suppressed
+
+
 def _render(_logger, _name: str, fields: dict) -> str:
     return msgspec.json.encode(fields)
 
@@ -73,6 +96,7 @@
         self._writer: LineWriter = writer or LineWriter(sys.stdout.fileno())
         self._lost_since_s: dict[str, float] = {}
         self._dropped_reported: int = 0
+        self._limits: dict[Event, LineLimit] = {}
         self._logger = structlog.wrap_logger(
             self._writer,
             processors=[_render],
@@ -94,6 +118,13 @@
             **fields,
         )
 
+    def write_limited(self, event: Event, **fields: object) -> None:
+        """Queue an event unless LIMITED_LINES_PER_S of it were queued this second."""
+        limit = self._limits.setdefault(event, LineLimit())
+        suppressed = limit.admit(self._clock.now_s())
+        if suppressed is not None:
+            self.write(event, suppressed=suppressed, **fields)
+
     def report_lost(self, dependency: str, reason: str, **fields: object) -> None:
         """Report that a dependency fails to respond, once until it recovers."""
         key = f"{dependency}{sorted(fields.items())}"
--- /dev/null
+++ b/tests/test_serving_connections.py
@@ -0,0 +1,154 @@
+"""Ends of callers' connections: none leaves a request that was read unanswered."""
+
+import asyncio
+
+from parameterized import parameterized
+
+from apricotquay.serving.http1 import HttpResponse
+from apricotquay.serving.httpserver import (
+    CallerDisconnectedError,
+    Exchange,
+    HttpServer,
+    ServerLimits,
+)
+
+from .base import ApricotTest
+
+HOST = "127.0.0.1"
+REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+WAITING_REQUEST = b"GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+POST_HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+LONG_BODY = b"x" * 2_000_000
+
+
+class ConnectionTest(ApricotTest):
+    """A server that echoes; /wait waits for `release`, /raise raises `error`."""
+
+    def setUp(self):
+        super().setUp()
+        self.limits = ServerLimits(1_000, 100, 5.0, 5.0)
+        self.failures: list[tuple[str, int | None]] = []
+        self.requests: list[str] = []
+        self.error: Exception | None = None
+        self.release: asyncio.Event | None = None
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Respond with the body of the request."""
+        target = exchange.request.target
+        self.requests.append(target)
+        if target == "/raise":
+            raise self.error
+        if target == "/stream":
+            await exchange.start(200, [(b"transfer-encoding", b"chunked")])
+        if target in ("/wait", "/stream"):
+            await self.wait_for_release(exchange)
+        if target == "/stream":
+            await exchange.finish()
+        else:
+            await exchange.respond(HttpResponse(200, [], exchange.request.body))
+
+    async def wait_for_release(self, exchange: Exchange) -> None:
+        """Wait; answer a cancellation that is not the caller's leaving with 503."""
+        try:
+            await self.release.wait()
+        except asyncio.CancelledError:
+            if exchange.caller_left:
+                raise
+            asyncio.current_task().uncancel()
+            await exchange.respond(HttpResponse(503, []))
+            raise CallerDisconnectedError from None
+
+    def run_scenario(self, scenario) -> None:
+        """Run a scenario with a server and its port."""
+
+        async def run() -> None:
+            self.release = asyncio.Event()
+            server = HttpServer(
+                self.handle,
+                lambda: self.limits,
+                lambda reason, status: self.failures.append((reason, status)),
+            )
+            port = await server.start(HOST, 0)
+            try:
+                async with asyncio.timeout(20):
+                    await scenario(server, port)
+            finally:
+                await server.close()
+
+        asyncio.run(run())
+
+    async def wait_until(self, condition) -> None:
+        """Wait until a condition holds."""
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class ClosedInMidRequestTest(ConnectionTest):
+    """Each connection that is closed in mid-request is reported once."""
+
+    @parameterized.expand(
+        [
+            ("caller closes within the head", REQUEST[:20], None),
+            ("caller closes within the body", POST_HEAD % 9 + b"x", None),
+            ("not HTTP", b"\x00nonsense\r\n\r\n", 400),
+            ("body too large", POST_HEAD % 101 + b"x" * 101, 413),
+            ("headers too large", b"GET / HTTP/1.1\r\nX: " + b"y" * 2_000, 431),
+        ]
+    )
+    def test_connection_closed_in_mid_request_is_reported(self, _name, data, status):
+        """Requests that the daemon never read whole can be told from lost ones."""
+
+        async def scenario(_server, port):
+            _, writer = await asyncio.open_connection(HOST, port)
+            writer.write(data)
+            writer.write_eof()
+            await self.wait_until(lambda: self.failures)
+            writer.close()
+
+        self.run_scenario(scenario)
+        self.assertEqual([status], [status for _, status in self.failures])
+
+    def test_slow_request_is_reported(self):
+        """Its connection is closed by the time limit of a request."""
+        self.limits = ServerLimits(1_000, 100, 0.1, 5.0)
+
+        async def scenario(_server, port):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(REQUEST[:20])
+            self.assertIn(b" 408 ", await reader.readline())
+            writer.close()
+
+        self.run_scenario(scenario)
+        self.assertEqual([408], [status for _, status in self.failures])
+
+    @parameterized.expand(
+        [(type(e).__name__, e) for e in (OSError("x"), TimeoutError(), KeyError("x"))]
+    )
+    def test_error_of_a_handler_is_reported(self, _name, error):
+        """It is not taken for the caller's leaving."""
+        self.error = error
+
+        async def scenario(_server, port):
+            _, writer = await asyncio.open_connection(HOST, port)
+            writer.write(REQUEST.replace(b"/a", b"/raise"))
+            await self.wait_until(lambda: self.failures)
+            writer.close()
+
+        self.run_scenario(scenario)
+        self.assertEqual(1, len(self.failures))
+        self.assertIn(type(error).__name__, self.failures[0][0])
+
+    @parameterized.expand([("closed at once", b""), ("after a request", REQUEST)])
+    def test_end_between_requests_is_not_reported(self, _name, data):
+        """It is how connections usually end."""
+
+        async def scenario(server, port):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(data)
+            if data:
+                await reader.readline()
+            writer.close()
+            await self.wait_until(lambda: not server.connection_count)
+
+        self.run_scenario(scenario)
+        self.assertEqual([], self.failures)
--- a/tests/test_serving_reporting.py
+++ b/tests/test_serving_reporting.py
@@ -44,6 +44,13 @@
             (line["vm"], line["number"], line["job"], line["items"]),
         )
 
+    def test_lines_that_callers_cause_at_will_are_limited(self):
+        """The next line that is written counts those left out."""
+        limit = reporting.LineLimit()
+        admitted = [limit.admit(5.0 + n / 100) for n in range(30)]
+        self.assertEqual([0] * 10 + [None] * 20, admitted)
+        self.assertEqual(20, limit.admit(6.0))
+
     def test_blocked_reader_drops_lines_without_blocking(self):
         """Lines beyond the queue are dropped, counted and reported."""
         self.patch(reporting, "MAX_QUEUED_LINES", 50)
