Answer a request that arrives together with its connection's idle timeout

Callers saw a kept connection close without an answer to a request that the daemon had already received.

Cause: a busy event loop handles the bytes and the timer in one round: the bytes come first and wait in the reader, then the timeout cancels the read, and the connection was closed without looking again. Clients reuse a connection for up to four fifths of the limit, so a loop that is late by a fifth of a short limit is enough. Besides, ETIMEDOUT of the connection itself was taken for that timeout, and the read was repeated without a pause until the limit had passed: the whole daemon stood still for up to `idle_timeout_ms`.

Now what has arrived is read once more before an idle connection is closed or a slow request refused with 408, idle connections are closed 0.5 s after the limit that callers know, and a connection's own error ends it.

Tests before the change: `b' 200 ' not in b''` (both arrival tests), "OSError not raised" after 5 s in which the loop stood still. A configuration that lowers `idle_timeout_ms` does not close connections that wait already: that test passed before, so this part of the suspicion is ruled out. `Keep-Alive` is not advertised: callers may take its time as exact and use connections for longer than now.

test_raised_idle_timeout sets the margin to 0, as it would pass without the raise.

--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -10,6 +10,11 @@
 from .http1 import READ_BYTES, HeaderList, HttpRequest, HttpResponse
 
 MAX_REASON_CHARS = 200
+# Idle connections are closed so long after the limit that callers know, since what
+# they send at the limit is on its way for a while.
+IDLE_MARGIN_S = 0.5
+# Rounds of the event loop after which everything that has arrived can be read.
+POLL_ROUNDS = 2
 
 
 class CallerDisconnectedError(Exception):
@@ -260,24 +265,46 @@
         while (
             remaining_s := self._read_timeout_s(has_begun) - (loop.time() - started_s)
         ) > 0:
-            try:
-                async with asyncio.timeout(remaining_s):
-                    data = await self._reader.read(READ_BYTES)
-            except TimeoutError:
-                # The limit may have been raised during the wait, which then continues.
-                continue
-            self._protocol.receive_data(data)
-            if data:
-                self.is_receiving = True
-                self.is_idle = False
-            return bool(data)
+            # The limit may be raised during the wait, which then continues.
+            data = await self._read_within(remaining_s)
+            if data is not None:
+                return self._accept_data(data)
+        data = await self._read_arrived()
+        if data is not None:
+            return self._accept_data(data)
         if has_begun:
             raise RequestRejectedError(408, "timed out while receiving the request")
         return False
 
+    def _accept_data(self, data: bytes) -> bool:
+        self._protocol.receive_data(data)
+        if data:
+            self.is_receiving = True
+            self.is_idle = False
+        return bool(data)
+
+    async def _read_within(self, timeout_s: float) -> bytes | None:
+        """Read more data; return None if none comes in time."""
+        try:
+            async with asyncio.timeout(timeout_s) as timeout:
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            if not timeout.expired():
+                # The connection's own error; each further read would raise it too.
+                raise
+            return None
+
+    async def _read_arrived(self) -> bytes | None:
+        """Read what has arrived by now; a busy loop handles it with the timeout."""
+        for _ in range(POLL_ROUNDS):
+            await asyncio.sleep(0)
+        return await self._read_within(0)
+
     def _read_timeout_s(self, has_begun: bool) -> float:
         limits = self._server.limits()
-        return limits.header_timeout_s if has_begun else limits.idle_timeout_s
+        if has_begun:
+            return limits.header_timeout_s
+        return limits.idle_timeout_s + IDLE_MARGIN_S
 
     async def _reject(self, rejected: RequestRejectedError) -> None:
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- a/tests/test_serving_connections.py
+++ b/tests/test_serving_connections.py
@@ -1,14 +1,17 @@
 """Ends of callers' connections: none leaves a request that was read unanswered."""
 
 import asyncio
+import time
 
 from parameterized import parameterized
 
+from apricotquay.serving import httpserver as httpserver_module
 from apricotquay.serving.http1 import HttpResponse
 from apricotquay.serving.httpserver import (
     CallerDisconnectedError,
     Exchange,
     HttpServer,
+    ServerConnection,
     ServerLimits,
 )
 
@@ -152,3 +155,67 @@
 
         self.run_scenario(scenario)
         self.assertEqual([], self.failures)
+
+
+class IdleTimeoutTest(ConnectionTest):
+    """Requests that meet the idle timeout of their connection."""
+
+    def test_request_that_arrives_with_the_idle_timeout_is_answered(self):
+        """The loop is busy while both come, and handles them in one round."""
+        self.limits = ServerLimits(1_000, 100, 5.0, 0.1)
+        self.patch(httpserver_module, "IDLE_MARGIN_S", 0.0)
+
+        async def scenario(_server, port):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            await asyncio.sleep(0.03)
+            writer.write(REQUEST)
+            time.sleep(0.2)
+            self.assertIn(b" 200 ", await reader.readline())
+            writer.close()
+
+        self.run_scenario(scenario)
+
+    def test_request_just_after_the_idle_limit_is_answered(self):
+        """What a caller sends at the limit is still on its way then."""
+        self.limits = ServerLimits(1_000, 100, 5.0, 0.1)
+
+        async def scenario(_server, port):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            await asyncio.sleep(0.2)
+            writer.write(REQUEST)
+            self.assertIn(b" 200 ", await reader.readline())
+            writer.close()
+
+        self.run_scenario(scenario)
+
+    def test_lowered_idle_timeout_closes_no_waiting_connection_early(self):
+        """Callers may still act on the limit under which it became idle."""
+        self.limits = ServerLimits(1_000, 100, 5.0, 3.0)
+        self.patch(httpserver_module, "IDLE_MARGIN_S", 0.0)
+
+        async def scenario(_server, port):
+            callers = [await asyncio.open_connection(HOST, port) for _ in range(20)]
+            await asyncio.sleep(0.05)
+            self.limits = ServerLimits(1_000, 100, 5.0, 0.1)
+            await asyncio.sleep(0.3)
+            for _, writer in callers:
+                writer.write(REQUEST)
+            for reader, writer in callers:
+                self.assertIn(b" 200 ", await reader.readline())
+                writer.close()
+
+        self.run_scenario(scenario)
+
+    def test_timeout_of_the_connection_itself_does_not_stop_the_loop(self):
+        """The socket's own ETIMEDOUT is raised by each further read."""
+
+        async def scenario(server, _port):
+            reader = asyncio.StreamReader()
+            reader.set_exception(TimeoutError("connection timed out"))
+            connection = ServerConnection(server, reader, None)
+            started_s = time.monotonic()
+            with self.assertRaises(OSError):
+                await connection._receive(False)
+            self.assertLess(time.monotonic() - started_s, self.limits.idle_timeout_s)
+
+        self.run_scenario(scenario)
--- a/tests/test_serving_http.py
+++ b/tests/test_serving_http.py
@@ -4,6 +4,7 @@
 
 from parameterized import parameterized
 
+from apricotquay.serving import httpserver as httpserver_module
 from apricotquay.serving.http1 import HttpRequest, HttpResponse
 from apricotquay.serving.httpclient import open_client
 from apricotquay.serving.httpserver import Exchange, HttpServer, ServerLimits
@@ -120,6 +121,7 @@
 
     def test_raised_idle_timeout_applies_to_open_connections(self):
         """This includes a connection that already waits for a request."""
+        self.patch(httpserver_module, "IDLE_MARGIN_S", 0.0)
 
         async def scenario(_server, port):
             self.limits = ServerLimits(1_000, 100, 5.0, 0.2)
