Let a refusal arrive at a caller that is still sending

Callers saw "connection reset" in place of 413 (431, 400) when the rest of their request was still on its way.

Cause: the connection was closed with unread data, upon which the kernel resets it, and the reset overtakes or discards the refusal.

Now the daemon half-closes after a refusal and discards at most 4 MiB for at most 1 s before it closes. Test before the change (2 MB body, limit 100 bytes): "ConnectionResetError: [Errno 104] Connection reset by peer" in place of 413.

--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -13,6 +13,9 @@
 # Idle connections are closed so long after the limit that callers know, since what
 # they send at the limit is on its way for a while.
 IDLE_MARGIN_S = 0.5
+# How long and how much is read of a request that was refused.
+DISCARD_TIMEOUT_S = 1.0
+MAX_DISCARD_BYTES = 4 * 1024 * 1024
 # Rounds of the event loop after which everything that has arrived can be read.
 POLL_ROUNDS = 2
 
@@ -136,6 +139,7 @@
                 self._protocol.start_next_cycle()
         except RequestRejectedError as exc:
             self._server.on_failure(str(exc), exc.status)
+            self.is_receiving = False
             await self._reject(exc)
         except CallerDisconnectedError:
             # There is no one to respond to; handlers log the outcome of requests.
@@ -317,6 +321,23 @@
         self._writer.write(data)
         with contextlib.suppress(OSError):
             await self._writer.drain()
+            await self._discard_rest()
+
+    async def _discard_rest(self) -> None:
+        """Discard what the caller still sends, within limits.
+
+        Closing with unread data resets the connection, and a reset may overtake the
+        refusal that was just sent.
+        """
+        self._writer.write_eof()
+        size = 0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                while size < MAX_DISCARD_BYTES:
+                    data = await self._reader.read(READ_BYTES)
+                    if not data:
+                        return
+                    size += len(data)
 
 
 class HttpServer:
--- a/tests/test_serving_connections.py
+++ b/tests/test_serving_connections.py
@@ -219,3 +219,19 @@
             self.assertLess(time.monotonic() - started_s, self.limits.idle_timeout_s)
 
         self.run_scenario(scenario)
+
+
+class RefusalTest(ConnectionTest):
+    """Refusals while the caller is still sending."""
+
+    def test_refusal_of_a_long_body_reaches_its_caller(self):
+        """A reset for unread bytes would overtake it."""
+
+        async def scenario(_server, port):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(POST_HEAD % len(LONG_BODY) + LONG_BODY)
+            await asyncio.sleep(0.2)
+            self.assertIn(b" 413 ", await reader.read())
+            writer.close()
+
+        self.run_scenario(scenario)
