Keep a request running whose caller pipelines a long body behind it

Callers that sent the next request early, with a body over `max_body_bytes`, lost the answer to the one before: too much pipelined data was treated like a disconnect.

Now the rest waits in the socket until the response is complete; the second request then gets its 413.

--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -188,9 +188,10 @@
                 await monitor
 
     async def _wait_for_disconnect(self) -> None:
-        """Return when the caller disconnects or has sent too much data.
+        """Return when the caller disconnects.
 
-        Pipelined data is kept for the next request, up to the limit of a body.
+        Pipelined data is kept for the next request, up to the limit of a body; the
+        rest waits in the socket, and the caller's leaving is then not noticed.
         """
         while True:
             data = await self._reader.read(READ_BYTES)
@@ -198,7 +199,13 @@
                 return
             self._protocol.receive_data(data)
             if len(self._protocol.trailing_data[0]) > self._limits.max_body_bytes:
-                return
+                await asyncio.get_running_loop().create_future()
+
+    def stop_handler(self) -> bool:
+        """Cancel the handler, which may still respond; return whether one runs."""
+        if self._handler is None or self._handler.done():
+            return False
+        return self._handler.cancel()
 
     def report_stop(self) -> None:
         """Report a request that the server's stop keeps from being read whole."""
--- a/tests/test_serving_connections.py
+++ b/tests/test_serving_connections.py
@@ -235,3 +235,23 @@
             writer.close()
 
         self.run_scenario(scenario)
+
+
+class KeptConnectionTest(ConnectionTest):
+    """Connections that the server keeps or closes with requests waiting on them."""
+
+    def test_pipelined_long_body_does_not_end_the_request_before_it(self):
+        """The bytes beyond the limit wait in the socket."""
+
+        async def scenario(_server, port):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(WAITING_REQUEST)
+            await self.wait_until(lambda: self.requests)
+            writer.write(POST_HEAD % 2_000 + b"x" * 2_000)
+            await asyncio.sleep(0.1)
+            self.release.set()
+            self.assertIn(b" 200 ", await reader.readline())
+            self.assertIn(b" 413 ", await reader.read())
+            writer.close()
+
+        self.run_scenario(scenario)
