Answer requests at the end of the grace period and on kept connections

Callers of a daemon that stops saw closed connections without an answer in two ways.

A response that had begun before SIGTERM did not say `Connection: close`, but its connection was closed after it, with the next request perhaps already read. Now a connection is kept until a response has said that it closes.

At the end of the grace period requests that still waited for a token, a slot, the store or an endpoint were cut off like those whose caller had left.

--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -13,6 +13,8 @@
 # Idle connections are closed so long after the limit that callers know, since what
 # they send at the limit is on its way for a while.
 IDLE_MARGIN_S = 0.5
+# How long cancelled handlers may take to respond when the server stops.
+STOP_TIMEOUT_S = 0.2
 # How long and how much is read of a request that was refused.
 DISCARD_TIMEOUT_S = 1.0
 MAX_DISCARD_BYTES = 4 * 1024 * 1024
@@ -131,6 +133,7 @@
         )
         self.is_idle: bool = True
         self.is_receiving: bool = False
+        self._handler: asyncio.Task | None = None
 
     async def run(self) -> None:
         """Serve requests until the connection is closed."""
@@ -164,11 +167,12 @@
             self._protocol, self._writer, request, lambda: self._server.is_draining
         )
         await self._handle_exchange(exchange)
-        is_done = self._protocol.our_state is h11.DONE
-        return is_done and not exchange.aborted and not self._server.is_draining
+        # While draining, a connection is kept until a response has said that it closes.
+        return self._protocol.our_state is h11.DONE and not exchange.aborted
 
     async def _handle_exchange(self, exchange: Exchange) -> None:
         handler = asyncio.ensure_future(self._server.handler(exchange))
+        self._handler = handler
         monitor = asyncio.ensure_future(self._wait_for_disconnect())
         try:
             await asyncio.wait({handler, monitor}, return_when=asyncio.FIRST_COMPLETED)
@@ -387,9 +391,13 @@
         self.is_draining = True
 
     async def close(self) -> None:
-        """Stop listening and close all connections."""
+        """Stop listening, let handlers refuse their requests, and close."""
         if self._server is not None:
             self._server.close()
+        self.is_draining = True
+        busy = [task for c, task in self._connections.items() if c.stop_handler()]
+        if busy:
+            await asyncio.wait(busy, timeout=STOP_TIMEOUT_S)
         for task in list(self._connections.values()):
             task.cancel()
         await asyncio.sleep(0)
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -171,6 +171,7 @@
 
         async def run() -> None:
             server = HttpServer(self.create_api().handle, lambda: LIMITS)
+            self.server = server
             port = await server.start(HOST, 0)
             try:
                 async with asyncio.timeout(20):
@@ -281,3 +282,22 @@
         self.run_scenario(scenario)
         expected = number if number == REQUEST_ENDED else REQUEST_ABANDONED
         self.assertEqual([expected], self.log.numbers())
+
+    @parameterized.expand([(wait[0], *wait) for wait in WAITS])
+    def test_stopped_daemon_answers_requests_that_wait(
+        self, _name, wait, method, path, status, number
+    ):
+        """The end of the grace period is not the caller's leaving."""
+        self.use_failing(wait, None)
+
+        async def scenario(port):
+            body = JOB if path.startswith("/b/") else b""
+            call = asyncio.ensure_future(self.call(port, method, path, body))
+            while not self.server.busy_count:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            await self.server.close()
+            self.assertEqual(status, (await call).status)
+
+        self.run_scenario(scenario)
+        self.assertEqual([number], self.log.numbers())
--- a/tests/test_serving_connections.py
+++ b/tests/test_serving_connections.py
@@ -255,3 +255,45 @@
             writer.close()
 
         self.run_scenario(scenario)
+
+    def test_draining_does_not_close_a_connection_before_it_says_so(self):
+        """A response that began before the drain promised to keep the connection."""
+
+        async def scenario(server, port):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(REQUEST.replace(b"/a", b"/stream"))
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(REQUEST)
+            await asyncio.sleep(0.05)
+            server.drain()
+            self.release.set()
+            rest = await reader.read()
+            self.assertIn(b" 200 ", rest)
+            self.assertIn(b"connection: close", rest.lower())
+            writer.close()
+
+        self.run_scenario(scenario)
+
+    def test_request_that_is_being_received_counts_as_busy(self):
+        """The drain waits for it."""
+
+        async def scenario(server, port):
+            _, writer = await asyncio.open_connection(HOST, port)
+            writer.write(POST_HEAD % 9 + b"x")
+            await self.wait_until(lambda: server.busy_count)
+            writer.close()
+
+        self.run_scenario(scenario)
+
+    def test_stopping_server_lets_waiting_requests_be_refused(self):
+        """They are not taken for requests whose caller left."""
+
+        async def scenario(server, port):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(WAITING_REQUEST)
+            await self.wait_until(lambda: self.requests)
+            await server.close()
+            self.assertIn(b" 503 ", await reader.readline())
+            writer.close()
+
+        self.run_scenario(scenario)
