Apply changed size limits to connections that are kept

Callers on kept connections were refused with 431 or 413 by the limits that had been in force when their connection was opened, after a configuration had raised them (and got in what a lower limit excludes).

Cause: a connection read `max_header_bytes` and `max_body_bytes` once; only its time limits were read anew. Now both are read when a request begins. Test before the change: 431 for a head that the new limit allows.

--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -128,9 +128,7 @@
         self._reader: asyncio.StreamReader = reader
         self._writer: asyncio.StreamWriter = writer
         self._limits: ServerLimits = server.limits()
-        self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
-        )
+        self._protocol: h11.Connection = self._create_protocol()
         self.is_idle: bool = True
         self.is_receiving: bool = False
         self._handler: asyncio.Task | None = None
@@ -140,6 +138,7 @@
         try:
             while await self._serve_request():
                 self._protocol.start_next_cycle()
+                self._apply_new_limits()
         except RequestRejectedError as exc:
             self._server.on_failure(str(exc), exc.status)
             self.is_receiving = False
@@ -152,6 +151,22 @@
         finally:
             self._writer.close()
 
+    def _create_protocol(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
+        )
+
+    def _apply_new_limits(self) -> None:
+        """Between two requests, apply limits that a configuration has changed."""
+        limits = self._server.limits()
+        if limits == self._limits:
+            return
+        self._limits = limits
+        unparsed, _ = self._protocol.trailing_data
+        self._protocol = self._create_protocol()
+        if unparsed:
+            self._protocol.receive_data(unparsed)
+
     async def _serve_request(self) -> bool:
         self.is_idle = True
         try:
@@ -292,6 +307,8 @@
         return False
 
     def _accept_data(self, data: bytes) -> bool:
+        if not self.is_receiving:
+            self._apply_new_limits()
         self._protocol.receive_data(data)
         if data:
             self.is_receiving = True
--- a/tests/test_serving_connections.py
+++ b/tests/test_serving_connections.py
@@ -297,3 +297,21 @@
             writer.close()
 
         self.run_scenario(scenario)
+
+    def test_limits_of_a_new_configuration_hold_on_kept_connections(self):
+        """Otherwise callers are refused by the limits of an old one."""
+        self.limits = ServerLimits(200, 10, 5.0, 5.0)
+
+        async def scenario(_server, port):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(REQUEST)
+            await reader.readuntil(b"\r\n\r\n")
+            self.limits = ServerLimits(2_000, 100, 5.0, 5.0)
+            writer.write(
+                b"POST /a HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 500 + b"\r\n"
+                b"Content-Length: 50\r\n\r\n" + b"z" * 50
+            )
+            self.assertIn(b" 200 ", await reader.readline())
+            writer.close()
+
+        self.run_scenario(scenario)
