Reset the connection of an aborted HTTP/1.0 response

A caller with HTTP/1.0 gets its body without chunks, ended by the connection's end. An aborted response closed the connection like a complete one, so a stream that was broken off looked whole. Now such a connection is reset; with HTTP/1.1 the missing last chunk tells, and no data on its way is discarded. Test before the change: "AssertionError: b'' == b''" (the end looked honest).

--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -10,6 +12,9 @@
 from .http1 import READ_BYTES, HeaderList, HttpRequest, HttpResponse
 
 MAX_REASON_CHARS = 200
+HTTP_WITHOUT_CHUNKS = b"1.0"
+# A `struct linger` with a timeout of 0 s.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Idle connections are closed so long after the limit that callers know, since what
 # they send at the limit is on its way for a while.
 IDLE_MARGIN_S = 0.5
@@ -79,8 +84,15 @@
         await self._flush(data)
 
     def abort(self) -> None:
-        """Close the connection without ending the response."""
+        """Close the connection without ending the response.
+
+        A body without chunks ends with its connection, which is then reset.
+        """
         self.aborted = True
+        if self._protocol.their_http_version == HTTP_WITHOUT_CHUNKS:
+            self._writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
         self._writer.transport.abort()
 
     async def _write(self, event: h11.Event) -> None:
--- a/tests/test_serving_connections.py
+++ b/tests/test_serving_connections.py
@@ -315,3 +315,33 @@
             writer.close()
 
         self.run_scenario(scenario)
+
+
+class AbortedResponseTest(ConnectionTest):
+    """Responses that are aborted."""
+
+    @parameterized.expand([("1.0",), ("1.1",)])
+    def test_aborted_response_does_not_look_complete(self, version):
+        """A body without chunks ends with its connection, so that is reset."""
+
+        async def handle(exchange: Exchange) -> None:
+            await exchange.start(200, [(b"transfer-encoding", b"chunked")])
+            await exchange.send(b"part")
+            await self.release.wait()
+            exchange.abort()
+
+        self.patch(self, "handle", handle)
+
+        async def scenario(_server, port):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(REQUEST.replace(b"HTTP/1.1", b"HTTP/" + version.encode()))
+            await reader.readuntil(b"part")
+            self.release.set()
+            try:
+                rest = await reader.read()
+            except ConnectionResetError:
+                rest = b"reset"
+            self.assertNotEqual(b"" if version == "1.0" else b"\r\n0\r\n\r\n", rest)
+            writer.close()
+
+        self.run_scenario(scenario)
