Take an answer that ends after its head for one that broke off

An answer with neither a length nor chunks ends with its connection. When a server ended between its head and its first byte, callers got 200 with an empty body, and a batch item was listed as done without a text.

Now such an answer without any byte is a failed attempt, unless it resumes a stream (nothing may be left) or can have no body.

Ruled out over real connections, for streams, whole bodies and batch items, with tests that passed before: a cut within an event, a reset (SO_LINGER 0) between and within events, and a time limit never look complete; an honest end does. Failed before: "502 != 200" (stream, body), "('failed', 0) != ('complete', 0)" (item).

--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -22,6 +22,7 @@
 # can still be sent to another endpoint in time.
 CONNECT_TIMEOUT_S = 0.15
 MISDIRECTED_REQUEST = 421
+BODILESS_STATUSES = (204, 304)
 # Response headers that are not forwarded to callers.
 INTERNAL_HEADERS = frozenset((b"content-length", wire.SERVER_LOAD, wire.NOT_RUN))
 
@@ -29,7 +30,9 @@
 class ServerResponse:
     """A response whose head has been checked; implements `EngineResponse`."""
 
-    def __init__(self, connection: ClientConnection, head: h11.Response) -> None:
+    def __init__(
+        self, connection: ClientConnection, head: h11.Response, *, may_be_empty: bool
+    ) -> None:
         self.status: int = head.status_code
         self.headers: HeaderList = [
             (name, value)
@@ -37,14 +40,19 @@
             if name not in INTERNAL_HEADERS
         ]
         self._connection: ClientConnection = connection
+        self._may_be_empty: bool = may_be_empty or _has_delimited_body(head)
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the body; the body is complete when the iteration ends."""
+        is_empty = True
         try:
             async for data in self._connection.read_body():
+                is_empty = False
                 yield data
         except HttpError as exc:
             raise AttemptFailedError(str(exc), reset=True) from exc
+        if is_empty and not self._may_be_empty:
+            raise AttemptFailedError("connection closed after the head", reset=True)
 
     def close(self) -> None:
         """Close the connection; the server then cancels the request."""
@@ -76,7 +84,9 @@
         except BaseException:
             connection.close()
             raise
-        return ServerResponse(connection, head)
+        # A resumed stream may have nothing left to send.
+        may_be_empty = call.resume_after is not None or call.method == "HEAD"
+        return ServerResponse(connection, head, may_be_empty=may_be_empty)
 
     async def refuses_connections(self, endpoint: Endpoint) -> bool:
         """Whether no connection to the endpoint's address can be opened."""
@@ -109,6 +119,16 @@
     return HttpRequest(call.method, call.target, headers, call.body)
 
 
+def _has_delimited_body(head: h11.Response) -> bool:
+    """Whether the end of the body can be told from the end of its connection."""
+    names = {name for name, _ in head.headers}
+    return (
+        b"content-length" in names
+        or b"transfer-encoding" in names
+        or head.status_code in BODILESS_STATUSES
+    )
+
+
 def _check_head(call: EngineCall, head: h11.Response) -> None:
     """Raise unless the expected server sent this response to this call."""
     headers = list(head.headers)
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -3,18 +3,22 @@
 import asyncio
 import itertools
 import json
+import socket
+import struct
 
+import msgspec
 from parameterized import parameterized
 
 from apricotquay.clocks import SystemClock
 from apricotquay.ids import RouteName, TeamId
 from apricotquay.platform.callers import CallerApi
+from apricotquay.platform.engines import ServerClient
 from apricotquay.quarantine import Quarantine
 from apricotquay.serving.attempts import AttemptRunner
 from apricotquay.serving.catalog import Configuration, Limits, Route, RouteKind, Team
 from apricotquay.serving.crashes import CrashDetector
 from apricotquay.serving.crashlog import CrashLog
-from apricotquay.serving.http1 import HttpRequest, HttpResponse
+from apricotquay.serving.http1 import HttpError, HttpRequest, HttpResponse
 from apricotquay.serving.httpclient import open_client
 from apricotquay.serving.httpserver import HttpServer, ServerLimits
 from apricotquay.serving.metrics import ServingMetrics
@@ -24,17 +28,20 @@
 
 from .base import ApricotTest
 from .test_serving_online import (
+    SERVICE,
     FakeRates,
     FakeSlots,
     FakeView,
     ScriptedEngines,
     ScriptedResponse,
+    event,
     route,
 )
 
 HOST = "127.0.0.1"
 LIMITS = ServerLimits(8_192, 65_536, 5.0, 5.0)
 REQUEST_ENDED, REQUEST_REFUSED, REQUEST_ABANDONED = 1601, 1604, 1606
+ROUTE_TIMEOUT_MS = 1_000
 JOB = json.dumps({"items": [{"id": "i", "path": "/b/1"}]}).encode()
 
 
@@ -141,6 +148,8 @@
     def setUp(self):
         super().setUp()
         self.log = RecordingLines()
+        self.kind = RouteKind.UNSAFE
+        self.endpoint_port = 1
         self.rates = FakeRates()
         self.slots = FakeSlots()
         self.jobs = FailingJobs(None)
@@ -150,9 +159,13 @@
         """Return the interface with the parts set so far."""
         clock = SystemClock()
         reporter = Reporter("vm", clock, self.log)
-        view = FakeView(route(RouteKind.UNSAFE))
+        tested_route = route(self.kind, timeout_ms=ROUTE_TIMEOUT_MS)
+        view = FakeView(tested_route)
+        for number, endpoint in enumerate(list(view.endpoints.serving(SERVICE))):
+            moved = msgspec.structs.replace(endpoint, port=self.endpoint_port)
+            view.endpoints.apply(moved.id, moved, 10 + number, 0.0)
         batch = Route(RouteName("b"), "h", "/b/", RouteKind.BATCH, (), due_after_ms=1)
-        routes = [route(RouteKind.UNSAFE), batch]
+        routes = [tested_route, batch]
         team = Team(TeamId("team"), frozenset({"key"}))
         view.configuration = Configuration(3, routes, [], [team], Limits())
         crash_log = CrashLog(MemoryLog(), "d", clock, reporter)
@@ -301,3 +314,99 @@
 
         self.run_scenario(scenario)
         self.assertEqual([number], self.log.numbers())
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Stamp: s\r\n"
+UNDELIMITED = HEAD + b"Connection: close\r\n\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+EVENTS = event(0) + event(1)
+CUT = event(0) + event(1)[:7]
+# Endings of a server's answer.
+HONEST, RESET, SILENT = "honest", "reset", "silent"
+
+
+class ServerAnswerTest(CallerApiTest):
+    """What callers get of answers that a real connection delivers or cuts off."""
+
+    def setUp(self):
+        super().setUp()
+        self.engines = ServerClient()
+
+    async def start_server(self, script: bytes, ending: str) -> None:
+        """Start an endpoint that sends a script and ends its connection."""
+
+        async def serve(reader, writer) -> None:
+            await reader.read(65_536)
+            writer.write(script)
+            await writer.drain()
+            # The daemon reads the script before the end.
+            await asyncio.sleep(0.05)
+            if ending == SILENT:
+                await reader.read()
+            if ending == RESET:
+                linger = struct.pack("ii", 1, 0)
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.close()
+
+        self.server = await asyncio.start_server(serve, HOST, 0)
+        self.endpoint_port = self.server.sockets[0].getsockname()[1]
+
+    def receive(self, kind: RouteKind, script: bytes, ending: str):
+        """Return the status and body that the caller gets; None if it is cut off."""
+        self.kind = kind
+
+        async def run():
+            await self.start_server(script, ending)
+            server = HttpServer(self.create_api().handle, lambda: LIMITS)
+            port = await server.start(HOST, 0)
+            try:
+                async with asyncio.timeout(20):
+                    response = await self.call(port, "POST", "/x/1")
+                    return response.status, response.body
+            except HttpError:
+                return None
+            finally:
+                await server.close()
+                self.server.close()
+
+        return asyncio.run(run())
+
+    @parameterized.expand(
+        [
+            ("complete", UNDELIMITED + EVENTS, HONEST, (200, EVENTS)),
+            ("cut within an event", UNDELIMITED + CUT, HONEST, None),
+            ("cut within the first event", UNDELIMITED + CUT[:9], HONEST, (502, None)),
+            ("closed after its head", UNDELIMITED, HONEST, (502, None)),
+            ("reset between events", UNDELIMITED + EVENTS, RESET, None),
+            ("reset within an event", UNDELIMITED + CUT, RESET, None),
+            ("silent between events", UNDELIMITED + EVENTS, SILENT, None),
+            ("silent within an event", UNDELIMITED + CUT, SILENT, None),
+            ("chunks, cut", CHUNKED + b"10\r\n" + event(0) + b"\r\n", HONEST, None),
+            ("chunks, none", CHUNKED + b"0\r\n\r\n", HONEST, (200, b"")),
+        ]
+    )
+    def test_cut_stream_does_not_look_complete(self, _name, script, ending, expected):
+        """The end of a stream without chunks is the end of its connection."""
+        received = self.receive(RouteKind.STREAMING, script, ending)
+        self.check(expected, received)
+
+    @parameterized.expand(
+        [
+            ("complete", UNDELIMITED + b"body", HONEST, (200, b"body")),
+            ("closed after its head", UNDELIMITED, HONEST, (502, None)),
+            ("reset", UNDELIMITED + b"body", RESET, (502, None)),
+            ("silent", UNDELIMITED + b"body", SILENT, (504, None)),
+        ]
+    )
+    def test_cut_body_does_not_look_complete(self, _name, script, ending, expected):
+        """The caller gets a failure in its place."""
+        self.check(expected, self.receive(RouteKind.UNSAFE, script, ending))
+
+    def check(self, expected, received) -> None:
+        """Compare; an expected body of None stands for any."""
+        if expected is None or expected[1] is not None:
+            self.assertEqual(expected, received)
+        else:
+            self.assertEqual(expected[0], received[0])
+        self.assertEqual([REQUEST_ENDED], self.log.numbers())
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import itertools
+import socket
+import struct
 
 from parameterized import parameterized
 
@@ -312,3 +314,59 @@
         outcome, sent = self.read_endless(CLOSED_HEAD, number_events(), read)
         self.assertEqual((FAILED, []), (outcome, progress.data))
         self.assertLess(sent, MAX_READ_BYTES)
+
+
+class CutItemTest(ApricotTest):
+    """Batch items whose answers have neither a length nor chunks."""
+
+    def read_item(self, script: bytes, resets: bool, resume_after: int | None):
+        """Return how the attempt ended and the events that were kept."""
+
+        async def serve(reader, writer) -> None:
+            await reader.read(65_536)
+            writer.write(script)
+            await writer.drain()
+            # The client reads the script before the end.
+            await asyncio.sleep(0.05)
+            if resets:
+                linger = struct.pack("ii", 1, 0)
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.close()
+
+        async def run():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            endpoint = Endpoint(
+                EndpointId("i-1"), ServiceName("llm"), "127.0.0.1", port
+            )
+            headers = [(b"host", b"h")]
+            call = EngineCall(
+                "a1", "POST", "/x", headers, b"", None, 1000, resume_after
+            )
+            progress = ItemProgress(None)
+            try:
+                answer = await ServerClient().send(call, endpoint)
+                await _read_output(answer, progress)
+                return COMPLETE, len(progress.data)
+            except AttemptFailedError:
+                return FAILED, len(progress.data)
+            finally:
+                server.close()
+
+        return asyncio.run(run())
+
+    @parameterized.expand(
+        [
+            ("complete", [0, 1], b"", False, None, (COMPLETE, 2)),
+            ("reset between events", [0, 1], b"", True, None, (FAILED, 2)),
+            ("cut within an event", [0, 1], b"id: 2\nda", False, None, (FAILED, 2)),
+            ("reset within an event", [0, 1], b"id: 2\nda", True, None, (FAILED, 2)),
+            ("closed after its head", [], b"", False, None, (FAILED, 0)),
+            ("resumed after its last event", [], b"", False, 7, (COMPLETE, 0)),
+        ]
+    )
+    def test_cut_item_is_not_done(self, _name, events, rest, resets, after, expected):
+        """The next attempt goes on after the events that came."""
+        script = CLOSED_HEAD + b"".join(b"id: %d\ndata: x\n\n" % n for n in events)
+        self.assertEqual(expected, self.read_item(script + rest, resets, after))
