End the wait for a slot whose owner queues the ticket and goes

Callers waited until their own time limit, though a slot was free.

Cause: a connection to the owner that closed just after the ticket was queued had already run its callbacks, so the one added then was never called; and an owner that hung while its connection stayed open was waited for without a limit of its own.

--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -259,10 +259,24 @@
         except (TimeoutError, PeerUnavailableError):
             self._retry_owner_at_s[owner] = self._clock.now_s() + OWNER_RETRY_DELAY_S
             return None
+        return await self._wait_for_decision(connection, ticket, waiter)
+
+    async def _wait_for_decision(
+        self, connection: PeerConnection, ticket: Ticket, waiter: _Waiter
+    ) -> Decision | None:
+        """Wait for the owner's decision on a queued ticket; None if none will come."""
         end_wait = _end_wait_of(waiter)
         connection.on_close.append(end_wait)
+        if not connection.is_open:
+            # It closed before `end_wait` was added, which is then never called.
+            end_wait()
+        remaining_s = max(0.0, ticket.slot_deadline_s - self._clock.now_s())
         try:
-            return await waiter.decision
+            async with asyncio.timeout(remaining_s + OWNER_ANSWER_TIMEOUT_S):
+                return await waiter.decision
+        except TimeoutError:
+            # The owner refuses late tickets itself unless it is overloaded or hangs.
+            return None
         finally:
             if end_wait in connection.on_close:
                 connection.on_close.remove(end_wait)
--- a/tests/test_serving_slots.py
+++ b/tests/test_serving_slots.py
@@ -11,6 +11,7 @@
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.dispatch import EndpointStatus, Work
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
+from apricotquay.serving.messages import AskSlot, SlotQueued
 from apricotquay.serving.outliers import SlotOutcome
 from apricotquay.serving.peers import Peers
 from apricotquay.serving.slots import SlotAllocator, SlotRequest, SlotUnavailableError
@@ -85,6 +86,29 @@
         self.slots.handle_message(connection, message)
 
 
+class QueueingOwner:
+    """A connection to an owner that queues each ticket and decides on none.
+
+    If it `closes`, that comes right after the ticket is queued.
+    """
+
+    def __init__(self, slots: SlotAllocator, closes: bool) -> None:
+        self.is_open = True
+        self.on_close: list = []
+        self._slots = slots
+        self._closes = closes
+
+    async def connect(self, _address: str) -> "QueueingOwner":
+        """Return the connection."""
+        return self
+
+    def send(self, message) -> None:
+        """Queue a ticket."""
+        if isinstance(message, AskSlot):
+            self._slots.handle_message(self, SlotQueued(message.ticket))
+            self.is_open = not self._closes
+
+
 class SlotAllocatorTest(ApricotTest):
     """Daemons with real connections on loopback."""
 
@@ -129,6 +153,25 @@
         self.patch(outliers, "EJECTION_BASE_S", 0.3)
         self.run_fleet(scenario, 4)
 
+    @parameterized.expand([("closes", True), ("never decides", False)])
+    def test_owner_that_queues_a_ticket_and_goes_leaves_no_wait_open(
+        self, _name, closes
+    ):
+        """The local table decides on its ticket."""
+
+        async def scenario(fleet) -> None:
+            daemon = fleet[0]
+            daemon.shards.believed_owner = "owner"
+            connection = QueueingOwner(daemon.slots, closes)
+            self.patch(daemon.peers, "connect", connection.connect)
+            now_s = SystemClock().now_s()
+            request = SlotRequest(Work.ONLINE, now_s + 0.2, now_s + 0.2)
+            async with asyncio.timeout(5):
+                lease = await daemon.slots.acquire(SERVICE, request)
+                self.assertIsNone(lease.owner)
+
+        self.run_fleet(scenario, 1)
+
     async def acquire(self, daemon: SlotDaemon, avoid: frozenset[str] = frozenset()):
         """Acquire a slot for an online request."""
         now_s = SystemClock().now_s()
