Refuse a job in time that waits behind another append

While the store was slow or silent, jobs for one partition were accepted one after the other, each at least one call later than the one before: the later ones got no answer before their callers left.

Cause: the deadline of a submission did not bound its wait for the append lock. Now a submission that does not get it in time is refused (503: nothing was appended). Test before the change: timed out after 5 s with a deadline of 0.1 s.

--- a/apricotquay/serving/partition.py
+++ b/apricotquay/serving/partition.py
@@ -124,30 +124,43 @@
         Raises JobRefusedError if it is certainly not accepted, JobOutcomeUnknownError
         if the outcome of an append is still unknown at `deadline_s`.
         """
+        remaining_s = max(0.0, deadline_s - self._clock.now_s())
+        try:
+            async with asyncio.timeout(remaining_s):
+                await self._append_lock.acquire()
+        except TimeoutError as exc:
+            raise JobRefusedError("other appends take long", over_cap=False) from exc
+        try:
+            await self._accept_locked(submission, path_prefix, deadline_s)
+        finally:
+            self._append_lock.release()
+
+    async def _accept_locked(
+        self, submission: Submission, path_prefix: str, deadline_s: float
+    ) -> None:
         *parts, last = _split_into_calls(encode_submission(submission))
         unknown = False
         must_catch_up = self._end is None
-        async with self._append_lock:
-            while True:
-                try:
-                    if must_catch_up:
-                        await self.catch_up()
-                    if self.table.find(submission.team, submission.id) is not None:
-                        return
-                    if not self.table.fits_backlog(submission, path_prefix):
-                        await self.catch_up()
-                        self._check_fits(submission, path_prefix, unknown)
-                    if parts:
-                        await self._upload(parts)
-                        parts = []
-                        continue
-                    await self._append(last)
-                except LogConflictError:
-                    must_catch_up = True
-                except LogError as exc:
-                    must_catch_up = True
-                    unknown |= isinstance(exc, LogOutcomeUnknownError)
-                    await self._wait_or_raise(exc, deadline_s, unknown)
+        while True:
+            try:
+                if must_catch_up:
+                    await self.catch_up()
+                if self.table.find(submission.team, submission.id) is not None:
+                    return
+                if not self.table.fits_backlog(submission, path_prefix):
+                    await self.catch_up()
+                    self._check_fits(submission, path_prefix, unknown)
+                if parts:
+                    await self._upload(parts)
+                    parts = []
+                    continue
+                await self._append(last)
+            except LogConflictError:
+                must_catch_up = True
+            except LogError as exc:
+                must_catch_up = True
+                unknown |= isinstance(exc, LogOutcomeUnknownError)
+                await self._wait_or_raise(exc, deadline_s, unknown)
 
     async def cancel(self, job: Job, deadline_s: float) -> None:
         """Cancel a job; raise LogError if the cancellation may not be stored."""
--- a/tests/test_serving_jobs.py
+++ b/tests/test_serving_jobs.py
@@ -171,6 +171,35 @@
 
         asyncio.run(run())
 
+    def test_submission_does_not_wait_behind_another_beyond_its_deadline(self):
+        """An append that hangs would leave those after it without an answer."""
+
+        async def scenario(log, open_partition):
+            partition = open_partition()
+            await partition.catch_up()
+            is_released = asyncio.Event()
+            append = log.append
+
+            async def hang(*args):
+                await is_released.wait()
+                return await append(*args)
+
+            self.patch(log, "append", hang)
+            first = asyncio.ensure_future(
+                partition.accept(submission("a"), "/batch/", self.deadline_s())
+            )
+            await asyncio.sleep(0)
+            async with asyncio.timeout(5):
+                deadline_s = self.clock.now_s() + 0.1
+                with self.assertRaises(partition_module.JobRefusedError) as caught:
+                    await partition.accept(submission("b"), "/batch/", deadline_s)
+            self.assertFalse(caught.exception.over_cap)
+            is_released.set()
+            await first
+            self.assertIsNone(partition.table.find(TEAM, JobId("b")))
+
+        self.run_scenario(scenario)
+
     def deadline_s(self) -> float:
         """Return a deadline that is too far away to be reached."""
         return self.clock.now_s() + 10.0
