Answer calls about jobs before their callers stop waiting

With a silent owner and a slow store, the waits of a call about a job added up (owner 0.7 s, replica 1 s, long poll 1 s, append 1 s and more) to more than its caller waits, which then saw neither an answer nor a refusal.

Now submissions and cancellations are answered within 0.9 of the caller's time limit (502: the outcome is not known), reads within 1.25 s of what they allow (503; their callers wait 1.5 s).

--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+import contextlib
 import urllib.parse
 
 import msgspec
@@ -36,6 +37,11 @@
 # Share of the caller's timeout within which a submission is answered.
 SUBMIT_TIMEOUT_SHARE = 0.75
 MAX_SUBMIT_TIMEOUT_S = 3.0
+# Share of the caller's timeout after which a call about a job is answered with an
+# error rather than not at all.
+ANSWER_TIMEOUT_SHARE = 0.9
+# Callers that read wait 1.5 s longer than they let the daemon wait.
+READ_TIMEOUT_S = 1.25
 BODILESS_STATUSES = (204, 304)
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 # Errors keep the status of their kind except where the platform's callers would
@@ -215,9 +221,13 @@
             _caller_timeout_ms(request) * SUBMIT_TIMEOUT_SHARE / 1000,
         )
         started_s = self._clock.now_s()
-        outcome = await self._jobs.submit(
-            submission, admission.route.path_prefix, wait_s
-        )
+        async with _answer_within(
+            _caller_timeout_ms(request) * ANSWER_TIMEOUT_SHARE / 1000,
+            ErrorKind.OUTCOME_UNKNOWN,
+        ):
+            outcome = await self._jobs.submit(
+                submission, admission.route.path_prefix, wait_s
+            )
         self._metrics.record_ms("job_accept", (self._clock.now_s() - started_s) * 1000)
         status = OUTCOME_STATUS[outcome]
         headers = [JSON_CONTENT_TYPE]
@@ -232,7 +242,11 @@
         team = self._authenticate(request)
         job = JobId(urllib.parse.unquote(path[len(JOB_RESULTS_PATH) :]))
         if request.method == "DELETE":
-            outcome = await self._jobs.cancel(team, job)
+            async with _answer_within(
+                _caller_timeout_ms(request) * ANSWER_TIMEOUT_SHARE / 1000,
+                ErrorKind.OUTCOME_UNKNOWN,
+            ):
+                outcome = await self._jobs.cancel(team, job)
             status = 404 if outcome == job_outcomes.UNKNOWN_JOB else 200
             await exchange.respond(HttpResponse(status, [JSON_CONTENT_TYPE], b"{}"))
             return
@@ -240,9 +254,11 @@
             raise RequestError(ErrorKind.BAD_REQUEST, "method not known here")
         after = _parse_number(urllib.parse.parse_qs(query).get("after", ["0"])[0])
         wait_ms = _parse_number(request.header(wire.LONG_POLL_MS) or "0")
-        page = await self._jobs.read(
-            team, job, after, min(wait_ms, MAX_LONG_POLL_MS) / 1000
-        )
+        wait_s = min(wait_ms, MAX_LONG_POLL_MS) / 1000
+        async with _answer_within(
+            wait_s + READ_TIMEOUT_S, ErrorKind.JOB_STORE_UNAVAILABLE
+        ):
+            page = await self._jobs.read(team, job, after, wait_s)
         if page.total < 0:
             raise RequestError(ErrorKind.JOB_UNKNOWN, "no such job")
         await exchange.respond(
@@ -255,7 +271,8 @@
         team = self._authenticate(request)
         job = JobId(urllib.parse.unquote(path[len(ITEM_BODY_PATH) :]))
         item = urllib.parse.parse_qs(query).get("id", [""])[0]
-        found = await self._jobs.read_body(team, job, item)
+        async with _answer_within(READ_TIMEOUT_S, ErrorKind.JOB_STORE_UNAVAILABLE):
+            found = await self._jobs.read_body(team, job, item)
         if not found.found:
             raise RequestError(ErrorKind.JOB_UNKNOWN, "no such item")
         headers = [(b"content-type", b"application/octet-stream")]
@@ -296,6 +313,16 @@
         )
 
 
+@contextlib.asynccontextmanager
+async def _answer_within(timeout_s: float, kind: ErrorKind):
+    """Raise a RequestError if a call about a job takes longer than its caller waits."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            yield
+    except TimeoutError as exc:
+        raise RequestError(kind, "no answer in time") from exc
+
+
 def _request_host(request: HttpRequest) -> str:
     host = request.header(b"host") or ""
     name, separator, port = host.rpartition(":")
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -197,6 +197,7 @@
     async def call(self, port: int, method: str, path: str, body=b"") -> HttpResponse:
         """Send a request and return the response."""
         headers = [(b"host", b"h"), (b"key", b"key"), (b"attempt-id", b"a1")]
+        headers.append((b"deadline-ms", b"2000"))
         connection = await open_client(HOST, port, 2.0)
         connection.send(HttpRequest(method, path, headers, body))
         try:
@@ -315,6 +316,22 @@
         self.run_scenario(scenario)
         self.assertEqual([number], self.log.numbers())
 
+    @parameterized.expand([(wait[0], *wait) for wait in WAITS[4:]])
+    def test_job_call_that_hangs_is_answered_before_its_caller_leaves(
+        self, _name, wait, method, path, status, number
+    ):
+        """The caller says how long it waits, or waits 1.5 s longer than it allows."""
+        self.use_failing(wait, None)
+
+        async def scenario(port):
+            body = JOB if path.startswith("/b/") else b""
+            async with asyncio.timeout(5):
+                response = await self.call(port, method, path, body)
+            self.assertEqual(status, response.status)
+
+        self.run_scenario(scenario)
+        self.assertEqual([number], self.log.numbers())
+
 
 HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Stamp: s\r\n"
 UNDELIMITED = HEAD + b"Connection: close\r\n\r\n"
