Let a lowered idle timeout hold for new connections only

Callers reuse a connection by the limit that they know; beside a configuration that lowers `idle_timeout_ms` their requests met connections that the daemon was closing.

Now a connection keeps at least the idle limit under which it was opened. Test before the change: `b' 200 ' not in b''`.

--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -140,6 +140,8 @@
         self._reader: asyncio.StreamReader = reader
         self._writer: asyncio.StreamWriter = writer
         self._limits: ServerLimits = server.limits()
+        # A lowered limit holds for new connections: callers may not know it yet.
+        self._first_idle_timeout_s: float = self._limits.idle_timeout_s
         self._protocol: h11.Connection = self._create_protocol()
         self.is_idle: bool = True
         self.is_receiving: bool = False
@@ -348,7 +350,7 @@
         limits = self._server.limits()
         if has_begun:
             return limits.header_timeout_s
-        return limits.idle_timeout_s + IDLE_MARGIN_S
+        return max(limits.idle_timeout_s, self._first_idle_timeout_s) + IDLE_MARGIN_S
 
     async def _reject(self, rejected: RequestRejectedError) -> None:
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
