--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -174,6 +174,8 @@
     ) -> None:
         may_have_run = request.method != "GET"
         error = interruption_error(repr(exc)[:200], may_have_run=may_have_run)
+        if may_have_run and not isinstance(exc, (OSError, asyncio.CancelledError)):
+            error = RequestError(ErrorKind.INTERNAL, error.message)
         self._report_refusal(request, path, error)
         if writer.has_started:
             writer.abort()
