Restart a background task whose wait another task cancelled

The same class as "caller left" elsewhere: a CancelledError of a future that another task had cancelled ended a supervised task for good and without a line: a batch item would never have run again at its owner, a follower would have stopped.

Now only a cancellation of the task itself ends it. Test before the change: "asyncio.exceptions.CancelledError" out of the supervised task. No place that cancels such a future is known.

--- a/apricotquay/serving/tasks.py
+++ b/apricotquay/serving/tasks.py
@@ -23,6 +23,10 @@
         try:
             await run()
             return
-        except Exception as exc:
+        except (Exception, asyncio.CancelledError) as exc:
+            is_cancelled = isinstance(exc, asyncio.CancelledError)
+            # A future that another task cancelled does not cancel this one.
+            if is_cancelled and asyncio.current_task().cancelling():
+                raise
             reporter.write(Event.THREAD_FAILED, task=name, error=repr(exc)[:200])
             await asyncio.sleep(RESTART_DELAY_S)
--- a/tests/test_serving_tasks.py
+++ b/tests/test_serving_tasks.py
@@ -4,6 +4,8 @@
 import base64
 import json
 
+from parameterized import parameterized
+
 from apricotquay.events import Event
 from apricotquay.serving import tasks as tasks_module
 from apricotquay.serving.tasks import start_task
@@ -16,7 +18,13 @@
 class TaskTest(ApricotTest):
     """Supervised background tasks."""
 
-    def test_failed_task_is_logged_and_restarted(self):
+    @parameterized.expand(
+        [
+            ("error", KeyError("unexpected")),
+            ("future cancelled by another task", asyncio.CancelledError()),
+        ]
+    )
+    def test_failed_task_is_logged_and_restarted(self, _name, error):
         """A single error must not permanently stop a background task."""
         self.patch(tasks_module, "RESTART_DELAY_S", 0.001)
         logged = []
@@ -27,7 +35,7 @@
         async def work() -> None:
             runs.append(1)
             if len(runs) < 3:
-                raise KeyError("unexpected")
+                raise error
 
         async def run() -> None:
             async with asyncio.timeout(10):
@@ -37,6 +45,19 @@
         self.assertEqual(3, len(runs))
         self.assertEqual([(Event.THREAD_FAILED, "work")] * 2, logged)
 
+    def test_cancelled_task_is_not_restarted(self):
+        """It is how a daemon stops its tasks."""
+
+        async def run() -> None:
+            task = start_task("work", asyncio.Event().wait, quiet_reporter())
+            await asyncio.sleep(0)
+            task.cancel()
+            async with asyncio.timeout(10):
+                await asyncio.wait([task])
+            self.assertTrue(task.cancelled())
+
+        asyncio.run(run())
+
 
 class UnexpectedErrorTest(PlatformTest):
     """Unexpected errors while handling requests and batch items."""
