Answer an unexpected error of an endpoint's connection in the threaded daemon

Cause, of the same class as in the event-loop daemon: an exception that is not a RequestError passed the stream's generator into the HTTP library, which drops an OSError like ECONNRESET in silence, as if it were the caller's connection.

Tests before the change: 4 of 4 raised the bare error. urllib3 converts the errors of its sockets, so no case in production is known.

--- a/apricotquay/online.py
+++ b/apricotquay/online.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+import traceback
 from collections.abc import Iterator
 
 import msgspec
@@ -112,6 +113,9 @@
         except RequestError as exc:
             progress.failure = exc
             raise
+        except Exception as exc:
+            progress.failure = self._unexpected_error(exc)
+            raise progress.failure from exc
         finally:
             with self._lock:
                 self._running.pop(request.id, None)
@@ -134,10 +138,26 @@
         except RequestError as exc:
             progress.failure = exc
             raise
+        except Exception as exc:
+            progress.failure = self._unexpected_error(exc)
+            raise progress.failure from exc
         finally:
             self._report_result(request, progress)
         return response
 
+    def _unexpected_error(self, exc: Exception) -> RequestError:
+        """Return the error of a request that ends with an unexpected exception.
+
+        The HTTP library would take an OSError for the caller's leaving.
+        """
+        # The message may contain parts of a request, so only the location is logged.
+        frame = traceback.extract_tb(exc.__traceback__)[-1]
+        location = f"{frame.filename.rpartition('/')[2]}:{frame.lineno}"
+        self._events.write(
+            Event.THREAD_FAILED, task="request", error=type(exc).__name__, at=location
+        )
+        return RequestError(ErrorKind.INTERNAL, "the request failed in the daemon")
+
     def running_count(self) -> int:
         """Return the number of running streams."""
         with self._lock:
