--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -1,7 +1,9 @@
 """HTTP interface of the event-loop daemon to callers: online requests, batch jobs."""
 
+import asyncio
 import base64
 import binascii
+import contextlib
 import urllib.parse
 
 import msgspec
@@ -20,7 +22,12 @@
 from ..serving.metrics import ServingMetrics
 from ..serving.online import OnlineRequestHandler
 from ..serving.reporting import Reporter
-from ..serving.requests import Admission, OnlineRequest
+from ..serving.requests import (
+    Admission,
+    OnlineRequest,
+    acknowledge_cancellation,
+    interruption_error,
+)
 from . import wire
 
 JOB_RESULTS_PATH = "/-/lots/"
@@ -30,11 +37,18 @@
 # Share of the caller's timeout within which a submission is answered.
 SUBMIT_TIMEOUT_SHARE = 0.75
 MAX_SUBMIT_TIMEOUT_S = 3.0
+# Share of the caller's timeout after which a call about a job is answered with an
+# error rather than not at all.
+ANSWER_TIMEOUT_SHARE = 0.9
+# Callers that read wait 1.5 s longer than they let the daemon wait.
+READ_TIMEOUT_S = 1.25
 BODILESS_STATUSES = (204, 304)
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 # Errors keep the status of their kind except where the platform's callers would
 # misread it: a quarantined request is refused as one that has not run.
 STATUS_OVERRIDES = {ErrorKind.REQUEST_QUARANTINED: 503}
+# Status that promises the caller that its request has not run.
+NOT_RUN_STATUS = 503
 OUTCOME_STATUS = {
     job_outcomes.DONE: 202,
     job_outcomes.OVER_CAP: 429,
@@ -62,6 +76,12 @@
     def __init__(self, exchange: Exchange) -> None:
         self._exchange: Exchange = exchange
         self.has_started: bool = False
+        self.is_logged: bool = False
+
+    @property
+    def caller_left(self) -> bool:
+        """Whether the caller has closed its connection."""
+        return self._exchange.caller_left
 
     async def start(self, status: int, headers: HeaderList) -> None:
         """Send the status and headers; the body is sent with chunked encoding."""
@@ -91,6 +111,8 @@
 def error_response(error: RequestError) -> HttpResponse:
     """Return the response for an error."""
     status = STATUS_OVERRIDES.get(error.kind, error.status)
+    if error.kind is ErrorKind.INTERNAL and error.ran is Ran.NOT_RUN:
+        status = NOT_RUN_STATUS
     headers = [JSON_CONTENT_TYPE]
     if error.retry_after_ms and error.ran is Ran.NOT_RUN:
         headers.append((b"retry-after", f"{error.retry_after_ms / 1000:.3f}".encode()))
@@ -130,16 +152,30 @@
             )
             self._report_refusal(request, path, error)
             await writer.refuse(error)
-        except (CallerDisconnectedError, OSError):
+        except CallerDisconnectedError as exc:
+            self._report_abandoned(request, path, writer, exc)
             raise
+        except asyncio.CancelledError as exc:
+            if exchange.caller_left:
+                self._report_abandoned(request, path, writer, exc)
+                raise
+            acknowledge_cancellation()
+            await self._handle_unexpected_error(request, path, writer, exc)
         except Exception as exc:
             # An unexpected error ends this request only; the daemon keeps running.
             await self._handle_unexpected_error(request, path, writer, exc)
 
     async def _handle_unexpected_error(
-        self, request: HttpRequest, path: str, writer: ExchangeWriter, exc: Exception
+        self,
+        request: HttpRequest,
+        path: str,
+        writer: ExchangeWriter,
+        exc: BaseException,
     ) -> None:
-        error = RequestError(ErrorKind.INTERNAL, repr(exc)[:200])
+        may_have_run = request.method != "GET"
+        error = interruption_error(repr(exc)[:200], may_have_run=may_have_run)
+        if may_have_run and not isinstance(exc, (OSError, asyncio.CancelledError)):
+            error = RequestError(ErrorKind.INTERNAL, error.message)
         self._report_refusal(request, path, error)
         if writer.has_started:
             writer.abort()
@@ -167,6 +203,7 @@
             await self._handle_submission(exchange, request, host, path, admission)
             return
         online = _build_online_request(request, host, path, key, self._clock.now_s())
+        writer.is_logged = True
         await self._online.serve(online, admission, writer)
 
     async def _handle_submission(
@@ -186,9 +223,13 @@
             _caller_timeout_ms(request) * SUBMIT_TIMEOUT_SHARE / 1000,
         )
         started_s = self._clock.now_s()
-        outcome = await self._jobs.submit(
-            submission, admission.route.path_prefix, wait_s
-        )
+        async with _answer_within(
+            _caller_timeout_ms(request) * ANSWER_TIMEOUT_SHARE / 1000,
+            ErrorKind.OUTCOME_UNKNOWN,
+        ):
+            outcome = await self._jobs.submit(
+                submission, admission.route.path_prefix, wait_s
+            )
         self._metrics.record_ms("job_accept", (self._clock.now_s() - started_s) * 1000)
         status = OUTCOME_STATUS[outcome]
         headers = [JSON_CONTENT_TYPE]
@@ -203,7 +244,11 @@
         team = self._authenticate(request)
         job = JobId(urllib.parse.unquote(path[len(JOB_RESULTS_PATH) :]))
         if request.method == "DELETE":
-            outcome = await self._jobs.cancel(team, job)
+            async with _answer_within(
+                _caller_timeout_ms(request) * ANSWER_TIMEOUT_SHARE / 1000,
+                ErrorKind.OUTCOME_UNKNOWN,
+            ):
+                outcome = await self._jobs.cancel(team, job)
             status = 404 if outcome == job_outcomes.UNKNOWN_JOB else 200
             await exchange.respond(HttpResponse(status, [JSON_CONTENT_TYPE], b"{}"))
             return
@@ -211,9 +256,11 @@
             raise RequestError(ErrorKind.BAD_REQUEST, "method not known here")
         after = _parse_number(urllib.parse.parse_qs(query).get("after", ["0"])[0])
         wait_ms = _parse_number(request.header(wire.LONG_POLL_MS) or "0")
-        page = await self._jobs.read(
-            team, job, after, min(wait_ms, MAX_LONG_POLL_MS) / 1000
-        )
+        wait_s = min(wait_ms, MAX_LONG_POLL_MS) / 1000
+        async with _answer_within(
+            wait_s + READ_TIMEOUT_S, ErrorKind.JOB_STORE_UNAVAILABLE
+        ):
+            page = await self._jobs.read(team, job, after, wait_s)
         if page.total < 0:
             raise RequestError(ErrorKind.JOB_UNKNOWN, "no such job")
         await exchange.respond(
@@ -226,7 +273,8 @@
         team = self._authenticate(request)
         job = JobId(urllib.parse.unquote(path[len(ITEM_BODY_PATH) :]))
         item = urllib.parse.parse_qs(query).get("id", [""])[0]
-        found = await self._jobs.read_body(team, job, item)
+        async with _answer_within(READ_TIMEOUT_S, ErrorKind.JOB_STORE_UNAVAILABLE):
+            found = await self._jobs.read_body(team, job, item)
         if not found.found:
             raise RequestError(ErrorKind.JOB_UNKNOWN, "no such item")
         headers = [(b"content-type", b"application/octet-stream")]
@@ -235,6 +283,24 @@
     def _authenticate(self, request: HttpRequest) -> TeamId:
         return self._online.team_of(request.header(wire.CALLER_KEY))
 
+    def _report_abandoned(
+        self,
+        request: HttpRequest,
+        path: str,
+        writer: ExchangeWriter,
+        exc: BaseException,
+    ) -> None:
+        if writer.is_logged:
+            return
+        self._metrics.count("requests_abandoned")
+        self._reporter.write(
+            Event.REQUEST_ABANDONED,
+            request=request.header(wire.REQUEST_ID),
+            path=path,
+            version=self._online.version,
+            reason=repr(exc)[:80],
+        )
+
     def _report_refusal(
         self, request: HttpRequest, path: str, error: RequestError
     ) -> None:
@@ -249,6 +315,16 @@
         )
 
 
+@contextlib.asynccontextmanager
+async def _answer_within(timeout_s: float, kind: ErrorKind):
+    """Raise a RequestError if a call about a job takes longer than its caller waits."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            yield
+    except TimeoutError as exc:
+        raise RequestError(kind, "no answer in time") from exc
+
+
 def _request_host(request: HttpRequest) -> str:
     host = request.header(b"host") or ""
     name, separator, port = host.rpartition(":")
--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -2,12 +2,29 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import h11
 import msgspec
 
-from .http1 import READ_BYTES, HeaderList, HttpError, HttpRequest, HttpResponse
+from .http1 import READ_BYTES, HeaderList, HttpRequest, HttpResponse
+
+MAX_REASON_CHARS = 200
+HTTP_WITHOUT_CHUNKS = b"1.0"
+# A `struct linger` with a timeout of 0 s.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Idle connections are closed so long after the limit that callers know, since what
+# they send at the limit is on its way for a while.
+IDLE_MARGIN_S = 0.5
+# How long cancelled handlers may take to respond when the server stops.
+STOP_TIMEOUT_S = 0.2
+# How long and how much is read of a request that was refused.
+DISCARD_TIMEOUT_S = 1.0
+MAX_DISCARD_BYTES = 4 * 1024 * 1024
+# Rounds of the event loop after which everything that has arrived can be read.
+POLL_ROUNDS = 2
 
 
 class CallerDisconnectedError(Exception):
@@ -32,6 +49,7 @@
         self._writer: asyncio.StreamWriter = writer
         self.request: HttpRequest = request
         self.aborted: bool = False
+        self.caller_left: bool = False
         self._should_close: Callable[[], bool] = should_close
 
     async def start(self, status: int, headers: HeaderList) -> None:
@@ -66,8 +84,15 @@
         await self._flush(data)
 
     def abort(self) -> None:
-        """Close the connection without ending the response."""
+        """Close the connection without ending the response.
+
+        A body without chunks ends with its connection, which is then reset.
+        """
         self.aborted = True
+        if self._protocol.their_http_version == HTTP_WITHOUT_CHUNKS:
+            self._writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
         self._writer.transport.abort()
 
     async def _write(self, event: h11.Event) -> None:
@@ -75,12 +100,14 @@
 
     async def _flush(self, data: bytes | None) -> None:
         if self._writer.is_closing():
+            self.caller_left = True
             raise CallerDisconnectedError
         if data:
             self._writer.write(data)
         try:
             await self._writer.drain()
         except OSError as exc:
+            self.caller_left = True
             raise CallerDisconnectedError from exc
 
 
@@ -113,43 +140,73 @@
         self._reader: asyncio.StreamReader = reader
         self._writer: asyncio.StreamWriter = writer
         self._limits: ServerLimits = server.limits()
-        self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
-        )
+        # A lowered limit holds for new connections: callers may not know it yet.
+        self._first_idle_timeout_s: float = self._limits.idle_timeout_s
+        self._protocol: h11.Connection = self._create_protocol()
         self.is_idle: bool = True
+        self.is_receiving: bool = False
+        self._handler: asyncio.Task | None = None
 
     async def run(self) -> None:
         """Serve requests until the connection is closed."""
         try:
             while await self._serve_request():
                 self._protocol.start_next_cycle()
+                self._apply_new_limits()
         except RequestRejectedError as exc:
+            self._server.on_failure(str(exc), exc.status)
+            self.is_receiving = False
             await self._reject(exc)
-        except (CallerDisconnectedError, OSError, HttpError, TimeoutError):
+        except CallerDisconnectedError:
             # There is no one to respond to; handlers log the outcome of requests.
             pass
+        except Exception as exc:
+            self._server.on_failure(repr(exc)[:MAX_REASON_CHARS], None)
         finally:
             self._writer.close()
 
+    def _create_protocol(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
+        )
+
+    def _apply_new_limits(self) -> None:
+        """Between two requests, apply limits that a configuration has changed."""
+        limits = self._server.limits()
+        if limits == self._limits:
+            return
+        self._limits = limits
+        unparsed, _ = self._protocol.trailing_data
+        self._protocol = self._create_protocol()
+        if unparsed:
+            self._protocol.receive_data(unparsed)
+
     async def _serve_request(self) -> bool:
         self.is_idle = True
-        request = await self._read_request()
+        try:
+            request = await self._read_request()
+        except OSError as exc:
+            self._report_closed(f"connection broke: {exc}")
+            return False
         if request is None:
+            self._report_closed("closed by the caller")
             return False
-        self.is_idle = False
+        self.is_idle = self.is_receiving = False
         exchange = Exchange(
             self._protocol, self._writer, request, lambda: self._server.is_draining
         )
         await self._handle_exchange(exchange)
-        is_done = self._protocol.our_state is h11.DONE
-        return is_done and not exchange.aborted and not self._server.is_draining
+        # While draining, a connection is kept until a response has said that it closes.
+        return self._protocol.our_state is h11.DONE and not exchange.aborted
 
     async def _handle_exchange(self, exchange: Exchange) -> None:
         handler = asyncio.ensure_future(self._server.handler(exchange))
+        self._handler = handler
         monitor = asyncio.ensure_future(self._wait_for_disconnect())
         try:
             await asyncio.wait({handler, monitor}, return_when=asyncio.FIRST_COMPLETED)
             if not handler.done():
+                exchange.caller_left = True
                 handler.cancel()
                 with contextlib.suppress(
                     asyncio.CancelledError, CallerDisconnectedError
@@ -164,9 +221,10 @@
                 await monitor
 
     async def _wait_for_disconnect(self) -> None:
-        """Return when the caller disconnects or has sent too much data.
+        """Return when the caller disconnects.
 
-        Pipelined data is kept for the next request, up to the limit of a body.
+        Pipelined data is kept for the next request, up to the limit of a body; the
+        rest waits in the socket, and the caller's leaving is then not noticed.
         """
         while True:
             data = await self._reader.read(READ_BYTES)
@@ -174,7 +232,23 @@
                 return
             self._protocol.receive_data(data)
             if len(self._protocol.trailing_data[0]) > self._limits.max_body_bytes:
-                return
+                await asyncio.get_running_loop().create_future()
+
+    def stop_handler(self) -> bool:
+        """Cancel the handler, which may still respond; return whether one runs."""
+        if self._handler is None or self._handler.done():
+            return False
+        return self._handler.cancel()
+
+    def report_stop(self) -> None:
+        """Report a request that the server's stop keeps from being read whole."""
+        if self.is_receiving:
+            self._server.on_failure("closed by the daemon's stop", None)
+
+    def _report_closed(self, reason: str) -> None:
+        """Report the end of the connection if it is within a request."""
+        if self.is_receiving:
+            self._server.on_failure(reason, None)
 
     async def _read_request(self) -> HttpRequest | None:
         head = None
@@ -228,26 +302,55 @@
     async def _receive(self, in_request: bool) -> bool:
         """Read more data; return False if the connection ended or idled out."""
         has_begun = in_request or bool(self._protocol.trailing_data[0])
+        self.is_receiving = has_begun
+        self.is_idle = not has_begun
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         while (
             remaining_s := self._read_timeout_s(has_begun) - (loop.time() - started_s)
         ) > 0:
-            try:
-                async with asyncio.timeout(remaining_s):
-                    data = await self._reader.read(READ_BYTES)
-            except TimeoutError:
-                # The limit may have been raised during the wait, which then continues.
-                continue
-            self._protocol.receive_data(data)
-            return bool(data)
+            # The limit may be raised during the wait, which then continues.
+            data = await self._read_within(remaining_s)
+            if data is not None:
+                return self._accept_data(data)
+        data = await self._read_arrived()
+        if data is not None:
+            return self._accept_data(data)
         if has_begun:
             raise RequestRejectedError(408, "timed out while receiving the request")
         return False
 
+    def _accept_data(self, data: bytes) -> bool:
+        if not self.is_receiving:
+            self._apply_new_limits()
+        self._protocol.receive_data(data)
+        if data:
+            self.is_receiving = True
+            self.is_idle = False
+        return bool(data)
+
+    async def _read_within(self, timeout_s: float) -> bytes | None:
+        """Read more data; return None if none comes in time."""
+        try:
+            async with asyncio.timeout(timeout_s) as timeout:
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            if not timeout.expired():
+                # The connection's own error; each further read would raise it too.
+                raise
+            return None
+
+    async def _read_arrived(self) -> bytes | None:
+        """Read what has arrived by now; a busy loop handles it with the timeout."""
+        for _ in range(POLL_ROUNDS):
+            await asyncio.sleep(0)
+        return await self._read_within(0)
+
     def _read_timeout_s(self, has_begun: bool) -> float:
         limits = self._server.limits()
-        return limits.header_timeout_s if has_begun else limits.idle_timeout_s
+        if has_begun:
+            return limits.header_timeout_s
+        return max(limits.idle_timeout_s, self._first_idle_timeout_s) + IDLE_MARGIN_S
 
     async def _reject(self, rejected: RequestRejectedError) -> None:
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -260,27 +363,55 @@
         self._writer.write(data)
         with contextlib.suppress(OSError):
             await self._writer.drain()
+            await self._discard_rest()
+
+    async def _discard_rest(self) -> None:
+        """Discard what the caller still sends, within limits.
+
+        Closing with unread data resets the connection, and a reset may overtake the
+        refusal that was just sent.
+        """
+        self._writer.write_eof()
+        size = 0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                while size < MAX_DISCARD_BYTES:
+                    data = await self._reader.read(READ_BYTES)
+                    if not data:
+                        return
+                    size += len(data)
 
 
 class HttpServer:
-    """HTTP server of the event-loop daemon, which creates one for each address."""
+    """HTTP server of the event-loop daemon, which creates one for each address.
+
+    `on_failure` is told of each connection that is closed before a request on it has
+    been read whole or by an error of a handler: why, and the status of the refusal.
+    """
 
     def __init__(
         self,
         handler: Callable[["Exchange"], Awaitable[None]],
         limits: Callable[[], ServerLimits],
+        on_failure: Callable[[str, int | None], None] = lambda reason, status: None,
     ) -> None:
         self.handler = handler
         self.limits = limits
+        self.on_failure = on_failure
         self.is_draining: bool = False
         self._server: asyncio.Server | None = None
         self._connections: dict[ServerConnection, asyncio.Task] = {}
 
     @property
     def busy_count(self) -> int:
-        """Number of connections with a request in progress."""
+        """Number of connections with a request that is received or in progress."""
         return sum(1 for c in self._connections if not c.is_idle)
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
     async def start(self, host: str, port: int) -> int:
         """Listen and return the port."""
         self._server = await asyncio.start_server(self._accept, host, port, backlog=512)
@@ -291,9 +422,13 @@
         self.is_draining = True
 
     async def close(self) -> None:
-        """Stop listening and close all connections."""
+        """Stop listening, let handlers refuse their requests, and close."""
         if self._server is not None:
             self._server.close()
+        self.is_draining = True
+        busy = [task for c, task in self._connections.items() if c.stop_handler()]
+        if busy:
+            await asyncio.wait(busy, timeout=STOP_TIMEOUT_S)
         for task in list(self._connections.values()):
             task.cancel()
         await asyncio.sleep(0)
@@ -304,6 +439,7 @@
         try:
             await connection.run()
         except asyncio.CancelledError:
+            connection.report_stop()
             writer.transport.abort()
         finally:
             del self._connections[connection]
