--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -147,7 +147,7 @@
 class FakeView:
     """A configuration with one route, and the endpoints of its service."""
 
-    def __init__(self, route: Route, endpoint_count: int) -> None:
+    def __init__(self, route: Route, endpoint_count: int = 3) -> None:
         team = Team(TeamId("team"), frozenset({"key"}))
         self.configuration = Configuration(3, [route], [], [team], Limits())
         self.endpoints = EndpointTable()
