Send a request elsewhere if an endpoint's address cannot be used

A listing by another writer with a port over 65535 or a host that is no address ended requests with 500, though other endpoints could run them: OverflowError and UnicodeError passed the client. Such an endpoint now counts as unreachable. Tests before the change: "OverflowError: connect(): port must be 0-65535" and "UnicodeError: label empty or too long" out of the attempt.

--- a/apricotquay/serving/httpclient.py
+++ b/apricotquay/serving/httpclient.py
@@ -111,6 +111,7 @@
             reader, writer = await asyncio.open_connection(host, port)
     except TimeoutError as exc:
         raise HttpError("connect timed out", sent=False, timed_out=True) from exc
-    except OSError as exc:
+    except (OSError, ValueError, OverflowError) as exc:
+        # The latter two are those of an address that no connection can have.
         raise HttpError(f"connect failed: {exc}", sent=False) from exc
     return ClientConnection(reader, writer)
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -181,6 +181,14 @@
         self.assertIn(b"last-event-id: 7\r\n", received)
         self.assertNotIn(b"last-event-id: 3\r\n", received)
 
+    @parameterized.expand([("127.0.0.1", 99_999), ("a..b", 80), ("x" * 70, 80)])
+    def test_address_that_cannot_be_used_counts_as_not_run(self, host, port):
+        """An entry of another writer must not fail requests that others can run."""
+        endpoint = Endpoint(EndpointId("i-1"), ServiceName("llm"), host, port)
+        with self.assertRaises(RequestNotRunError) as caught:
+            asyncio.run(ServerClient().send(self.call(), endpoint))
+        self.assertTrue(caught.exception.unreachable)
+
     def test_refused_connection_counts_as_not_run(self):
         """The endpoint is reported as unreachable."""
 
