--- a/apricotquay/serving/promptparts.py
+++ b/apricotquay/serving/promptparts.py
@@ -27,8 +27,9 @@
 
 import collections
 import hashlib
-from collections.abc import Iterable, Iterator, Sequence
-from typing import NewType
+import math
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from typing import NamedTuple, NewType
 
 import msgspec
 
@@ -55,8 +56,6 @@
 # A request cut by a crash is sent again while its parts ran at fewer crashes.
 CRASHES_TO_STOP_RETRIES = 2
 
-_ANY_MODEL = ""
-
 
 def part_key(model: str, part_id: str) -> PartKey:
     """Return the key of a part under a model; long ids are shortened to a digest."""
@@ -65,13 +64,13 @@
     return PartKey(f"{part_id}@{model}")
 
 
-def _any_model(part: PartKey) -> PartKey:
-    """Return the key of the same part under any model, as groups hold them."""
-    return PartKey(part[: part.rindex("@") + 1])
+def _name(part: PartKey) -> PartKey:
+    """Return the key of a part without its model, as conclusions hold it."""
+    return PartKey(part[: part.rfind("@") + 1] or f"{part}@")
 
 
-def _model_of(part: PartKey) -> str:
-    return part[part.rindex("@") + 1 :]
+def _by_name(parts: Iterable[PartKey]) -> dict[PartKey, PartKey]:
+    return {_name(part): part for part in parts}
 
 
 class PartsAtCrash(msgspec.Struct, frozen=True):
@@ -81,169 +80,269 @@
     parts: list[PartKey]
 
 
+class _Pattern(NamedTuple):
+    """A request that ran at a crash: its parts that have not completed, by name."""
+
+    fingerprint: str
+    held: dict[PartKey, PartKey]
+
+    def holds(self, group: frozenset[PartKey]) -> bool:
+        """Whether the request holds all parts of a group."""
+        return group <= self.held.keys()
+
+
 class _Crash:
-    """A crash and what may have caused it: parts by model, of each request."""
+    """A crash of an endpoint and the parts that may have caused it."""
 
     def __init__(self, start: str, at_s: float) -> None:
         self.start: str = start
         self.at_s: float = at_s
-        self.requests: set[tuple[str, frozenset[PartKey]]] = set()
+        self._requests: set[tuple[str, frozenset[PartKey]]] = set()
+        self._patterns: list[_Pattern] | None = None
 
-    def add(self, fingerprint: str, parts: Iterable[PartKey]) -> None:
-        """Add a request that ran there."""
+    def add(self, fingerprint: str, parts: Iterable[PartKey]) -> bool:
+        """Add a request that ran there; return whether that is new."""
         request = (fingerprint, frozenset(parts))
-        if request[1] and len(self.requests) < MAX_REQUESTS_PER_CRASH:
-            self.requests.add(request)
+        if not request[1] or request in self._requests:
+            return False
+        if len(self._requests) >= MAX_REQUESTS_PER_CRASH:
+            return False
+        self._requests.add(request)
+        self._patterns = None
+        return True
 
     def discard(self, part: PartKey) -> None:
         """Remove a part that is not the cause."""
-        requests, self.requests = self.requests, set()
+        requests, self._requests = self._requests, set()
         for fingerprint, parts in requests:
             self.add(fingerprint, parts - {part})
-
-    def patterns(self) -> list[tuple[str, frozenset[PartKey]]]:
-        """Return the fingerprints and parts under any model of its requests."""
-        return [(f, frozenset(map(_any_model, parts))) for f, parts in self.requests]
+        self._patterns = None
 
     def parts(self) -> set[PartKey]:
-        """Return the parts by model."""
-        return {part for _, parts in self.requests for part in parts}
+        """Return the parts that may have caused it, by model."""
+        return {part for _, parts in self._requests for part in parts}
+
+    def patterns(self) -> list[_Pattern]:
+        """Return its requests, in the same order at all daemons."""
+        if self._patterns is None:
+            self._patterns = [
+                _Pattern(fingerprint, _by_name(parts))
+                for fingerprint, parts in sorted(
+                    self._requests, key=lambda r: (r[0], sorted(r[1]))
+                )
+            ]
+        return self._patterns
+
+
+def _moment(crash: _Crash) -> tuple[float, str]:
+    """Return the sort key of crashes, the same at all daemons."""
+    return crash.at_s, crash.start
 
 
 class _Conclusion:
-    """A group of parts; requests that hold all of them are refused."""
+    """A group of parts that crashes endpoints, so requests with all of it are refused.
+
+    `evidence_s` is the time of the last crash that counts for it.
+    """
 
-    def __init__(self, group: frozenset[PartKey], until_s: float, times: int) -> None:
+    def __init__(
+        self, group: frozenset[PartKey], at_s: float, until_s: float, times: int
+    ) -> None:
         self.group: frozenset[PartKey] = group
+        self.at_s: float = at_s
         self.until_s: float = until_s
         self.times: int = times
+        self.evidence_s: float = at_s
         self.crashes: set[str] = set()
-        self.cleared: set[PartKey] = set()
+        # Whether crashes known here led to it, not only another daemon's word.
+        self.is_own: bool = False
 
-    def renew(self, at_s: float) -> None:
-        """Conclude again for a crash after the end."""
-        if at_s >= self.until_s:
+    def copy(self) -> "_Conclusion":
+        """Return a copy without the crashes, which are counted anew."""
+        copy = _Conclusion(self.group, self.at_s, self.until_s, self.times)
+        copy.evidence_s = self.evidence_s
+        copy.is_own = self.is_own
+        return copy
+
+    def add(self, crash: _Crash) -> None:
+        """Count a crash; conclude again if the quarantine had ended."""
+        self.crashes.add(crash.start)
+        self.evidence_s = max(self.evidence_s, crash.at_s)
+        if crash.at_s >= self.until_s:
             self.times += 1
-            self.until_s = at_s + _duration_s(self.times)
+            self.is_own = True
+            self.at_s = crash.at_s
+            self.until_s = crash.at_s + _quarantine_s(self.times)
 
 
-def _duration_s(times: int) -> float:
+def _quarantine_s(times: int) -> float:
+    """Return how long a group is refused when it is concluded for the nth time."""
     return min(FIRST_QUARANTINE_S * 2.0 ** min(times - 1, 20), MAX_QUARANTINE_S)
 
 
+def _times_of(quarantine_s: float) -> int:
+    """Return how many times a group was concluded that is refused for so long."""
+    ratio = max(quarantine_s / FIRST_QUARANTINE_S, 1.0)
+    return 1 + round(math.log2(ratio))
+
+
+def _largest(groups: Iterable[frozenset[PartKey]]) -> set[frozenset[PartKey]]:
+    """Return the groups that are part of no other, at most MAX_PATTERNS."""
+    largest: list[frozenset[PartKey]] = []
+    for group in sorted(groups, key=lambda g: (-len(g), sorted(g))):
+        if group and not any(group <= other for other in largest):
+            largest.append(group)
+    return set(largest[:MAX_PATTERNS])
+
+
 class _Judgement:
-    """Judges crashes one after the other, in the order in which they happened."""
+    """Judges crashes one after the other, in the order in which they happened.
 
-    def __init__(self, earlier: Iterable[_Conclusion]) -> None:
-        self.conclusions: dict[frozenset[PartKey], _Conclusion] = {}
-        self.support: dict[PartKey, set[str]] = {}
-        self._patterns: dict[str, list[tuple[str, frozenset[PartKey]]]] = {}
-        for conclusion in earlier:
-            copy = _Conclusion(conclusion.group, conclusion.until_s, conclusion.times)
-            self.conclusions[copy.group] = copy
+    `seen` holds the crashes at which a part may have been the cause, `open` those of
+    them that no conclusion without this part explains.
+    """
+
+    def __init__(
+        self,
+        earlier: Iterable[_Conclusion],
+        completed_s: Callable[[PartKey], float],
+    ) -> None:
+        self.conclusions: dict[frozenset[PartKey], _Conclusion] = {
+            conclusion.group: conclusion.copy() for conclusion in earlier
+        }
+        self.open: dict[PartKey, set[str]] = {}
+        self._seen: dict[PartKey, set[str]] = {}
+        self._crashes: dict[str, _Crash] = {}
+        self._completed_s: Callable[[PartKey], float] = completed_s
 
     def add(self, crash: _Crash) -> None:
         """Judge the next crash."""
-        patterns = sorted(crash.patterns(), key=lambda p: (p[0], sorted(p[1])))
-        self._patterns[crash.start] = patterns
-        parts = {part for _, pattern in patterns for part in pattern}
-        known = self._known_causes(patterns)
+        self._crashes[crash.start] = crash
+        parts = {part for pattern in crash.patterns() for part in pattern.held}
+        for part in parts:
+            self._seen.setdefault(part, set()).add(crash.start)
+            self.open.setdefault(part, set())
+        known = self._known_causes(crash)
         for conclusion in known:
-            conclusion.renew(crash.at_s)
-            conclusion.crashes.add(crash.start)
-            self._count(conclusion.group, crash)
-        if known:
-            return
-        self._count(parts, crash)
-        for part in sorted(parts, key=lambda p: (-len(self.support[p]), p)):
-            if crash.start in self.support[part]:
-                self._judge(part, crash)
-
-    def _known_causes(
-        self, patterns: list[tuple[str, frozenset[PartKey]]]
-    ) -> list[_Conclusion]:
+            conclusion.add(crash)
+            parts = parts & conclusion.group
+        for part in parts:
+            self.open[part].add(crash.start)
+        if not known:
+            for part in sorted(parts, key=lambda p: (-len(self._seen[p]), p)):
+                if crash.start in self.open[part]:
+                    self._judge(part, crash)
+
+    def _known_causes(self, crash: _Crash) -> list[_Conclusion]:
         return [
             conclusion
-            for group, conclusion in self.conclusions.items()
-            if any(group <= pattern for _, pattern in patterns)
+            for conclusion in self.conclusions.values()
+            if conclusion.at_s <= crash.at_s
+            and any(self._explains(conclusion, p) for p in crash.patterns())
         ]
 
-    def _count(self, parts: Iterable[PartKey], crash: _Crash) -> None:
-        for part in parts:
-            self.support.setdefault(part, set()).add(crash.start)
+    def _explains(self, conclusion: _Conclusion, pattern: _Pattern) -> bool:
+        return pattern.holds(conclusion.group) and not any(
+            self._completed_s(pattern.held[name]) > conclusion.evidence_s
+            for name in conclusion.group
+        )
 
     def _judge(self, part: PartKey, crash: _Crash) -> None:
-        starts = self.support[part]
-        if len(starts) < CRASHES_TO_CONCLUDE:
+        """Conclude a part, or the group that it came in, if that is clear."""
+        starts = self._explained_by(part)
+        if len(starts) >= CRASHES_TO_CONCLUDE:
+            groups = self._groups_at(starts, self._rivals(starts))
+        elif len(self._seen[part]) >= CRASHES_DESPITE_TIE:
+            # It shares crashes with a known cause, but that does not explain this one.
+            starts = set(self._seen[part])
+            groups = self._groups_at(starts, [part])
+        else:
             return
-        rivals = [p for p, s in self.support.items() if s >= starts]
-        patterns = self._common_patterns(starts, rivals)
-        patterns = [p for p in patterns if self._has_several_requests(p, starts)]
-        if not any(part in pattern for pattern in patterns):
+        groups = [g for g in groups if self._has_several_requests(g, starts)]
+        if not any(part in group for group in groups):
             return
         if len(starts) >= CRASHES_DESPITE_TIE:
-            common = frozenset.intersection(*patterns)
-            for pattern in [common] if common else patterns:
-                self._conclude(pattern, starts, crash.at_s)
-        elif len(patterns) == 1 and not self._has_tie(patterns[0], starts):
-            self._conclude(patterns[0], starts, crash.at_s)
+            common = frozenset.intersection(*groups)
+            for group in [common] if common else groups:
+                self._conclude(group, starts, crash)
+        elif len(groups) == 1 and not self._has_tie(groups[0], starts):
+            self._conclude(groups[0], starts, crash)
+
+    def _explained_by(self, part: PartKey) -> set[str]:
+        """Return the open crashes of a part, and those of conclusions it replaces."""
+        starts = set(self.open[part])
+        for conclusion in self.conclusions.values():
+            if conclusion.crashes <= self._seen[part]:
+                starts |= conclusion.crashes
+        return starts
+
+    def _rivals(self, starts: set[str]) -> list[PartKey]:
+        """Return the parts that explain all the crashes."""
+        any_start = min(starts)
+        return [
+            part
+            for pattern in self._crashes[any_start].patterns()
+            for part in pattern.held
+            if starts <= self._seen[part]
+        ]
 
-    def _common_patterns(
+    def _groups_at(
         self, starts: set[str], rivals: Iterable[PartKey]
     ) -> list[frozenset[PartKey]]:
         """Return the largest groups that came in one request at each crash."""
         groups = {frozenset(rivals)}
         for start in sorted(starts):
-            groups = {
-                group & pattern
-                for group in groups
-                for _, pattern in self._patterns[start]
-            }
-            groups = set(_largest(groups))
+            patterns = self._crashes[start].patterns()
+            groups = _largest(
+                {g.intersection(p.held) for g in groups for p in patterns}
+            )
         return sorted(groups, key=sorted)
 
     def _has_several_requests(
         self, group: frozenset[PartKey], starts: set[str]
     ) -> bool:
         """Whether no request of one fingerprint explains all the crashes."""
-        fingerprints = [
-            {f for f, pattern in self._patterns[start] if group <= pattern}
-            for start in starts
-        ]
+        fingerprints = (
+            {p.fingerprint for p in self._crashes[s].patterns() if p.holds(group)}
+            for s in starts
+        )
         return not set.intersection(*fingerprints)
 
     def _has_tie(self, group: frozenset[PartKey], starts: set[str]) -> bool:
+        """Whether a part of another request explains as many crashes, partly these."""
+        shared = collections.Counter(
+            part
+            for start in starts
+            for part in {n for p in self._crashes[start].patterns() for n in p.held}
+            if part not in group
+        )
         return any(
-            part not in group
-            and len(others) >= len(starts)
-            and len(others & starts) >= SHARED_CRASHES_OF_TIE
-            for part, others in self.support.items()
+            count >= SHARED_CRASHES_OF_TIE and len(self.open[part]) >= len(starts)
+            for part, count in shared.items()
         )
 
     def _conclude(
-        self, group: frozenset[PartKey], starts: set[str], at_s: float
+        self, group: frozenset[PartKey], starts: set[str], crash: _Crash
     ) -> None:
-        starts = set(starts)
         for other in list(self.conclusions.values()):
-            if group < other.group or other.crashes < starts and other.crashes:
+            if group < other.group or (other.crashes and other.crashes < starts):
                 del self.conclusions[other.group]
         conclusion = self.conclusions.get(group)
         if conclusion is None:
-            conclusion = _Conclusion(group, at_s + _duration_s(1), 1)
+            until_s = crash.at_s + _quarantine_s(1)
+            conclusion = _Conclusion(group, crash.at_s, until_s, 1)
             self.conclusions[group] = conclusion
+        conclusion.add(crash)
         conclusion.crashes |= starts
-        for part, others in self.support.items():
+        conclusion.is_own = True
+        for part in {
+            name
+            for start in starts
+            for pattern in self._crashes[start].patterns()
+            for name in pattern.held
+        }:
             if part not in group:
-                others -= starts
-
-
-def _largest(groups: Iterable[frozenset[PartKey]]) -> list[frozenset[PartKey]]:
-    """Return the groups that are part of no other, at most MAX_PATTERNS."""
-    largest: list[frozenset[PartKey]] = []
-    for group in sorted(groups, key=lambda g: (-len(g), sorted(g))):
-        if group and not any(group <= other for other in largest):
-            largest.append(group)
-    return largest[:MAX_PATTERNS]
+                self.open[part] -= starts
 
 
 class PartQuarantine:
@@ -258,37 +357,32 @@
         # Conclusions whose crashes are not known here, or no longer.
         self._earlier: dict[frozenset[PartKey], _Conclusion] = {}
         self._concluded: dict[frozenset[PartKey], _Conclusion] = {}
-        self._here: set[frozenset[PartKey]] = set()
-        self._support: dict[PartKey, set[str]] = {}
-        self._groups_of: dict[PartKey, list[_Conclusion]] = {}
+        self._concluded_of: dict[PartKey, list[_Conclusion]] = {}
+        self._open: dict[PartKey, set[str]] = {}
+        self._now_s: float = float("-inf")
 
     def record_crash(
         self, start: str, requests: Sequence[PartsAtCrash], at_s: float
     ) -> list[frozenset[PartKey]]:
-        """Add a report of a crash; return the groups that are concluded by it."""
-        crash = self._crashes.setdefault(start, _Crash(start, at_s))
-        crash.at_s = min(crash.at_s, at_s)
-        for request in requests:
-            parts = request.parts[:MAX_PARTS_PER_REQUEST]
-            crash.add(request.fingerprint, self.without_recent_completion(parts, at_s))
-        for part in crash.parts():
-            self._crashes_of.setdefault(part, set()).add(start)
+        """Add a report of a crash; return the groups that are newly concluded."""
+        if not self._add_report(start, requests, at_s):
+            return []
         while len(self._crashes) > MAX_CRASHES:
-            self._forget(min(self._crashes.values(), key=lambda c: (c.at_s, c.start)))
+            self._forget(min(self._crashes.values(), key=_moment))
         return self._judge()
 
     def record_completion(self, parts: Iterable[PartKey], now_s: float) -> None:
         """Clear the parts of a request that completed, under its model."""
-        has_changed = False
+        was_suspect = False
         for part in parts:
             known_s = self._completed_s.get(part, now_s)
             self._completed_s[part] = max(known_s, now_s)
             self._completed_s.move_to_end(part)
-            if part in self._crashes_of or _any_model(part) in self._groups_of:
-                has_changed |= self._clear(part)
+            if part in self._crashes_of:
+                was_suspect |= self._clear(part)
         while len(self._completed_s) > MAX_COMPLETIONS:
             self._completed_s.popitem(last=False)
-        if has_changed:
+        if was_suspect:
             self._judge()
 
     def without_recent_completion(
@@ -304,48 +398,67 @@
 
     def is_quarantined(self, parts: Sequence[PartKey], now_s: float) -> bool:
         """Whether a request with these parts is refused."""
-        if not self._groups_of:
+        if not self._concluded_of:
             return False
-        return any(c.until_s > now_s for c in self._matching(parts, now_s))
+        return any(c.until_s > now_s for c in self._conclusions_on(parts, now_s))
 
     def is_suspect(self, part: PartKey, now_s: float) -> bool:
-        """Whether a part may be the cause of a crash, so that its completion counts."""
+        """Whether a completion of the part would tell something, also to others."""
         if part in self._crashes_of:
             return True
         return any(
-            part not in conclusion.cleared
-            for conclusion in self._groups_of.get(_any_model(part), [])
+            self.completed_s(part) <= conclusion.evidence_s
+            for conclusion in self._concluded_of.get(_name(part), ())
         )
 
     def suspicion(self, parts: Sequence[PartKey], now_s: float) -> int:
-        """Return at how many crashes one of the parts ran that has not completed."""
-        counts = [
-            len(self._support.get(_any_model(part), ()))
-            for part in self.without_recent_completion(parts, now_s)
-        ]
-        if self._groups_of and next(self._matching(parts, now_s), None):
-            counts.append(CRASHES_TO_CONCLUDE)
+        """Return at how many unexplained crashes one of the parts may be the cause.
+
+        A request that a crash cut is sent again below CRASHES_TO_STOP_RETRIES: with
+        one retry a part ends two endpoints by its first request, and is concluded at
+        the third, by the next one. Parts that are known cause count as concluded.
+        """
+        if self._concluded_of and any(True for _ in self._conclusions_on(parts, now_s)):
+            return CRASHES_TO_CONCLUDE
+        unclear = self.without_recent_completion(parts, now_s)
+        counts = (len(self._open.get(_name(part), ())) for part in unclear)
         return max(counts, default=0)
 
     def quarantined_here(self) -> dict[frozenset[PartKey], float]:
-        """Return when the quarantines that this daemon concluded end."""
-        groups = sorted(self._here, key=sorted)
-        return {group: self._concluded[group].until_s for group in groups}
-
-    def add_quarantined(self, parts: frozenset[PartKey], until_s: float) -> None:
-        """Quarantine a group of parts that was concluded by another daemon."""
-        group = frozenset(map(_any_model, parts))
+        """Return when the quarantines end that this daemon concluded, or extended."""
+        return {
+            group: self._concluded[group].until_s
+            for group in sorted(self._concluded, key=sorted)
+            if self._concluded[group].is_own
+            and self._concluded[group].until_s > self._now_s
+        }
+
+    def add_quarantined(
+        self,
+        parts: frozenset[PartKey],
+        until_s: float,
+        at_s: float | None = None,
+    ) -> None:
+        """Quarantine a group that another daemon concluded `at_s`, if that is known."""
+        group = frozenset(map(_name, parts))
         known = self._earlier.get(group)
-        if known is None or until_s > known.until_s:
-            self._earlier[group] = _Conclusion(group, until_s, 1)
+        if not group or (known is not None and known.until_s >= until_s):
+            return
+        at_s = until_s - FIRST_QUARANTINE_S if at_s is None else at_s
+        times = _times_of(until_s - at_s)
+        self._earlier[group] = _Conclusion(group, at_s, until_s, times)
+        while len(self._earlier) > MAX_CONCLUSIONS:
+            ends_first = min(self._earlier.values(), key=lambda c: c.until_s)
+            del self._earlier[ends_first.group]
         self._judge()
 
     def release(self, part: PartKey, now_s: float) -> None:
-        """End the quarantine of a part under its model."""
+        """End the quarantine of a part, under its model, because it completed."""
         self.record_completion([part], now_s)
 
     def tick(self, now_s: float) -> None:
         """Remove expired entries."""
+        self._now_s = max(self._now_s, now_s)
         oldest_s = now_s - CRASH_RETENTION_S
         expired = [c for c in self._crashes.values() if c.at_s <= oldest_s]
         for crash in expired:
@@ -355,68 +468,110 @@
             del self._earlier[conclusion.group]
         if expired or ended:
             self._judge()
-        self._here = {g for g in self._here if self._concluded[g].until_s > now_s}
 
-    def _matching(
+    def _conclusions_on(
         self, parts: Sequence[PartKey], now_s: float
     ) -> Iterator[_Conclusion]:
         """Return the conclusions that a request with these parts falls under."""
-        held = {_any_model(part): part for part in parts}
+        held = _by_name(parts)
         for name in held:
-            for conclusion in self._groups_of.get(name, []):
-                left = {
-                    member
-                    for member in conclusion.group
-                    if member not in held
-                    or held[member] not in conclusion.cleared
-                    and self.without_recent_completion([held[member]], now_s)
-                }
+            for conclusion in self._concluded_of.get(name, ()):
+                left = self._left_of(conclusion, held, now_s)
                 if left and left <= held.keys():
                     yield conclusion
 
+    def _left_of(
+        self, conclusion: _Conclusion, held: dict[PartKey, PartKey], now_s: float
+    ) -> set[PartKey]:
+        """Return the parts of a group that no completion clears for a request."""
+        valid_from_s = min(conclusion.evidence_s, now_s - COMPLETION_VALID_S)
+        return {
+            name
+            for name in conclusion.group
+            if name not in held or self.completed_s(held[name]) <= valid_from_s
+        }
+
+    def _add_report(
+        self, start: str, requests: Sequence[PartsAtCrash], at_s: float
+    ) -> bool:
+        """Add the suspects of a report to its crash; return whether that changed it."""
+        crash = self._crashes.get(start) or _Crash(start, at_s)
+        has_changed = at_s < crash.at_s
+        crash.at_s = min(crash.at_s, at_s)
+        for request in requests:
+            parts = request.parts[:MAX_PARTS_PER_REQUEST]
+            suspects = self.without_recent_completion(parts, crash.at_s)
+            has_changed |= crash.add(request.fingerprint, suspects)
+        if has_changed:
+            self._crashes[start] = crash
+        for part in crash.parts():
+            self._crashes_of.setdefault(part, set()).add(start)
+        return has_changed
+
     def _clear(self, part: PartKey) -> bool:
-        """Remove a part that completed from the crashes; return if that changed any."""
-        valid_s = self._completed_s[part] + COMPLETION_VALID_S
-        starts = [
-            s for s in self._crashes_of.get(part, ()) if self._crashes[s].at_s < valid_s
+        """Remove a part that completed from the crashes; return whether it was there.
+
+        A completion says nothing on crashes long after it.
+        """
+        valid_until_s = self._completed_s[part] + COMPLETION_VALID_S
+        cleared = [
+            self._crashes[start]
+            for start in self._crashes_of[part]
+            if self._crashes[start].at_s < valid_until_s
         ]
-        for start in starts:
-            self._crashes[start].discard(part)
-            self._crashes_of[part].discard(start)
-        if not self._crashes_of.get(part, True):
+        for crash in cleared:
+            crash.discard(part)
+            self._remove_start(part, crash.start)
+            if not crash.parts():
+                del self._crashes[crash.start]
+        return bool(cleared)
+
+    def _remove_start(self, part: PartKey, start: str) -> None:
+        self._crashes_of[part].discard(start)
+        if not self._crashes_of[part]:
             del self._crashes_of[part]
-        for conclusion in self._groups_of.get(_any_model(part), []):
-            conclusion.cleared.add(part)
-        return bool(starts)
 
     def _forget(self, crash: _Crash) -> None:
-        """Forget a crash; conclusions that it led to stay."""
-        for conclusion in self._concluded.values():
+        """Forget a crash; what was concluded from it stays."""
+        for group, conclusion in self._concluded.items():
             if crash.start in conclusion.crashes:
-                self._earlier[conclusion.group] = conclusion
-        del self._crashes[crash.start]
+                self._earlier[group] = conclusion
+                conclusion.crashes.clear()
         for part in crash.parts():
-            self._crashes_of[part].discard(crash.start)
-            if not self._crashes_of[part]:
-                del self._crashes_of[part]
+            self._remove_start(part, crash.start)
+        del self._crashes[crash.start]
 
     def _judge(self) -> list[frozenset[PartKey]]:
-        """Judge all crashes anew; return the groups that are new."""
-        judgement = _Judgement(self._earlier.values())
-        for crash in sorted(self._crashes.values(), key=lambda c: (c.at_s, c.start)):
+        """Judge all crashes anew; return the groups that are newly concluded."""
+        judgement = _Judgement(self._earlier.values(), self.completed_s)
+        for crash in sorted(self._crashes.values(), key=_moment):
             judgement.add(crash)
         before, self._concluded = self._concluded, judgement.conclusions
-        for group in before.keys() - self._concluded.keys():
-            self._earlier.pop(group, None)
-        for group, conclusion in self._concluded.items():
-            earlier = before.get(group) or self._earlier.get(group)
-            if earlier is not None:
-                conclusion.cleared = earlier.cleared
-        self._support = judgement.support
-        self._groups_of = {}
+        self._withdraw_refuted(before)
+        self._open = judgement.open
+        self._concluded_of = {}
         for conclusion in self._concluded.values():
-            for part in conclusion.group:
-                self._groups_of.setdefault(part, []).append(conclusion)
-        new = [g for g in self._concluded if g not in before and g not in self._earlier]
-        self._here = (self._here & self._concluded.keys()) | set(new)
-        return sorted(new, key=sorted)
+            for name in conclusion.group:
+                self._concluded_of.setdefault(name, []).append(conclusion)
+        return [
+            group
+            for group in sorted(self._concluded, key=sorted)
+            if self._is_new(self._concluded[group], before.get(group))
+        ]
+
+    def _withdraw_refuted(self, before: dict[frozenset[PartKey], _Conclusion]) -> None:
+        """Drop other daemons' word for what the same crashes no longer show."""
+        for group, conclusion in before.items():
+            now = self._concluded.get(group)
+            if now is None:
+                self._earlier.pop(group, None)
+            elif conclusion.crashes and not now.crashes:
+                self._earlier.pop(group, None)
+                del self._concluded[group]
+
+    def _is_new(self, conclusion: _Conclusion, before: _Conclusion | None) -> bool:
+        if not conclusion.is_own:
+            return False
+        if before is None or not before.is_own:
+            return True
+        return conclusion.times > before.times
