--- a/apricotquay/serving/promptparts.py
+++ b/apricotquay/serving/promptparts.py
@@ -268,6 +268,26 @@
         elif len(groups) == 1 and not self._has_tie(groups[0], starts):
             self._conclude(groups[0], starts, crash)
 
+    def _release_explained(self) -> None:
+        """Release conclusions, the oldest first, all whose crashes others explain."""
+        ran = {group: self._crashes_with(group) for group in self.conclusions}
+        for conclusion in sorted(self.conclusions.values(), key=lambda c: c.at_s):
+            others = [
+                ran[other.group]
+                for other in self.conclusions.values()
+                if other.at_s != conclusion.at_s
+            ]
+            if conclusion.crashes and conclusion.crashes <= set().union(*others):
+                del self.conclusions[conclusion.group]
+
+    def _crashes_with(self, group: frozenset[PartKey]) -> set[str]:
+        """Return the crashes at which a request with all parts of a group ran."""
+        return {
+            start
+            for start in self._seen.get(min(group), ())
+            if any(p.holds(group) for p in self._crashes[start].patterns())
+        }
+
     def _explained_by(self, part: PartKey) -> set[str]:
         """Return the open crashes of a part, and those of conclusions it replaces."""
         starts = set(self.open[part])
@@ -325,7 +345,7 @@
         self, group: frozenset[PartKey], starts: set[str], crash: _Crash
     ) -> None:
         for other in list(self.conclusions.values()):
-            if group < other.group or (other.crashes and other.crashes < starts):
+            if group < other.group:
                 del self.conclusions[other.group]
         conclusion = self.conclusions.get(group)
         if conclusion is None:
@@ -335,6 +355,7 @@
         conclusion.add(crash)
         conclusion.crashes |= starts
         conclusion.is_own = True
+        self._release_explained()
         for part in {
             name
             for start in starts
