--- a/apricotquay/serving/promptparts.py
+++ b/apricotquay/serving/promptparts.py
@@ -48,6 +48,8 @@
 COMPLETION_VALID_S = 600.0
 MAX_COMPLETIONS = 50_000
 MAX_CRASHES = 200
+# All suspects of all crashes: bounds memory and the time of a judgement.
+MAX_SUSPECTS = 20_000
 MAX_REQUESTS_PER_CRASH = 64
 MAX_PARTS_PER_REQUEST = 32
 MAX_PART_ID_LENGTH = 64
@@ -118,6 +120,11 @@
             self.add(fingerprint, parts - {part})
         self._patterns = None
 
+    @property
+    def size(self) -> int:
+        """Number of suspects, counted for each request."""
+        return sum(len(parts) for _, parts in self._requests)
+
     def parts(self) -> set[PartKey]:
         """Return the parts that may have caused it, by model."""
         return {part for _, parts in self._requests for part in parts}
@@ -277,7 +284,8 @@
                 for other in self.conclusions.values()
                 if other.at_s != conclusion.at_s
             ]
-            if conclusion.crashes and conclusion.crashes <= set().union(*others):
+            known = conclusion.crashes if conclusion.is_own else ran[conclusion.group]
+            if known and known <= set().union(*others):
                 del self.conclusions[conclusion.group]
 
     def _crashes_with(self, group: frozenset[PartKey]) -> set[str]:
@@ -388,7 +396,7 @@
         """Add a report of a crash; return the groups that are newly concluded."""
         if not self._add_report(start, requests, at_s):
             return []
-        while len(self._crashes) > MAX_CRASHES:
+        while self._is_full():
             self._forget(min(self._crashes.values(), key=_moment))
         return self._judge()
 
@@ -460,21 +468,21 @@
         until_s: float,
         at_s: float | None = None,
     ) -> None:
-        """Quarantine a group that another daemon concluded `at_s`, if that is known."""
+        """Quarantine a group that another daemon concluded.
+
+        With `at_s`, when it did, the group keeps how often it was concluded.
+        """
         group = frozenset(map(_name, parts))
         known = self._earlier.get(group)
         if not group or (known is not None and known.until_s >= until_s):
             return
         at_s = until_s - FIRST_QUARANTINE_S if at_s is None else at_s
         times = _times_of(until_s - at_s)
-        self._earlier[group] = _Conclusion(group, at_s, until_s, times)
-        while len(self._earlier) > MAX_CONCLUSIONS:
-            ends_first = min(self._earlier.values(), key=lambda c: c.until_s)
-            del self._earlier[ends_first.group]
+        self._keep(_Conclusion(group, at_s, until_s, times))
         self._judge()
 
     def release(self, part: PartKey, now_s: float) -> None:
-        """End the quarantine of a part, under its model, because it completed."""
+        """End the quarantine of a part under its model: it completed just now."""
         self.record_completion([part], now_s)
 
     def tick(self, now_s: float) -> None:
@@ -520,8 +528,8 @@
         has_changed = at_s < crash.at_s
         crash.at_s = min(crash.at_s, at_s)
         for request in requests:
-            parts = request.parts[:MAX_PARTS_PER_REQUEST]
-            suspects = self.without_recent_completion(parts, crash.at_s)
+            suspects = self.without_recent_completion(request.parts, crash.at_s)
+            suspects = suspects[:MAX_PARTS_PER_REQUEST]
             has_changed |= crash.add(request.fingerprint, suspects)
         if has_changed:
             self._crashes[start] = crash
@@ -529,6 +537,11 @@
             self._crashes_of.setdefault(part, set()).add(start)
         return has_changed
 
+    def _is_full(self) -> bool:
+        if len(self._crashes) > MAX_CRASHES:
+            return True
+        return sum(crash.size for crash in self._crashes.values()) > MAX_SUSPECTS
+
     def _clear(self, part: PartKey) -> bool:
         """Remove a part that completed from the crashes; return whether it was there.
 
@@ -554,14 +567,21 @@
 
     def _forget(self, crash: _Crash) -> None:
         """Forget a crash; what was concluded from it stays."""
-        for group, conclusion in self._concluded.items():
+        for conclusion in self._concluded.values():
             if crash.start in conclusion.crashes:
-                self._earlier[group] = conclusion
+                self._keep(conclusion)
                 conclusion.crashes.clear()
         for part in crash.parts():
             self._remove_start(part, crash.start)
         del self._crashes[crash.start]
 
+    def _keep(self, conclusion: _Conclusion) -> None:
+        """Keep a conclusion without its crashes; the first to end yields."""
+        self._earlier[conclusion.group] = conclusion
+        if len(self._earlier) > MAX_CONCLUSIONS:
+            ends_first = min(self._earlier.values(), key=lambda c: c.until_s)
+            del self._earlier[ends_first.group]
+
     def _judge(self) -> list[frozenset[PartKey]]:
         """Judge all crashes anew; return the groups that are newly concluded."""
         judgement = _Judgement(self._earlier.values(), self.completed_s)
