--- a/apricotquay/serving/promptparts.py
+++ b/apricotquay/serving/promptparts.py
@@ -146,6 +146,11 @@
     return crash.at_s, crash.start
 
 
+def _usefulness(crash: _Crash) -> tuple[bool, float, str]:
+    """Return the sort key in which crashes are forgotten when there are too many."""
+    return crash.size > 0, crash.at_s, crash.start
+
+
 class _Conclusion:
     """A group of parts that crashes endpoints, so requests with all of it are refused.
 
@@ -394,11 +399,10 @@
         self, start: str, requests: Sequence[PartsAtCrash], at_s: float
     ) -> list[frozenset[PartKey]]:
         """Add a report of a crash; return the groups that are newly concluded."""
-        if not self._add_report(start, requests, at_s):
-            return []
+        has_changed = self._add_report(start, requests, at_s)
         while self._is_full():
-            self._forget(min(self._crashes.values(), key=_moment))
-        return self._judge()
+            self._forget(min(self._crashes.values(), key=_usefulness))
+        return self._judge() if has_changed else []
 
     def record_completion(self, parts: Iterable[PartKey], now_s: float) -> None:
         """Clear the parts of a request that completed, under its model."""
@@ -524,15 +528,14 @@
         self, start: str, requests: Sequence[PartsAtCrash], at_s: float
     ) -> bool:
         """Add the suspects of a report to its crash; return whether that changed it."""
-        crash = self._crashes.get(start) or _Crash(start, at_s)
+        # A crash without suspects is kept for its time, which orders the crashes.
+        crash = self._crashes.setdefault(start, _Crash(start, at_s))
         has_changed = at_s < crash.at_s
         crash.at_s = min(crash.at_s, at_s)
         for request in requests:
             suspects = self.without_recent_completion(request.parts, crash.at_s)
             suspects = suspects[:MAX_PARTS_PER_REQUEST]
             has_changed |= crash.add(request.fingerprint, suspects)
-        if has_changed:
-            self._crashes[start] = crash
         for part in crash.parts():
             self._crashes_of.setdefault(part, set()).add(start)
         return has_changed
@@ -556,8 +559,6 @@
         for crash in cleared:
             crash.discard(part)
             self._remove_start(part, crash.start)
-            if not crash.parts():
-                del self._crashes[crash.start]
         return bool(cleared)
 
     def _remove_start(self, part: PartKey, start: str) -> None:
--- a/tests/test_promptparts.py
+++ b/tests/test_promptparts.py
@@ -21,10 +21,11 @@
 
 MAX_ATTEMPTS = 3
 SLOTS = 8
-# A request that waits for a slot begins later.
 ENDPOINT_BACK_S = 1.0
-# All daemons know a report this long after the crash.
+MAX_DELAY_S = 0.3
+# A daemon knows of a crash, or a completion, at most this long after it.
 CONTACT_S = 1.0
+# The users' bound on requests that reach endpoints later than that.
 MAX_REACHES_LATER = 3
 
 
@@ -69,33 +70,37 @@
         self.told_s: list[dict[PartKey, float]] = [{} for _ in range(daemons)]
         self.endpoints = [_Endpoint(f"e{n}") for n in range(endpoints)]
         self.now_s = 0.0
-        self.log: list[Callable[[PartQuarantine], None]] = []
+        # What the daemons told each other: the method of the quarantine, its arguments.
+        self.log: list[tuple[str, tuple]] = []
         self.bad = {
             part_key("m", f"bad{n}"): position for n, position in enumerate(bad)
         }
         self.crashes: dict[PartKey, list[float]] = {p: [] for p in self.bad}
         self.reaches: dict[PartKey, list[float]] = {p: [] for p in self.bad}
+        # When each part first completed at any daemon.
+        self.completed_s: dict[PartKey, float] = {}
         self.served: list[tuple[float, _Request]] = []
         self.refused: list[tuple[float, _Request]] = []
         self.given_up: list[tuple[float, _Request]] = []
-        self.concluded: list[tuple[float, int, list]] = []
         self._bad_per_s = bad_per_s
         self._sound_per_s = sound_per_s
         self._lost_per_s = lost_per_s
         self._bad_from_s = bad_from_s
+        self._until_s = 0.0
         self._numbers = itertools.count()
         self._sessions = [self._new_session() for _ in range(20)]
         self._events: list = []
 
     def run(self, until_s: float) -> None:
-        """Run the history."""
+        """Run the history until all has ended that was sent until then."""
+        self._until_s = until_s
         self._repeat(self._sound_per_s, self._send_sound, 0.0)
         self._repeat(self._lost_per_s, self._lose, 0.0)
         for part in self.bad:
             self._repeat(
                 self._bad_per_s, lambda p=part: self._send_bad(p), self._bad_from_s
             )
-        while self._events and self._events[0][0] <= until_s:
+        while self._events:
             self.now_s, _, event = heapq.heappop(self._events)
             event()
 
@@ -105,6 +110,8 @@
 
     def _repeat(self, per_s: float, event: Callable[[], None], from_s: float) -> None:
         def again() -> None:
+            if self.now_s >= self._until_s:
+                return
             event()
             self._at(self.random.expovariate(per_s), again)
 
@@ -178,8 +185,10 @@
         quarantine = self.daemons[daemon]
         suspects = [p for p in request.parts if quarantine.is_suspect(p, self.now_s)]
         quarantine.record_completion(request.parts, self.now_s)
+        for part in request.parts:
+            self.completed_s.setdefault(part, self.now_s)
         if suspects:
-            self._tell_completion(daemon, suspects, self.now_s)
+            self._tell(daemon, "record_completion", suspects, self.now_s)
 
     def _crash(self, endpoint: _Endpoint) -> None:
         name = f"{endpoint.name}/{endpoint.starts}"
@@ -203,9 +212,9 @@
             )
             for r in own
         ]
-        parts = {p for r in requests for p in r.parts}
-        if parts:
-            self._tell(daemon, lambda d: self._receive(d, name, requests, parts, at_s))
+        if any(r.parts for r in requests):
+            requests = [r for r in requests if r.parts]
+            self._tell(daemon, "record_crash", name, requests, at_s)
         for request in own:
             if request.attempts >= MAX_ATTEMPTS or (
                 quarantine.suspicion(request.parts, at_s) >= CRASHES_TO_STOP_RETRIES
@@ -214,41 +223,34 @@
             else:
                 self._attempt(request, daemon)
 
-    def _receive(
-        self,
-        daemon: int,
-        name: str,
-        requests: list[PartsAtCrash],
-        parts: set[PartKey],
-        at_s: float,
-    ) -> None:
-        groups = self.daemons[daemon].record_crash(name, requests, at_s)
-        if groups:
-            self.concluded.append((self.now_s, daemon, groups))
-        lately = [
-            p
-            for p in sorted(parts)
-            if self.now_s - self.daemons[daemon].completed_s(p) < COMPLETION_VALID_S
-            and self.now_s - self.told_s[daemon].get(p, float("-inf"))
-            > COMPLETION_VALID_S / 2
-        ]
-        if lately:
-            self._tell_completion(daemon, lately, self.now_s)
-
-    def _tell_completion(
-        self, daemon: int, parts: list[PartKey], at_s: float
-    ) -> None:
-        def receive(daemon: int) -> None:
-            self.daemons[daemon].record_completion(parts, at_s)
-            for part in parts:
-                self.told_s[daemon][part] = at_s
-
-        self._tell(daemon, receive)
-
-    def _tell(self, daemon: int, receive: Callable[[int], None]) -> None:
-        self.log.append(receive)
-        receive(daemon)
+    def _tell(self, daemon: int, method: str, *arguments) -> None:
+        self.log.append((method, arguments))
+        self._receive(daemon, method, arguments)
         for other in range(len(self.daemons)):
             if other != daemon:
-                delay_s = self.random.uniform(0.005, 0.3)
-                self._at(delay_s, lambda other=other: receive(other))
+                delay_s = self.random.uniform(0.005, MAX_DELAY_S)
+                self._at(
+                    delay_s,
+                    lambda other=other: self._receive(other, method, arguments),
+                )
+
+    def _receive(self, daemon: int, method: str, arguments: tuple) -> None:
+        quarantine, told_s = self.daemons[daemon], self.told_s[daemon]
+        getattr(quarantine, method)(*arguments)
+        if method == "record_completion":
+            parts, at_s = arguments
+            told_s.update(dict.fromkeys(parts, at_s))
+            return
+        parts = {p for request in arguments[1] for p in request.parts}
+        news = [p for p in sorted(parts) if self._is_news(daemon, p)]
+        if news:
+            self._tell(daemon, "record_completion", news, self.now_s)
+
+    def _is_news(self, daemon: int, part: PartKey) -> bool:
+        """Whether a part that others suspect completed here, and they don't know."""
+        completed_s = self.daemons[daemon].completed_s(part)
+        told_s = self.told_s[daemon].get(part, float("-inf"))
+        return (
+            self.now_s - completed_s < COMPLETION_VALID_S
+            and completed_s - told_s > COMPLETION_VALID_S / 2
+        )
