--- a/apricotquay/serving/promptparts.py
+++ b/apricotquay/serving/promptparts.py
@@ -11,16 +11,20 @@
 
 - A part that completed lately is no suspect, at crashes before and after. This holds
   for the model that it completed under; crashes under other models add up.
-- A part is concluded at the third crash, if no request with one fingerprint ran at all
-  of them, and nothing else explains the crashes as well.
+- A part is concluded at the third crash, if three different requests with it ran
+  there, and nothing else explains the crashes as well. A request that was sent again
+  counts once; if one request ran at all the crashes, its own quarantine ends them.
 - Parts that only ever came together in one request cannot be told apart. They are
   concluded together: requests that hold all of them are refused, and requests that
   hold some of them go on. A crash of such a request, or a completion, shrinks the
   group.
 - Other ties, by requests that ran beside each crash by chance, wait until the fifth
-  crash. Then each pattern of parts that explains all crashes is concluded by itself.
-- Crashes at which a concluded group ran do not count against other parts. A conclusion
-  is released when a later one explains all its crashes.
+  crash. Then each pattern of parts that explains all crashes is concluded by itself,
+  and two different requests are enough.
+- Crashes at which a concluded group ran do not count against other parts, except that
+  a part that ran at five is concluded at the next crash that no conclusion explains.
+- A conclusion is refuted when others leave fewer than three crashes to it. All crashes
+  are then judged again without it.
 - A conclusion lasts ten minutes. For a day after that, one crash is enough to conclude
   it again, for twice as long, up to a day.
 """
@@ -36,6 +40,7 @@
 PartKey = NewType("PartKey", str)
 
 CRASHES_TO_CONCLUDE = 3
+REQUESTS_TO_CONCLUDE = 3
 # From this many crashes on, a tie does not prevent a conclusion.
 CRASHES_DESPITE_TIE = 5
 # A rival that shares fewer crashes with a part is explained by chance.
@@ -55,6 +60,7 @@
 MAX_PART_ID_LENGTH = 64
 MAX_CONCLUSIONS = 500
 MAX_PATTERNS = 32
+MAX_REVISIONS = 30
 # A request cut by a crash is sent again while its parts ran at fewer crashes.
 CRASHES_TO_STOP_RETRIES = 2
 
@@ -218,14 +224,21 @@
         self,
         earlier: Iterable[_Conclusion],
         completed_s: Callable[[PartKey], float],
+        refuted: dict[frozenset[PartKey], tuple[float, str]],
     ) -> None:
         self.conclusions: dict[frozenset[PartKey], _Conclusion] = {
-            conclusion.group: conclusion.copy() for conclusion in earlier
+            conclusion.group: conclusion.copy()
+            for conclusion in earlier
+            if conclusion.group not in refuted
         }
+        # Groups that crashes up to a moment were found not to speak against.
+        self.refuted: dict[frozenset[PartKey], tuple[float, str]] = refuted
         self.open: dict[PartKey, set[str]] = {}
         self._seen: dict[PartKey, set[str]] = {}
         self._crashes: dict[str, _Crash] = {}
         self._completed_s: Callable[[PartKey], float] = completed_s
+        # Whether a conclusion was refuted that earlier crashes were judged by.
+        self.is_revised: bool = False
 
     def add(self, crash: _Crash) -> None:
         """Judge the next crash."""
@@ -280,18 +293,27 @@
         elif len(groups) == 1 and not self._has_tie(groups[0], starts):
             self._conclude(groups[0], starts, crash)
 
-    def _release_explained(self) -> None:
-        """Release conclusions, the oldest first, all whose crashes others explain."""
+    def _is_refuted(self, group: frozenset[PartKey], crash: _Crash) -> bool:
+        return group in self.refuted and _moment(crash) <= self.refuted[group]
+
+    def _refute(self, crash: _Crash) -> None:
+        """Refute conclusions, the oldest first, that others leave too few crashes."""
         ran = {group: self._crashes_with(group) for group in self.conclusions}
         for conclusion in sorted(self.conclusions.values(), key=lambda c: c.at_s):
-            others = [
-                ran[other.group]
-                for other in self.conclusions.values()
-                if other.at_s != conclusion.at_s
-            ]
+            if conclusion.at_s == crash.at_s:
+                continue
+            others = set().union(
+                *(
+                    ran[other.group]
+                    for other in self.conclusions.values()
+                    if other.at_s != conclusion.at_s
+                )
+            )
             known = conclusion.crashes if conclusion.is_own else ran[conclusion.group]
-            if known and known <= set().union(*others):
+            if known & others and len(known - others) < CRASHES_TO_CONCLUDE:
                 del self.conclusions[conclusion.group]
+                self.refuted[conclusion.group] = _moment(crash)
+                self.is_revised = True
 
     def _crashes_with(self, group: frozenset[PartKey]) -> set[str]:
         """Return the crashes at which a request with all parts of a group ran."""
@@ -334,11 +356,16 @@
     def _has_several_requests(
         self, group: frozenset[PartKey], starts: set[str]
     ) -> bool:
-        """Whether no request of one fingerprint explains all the crashes."""
-        fingerprints = (
-            {p.fingerprint for p in self._crashes[s].patterns() if p.holds(group)}
-            for s in starts
-        )
+        """Whether different requests with a group ran at the crashes.
+
+        A request that was sent again beneath a crash says little more the second time.
+        """
+        fingerprints = [
+            {p.fingerprint for p in self._crashes[start].patterns() if p.holds(group)}
+            for start in starts
+        ]
+        if len(starts) < CRASHES_DESPITE_TIE:
+            return len(set.union(*fingerprints)) >= REQUESTS_TO_CONCLUDE
         return not set.intersection(*fingerprints)
 
     def _has_tie(self, group: frozenset[PartKey], starts: set[str]) -> bool:
@@ -357,6 +384,8 @@
     def _conclude(
         self, group: frozenset[PartKey], starts: set[str], crash: _Crash
     ) -> None:
+        if self._is_refuted(group, crash):
+            return
         for other in list(self.conclusions.values()):
             if group < other.group:
                 del self.conclusions[other.group]
@@ -368,7 +397,7 @@
         conclusion.add(crash)
         conclusion.crashes |= starts
         conclusion.is_own = True
-        self._release_explained()
+        self._refute(crash)
         for part in {
             name
             for start in starts
@@ -585,9 +614,7 @@
 
     def _judge(self) -> list[frozenset[PartKey]]:
         """Judge all crashes anew; return the groups that are newly concluded."""
-        judgement = _Judgement(self._earlier.values(), self.completed_s)
-        for crash in sorted(self._crashes.values(), key=_moment):
-            judgement.add(crash)
+        judgement = self._judge_crashes()
         before, self._concluded = self._concluded, judgement.conclusions
         self._withdraw_refuted(before)
         self._open = judgement.open
@@ -601,6 +628,23 @@
             if self._is_new(self._concluded[group], before.get(group))
         ]
 
+    def _judge_crashes(self) -> _Judgement:
+        """Judge the crashes, and again without what turns out to be refuted."""
+        crashes = sorted(self._crashes.values(), key=_moment)
+        refuted: dict[frozenset[PartKey], tuple[float, str]] = {}
+        for revision in range(MAX_REVISIONS):
+            judgement = _Judgement(self._earlier.values(), self.completed_s, refuted)
+            is_last = revision == MAX_REVISIONS - 1
+            for crash in crashes:
+                judgement.add(crash)
+                if judgement.is_revised and not is_last:
+                    break
+            else:
+                break
+        for group in refuted:
+            self._earlier.pop(group, None)
+        return judgement
+
     def _withdraw_refuted(self, before: dict[frozenset[PartKey], _Conclusion]) -> None:
         """Drop other daemons' word for what the same crashes no longer show."""
         for group, conclusion in before.items():
