Test the decision which part of prompts crashes endpoints

Tables of crashes, each replayed in shuffled order and twice, completions, expiry, bounds, 60 seeds of crashes reported whole and seven fleet histories. Ties concluded together are now told apart by a further crash, and the number of suspects that a judgement looks at is bounded to 4,000.

--- a/apricotquay/serving/promptparts.py
+++ b/apricotquay/serving/promptparts.py
@@ -54,7 +54,7 @@
 MAX_COMPLETIONS = 50_000
 MAX_CRASHES = 200
 # All suspects of all crashes: bounds memory and the time of a judgement.
-MAX_SUSPECTS = 20_000
+MAX_SUSPECTS = 4_000
 MAX_REQUESTS_PER_CRASH = 64
 MAX_PARTS_PER_REQUEST = 32
 MAX_PART_ID_LENGTH = 64
@@ -251,10 +251,12 @@
         for conclusion in known:
             conclusion.add(crash)
             parts = parts & conclusion.group
+            self._refute_twins(conclusion, crash)
         for part in parts:
             self.open[part].add(crash.start)
         if not known:
-            for part in sorted(parts, key=lambda p: (-len(self._seen[p]), p)):
+            suspects = [p for p in parts if len(self._seen[p]) >= CRASHES_TO_CONCLUDE]
+            for part in sorted(suspects, key=lambda p: (-len(self._seen[p]), p)):
                 if crash.start in self.open[part]:
                     self._judge(part, crash)
 
@@ -311,9 +313,18 @@
             )
             known = conclusion.crashes if conclusion.is_own else ran[conclusion.group]
             if known & others and len(known - others) < CRASHES_TO_CONCLUDE:
-                del self.conclusions[conclusion.group]
-                self.refuted[conclusion.group] = _moment(crash)
-                self.is_revised = True
+                self._refute_one(conclusion, crash)
+
+    def _refute_twins(self, conclusion: _Conclusion, crash: _Crash) -> None:
+        """Refute what tied with a conclusion when a further crash tells them apart."""
+        for other in list(self.conclusions.values()):
+            if other.at_s == conclusion.at_s and other.crashes < conclusion.crashes:
+                self._refute_one(other, crash)
+
+    def _refute_one(self, conclusion: _Conclusion, crash: _Crash) -> None:
+        del self.conclusions[conclusion.group]
+        self.refuted[conclusion.group] = _moment(crash)
+        self.is_revised = True
 
     def _crashes_with(self, group: frozenset[PartKey]) -> set[str]:
         """Return the crashes at which a request with all parts of a group ran."""
--- a/tests/test_promptparts.py
+++ b/tests/test_promptparts.py
@@ -3,14 +3,24 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from parameterized import parameterized
 
 from apricotquay.serving.promptparts import (
     COMPLETION_VALID_S,
+    CRASH_RETENTION_S,
     CRASHES_DESPITE_TIE,
     CRASHES_TO_STOP_RETRIES,
+    FIRST_QUARANTINE_S,
+    MAX_COMPLETIONS,
+    MAX_CONCLUSIONS,
+    MAX_CRASHES,
+    MAX_PARTS_PER_REQUEST,
+    MAX_QUARANTINE_S,
+    MAX_REQUESTS_PER_CRASH,
+    MAX_SUSPECTS,
+    PROBATION_S,
     PartKey,
     PartQuarantine,
     PartsAtCrash,
@@ -254,3 +264,525 @@
             self.now_s - completed_s < COMPLETION_VALID_S
             and completed_s - told_s > COMPLETION_VALID_S / 2
         )
+
+
+def parts_of(names: str) -> list[PartKey]:
+    """Return the keys of parts such as "a b@m2"; the model is "m" if none is given."""
+    pairs = (name.partition("@") for name in names.split())
+    return [part_key(model or "m", part) for part, _, model in pairs]
+
+
+def record(
+    quarantine: PartQuarantine, number: int, text: str, at_s: float | None = None
+) -> list[str]:
+    """Record a crash such as "r1: a b, r2: c"; return what it concludes."""
+    requests = []
+    for request in text.split(","):
+        fingerprint, _, names = request.partition(":")
+        requests.append(PartsAtCrash(fingerprint.strip(), parts_of(names)))
+    at_s = 10.0 * number if at_s is None else at_s
+    return named(quarantine.record_crash(f"e{number}", requests, at_s))
+
+
+def named(groups: Iterable[frozenset[PartKey]]) -> list[str]:
+    """Return groups as text, such as "a b"."""
+    return sorted(" ".join(sorted(p.rstrip("@") for p in group)) for group in groups)
+
+
+def refused(quarantine: PartQuarantine, names: str, now_s: float) -> bool:
+    """Whether a request with parts is refused."""
+    return quarantine.is_quarantined(parts_of(names), now_s)
+
+
+class ConclusionTest(ApricotTest):
+    """What is concluded from crashes alone."""
+
+    @parameterized.expand(
+        [
+            ("two crashes", ["1: bad a", "2: bad b"], []),
+            ("first part", ["1: bad a", "2: bad b", "3: bad c"], ["bad"]),
+            ("middle part", ["1: a bad s", "2: b bad t", "3: c bad u"], ["bad"]),
+            ("second to last part", ["1: a bad", "2: b bad", "3: c bad"], ["bad"]),
+            ("one request", ["1: bad"] * 6, []),
+            ("sent again counts once", ["1: bad a", "1: bad a", "2: bad b"], []),
+            ("two requests", ["1: bad", "1: bad", "2: bad", "2: bad"], []),
+            (
+                "two requests, fifth crash",
+                ["1: bad", "1: bad", "2: bad", "2: bad", "2: bad"],
+                ["bad"],
+            ),
+            (
+                "sent again, then others",
+                ["1: bad a", "1: bad a", "2: bad b", "3: bad c"],
+                ["bad"],
+            ),
+            ("always together", ["1: a b", "2: a b", "3: a b"], ["a b"]),
+            ("together, once alone", ["1: a b", "2: a b", "3: a b", "4: a c"], ["a"]),
+            (
+                "together, shrunk twice",
+                ["1: a b c", "2: a b c", "3: a b c", "4: a b", "5: a c"],
+                ["a"],
+            ),
+            (
+                "both requests at one crash",
+                ["1: a x, 2: a y", "3: a x", "4: a z"],
+                ["a"],
+            ),
+            (
+                "other requests tie at the fourth crash",
+                ["1: a, 9: s", "2: a, 8: s", "3: a, 7: s", "4: a, 6: s"],
+                [],
+            ),
+            (
+                "other requests tie at the fifth crash",
+                ["1: a, 9: s", "2: a, 8: s", "3: a, 7: s", "4: a, 6: s", "5: a, 10: s"],
+                ["a", "s"],
+            ),
+            (
+                "tie that the fourth crash ends",
+                ["1: a, 9: s", "2: a, 8: s", "3: a, 7: s", "4: a"],
+                ["a"],
+            ),
+            (
+                "tie that the sixth crash ends",
+                [
+                    "1: a, 9: s",
+                    "2: a, 8: s",
+                    "3: a, 7: s",
+                    "4: a, 6: s",
+                    "5: a, 10: s",
+                    "11: a",
+                ],
+                ["a"],
+            ),
+            (
+                "request beside each crash",
+                ["1: a, 9: s", "2: a, 9: s", "3: a, 9: s", "4: a, 9: s", "5: a, 9: s"],
+                ["a"],
+            ),
+            (
+                "two bad parts in turn",
+                ["1: a", "2: b", "3: a", "4: b", "5: a", "6: b"],
+                ["a", "b"],
+            ),
+            (
+                "beside a known cause",
+                ["1: a", "2: a", "3: a", "4: a, 9: s", "5: a, 8: s", "6: a, 7: s"],
+                ["a"],
+            ),
+            (
+                "beside known causes and once alone",
+                [
+                    *("1: a", "2: a", "3: a", "4: a, 9: b", "5: a, 8: b"),
+                    *("6: a, 7: b", "10: a, 11: b", "12: b"),
+                ],
+                ["a", "b"],
+            ),
+            (
+                "later conclusions explain all its crashes",
+                [
+                    *("1: t a", "2: t b", "3: t c", "4: a", "5: b", "6: c"),
+                    *("7: a", "8: b", "9: c", "10: a", "11: b", "12: c"),
+                ],
+                ["a", "b", "c"],
+            ),
+            (
+                "later conclusions leave two crashes",
+                [
+                    *("1: t a", "2: t b", "3: t c", "13: t", "4: a", "5: b", "6: c"),
+                    *("7: a", "8: b", "9: c", "10: a", "11: b", "12: c"),
+                ],
+                ["a", "b", "c"],
+            ),
+            (
+                "refuted by a part that shares crashes, and concluded again",
+                [
+                    *("1: y, 9: a", "2: y, 8: a", "3: y", "4: y", "5: a", "6: a"),
+                    *("7: a", "10: y"),
+                ],
+                ["a", "y"],
+            ),
+            ("models add up", ["1: bad@m1", "2: bad@m2", "3: bad@m1"], ["bad"]),
+            (
+                "several at once by lost endpoints",
+                ["1: a, 2: b, 3: c", "4: a, 5: d, 6: e", "7: f, 8: g, 9: c"],
+                [],
+            ),
+        ]
+    )
+    def test_crashes(self, _name, crashes, groups):
+        """Each crash is reported whole; the same holds for reports in any order."""
+        for seed in range(4):
+            rng = random.Random(seed)
+            reports = [
+                (number, request)
+                for number, crash in enumerate(crashes)
+                for request in crash.split(",")
+            ]
+            if seed:
+                reports *= 2
+                rng.shuffle(reports)
+            quarantine = PartQuarantine()
+            for number, request in reports:
+                record(quarantine, number, request)
+            self.assertEqual(groups, named(quarantine.quarantined_here()), str(seed))
+
+    def test_conclusion_is_returned_once(self):
+        """The daemon logs what is new."""
+        quarantine = PartQuarantine()
+        returned = [record(quarantine, n, f"r{n}: bad s{n}") for n in range(5)]
+        self.assertEqual([[], [], ["bad"], [], []], returned)
+        self.assertEqual([], record(quarantine, 2, "r2: bad s2"))
+
+    def test_group_refuses_only_requests_with_all_of_it(self):
+        """A sound request that holds one of the tied parts goes on."""
+        quarantine = PartQuarantine()
+        for number in range(3):
+            record(quarantine, number, f"r{number}: a b s{number}")
+        self.assertTrue(refused(quarantine, "a x b", 21.0))
+        self.assertFalse(refused(quarantine, "a x", 21.0))
+        self.assertFalse(refused(quarantine, "b", 21.0))
+
+    @parameterized.expand(
+        [
+            ("nothing known", [], "bad", 0),
+            ("one crash", ["1: bad a"], "bad", 1),
+            ("two crashes", ["1: bad a", "2: bad a"], "x bad", 2),
+            ("concluded", ["1: bad", "2: bad", "3: bad"], "bad x", 3),
+            ("explained", ["1: bad", "2: bad", "3: bad, 4: s"], "s", 0),
+        ]
+    )
+    def test_suspicion(self, _name, crashes, names, count):
+        """A request that was cut is sent again while its parts ran at few crashes."""
+        quarantine = PartQuarantine()
+        for number, crash in enumerate(crashes):
+            record(quarantine, number, crash)
+        self.assertEqual(count, quarantine.suspicion(parts_of(names), 30.0))
+
+
+class CompletionTest(ApricotTest):
+    """Completions clear parts, before crashes and after them."""
+
+    def test_part_that_completed_is_no_suspect(self):
+        """Sound requests share it, and some run at each crash."""
+        quarantine = PartQuarantine()
+        quarantine.record_completion(parts_of("first"), 0.0)
+        for number in range(8):
+            record(quarantine, number, f"r{number}: first s{number}")
+        self.assertEqual({}, quarantine.quarantined_here())
+        self.assertFalse(quarantine.is_suspect(parts_of("first")[0], 80.0))
+        self.assertEqual(0, quarantine.suspicion(parts_of("first"), 80.0))
+
+    def test_old_completion_clears_no_crash(self):
+        """Endpoints change, so an old completion proves little."""
+        quarantine = PartQuarantine()
+        quarantine.record_completion(parts_of("bad"), 0.0)
+        for number in range(3):
+            record(quarantine, number, f"r{number}: bad", COMPLETION_VALID_S + number)
+        self.assertEqual(["bad"], named(quarantine.quarantined_here()))
+
+    def test_completion_releases_a_quarantine(self):
+        """A wrong conclusion ends with the first request that completes."""
+        quarantine = PartQuarantine()
+        for number in range(3):
+            record(quarantine, number, f"r{number}: sound s{number}")
+        self.assertTrue(refused(quarantine, "sound", 21.0))
+        self.assertTrue(quarantine.is_suspect(parts_of("sound")[0], 21.0))
+        quarantine.record_completion(parts_of("sound"), 22.0)
+        self.assertFalse(refused(quarantine, "sound", 23.0))
+        self.assertEqual({}, quarantine.quarantined_here())
+        self.assertFalse(quarantine.is_suspect(parts_of("sound")[0], 23.0))
+
+    def test_completion_leaves_the_rest_of_a_group(self):
+        """The part that never completed stays the suspect."""
+        quarantine = PartQuarantine()
+        for number in range(3):
+            record(quarantine, number, f"r{number}: first bad")
+        quarantine.record_completion(parts_of("first"), 22.0)
+        self.assertEqual(["bad"], named(quarantine.quarantined_here()))
+        self.assertTrue(refused(quarantine, "other bad", 23.0))
+        self.assertFalse(refused(quarantine, "first other", 23.0))
+
+    def test_completion_counts_for_its_model_only(self):
+        """A part may crash endpoints of one model and complete under another."""
+        quarantine = PartQuarantine()
+        quarantine.record_completion(parts_of("bad@m2"), 0.0)
+        for number in range(3):
+            record(quarantine, number, f"r{number}: bad@m1, q{number}: bad@m2")
+        self.assertTrue(refused(quarantine, "bad@m1", 21.0))
+        self.assertTrue(refused(quarantine, "bad@m3", 21.0))
+        self.assertFalse(refused(quarantine, "bad@m2", 21.0))
+
+    def test_completion_at_another_daemon_before_the_crash_report(self):
+        """Reports and completions arrive in any order."""
+        quarantine = PartQuarantine()
+        quarantine.record_completion(parts_of("first"), 25.0)
+        for number in range(3):
+            record(quarantine, number, f"r{number}: first bad s{number}")
+        self.assertEqual(["bad"], named(quarantine.quarantined_here()))
+
+    def test_replayed_completion_keeps_its_time(self):
+        """An older record does not replace a newer one, nor extend it."""
+        quarantine = PartQuarantine()
+        quarantine.record_completion(parts_of("a"), 50.0)
+        quarantine.record_completion(parts_of("a"), 20.0)
+        self.assertEqual(50.0, quarantine.completed_s(parts_of("a")[0]))
+        self.assertEqual([], quarantine.without_recent_completion(parts_of("a"), 60.0))
+
+    def test_release_ends_a_quarantine(self):
+        """Another daemon may know that the part completed."""
+        quarantine = PartQuarantine()
+        quarantine.add_quarantined(frozenset(parts_of("a")), 600.0, 0.0)
+        self.assertTrue(refused(quarantine, "a", 1.0))
+        quarantine.release(parts_of("a")[0], 2.0)
+        self.assertFalse(refused(quarantine, "a", 3.0))
+
+
+class ExpiryTest(ApricotTest):
+    """Conclusions end, and are made again by one crash."""
+
+    def _concluded(self) -> PartQuarantine:
+        quarantine = PartQuarantine()
+        for number in range(3):
+            record(quarantine, number, f"r{number}: bad s{number}")
+        return quarantine
+
+    def test_quarantine_ends_and_one_crash_doubles_it(self):
+        """A wrong conclusion is undone, a right one costs one endpoint."""
+        quarantine = self._concluded()
+        end_s = 20.0 + FIRST_QUARANTINE_S
+        quarantine.tick(end_s - 1.0)
+        self.assertTrue(refused(quarantine, "bad", end_s - 1.0))
+        quarantine.tick(end_s + 1.0)
+        self.assertFalse(refused(quarantine, "bad", end_s + 1.0))
+        self.assertEqual({}, quarantine.quarantined_here())
+        self.assertEqual(3, quarantine.suspicion(parts_of("bad"), end_s + 1.0))
+        self.assertEqual(["bad"], record(quarantine, 9, "r9: bad s9", end_s + 5.0))
+        until_s = end_s + 5.0 + 2 * FIRST_QUARANTINE_S
+        self.assertTrue(refused(quarantine, "bad", until_s - 1.0))
+        self.assertFalse(refused(quarantine, "bad", until_s))
+
+    def test_quarantine_lasts_at_most_a_day(self):
+        """Each crash after the end doubles it up to a day."""
+        quarantine = self._concluded()
+        now_s = 20.0
+        for number in range(10, 25):
+            until_s = max(quarantine.quarantined_here().values())
+            self.assertLessEqual(until_s - now_s, MAX_QUARANTINE_S)
+            now_s = until_s + 1.0
+            quarantine.tick(now_s)
+            record(quarantine, number, f"r{number}: bad s{number}", now_s)
+        until_s = max(quarantine.quarantined_here().values())
+        self.assertEqual(MAX_QUARANTINE_S, until_s - now_s)
+
+    def test_probation_ends(self):
+        """Long after the end, one crash says nothing again."""
+        quarantine = self._concluded()
+        now_s = 20.0 + FIRST_QUARANTINE_S + PROBATION_S + 1.0
+        quarantine.tick(now_s)
+        self.assertEqual([], record(quarantine, 9, "r9: bad s9", now_s))
+
+    def test_part_that_completed_on_probation_is_not_concluded_by_one_crash(self):
+        """A completion after the last crash refutes the conclusion."""
+        quarantine = self._concluded()
+        now_s = 20.0 + FIRST_QUARANTINE_S + 1.0
+        quarantine.tick(now_s)
+        quarantine.record_completion(parts_of("bad"), now_s)
+        later_s = now_s + COMPLETION_VALID_S + 1.0
+        self.assertEqual([], record(quarantine, 9, "r9: bad s9", later_s))
+
+    def test_crash_later_than_its_retention_says_nothing(self):
+        """Two crashes of an hour ago do not make the next one the third."""
+        quarantine = PartQuarantine()
+        record(quarantine, 0, "r0: a", 0.0)
+        record(quarantine, 1, "r1: a", 1.0)
+        quarantine.tick(CRASH_RETENTION_S + 2.0)
+        self.assertEqual([], record(quarantine, 2, "r2: a", CRASH_RETENTION_S + 3.0))
+        self.assertEqual(1, quarantine.suspicion(parts_of("a"), CRASH_RETENTION_S))
+
+    def test_mark_of_another_daemon_refuses_until_its_end(self):
+        """A daemon that starts later knows only the mark."""
+        quarantine = PartQuarantine()
+        group = frozenset(parts_of("a b"))
+        quarantine.add_quarantined(group, 20.0 + 4 * FIRST_QUARANTINE_S, 20.0)
+        self.assertTrue(refused(quarantine, "a b c", 30.0))
+        self.assertFalse(refused(quarantine, "a c", 30.0))
+        self.assertEqual({}, quarantine.quarantined_here())
+        end_s = 20.0 + 4 * FIRST_QUARANTINE_S
+        quarantine.tick(end_s)
+        self.assertFalse(refused(quarantine, "a b c", end_s))
+        self.assertEqual(["a b"], record(quarantine, 1, "r1: a b", end_s + 1.0))
+        until_s = end_s + 1.0 + 8 * FIRST_QUARANTINE_S
+        self.assertEqual([until_s], list(quarantine.quarantined_here().values()))
+
+    def test_mark_that_the_same_crashes_refute_is_withdrawn(self):
+        """The mark was made before all reports had arrived."""
+        quarantine = self._concluded()
+        quarantine.add_quarantined(frozenset(parts_of("bad")), 620.0, 20.0)
+        quarantine.record_completion(parts_of("bad"), 25.0)
+        self.assertFalse(refused(quarantine, "bad", 25.0 + COMPLETION_VALID_S - 1.0))
+        self.assertEqual({}, quarantine.quarantined_here())
+        self.assertFalse(refused(quarantine, "bad@m2", 26.0))
+
+
+class BoundsTest(ApricotTest):
+    """Callers may invent any number of parts."""
+
+    def test_memory_is_bounded(self):
+        """100,000 parts complete, and 30,000 more run at crashes."""
+        quarantine = PartQuarantine()
+        for start in range(0, 100_000, 10):
+            parts = [part_key("m", f"c{start + n}") for n in range(10)]
+            quarantine.record_completion(parts, 0.0)
+        for number in range(300):
+            requests = [
+                PartsAtCrash(
+                    f"r{number}/{r}",
+                    [part_key("m", f"x{number}/{r}/{n}") for n in range(10)],
+                )
+                for r in range(10)
+            ]
+            quarantine.record_crash(f"e{number}", requests, float(number))
+        self.assertLessEqual(len(quarantine._completed_s), MAX_COMPLETIONS)
+        self.assertLessEqual(len(quarantine._crashes), MAX_CRASHES)
+        self.assertLessEqual(len(quarantine._crashes_of), MAX_SUSPECTS)
+        self.assertLessEqual(len(quarantine._open), MAX_SUSPECTS)
+        quarantine.tick(300.0 + CRASH_RETENTION_S)
+        self.assertEqual({}, quarantine._crashes)
+        self.assertEqual({}, quarantine._crashes_of)
+        self.assertEqual({}, quarantine._open)
+
+    def test_one_crash_is_bounded(self):
+        """A report with many requests of many parts."""
+        quarantine = PartQuarantine()
+        requests = [
+            PartsAtCrash(f"r{r}", [part_key("m", f"x{r}/{n}") for n in range(300)])
+            for r in range(300)
+        ]
+        quarantine.record_crash("e", requests, 0.0)
+        most = MAX_REQUESTS_PER_CRASH * MAX_PARTS_PER_REQUEST
+        self.assertLessEqual(len(quarantine._crashes_of), most)
+
+    def test_marks_are_bounded(self):
+        """Those that end first yield."""
+        quarantine = PartQuarantine()
+        for number in range(MAX_CONCLUSIONS + 50):
+            group = frozenset(parts_of(f"p{number}"))
+            quarantine.add_quarantined(group, 1_000.0 + number, 0.0)
+        self.assertFalse(refused(quarantine, "p0", 1.0))
+        self.assertTrue(refused(quarantine, f"p{MAX_CONCLUSIONS + 49}", 1.0))
+        self.assertLessEqual(len(quarantine._earlier), MAX_CONCLUSIONS)
+
+    def test_long_ids_are_shortened(self):
+        """Ids that differ stay different."""
+        one, other = part_key("m", "a" * 5_000 + "1"), part_key("m", "a" * 5_000 + "2")
+        self.assertLess(len(one), 100)
+        self.assertNotEqual(one, other)
+
+    def test_completion_of_a_cleared_part_judges_nothing_anew(self):
+        """Sound requests complete all the time."""
+        quarantine = PartQuarantine()
+        record(quarantine, 0, "r0: a b")
+        quarantine.record_completion(parts_of("b c"), 1.0)
+        quarantine._judge = None
+        quarantine.record_completion(parts_of("b c d"), 2.0)
+
+
+class RandomCrashesTest(ApricotTest):
+    """Crashes by one bad part, reported whole, with sound requests beside."""
+
+    @parameterized.expand([(seed,) for seed in range(60)])
+    def test_bad_part_is_refused_by_its_fifth_crash(self, seed):
+        """Up to 8 others ran beside each; the shared parts have completed once."""
+        rng = random.Random(seed)
+        quarantine = PartQuarantine()
+        shared = [parts_of(f"route{n % 2} team{n % 3} sub{n}") for n in range(6)]
+        for parts in shared:
+            quarantine.record_completion(parts, 0.0)
+        position = rng.randrange(5)
+        for number in range(CRASHES_DESPITE_TIE):
+            requests = self._sound(rng, shared, number, rng.randrange(9))
+            bad = [*rng.choice(shared), *parts_of(f"new{number}")]
+            bad.insert(position, part_key("m", "bad"))
+            requests.append(PartsAtCrash(f"bad{number}", bad))
+            rng.shuffle(requests)
+            for request in requests:
+                quarantine.record_crash(f"e{number}", [request], 1.0 + number)
+        now_s = 1.0 + CRASHES_DESPITE_TIE
+        for parts in shared:
+            self.assertTrue(quarantine.is_quarantined(["bad@m", *parts], now_s))
+            self.assertFalse(quarantine.is_quarantined(parts, now_s))
+
+    def _sound(
+        self,
+        rng: random.Random,
+        shared: list[list[PartKey]],
+        number: int,
+        count: int,
+    ) -> list[PartsAtCrash]:
+        sessions = [rng.randrange(8) for _ in range(count)]
+        return [
+            PartsAtCrash(
+                f"sound{number}/{n}",
+                [*rng.choice(shared), part_key("m", f"session{session}")],
+            )
+            for n, session in enumerate(sessions)
+        ]
+
+
+class RandomHistoryTest(ApricotTest):
+    """Whole fleets, with retries, delays of reports, and endpoints lost beside."""
+
+    @parameterized.expand(
+        [
+            ("first", 1, 9, [0], 0.2, 10.0),
+            ("middle", 2, 24, [1], 0.2, 10.0),
+            ("second to last", 3, 36, [4], 0.2, 10.0),
+            ("two at once", 4, 9, [0, 3], 0.2, 10.0),
+            ("three at once", 5, 24, [2, 4, 1], 0.2, 10.0),
+            ("from the start", 6, 9, [2], 0.0, 0.0),
+            ("no crash by parts", 7, 9, [], 1.0, 0.0),
+        ]
+    )
+    def test_history(self, _name, seed, daemons, bad, lost_per_s, bad_from_s):
+        """Bad parts are refused everywhere, sound ones served, and all agree."""
+        fleet = _Fleet(seed, daemons, 12, bad, 2.0, 25.0, lost_per_s, bad_from_s)
+        fleet.run(bad_from_s + 10.0)
+        self._check_bad_parts(fleet)
+        self._check_sound_requests(fleet)
+        self._check_agreement(fleet)
+
+    def _check_bad_parts(self, fleet: _Fleet) -> None:
+        for part, crashes in fleet.crashes.items():
+            known_s = sorted(crashes)[:CRASHES_DESPITE_TIE][-1] + CONTACT_S
+            later = [at_s for at_s in fleet.reaches[part] if at_s > known_s]
+            self.assertLessEqual(len(later), MAX_REACHES_LATER)
+            for quarantine in fleet.daemons:
+                self.assertTrue(quarantine.is_quarantined([part], fleet.now_s))
+
+    def _check_sound_requests(self, fleet: _Fleet) -> None:
+        never_s = float("inf")
+        for at_s, request in fleet.refused:
+            if request.bad is not None:
+                continue
+            cleared = [
+                fleet.completed_s.get(part, never_s) + CONTACT_S < at_s
+                for part in request.parts
+            ]
+            self.assertFalse(all(cleared), request.fingerprint)
+        for route in parts_of("route0 route1"):
+            sent = [r for _, r in fleet.served + fleet.refused if not r.bad]
+            refused = [r for _, r in fleet.refused if not r.bad and route in r.parts]
+            self.assertLess(len(refused), 0.5 * sum(route in r.parts for r in sent))
+
+    def _check_agreement(self, fleet: _Fleet) -> None:
+        """A daemon that starts later reads the records in any order, some twice."""
+        replays = [PartQuarantine() for _ in range(2)]
+        for seed, quarantine in enumerate(replays):
+            records = fleet.log * 2
+            random.Random(seed).shuffle(records)
+            for method, arguments in records:
+                getattr(quarantine, method)(*arguments)
+        conclusions = fleet.daemons[0].quarantined_here()
+        for quarantine in fleet.daemons + replays:
+            self.assertEqual(conclusions, quarantine.quarantined_here())
