--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,7 +23,7 @@
 import fire
 
 from apricotquay.platform.store import StoreClient, encode_record
-from apricotquay.serving.http1 import HttpError, HttpResponse
+from apricotquay.serving.http1 import HttpError, HttpRequest, HttpResponse
 from apricotquay.serving.httpserver import Exchange, HttpServer, ServerLimits
 from apricotquay.serving.keyedlog import (
     KeyedRecord,
@@ -158,7 +158,9 @@
     """Server of the service "llm": streams as many events as a request asks for.
 
     The request's body is `events=N`, `fail=STATUS` for an error response, or
-    `crash=1` to end the server without an answer.
+    `crash=1` to end the server without an answer. A request whose prompt has one of
+    the `crashing_parts`, not as its last part, ends the server `crash_delay_s` after
+    it begins, in a stream of `events_before_crash` events if there are any.
     """
 
     def __init__(self, name: str, step_s: float, record_run=None) -> None:
@@ -168,6 +170,9 @@
         self.on_crash: Callable[[], None] = lambda: os._exit(1)
         self.fails_all_with: int = 0
         self.is_holding: bool = False
+        self.crashing_parts: frozenset[str] = frozenset()
+        self.crash_delay_s: float = 0.0
+        self.events_before_crash: int = 0
         self._step_s: float = step_s
         self._record_run = record_run or (
             lambda run: print(json.dumps(run), flush=True)
@@ -243,6 +248,7 @@
                 "after": after,
                 "tenant": request.header(b"tenant"),
                 "key": request.header(b"key"),
+                "parts": prompt_parts(request),
                 "at": time.time(),
             }
         )
@@ -251,19 +257,39 @@
         if status:
             await exchange.respond(HttpResponse(status, head, b"no"))
             return
-        if options.get("crash"):
-            self.on_crash()
-            await asyncio.Event().wait()
+        has_crashing_part = self.crashing_parts.intersection(prompt_parts(request)[:-1])
+        if options.get("crash") or has_crashing_part:
+            await self._crash(exchange, request_id, head, after)
         chunked = (b"transfer-encoding", b"chunked")
         await exchange.start(200, [*head, chunked])
         for number in range(after + 1, int(options.get("events", 5))):
             await asyncio.sleep(self._step_s * random.uniform(0.5, 1.5))
             while self.is_holding:
                 await asyncio.sleep(HOLD_INTERVAL_S)
-            text = f"id: {number}\ndata: {request_id}-{number}\n\n"
-            await exchange.send(text.encode())
+            await exchange.send(_encode_event(request_id, number))
         await exchange.finish()
 
+    async def _crash(
+        self, exchange: Exchange, request_id: str, head: list, after: int
+    ) -> None:
+        if self.events_before_crash:
+            await exchange.start(200, [*head, (b"transfer-encoding", b"chunked")])
+        for number in range(after + 1, after + 1 + self.events_before_crash):
+            await exchange.send(_encode_event(request_id, number))
+        await asyncio.sleep(self.crash_delay_s)
+        self.on_crash()
+        await asyncio.Event().wait()
+
+
+def prompt_parts(request: HttpRequest) -> list[str]:
+    """Return the ids of the parts of a request's prompt."""
+    header = request.header(b"prompt-prefix") or ""
+    return [entry.partition(":")[0] for entry in header.split(",") if entry]
+
+
+def _encode_event(request_id: str, number: int) -> bytes:
+    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+
 
 async def write_configuration(store: str, value: dict) -> None:
     """Append a configuration as the operator does; raise if that fails."""
@@ -323,9 +349,13 @@
         host: str = "127.0.0.1",
         step_s: float = 0.01,
         shown: str = "",
+        crashing_part: str = "",
+        crash_delay_s: float = 0.1,
     ) -> None:
-        """Run a model server."""
+        """Run a model server; a prompt with the crashing part ends it."""
         server = ModelServer(name, step_s)
+        server.crashing_parts = frozenset([str(crashing_part)] if crashing_part else [])
+        server.crash_delay_s = crash_delay_s
         asyncio.run(
             _serve_until_stopped(lambda: server.start(host, port, store, shown))
         )
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -92,12 +92,15 @@
 class PlatformProcesses:
     """A store, model servers and event-loop daemons, each in its own process."""
 
-    def __init__(self, daemons: int, servers: int, step_s: float) -> None:
+    def __init__(
+        self, daemons: int, servers: int, step_s: float, crashing_part: str = ""
+    ) -> None:
         self.output_dir = Path(tempfile.mkdtemp(prefix="apricotquay-"))
         self.proxy = FaultProxy()
         self.proxy_listeners: list[str] = []
         self.caller_addresses: list[Address] = []
         self._step_s: float = step_s
+        self._crashing_part: str = crashing_part
         self._allocator = AddressAllocator()
         self._listeners: list[tuple[str, Address, Address]] = []
         self._store_address = self._allocator.allocate_address()
@@ -166,6 +169,8 @@
         args = ["standins.platform", "server", "--name", f"i-{number}"]
         args += ["--store", self.store_address, *_listen_args(listen)]
         args += ["--shown", _format_address(proxied), "--step-s", str(self._step_s)]
+        if self._crashing_part:
+            args += ["--crashing-part", self._crashing_part]
         return self._make_process(f"i{number}", args)
 
 
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -28,6 +28,7 @@
         self.crashes: int = 0
         self._fleet: PlatformFleet = fleet
         self._tasks: set[asyncio.Task] = set()
+        self._crashed: set[ModelServer] = set()
         for server in fleet.servers:
             self._watch(server)
 
@@ -35,7 +36,10 @@
         server.on_crash = lambda: self.crash(server)
 
     def crash(self, server: ModelServer) -> None:
-        """End a server at once; it starts again after a delay."""
+        """End a server at once, if it has not ended; it starts again after a delay."""
+        if server in self._crashed:
+            return
+        self._crashed.add(server)
         self.crashes += 1
         task = asyncio.ensure_future(self._restart(server))
         self._tasks.add(task)
@@ -46,6 +50,8 @@
         await asyncio.sleep(RESTART_DELAY_S)
         successor = ModelServer(server.name, 0.001, self._fleet.runs.append)
         successor.is_holding = server.is_holding
+        successor.crashing_parts = server.crashing_parts
+        successor.events_before_crash = server.events_before_crash
         self._watch(successor)
         await successor.start(HOST, 0, self._fleet.store_address)
         self._fleet.servers[self._fleet.servers.index(server)] = successor
