Refuse a prompt's part that crashes endpoints, at all daemons

Callers saw endpoint after endpoint end under requests that share one part of their prompts and nothing else: no two are alike, so each was new to the quarantine of whole requests, and each ended up to three endpoints by its retries.

Crash reports now carry the parts of the prompts that ran and haven't completed lately; completions of suspected parts and marks of conclusions go through the same log, and peers pass them on in an outage. A request with a concluded part is refused before it takes a token, and again before it is sent. One that a crash cut goes to no further endpoint once a part of it is the only explanation of two crashes; for that, the check for the crash is awaited, where a part hasn't completed lately. Records, the log's memory and the rate of telling are bounded. Batch items clear parts and are never suspects.

--- a/apricotquay/events.py
+++ b/apricotquay/events.py
@@ -54,6 +54,7 @@
     REQUEST_QUARANTINED = (1603, "request fingerprint quarantined")
     REQUEST_REFUSED = (1604, "request refused")
     ATTEMPT_ENDED = (1605, "attempt at an endpoint ended")
+    PARTS_QUARANTINED = (1606, "parts of prompts quarantined")
     JOB_ACCEPTED = (1701, "job accepted")
     JOB_FINISHED = (1702, "job finished")
     JOB_CANCELLED = (1703, "job cancelled")
--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -288,6 +288,7 @@
         arrived_s,
         int(resume) if resume is not None and resume.isdigit() else None,
         parts[-2] if len(parts) > 1 else "",
+        wire.decode_prompt_parts(request.headers),
     )
 
 
--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -16,6 +16,7 @@
     is_success,
 )
 from ..serving.httpclient import ClientConnection, open_client
+from ..serving.promptparts import PartKey
 from . import wire
 
 # Connecting takes one round trip of a few milliseconds. After a timeout the request
@@ -78,6 +79,10 @@
             raise
         return ServerResponse(connection, head)
 
+    def prompt_parts(self, headers: HeaderList) -> list[PartKey]:
+        """Return the parts of a request's prompt that other requests may share."""
+        return wire.decode_prompt_parts(headers)
+
     async def refuses_connections(self, endpoint: Endpoint) -> bool:
         """Whether no connection to the endpoint's address can be opened."""
         try:
--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -20,7 +20,9 @@
     WeightedService,
 )
 from ..serving.endpoints import Endpoint
+from ..serving.http1 import HeaderList, find_header
 from ..serving.keyedlog import KeyedRecord, Topic
+from ..serving.promptparts import MAX_PARTS_PER_REQUEST, PartKey, part_key
 from ..serving.view import RecordUnreadableError
 
 # Headers that a daemon reads or sets, in lower case as h11 returns them.
@@ -34,6 +36,7 @@
 SIGNATURE = b"response-stamp"
 ANSWERING_ENDPOINT = b"instance"
 SERVER_LOAD = b"server-load"
+MODEL = b"model"
 PROMPT_PARTS = b"prompt-prefix"
 LONG_POLL_MS = b"wait-ms"
 EXPECTED_VERSION = b"expect-version"
@@ -118,6 +121,18 @@
     born: int = 0
 
 
+def decode_prompt_parts(headers: HeaderList) -> list[PartKey]:
+    """Return the parts of a request's prompt, without the last, which is its own.
+
+    A malformed entry counts as a part if it has an id.
+    """
+    model = (find_header(headers, MODEL) or "").strip()
+    entries = (find_header(headers, PROMPT_PARTS) or "").split(",")
+    ids = [entry.partition(":")[0].strip().lower() for entry in entries[:-1]]
+    shared = dict.fromkeys(part_id for part_id in ids if part_id)
+    return [part_key(model, part_id) for part_id in shared][:MAX_PARTS_PER_REQUEST]
+
+
 class PlatformDirectory:
     """Decodes the records of the platform's two topics; implements `Directory`."""
 
--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -6,12 +6,12 @@
 
 import asyncio
 import hashlib
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import TypeVar
 
 from ..clocks import Clock
 from ..events import Event
-from ..ids import TeamId
+from ..ids import EndpointId, TeamId
 from .crashes import CrashDetector
 from .endpoints import Endpoint
 from .engine import (
@@ -21,8 +21,9 @@
     EngineResponse,
     RequestNotRunError,
 )
-from .http1 import is_success
+from .http1 import HeaderList, is_success
 from .metrics import ServingMetrics
+from .promptparts import PartKey
 from .reporting import Reporter
 from .sse import EventSplitter, StreamEvent
 from .view import View
@@ -65,6 +66,20 @@
         """Whether a request must not be sent because it crashes endpoints."""
         return self._crash_detector.is_quarantined(fingerprint)
 
+    def find_causes(self, parts: Sequence[PartKey]) -> list[PartKey]:
+        """Return the parts for which a request must not be sent, if any."""
+        return self._crash_detector.find_causes(parts)
+
+    async def may_send_again(
+        self, endpoint: EndpointId, parts: Sequence[PartKey]
+    ) -> bool:
+        """Whether a request that failed at an endpoint may go to a further one."""
+        return await self._crash_detector.may_send_again(endpoint, parts)
+
+    def prompt_parts(self, headers: HeaderList) -> list[PartKey]:
+        """Return the parts of a request's prompt that other requests may share."""
+        return self._engines.prompt_parts(headers)
+
     async def run(
         self,
         call: EngineCall,
@@ -82,7 +97,7 @@
         fingerprint = None
         if may_crash_endpoints:
             fingerprint = fingerprint_of(call.target, call.team, call.body)
-        self._crash_detector.begin_attempt(endpoint, fingerprint)
+        self._crash_detector.begin_attempt(endpoint, fingerprint, call.prompt_parts)
         was_abandoned = True
         try:
             status, result = await self._send(
@@ -113,8 +128,10 @@
             )
         self._view.endpoints.record_success(endpoint.id)
         # An endpoint may answer with a failure without having run the request.
-        if fingerprint is not None and is_success(status):
-            self._crash_detector.record_completion(fingerprint)
+        if is_success(status):
+            self._crash_detector.record_parts_completion(call.prompt_parts)
+            if fingerprint is not None:
+                self._crash_detector.record_completion(fingerprint)
         return result
 
     async def _send(
--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -426,19 +426,21 @@
         if endpoint is None or endpoint.is_leaving:
             return AttemptResult(Outcome.RETRY, "endpoint left")
         item = job.items[index]
+        headers = [
+            (b"host", job.header.host.encode()),
+            *((n.lower().encode(), v.encode("latin-1")) for n, v in item.headers),
+        ]
         remaining_ms = job.header.give_up_ms - self._clock.wall_ms()
         call = EngineCall(
             item.id,
             "POST",
             item.path,
-            [
-                (b"host", job.header.host.encode()),
-                *((n.lower().encode(), v.encode("latin-1")) for n, v in item.headers),
-            ],
+            headers,
             item.body,
             job.header.team,
             max(1, min(ITEM_TIMEOUT_MS, remaining_ms)),
             progress.last_id if progress.last_id >= 0 else None,
+            self._attempts.prompt_parts(headers),
         )
         last_id = progress.last_id
         try:
--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections import Counter
+from collections.abc import Coroutine, Iterable, Sequence
 
 from ..clocks import Clock
 from ..errors import PeerUnavailableError
@@ -20,13 +21,17 @@
     CrashLog,
     CrashRecord,
     CrashReport,
+    PartsCompletion,
+    PartsMark,
     QuarantineMark,
 )
 from .endpoints import Endpoint
 from .engine import EngineClient
 from .keyedlog import KeyedRecord
 from .messages import CrashSeen
+from .partcrashes import PartCrashes
 from .peers import Peers
+from .promptparts import PartKey, PartQuarantine
 from .reporting import Reporter
 from .shards import Shards, shard_number
 from .tasks import start_task
@@ -35,6 +40,11 @@
 UPKEEP_INTERVAL_S = 10.0
 # Some endpoints go on with a request whose connection was closed.
 ABANDONED_MAY_RUN_S = 3.0
+# How long a request that may have crashed an endpoint waits for the check.
+MAX_CHECK_WAIT_S = 0.6
+
+# Fingerprints of requests, and the parts of their prompts without the last.
+Suspects = dict[str, frozenset[PartKey]]
 
 
 class _EndpointAttempts:
@@ -43,17 +53,32 @@
     `reported` holds what this daemon has reported for a crash of this start.
     """
 
-    def __init__(self, endpoint: Endpoint, running: Counter) -> None:
+    def __init__(self, endpoint: Endpoint, running: Counter, parts: Suspects) -> None:
         self.endpoint: Endpoint = endpoint
         self.running: Counter = running
         self.abandoned_s: dict[str, float] = {}
         self.reported: set[str] = set()
+        self._parts: Suspects = parts
+
+    def begin(self, fingerprint: str, parts: Iterable[PartKey]) -> None:
+        """Record that a request is sent there."""
+        self.running[fingerprint] += 1
+        known = self._parts.get(fingerprint, frozenset())
+        self._parts[fingerprint] = known.union(parts)
 
-    def suspects(self, now_s: float) -> set[str]:
-        """Return the fingerprints that may run there now."""
+    def suspects(self, now_s: float) -> Suspects:
+        """Return the requests that may run there now."""
         oldest_s = now_s - ABANDONED_MAY_RUN_S
         self.abandoned_s = {f: s for f, s in self.abandoned_s.items() if s > oldest_s}
-        return {*self.running, *self.abandoned_s}
+        self._parts = {
+            f: self._parts.get(f, frozenset())
+            for f in (*self.running, *self.abandoned_s)
+        }
+        return dict(self._parts)
+
+    def next_start(self, endpoint: Endpoint) -> "_EndpointAttempts":
+        """Return the attempts at the next start of the endpoint."""
+        return _EndpointAttempts(endpoint, self.running, self._parts)
 
 
 class CrashDetector:
@@ -66,6 +91,7 @@
     def __init__(
         self,
         quarantine: Quarantine,
+        part_quarantine: PartQuarantine,
         crash_log: CrashLog,
         engines: EngineClient,
         shards: Shards,
@@ -81,7 +107,9 @@
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
         self._attempts: dict[EndpointId, _EndpointAttempts] = {}
-        self._suspects_of_check: dict[EndpointId, set[str]] = {}
+        self._parts = PartCrashes(part_quarantine, crash_log, clock, reporter)
+        self._suspects_of_check: dict[EndpointId, Suspects] = {}
+        self._checks: dict[EndpointId, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
         self._marked: set[str] = set()
         # When some daemon last told that a request completed.
@@ -95,16 +123,22 @@
 
     async def close(self) -> None:
         """Stop."""
+        self._parts.close()
         for task in (self._upkeep, *self._tasks):
             if task is not None:
                 task.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
 
-    def begin_attempt(self, endpoint: Endpoint, fingerprint: str | None) -> None:
+    def begin_attempt(
+        self,
+        endpoint: Endpoint,
+        fingerprint: str | None,
+        parts: Iterable[PartKey] = (),
+    ) -> None:
         """Record that a request is sent to an endpoint; None cannot be a suspect."""
         if fingerprint is not None:
-            self._attempts_at(endpoint).running[fingerprint] += 1
+            self._attempts_at(endpoint).begin(fingerprint, parts)
 
     def end_attempt(
         self, endpoint: Endpoint, fingerprint: str | None, *, was_abandoned: bool
@@ -124,6 +158,24 @@
         status = self._quarantine.status(fingerprint, self._clock.now_s())
         return status is QuarantineStatus.QUARANTINED
 
+    def find_causes(self, parts: Sequence[PartKey]) -> list[PartKey]:
+        """Return the parts for which a request must not run, empty if it may run."""
+        return self._parts.find_causes(parts)
+
+    async def may_send_again(
+        self, endpoint: EndpointId, parts: Sequence[PartKey]
+    ) -> bool:
+        """Whether a request that failed at an endpoint may go to a further one.
+
+        If its parts are suspected, the check for a crash there is awaited.
+        """
+        if not self._parts.are_unclear(parts):
+            return True
+        check = self._checks.get(endpoint)
+        if check is not None:
+            await asyncio.wait([check], timeout=MAX_CHECK_WAIT_S)
+        return self._parts.may_send_again(parts)
+
     def record_completion(self, fingerprint: str) -> None:
         """Record that a request completed; report it if it is suspected."""
         now_s = self._clock.now_s()
@@ -134,22 +186,30 @@
         if is_suspect:
             self._report_completion(fingerprint)
 
+    def record_parts_completion(self, parts: Sequence[PartKey]) -> None:
+        """Record that a request with these parts completed."""
+        self._parts.record_completion(parts)
+
     def check_endpoint(self, endpoint: Endpoint, fingerprint: str | None) -> None:
         """Check whether an endpoint crashed after an attempt was cut or timed out."""
         suspects = self._attempts_at(endpoint).suspects(self._clock.now_s())
         if fingerprint is not None:
-            suspects.add(fingerprint)
+            suspects.setdefault(fingerprint, frozenset())
         if suspects:
             self._begin_check(endpoint, suspects)
 
-    def _begin_check(self, endpoint: Endpoint, suspects: set[str]) -> None:
+    def _begin_check(self, endpoint: Endpoint, suspects: Suspects) -> None:
         if endpoint.id in self._suspects_of_check:
-            self._suspects_of_check[endpoint.id] |= suspects
+            self._suspects_of_check[endpoint.id].update(suspects)
             return
         self._suspects_of_check[endpoint.id] = suspects
-        task = asyncio.ensure_future(self._check_crash(endpoint))
+        self._checks[endpoint.id] = self._start_task(self._check_crash(endpoint))
+
+    def _start_task(self, work: Coroutine) -> asyncio.Task:
+        task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def handle_crash_seen(self, message: CrashSeen) -> None:
         """Apply a record that a peer sent, which may not be in the log yet."""
@@ -159,23 +219,29 @@
 
     async def _check_crash(self, endpoint: Endpoint) -> None:
         has_crashed = await self._has_crashed(endpoint)
-        suspects = sorted(self._suspects_of_check.pop(endpoint.id))
+        requests = self._suspects_of_check.pop(endpoint.id)
+        del self._checks[endpoint.id]
+        fingerprints = sorted(requests)
         if not has_crashed:
             self._reporter.write(
-                Event.CRASH_NOT_CONFIRMED, endpoint=endpoint.id, suspects=suspects
+                Event.CRASH_NOT_CONFIRMED, endpoint=endpoint.id, suspects=fingerprints
             )
             return
         suspects = self._quarantine.without_recent_completion(
-            suspects, self._clock.now_s()
+            fingerprints, self._clock.now_s()
         )
         report = CrashReport(
-            endpoint.id, endpoint.started_ms, suspects, self._clock.wall_ms()
+            endpoint.id,
+            endpoint.started_ms,
+            suspects,
+            self._clock.wall_ms(),
+            self._parts.suspects_of(requests),
         )
-        self._attempts_at(endpoint).reported.update(suspects)
-        if not suspects:
+        self._attempts_at(endpoint).reported.update(fingerprints)
+        if not report.fingerprints and not report.requests:
             self._report_crash(report)
             return
-        await self._tell_owners(self._crash_log.add(report))
+        self._start_task(self._tell_owners(self._crash_log.add(report)))
 
     async def _tell_owners(self, keyed: KeyedRecord) -> None:
         """Send a record directly, in case the store is slow or away."""
@@ -207,6 +273,11 @@
             self._completion_told_s[record.fingerprint] = now_s - age_s
             if self._keeps_log:
                 self._crash_log.delete_marks(record.fingerprint)
+        elif isinstance(record, PartsCompletion):
+            self._parts.apply_completion(record, now_s - age_s)
+        elif isinstance(record, PartsMark):
+            until_s = now_s + (record.until_ms - self._clock.wall_ms()) / 1000
+            self._parts.apply_mark(record, now_s - age_s, until_s)
         elif self._quarantine.without_recent_completion([record.fingerprint], now_s):
             until_s = now_s + (record.until_ms - self._clock.wall_ms()) / 1000
             self._quarantine.add_quarantined(record.fingerprint, until_s)
@@ -216,6 +287,7 @@
         # An endpoint may start again under its id, so the start is part of the name.
         start = f"{report.endpoint}/{report.started_ms}"
         quarantined = self._quarantine.record_crash(start, report.fingerprints, at_s)
+        self._parts.apply_crash(start, report, at_s)
         self._report_crash(report)
         for fingerprint in quarantined:
             self._reporter.write(
@@ -251,15 +323,19 @@
         if attempts is None or attempts.endpoint.started_ms != report.started_ms:
             return
         suspects = attempts.suspects(self._clock.now_s())
-        suspects -= attempts.reported.union(report.fingerprints)
+        known = attempts.reported.union(report.fingerprints)
+        known.update(request.fingerprint for request in report.requests)
+        suspects = {f: parts for f, parts in suspects.items() if f not in known}
         if suspects:
             self._begin_check(attempts.endpoint, suspects)
 
     def _attempts_at(self, endpoint: Endpoint) -> _EndpointAttempts:
         attempts = self._attempts.get(endpoint.id)
         if attempts is None or attempts.endpoint.started_ms != endpoint.started_ms:
-            running = attempts.running if attempts else Counter()
-            attempts = _EndpointAttempts(endpoint, running)
+            if attempts is None:
+                attempts = _EndpointAttempts(endpoint, Counter(), {})
+            else:
+                attempts = attempts.next_start(endpoint)
             self._attempts[endpoint.id] = attempts
         return attempts
 
@@ -270,6 +346,7 @@
             started_ms=report.started_ms,
             crashed_ms=report.at_ms,
             suspects=self._quarantine.crash_counts(report.fingerprints),
+            parts=self._parts.crash_counts(report),
         )
 
     @property
@@ -283,10 +360,12 @@
             await asyncio.sleep(UPKEEP_INTERVAL_S)
             if self._keeps_log:
                 self._mark_quarantined()
+                self._parts.update_log()
                 self._crash_log.delete_expired()
             self._crash_log.expire()
             self._forget_idle_endpoints()
             self._forget_old_completions()
+            self._parts.tick()
 
     def _forget_old_completions(self) -> None:
         oldest_s = self._clock.now_s() - COMPLETION_VALID_S
--- a/apricotquay/serving/crashlog.py
+++ b/apricotquay/serving/crashlog.py
@@ -22,6 +22,7 @@
 from ..quarantine import SUSPECT_RETENTION_S
 from .backoff import Backoff
 from .keyedlog import KeyedLog, KeyedRecord, LogError, Page, Topic
+from .promptparts import PROBATION_S, PartKey, PartsAtCrash
 from .reporting import Reporter
 from .tasks import start_task
 from .topicfollower import RETRY_DELAY_S, TopicFollower
@@ -29,9 +30,12 @@
 CRASHES = Topic("keyed.crashes")
 MAX_APPEND_RETRY_DELAY_S = 0.8
 MAX_RECORDS_PER_APPEND = 200
+# The store takes 2 MiB in one call.
+MAX_BYTES_PER_APPEND = 1024 * 1024
 # Reports that wait for the store; the oldest are dropped beyond this.
 MAX_PENDING_RECORDS = 2_000
 MAX_KNOWN_RECORDS = 20_000
+MAX_KNOWN_BYTES = 16 * 1024 * 1024
 # A peer may have received a report somewhat before it was appended.
 PEER_MARGIN_S = 3.0
 ALL_RECORDS = -1
@@ -40,13 +44,15 @@
 class CrashReport(msgspec.Struct, frozen=True, tag="crash"):
     """The requests that one daemon ran at an endpoint when that crashed.
 
-    `at_ms` is the reporting daemon's Unix time.
+    `at_ms` is the reporting daemon's Unix time. `requests` holds those whose prompts
+    have parts that may be the cause.
     """
 
     endpoint: EndpointId
     started_ms: int
     fingerprints: list[str]
     at_ms: int
+    requests: list[PartsAtCrash] = []
 
 
 class CompletionReport(msgspec.Struct, frozen=True, tag="completion"):
@@ -64,11 +70,30 @@
     until_ms: int
 
 
-CrashRecord = CrashReport | CompletionReport | QuarantineMark
+class PartsCompletion(msgspec.Struct, frozen=True, tag="parts_completion"):
+    """Requests with these parts completed. `at_ms` is the newest of their times."""
+
+    completed_ms: dict[PartKey, int]
+    at_ms: int
+
+
+class PartsMark(msgspec.Struct, frozen=True, tag="parts_quarantine"):
+    """Requests with all of these parts are refused; outlives the reports."""
+
+    parts: list[PartKey]
+    at_ms: int
+    until_ms: int
+
+
+CrashRecord = (
+    CrashReport | CompletionReport | QuarantineMark | PartsCompletion | PartsMark
+)
 
 
 def expiry_ms(record: CrashRecord) -> int:
     """Return the Unix time at which a record says nothing any more."""
+    if isinstance(record, PartsMark):
+        return record.until_ms + int(PROBATION_S * 1000)
     if isinstance(record, QuarantineMark):
         return record.until_ms
     return record.at_ms + int(SUSPECT_RETENTION_S * 1000)
@@ -112,6 +137,7 @@
         self._reporter: Reporter = reporter
         self._numbers = itertools.count(1)
         self._known: dict[bytes, _KnownRecord] = {}
+        self._known_bytes: int = 0
         self._pending: collections.deque[KeyedRecord] = collections.deque()
         self._pending_event = asyncio.Event()
         self._last_peer_sync_s: float = float("-inf")
@@ -170,7 +196,7 @@
     def expire(self) -> None:
         """Forget the records that say nothing any more."""
         for key in self._expired_keys():
-            del self._known[key]
+            self._forget(key)
 
     def delete_expired(self) -> None:
         """Delete expired records from the log. One daemon does this for all."""
@@ -179,13 +205,16 @@
 
     def delete_marks(self, fingerprint: str) -> None:
         """Delete the quarantine marks of a request from the log."""
-        marks = [
-            key
-            for key, known in self._known.items()
-            if isinstance(known.record, QuarantineMark)
-            and known.record.fingerprint == fingerprint
-        ]
-        self._append_later([KeyedRecord(key, None) for key in marks])
+        self.delete_where(
+            lambda record: (
+                isinstance(record, QuarantineMark) and record.fingerprint == fingerprint
+            )
+        )
+
+    def delete_where(self, is_void: Callable[[CrashRecord], bool]) -> None:
+        """Delete the known records that are void from the log."""
+        keys = [key for key, known in self._known.items() if is_void(known.record)]
+        self._append_later([KeyedRecord(key, None) for key in keys])
 
     def _expired_keys(self) -> list[bytes]:
         now_ms = self._clock.wall_ms()
@@ -207,7 +236,7 @@
         backoff = Backoff(RETRY_DELAY_S, MAX_APPEND_RETRY_DELAY_S, random.Random())
         while True:
             await self._pending_event.wait()
-            batch = list(itertools.islice(self._pending, MAX_RECORDS_PER_APPEND))
+            batch = list(self._next_batch())
             if not batch:
                 self._pending_event.clear()
                 continue
@@ -222,6 +251,15 @@
             self._reporter.report_recovered("crash log")
             self._remove_pending(batch)
 
+    def _next_batch(self) -> Iterator[KeyedRecord]:
+        """Yield the next records to append, in one call's size."""
+        size = 0
+        for record in itertools.islice(self._pending, MAX_RECORDS_PER_APPEND):
+            size += len(record.value or b"")
+            if size > MAX_BYTES_PER_APPEND:
+                return
+            yield record
+
     def _remove_pending(self, batch: list[KeyedRecord]) -> None:
         """Remove appended records; some may have been dropped meanwhile."""
         appended = {id(record) for record in batch}
@@ -240,7 +278,7 @@
 
     def _apply_record(self, keyed: KeyedRecord) -> None:
         if keyed.value is None:
-            self._known.pop(keyed.key, None)
+            self._forget(keyed.key)
             return
         if keyed.key in self._known:
             return
@@ -254,8 +292,20 @@
                 reason=str(exc),
             )
             return
-        self._known[keyed.key] = _KnownRecord(record, keyed.value, self._clock.now_s())
-        if len(self._known) > MAX_KNOWN_RECORDS:
-            del self._known[next(iter(self._known))]
+        self._remember(keyed, record)
         if expiry_ms(record) > self._clock.wall_ms():
             self.apply(record)
+
+    def _remember(self, keyed: KeyedRecord, record: CrashRecord) -> None:
+        now_s = self._clock.now_s()
+        self._known[keyed.key] = _KnownRecord(record, keyed.value, now_s)
+        self._known_bytes += len(keyed.value)
+        while (
+            len(self._known) > MAX_KNOWN_RECORDS or self._known_bytes > MAX_KNOWN_BYTES
+        ):
+            self._forget(next(iter(self._known)))
+
+    def _forget(self, key: bytes) -> None:
+        known = self._known.pop(key, None)
+        if known is not None:
+            self._known_bytes -= len(known.value)
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -42,6 +42,7 @@
 from .metrics import ServingMetrics
 from .online import OnlineRequestHandler
 from .peers import PeerConnection, Peers
+from .promptparts import PartQuarantine
 from .ratelimiter import RateLimiter
 from .reporting import Reporter
 from .shards import Shards
@@ -155,6 +156,7 @@
         )
         self.crashes = CrashDetector(
             Quarantine(),
+            PartQuarantine(),
             self.crash_log,
             engines,
             self.shards,
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -9,11 +9,13 @@
 from ..ids import TeamId
 from .endpoints import Endpoint
 from .http1 import HeaderList
+from .promptparts import PartKey
 
 
 class EngineCall(msgspec.Struct, frozen=True):
     """The request of one attempt. `resume_after` is the id of the last event received
-    so far, and `timeout_ms` how long the endpoint may work."""
+    so far, and `timeout_ms` how long the endpoint may work. `prompt_parts` are the
+    parts of its prompt that other requests may share."""
 
     request_id: str
     method: str
@@ -23,6 +25,7 @@
     team: TeamId | None
     timeout_ms: int
     resume_after: int | None = None
+    prompt_parts: list[PartKey] = []
 
 
 class RequestNotRunError(ApricotquayError):
@@ -69,5 +72,8 @@
     async def send(self, call: EngineCall, endpoint: Endpoint) -> EngineResponse:
         """Send a call and wait for the headers of its response."""
 
+    def prompt_parts(self, headers: HeaderList) -> list[PartKey]:
+        """Return the parts of a request's prompt that other requests may share."""
+
     async def refuses_connections(self, endpoint: Endpoint) -> bool:
         """Whether the endpoint's port refuses connections."""
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -132,6 +132,12 @@
             raise RequestError(
                 ErrorKind.REQUEST_QUARANTINED, "this request crashes endpoints"
             )
+        causes = self._attempts.find_causes(request.prompt_parts)
+        if causes:
+            raise RequestError(
+                ErrorKind.REQUEST_QUARANTINED,
+                f"prompts with {' and '.join(causes)} crash endpoints",
+            )
 
     async def _check_rate(self, team: Team | None) -> None:
         if team is None:
@@ -181,6 +187,7 @@
             finally:
                 self._slots.release(lease)
             self._check_may_retry(route, progress)
+            await self._check_crash_suspicion(request, progress, lease)
             if progress.not_run_count and not progress.may_have_run:
                 await asyncio.sleep(NOT_RUN_BACKOFF_S * progress.not_run_count)
 
@@ -214,6 +221,17 @@
         if progress.not_run_count >= MAX_NOT_RUN_SENDS:
             raise RequestError(ErrorKind.ENDPOINT_REFUSED, reason)
 
+    async def _check_crash_suspicion(
+        self, request: OnlineRequest, progress: RequestProgress, lease: SlotLease
+    ) -> None:
+        """Raise RequestError if a part of the prompt may have crashed the endpoint."""
+        if not progress.may_have_run:
+            return
+        parts = request.prompt_parts
+        if not await self._attempts.may_send_again(lease.endpoint, parts):
+            reason = progress.reasons[-1]
+            raise RequestError(ErrorKind.ENDPOINT_FAILED, reason, ran=Ran.UNKNOWN)
+
     async def _send_once(
         self,
         request: OnlineRequest,
@@ -292,6 +310,7 @@
             TeamId(team.id) if team else None,
             remaining_ms,
             progress.last_event_id,
+            request.prompt_parts,
         )
 
     async def _forward(
--- a/apricotquay/serving/requests.py
+++ b/apricotquay/serving/requests.py
@@ -9,6 +9,7 @@
 from .catalog import Route, Team
 from .engine import AttemptFailedError
 from .http1 import HeaderList
+from .promptparts import PartKey
 from .sse import StreamEvent
 
 
@@ -17,7 +18,8 @@
 
     `caller_timeout_ms` is how long the caller waits, `resume_after` the id of the
     last event that it received from an earlier response, `prefix` identifies the
-    prompt's shared prefix. Times in seconds are read from the daemon's clock.
+    prompt's shared prefix, `prompt_parts` are its parts without the last. Times in
+    seconds are read from the daemon's clock.
     """
 
     id: str
@@ -32,6 +34,7 @@
     arrived_s: float
     resume_after: int | None = None
     prefix: str = ""
+    prompt_parts: list[PartKey] = []
 
 
 class ResponseWriter(Protocol):
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -26,6 +26,7 @@
 from apricotquay.serving.engine import AttemptFailedError, RequestNotRunError
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
+from apricotquay.serving.promptparts import PartQuarantine
 from apricotquay.serving.ratelimiter import RateDecision
 from apricotquay.serving.requests import OnlineRequest
 from apricotquay.serving.slots import SlotLease
@@ -195,7 +196,14 @@
         slots = FakeSlots()
         crash_log = CrashLog(MemoryLog(), "d", clock, reporter)
         crashes = CrashDetector(
-            Quarantine(), crash_log, engines, None, None, clock, reporter
+            Quarantine(),
+            PartQuarantine(),
+            crash_log,
+            engines,
+            None,
+            None,
+            clock,
+            reporter,
         )
         metrics = ServingMetrics()
         attempts = AttemptRunner(view, engines, crashes, metrics, clock, reporter)
