--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -22,7 +22,12 @@
 from ..serving.endpoints import Endpoint
 from ..serving.http1 import HeaderList, find_header
 from ..serving.keyedlog import KeyedRecord, Topic
-from ..serving.promptparts import MAX_PARTS_PER_REQUEST, PartKey, part_key
+from ..serving.promptparts import (
+    MAX_PART_ID_LENGTH,
+    MAX_PARTS_PER_REQUEST,
+    PartKey,
+    part_key,
+)
 from ..serving.view import RecordUnreadableError
 
 # Headers that a daemon reads or sets, in lower case as h11 returns them.
@@ -126,7 +131,7 @@
 
     A malformed entry counts as a part if it has an id.
     """
-    model = (find_header(headers, MODEL) or "").strip()
+    model = (find_header(headers, MODEL) or "").strip()[:MAX_PART_ID_LENGTH]
     entries = (find_header(headers, PROMPT_PARTS) or "").split(",")
     ids = [entry.partition(":")[0].strip().lower() for entry in entries[:-1]]
     shared = dict.fromkeys(part_id for part_id in ids if part_id)
--- a/tests/test_platform_crashing_parts.py
+++ b/tests/test_platform_crashing_parts.py
@@ -163,6 +163,22 @@
         """The response begins before the server ends."""
         self.run_crashes(1, events_before_crash=2)
 
+    def test_retries_of_one_request_end_two_servers_at_most(self):
+        """The route allows three attempts."""
+
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.crashing_parts = frozenset(["dead"])
+            callers = PartCallers(fleet, CrashingFleet(fleet), 1)
+            for sends in (2, 1, 0):
+                before = callers.reached("dead")
+                await callers.send_round(fleet.daemons[0], ["dead"])
+                await self.wait_until_all_read(fleet)
+                self.assertLessEqual(callers.reached("dead") - before, sends)
+            self.assertEqual({200}, set(callers.sound_statuses))
+
+        self.run_scenario(scenario, servers=SERVERS)
+
     @parameterized.expand([("first", 0), ("in the middle", 1)])
     def test_replaced_daemons_learn_of_the_part(self, _name, position):
         """All daemons that saw the crashes are gone when the part comes again."""
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -5,9 +5,10 @@
 from parameterized import parameterized
 
 from apricotquay.platform.store import decode_records, encode_record
-from apricotquay.platform.wire import PlatformDirectory
+from apricotquay.platform.wire import PlatformDirectory, decode_prompt_parts
 from apricotquay.serving.catalog import RouteKind
 from apricotquay.serving.keyedlog import KeyedRecord
+from apricotquay.serving.promptparts import MAX_PARTS_PER_REQUEST
 from apricotquay.serving.view import RecordUnreadableError
 
 from .base import ApricotTest
@@ -168,3 +169,35 @@
 def record_fields(record: KeyedRecord) -> tuple:
     """Return the fields that the tests compare."""
     return record.key, record.value, record.offset
+
+
+class PromptPartsTest(ApricotTest):
+    """Parts of prompts as requests list them; other programs write these headers."""
+
+    @parameterized.expand(
+        [
+            ("none", None, []),
+            ("empty", "", []),
+            ("own part only", "1a:5", []),
+            ("shared parts", "1a:5,2b:7,3c:9", ["1a@m", "2b@m"]),
+            ("upper case and spaces", " 1A:5 , 2b:7,3c", ["1a@m", "2b@m"]),
+            ("without tokens", "1a,2b:,3c:x", ["1a@m", "2b@m"]),
+            ("without an id", ":5,,2b:7,3c:9", ["2b@m"]),
+            ("repeated", "1a:5,1a:5,3c:9", ["1a@m"]),
+            ("own part missing", "1a:5,", ["1a@m"]),
+        ]
+    )
+    def test_parts_but_the_last_are_shared(self, _name, value, parts):
+        """Malformed entries do not hide the others."""
+        headers = [(b"model", b"m")]
+        if value is not None:
+            headers.append((b"prompt-prefix", value.encode()))
+        self.assertEqual(parts, decode_prompt_parts(headers))
+
+    def test_invented_parts_are_bounded(self):
+        """A caller may list any number, with ids and models of any length."""
+        value = ",".join(f"{n:x}{'f' * 1000}:1" for n in range(500))
+        headers = [(b"model", b"m" * 9000), (b"prompt-prefix", value.encode())]
+        parts = decode_prompt_parts(headers)
+        self.assertEqual(MAX_PARTS_PER_REQUEST, len(parts))
+        self.assertLess(max(map(len, parts)), 200)
--- a/tests/test_promptparts.py
+++ b/tests/test_promptparts.py
@@ -5,11 +5,8 @@
 import random
 from collections.abc import Callable, Sequence
 
-from parameterized import parameterized
-
 from apricotquay.serving.promptparts import (
     COMPLETION_VALID_S,
-    CRASHES_DESPITE_TIE,
     CRASHES_TO_STOP_RETRIES,
     PartKey,
     PartQuarantine,
@@ -17,8 +14,6 @@
     part_key,
 )
 
-from .base import ApricotTest
-
 MAX_ATTEMPTS = 3
 SLOTS = 8
 ENDPOINT_BACK_S = 1.0
--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -165,8 +165,8 @@
         return self.detector.is_quarantined(fingerprint)
 
 
-class CrashLogTest(ApricotTest):
-    """Several daemons with one log."""
+class SharedLogTest(ApricotTest):
+    """Base class of tests with several daemons and one log."""
 
     def run_daemons(self, scenario, count: int = 2) -> None:
         """Run a scenario with daemons that have started."""
@@ -191,6 +191,10 @@
         while not condition():
             await asyncio.sleep(0.01)
 
+
+class CrashLogTest(SharedLogTest):
+    """Who learns of crashes under whole requests, and for how long."""
+
     @parameterized.expand([("running", False), ("started later", True)])
     def test_reports_of_several_daemons_add_up_at_each(self, _name, starts_later):
         """Each daemon saw one of the three crashes."""
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -26,6 +26,7 @@
 from apricotquay.serving.engine import AttemptFailedError, RequestNotRunError
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
+from apricotquay.serving.partcrashes import PartCrashes
 from apricotquay.serving.promptparts import PartQuarantine
 from apricotquay.serving.ratelimiter import RateDecision
 from apricotquay.serving.requests import OnlineRequest
@@ -242,6 +243,42 @@
         self.assertEqual("request_quarantined", writer.ending)
         self.assertEqual(([], 1), (engines.calls, rates.left))
 
+    def test_request_with_a_crashing_part_waits_for_no_slot_and_costs_no_rate(self):
+        """It is refused at once, as one that has not run."""
+        self.patch(CrashDetector, "find_causes", lambda _, parts: parts)
+        self.patch(FakeSlots, "acquire", None)
+        rates = FakeRates(1)
+        writer, engines = self.serve(
+            route(SAFE), [], rates=rates, prompt_parts=["bad@m"]
+        )
+        self.assertEqual("request_quarantined", writer.ending)
+        self.assertEqual(([], 1), (engines.calls, rates.left))
+
+    def test_part_concluded_while_its_request_waits_is_not_sent(self):
+        """Another daemon reports the third crash during the wait for a slot."""
+        answers = iter([[], ["bad@m"]])
+        self.patch(CrashDetector, "find_causes", lambda *_: next(answers))
+        writer, engines = self.serve(route(SAFE), [], prompt_parts=["bad@m"])
+        self.assertEqual("request_quarantined", writer.ending)
+        self.assertEqual([], engines.calls)
+
+    @parameterized.expand(
+        [
+            ("cut, suspected", CONNECTION_RESET, True, 1, "endpoint_failed"),
+            ("cut, not suspected", CONNECTION_RESET, False, 2, "complete"),
+            ("refused, suspected", REFUSED, True, 2, "complete"),
+            ("unreachable, suspected", UNREACHABLE, True, 2, "complete"),
+        ]
+    )
+    def test_request_cut_by_a_crash_goes_no_further_once_suspected(
+        self, _name, error, is_suspected, sends, ending
+    ):
+        """One client attempt would end three endpoints by its retries."""
+        self.patch(PartCrashes, "may_send_again", lambda *_: not is_suspected)
+        script = [error, ScriptedResponse(200, [b"ok"])]
+        writer, engines = self.serve(route(SAFE), script, prompt_parts=["bad@m"])
+        self.assertEqual((sends, ending), (len(engines.calls), writer.ending))
+
     @parameterized.expand(
         [
             ("complete", UNSAFE, [ScriptedResponse(200, [b"a", b"b"])], 200, b"ab"),
