Let several crash reports share one judgement

With 60 crashes, each reported by nine daemons with a request of four parts, the judgements took 6 s, one of them 104 ms, in the event loop that serves requests. Reports and completions that come while a judgement has just taken long now wait for the next; at most a tenth of the time goes into judgements. A small set of crashes is judged at once, as before.

--- a/apricotquay/serving/partcrashes.py
+++ b/apricotquay/serving/partcrashes.py
@@ -27,6 +27,10 @@
 # that one daemon tells and the others hear of it.
 MIN_TELL_DELAY_S, MAX_TELL_DELAY_S = 0.02, 0.12
 MAX_UNTOLD_PARTS = 4_000
+MAX_PARTS_LOGGED = 16
+# At most this share of the time is spent on judgements, which take longer the more
+# crashes are known.
+MAX_JUDGEMENT_SHARE = 0.1
 
 
 class PartCrashes:
@@ -47,13 +51,18 @@
         self._told_s: dict[PartKey, float] = {}
         self._untold: set[PartKey] = set()
         self._tell_timer: asyncio.TimerHandle | None = None
+        self._next_judgement_s: float = float("-inf")
+        self._judgement_timer: asyncio.TimerHandle | None = None
+        # The endpoint and its start that reports since the last judgement name.
+        self._newest_crash: tuple[str, int] = ("", 0)
         # Until when each group is marked in the log as quarantined.
         self._marked_until_s: dict[frozenset[PartKey], float] = {}
 
     def close(self) -> None:
         """Stop."""
-        if self._tell_timer is not None:
-            self._tell_timer.cancel()
+        for timer in (self._tell_timer, self._judgement_timer):
+            if timer is not None:
+                timer.cancel()
 
     def find_causes(self, parts: Sequence[PartKey]) -> list[PartKey]:
         """Return the parts for which a request must not run, empty if it may run."""
@@ -77,7 +86,8 @@
         """Record that a request completed; tell it of the parts that are suspected."""
         now_s = self._clock.now_s()
         suspected = [p for p in parts if self._quarantine.is_suspect(p, now_s)]
-        self._quarantine.record_completion(parts, now_s)
+        self._quarantine.add_completion(parts, now_s)
+        self._judge_soon()
         self._tell_soon(suspected)
 
     def suspects_of(
@@ -99,32 +109,27 @@
         """Apply a crash report of this or another daemon."""
         if not report.requests:
             return
-        concluded = self._quarantine.record_crash(start, report.requests, at_s)
-        for group in concluded:
-            self._reporter.write(
-                Event.PARTS_QUARANTINED,
-                parts=sorted(group),
-                endpoint=report.endpoint,
-                started_ms=report.started_ms,
-            )
+        self._quarantine.add_crash(start, report.requests, at_s)
+        self._newest_crash = (report.endpoint, report.started_ms)
+        self._judge_soon()
         named = {part for request in report.requests for part in request.parts}
         self._tell_soon(part for part in sorted(named) if self._is_news(part))
 
     def crash_counts(self, report: CrashReport) -> dict[PartKey, int]:
-        """Return at how many unexplained crashes each part of a report ran."""
+        """Return at how many unexplained crashes parts of a report ran, for the log."""
         now_s = self._clock.now_s()
-        return {
-            part: self._quarantine.suspicion([part], now_s)
-            for request in report.requests
-            for part in request.parts
-        }
+        named = {part for request in report.requests for part in request.parts}
+        counts = {p: self._quarantine.suspicion([p], now_s) for p in named}
+        most = sorted(counts, key=lambda p: (-counts[p], p))[:MAX_PARTS_LOGGED]
+        return {part: counts[part] for part in most}
 
     def apply_completion(self, record: PartsCompletion, at_s: float) -> None:
         """Apply that parts completed at this or another daemon."""
         for part, completed_ms in record.completed_ms.items():
             completed_s = at_s - (record.at_ms - completed_ms) / 1000
-            self._quarantine.record_completion([part], completed_s)
+            self._quarantine.add_completion([part], completed_s)
             self._told_s[part] = max(completed_s, self._told_s.get(part, completed_s))
+        self._judge_soon()
 
     def apply_mark(self, record: PartsMark, at_s: float, until_s: float) -> None:
         """Apply a conclusion of this or another daemon."""
@@ -174,6 +179,32 @@
         told_s = self._told_s.get(part, float("-inf"))
         return completed_s - told_s > COMPLETION_VALID_S / 2
 
+    def _judge_soon(self) -> None:
+        """Judge at once, or in a while if the last judgement took long."""
+        if not self._quarantine.needs_judgement or self._judgement_timer is not None:
+            return
+        wait_s = self._next_judgement_s - self._clock.now_s()
+        if wait_s <= 0:
+            self._judge()
+            return
+        loop = asyncio.get_running_loop()
+        self._judgement_timer = loop.call_later(wait_s, self._judge)
+
+    def _judge(self) -> None:
+        self._judgement_timer = None
+        started_s = self._clock.now_s()
+        concluded = self._quarantine.judge_if_needed()
+        now_s = self._clock.now_s()
+        self._next_judgement_s = now_s + (now_s - started_s) / MAX_JUDGEMENT_SHARE
+        endpoint, started_ms = self._newest_crash
+        for group in concluded:
+            self._reporter.write(
+                Event.PARTS_QUARANTINED,
+                parts=sorted(group),
+                endpoint=endpoint,
+                started_ms=started_ms,
+            )
+
     def _tell_soon(self, parts: Iterable[PartKey]) -> None:
         self._untold.update(parts)
         while len(self._untold) > MAX_UNTOLD_PARTS:
--- a/apricotquay/serving/promptparts.py
+++ b/apricotquay/serving/promptparts.py
@@ -394,29 +394,48 @@
         self._concluded_of: dict[PartKey, list[_Conclusion]] = {}
         self._open: dict[PartKey, set[str]] = {}
         self._now_s: float = float("-inf")
+        self.needs_judgement: bool = False
 
     def record_crash(
         self, start: str, requests: Sequence[PartsAtCrash], at_s: float
     ) -> list[frozenset[PartKey]]:
         """Add a report of a crash; return the groups that are newly concluded."""
-        has_changed = self._add_report(start, requests, at_s)
-        while self._is_full():
-            self._forget(min(self._crashes.values(), key=_usefulness))
-        return self._judge() if has_changed else []
+        self.add_crash(start, requests, at_s)
+        return self.judge_if_needed()
 
     def record_completion(self, parts: Iterable[PartKey], now_s: float) -> None:
         """Clear the parts of a request that completed, under its model."""
-        was_suspect = False
+        self.add_completion(parts, now_s)
+        self.judge_if_needed()
+
+    def judge_if_needed(self) -> list[frozenset[PartKey]]:
+        """Judge what was added; return the groups that are newly concluded.
+
+        A judgement of many crashes takes a while, so several additions share one.
+        """
+        if not self.needs_judgement:
+            return []
+        self.needs_judgement = False
+        return self._judge()
+
+    def add_crash(
+        self, start: str, requests: Sequence[PartsAtCrash], at_s: float
+    ) -> None:
+        """Add a report of a crash, for a later judgement."""
+        self.needs_judgement |= self._add_report(start, requests, at_s)
+        while self._is_full():
+            self._forget(min(self._crashes.values(), key=_usefulness))
+
+    def add_completion(self, parts: Iterable[PartKey], now_s: float) -> None:
+        """Clear the parts of a request that completed, for a later judgement."""
         for part in parts:
             known_s = self._completed_s.get(part, now_s)
             self._completed_s[part] = max(known_s, now_s)
             self._completed_s.move_to_end(part)
             if part in self._crashes_of:
-                was_suspect |= self._clear(part)
+                self.needs_judgement |= self._clear(part)
         while len(self._completed_s) > MAX_COMPLETIONS:
             self._completed_s.popitem(last=False)
-        if was_suspect:
-            self._judge()
 
     def without_recent_completion(
         self, parts: Iterable[PartKey], now_s: float
--- a/tests/test_serving_partcrashes.py
+++ b/tests/test_serving_partcrashes.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import time
 
 import cbor2
 from parameterized import parameterized
 
+from apricotquay.clocks import SystemClock
 from apricotquay.ids import EndpointId
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving import crashlog as crashlog_module
@@ -28,6 +30,7 @@
     CRASH_RETENTION_S,
     FIRST_QUARANTINE_S,
     PROBATION_S,
+    PartQuarantine,
     PartsAtCrash,
     part_key,
 )
@@ -211,6 +214,33 @@
 
         self.run_daemons(scenario)
 
+    def test_judgements_of_many_crashes_leave_time_for_requests(self):
+        """Endpoints of a lost VM crash together, each with other requests."""
+        judgements = 0
+
+        def judge(quarantine):
+            nonlocal judgements
+            judgements += quarantine.needs_judgement
+            time.sleep(0.01 * quarantine.needs_judgement)
+            quarantine.needs_judgement = False
+            return []
+
+        self.patch(PartQuarantine, "judge_if_needed", judge)
+
+        async def scenario(log, clock, daemons):
+            clock = SystemClock()
+            daemon = DaemonUnderTest("d", log, clock)
+            started_s = clock.now_s()
+            for number in range(200):
+                report_crash(daemon, number)
+            await asyncio.sleep(0.3)
+            took_s = clock.now_s() - started_s
+            await daemon.close()
+            self.assertLessEqual(judgements, 2 + took_s / 0.1)
+            self.assertGreaterEqual(judgements, 2)
+
+        self.run_daemons(scenario, count=0)
+
     def test_memory_of_the_log_is_bounded_in_bytes(self):
         """The oldest records are forgotten first."""
         self.patch(crashlog_module, "MAX_KNOWN_BYTES", 10_000)
