Count no completion for a response that a crash may have cut

A response with neither a length nor chunks ends with its connection. When its server crashes at the end of an event, the cut looks like the end: the request counted as completed, which cleared it and the parts of its prompt for ten minutes, and no check for a crash was made. Each such request could end a server.

Such a response now counts once the endpoint still takes connections a moment later; otherwise the crash is reported like any other. Responses with a length or chunks count at once. The test of this fails without the change: the daemons wait in vain to refuse the part (TimeoutError).

--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -25,6 +25,8 @@
 MISDIRECTED_REQUEST = 421
 # Response headers that are not forwarded to callers.
 INTERNAL_HEADERS = frozenset((b"content-length", wire.SERVER_LOAD, wire.NOT_RUN))
+# A response with neither of them ends with its connection.
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
 class ServerResponse:
@@ -37,6 +39,9 @@
             for name, value in end_to_end_headers(list(head.headers))
             if name not in INTERNAL_HEADERS
         ]
+        self.ends_with_connection: bool = not any(
+            name in FRAMING_HEADERS for name, _ in head.headers
+        )
         self._connection: ClientConnection = connection
 
     async def body(self) -> AsyncIterator[bytes]:
--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -100,7 +100,7 @@
         self._crash_detector.begin_attempt(endpoint, fingerprint, call.prompt_parts)
         was_abandoned = True
         try:
-            status, result = await self._send(
+            response, result = await self._send(
                 call, endpoint, response_timeout_s, consume
             )
             was_abandoned = False
@@ -128,20 +128,31 @@
             )
         self._view.endpoints.record_success(endpoint.id)
         # An endpoint may answer with a failure without having run the request.
-        if is_success(status):
-            self._crash_detector.record_parts_completion(call.prompt_parts)
-            if fingerprint is not None:
-                self._crash_detector.record_completion(fingerprint)
+        if is_success(response.status):
+            self._record_completion(call, endpoint, fingerprint, response)
         return result
 
+    def _record_completion(
+        self,
+        call: EngineCall,
+        endpoint: Endpoint,
+        fingerprint: str | None,
+        response: EngineResponse,
+    ) -> None:
+        detector, parts = self._crash_detector, call.prompt_parts
+        if response.ends_with_connection:
+            detector.check_completion(endpoint, fingerprint, parts)
+        else:
+            detector.record_completion(fingerprint, parts)
+
     async def _send(
         self,
         call: EngineCall,
         endpoint: Endpoint,
         response_timeout_s: float | None,
         consume: Callable[[EngineResponse], Awaitable[T]],
-    ) -> tuple[int, T]:
-        """Return the status of the response and what `consume` made of it."""
+    ) -> tuple[EngineResponse, T]:
+        """Return the response, which is closed, and what `consume` made of it."""
         try:
             async with asyncio.timeout(response_timeout_s):
                 response = await self._engines.send(call, endpoint)
@@ -150,7 +161,7 @@
                 f"no answer within {response_timeout_s:.2f} s", timed_out=True
             ) from exc
         try:
-            return response.status, await consume(response)
+            return response, await consume(response)
         finally:
             response.close()
 
--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes.py
@@ -176,8 +176,13 @@
             await asyncio.wait([check], timeout=MAX_CHECK_WAIT_S)
         return self._parts.may_send_again(parts)
 
-    def record_completion(self, fingerprint: str) -> None:
+    def record_completion(
+        self, fingerprint: str | None, parts: Sequence[PartKey] = ()
+    ) -> None:
         """Record that a request completed; report it if it is suspected."""
+        self._parts.record_completion(parts)
+        if fingerprint is None:
+            return
         now_s = self._clock.now_s()
         is_suspect = (
             self._quarantine.status(fingerprint, now_s) is not QuarantineStatus.CLEAR
@@ -186,9 +191,11 @@
         if is_suspect:
             self._report_completion(fingerprint)
 
-    def record_parts_completion(self, parts: Sequence[PartKey]) -> None:
-        """Record that a request with these parts completed."""
-        self._parts.record_completion(parts)
+    def check_completion(
+        self, endpoint: Endpoint, fingerprint: str | None, parts: Sequence[PartKey]
+    ) -> None:
+        """Record a completion unless it turns out that the endpoint crashed."""
+        self._start_task(self._check_completion(endpoint, fingerprint, parts))
 
     def check_endpoint(self, endpoint: Endpoint, fingerprint: str | None) -> None:
         """Check whether an endpoint crashed after an attempt was cut or timed out."""
@@ -243,6 +250,19 @@
             return
         self._start_task(self._tell_owners(self._crash_log.add(report)))
 
+    async def _check_completion(
+        self, endpoint: Endpoint, fingerprint: str | None, parts: Sequence[PartKey]
+    ) -> None:
+        suspects = self._attempts_at(endpoint).suspects(self._clock.now_s())
+        await asyncio.sleep(RECHECK_DELAY_S)
+        if not await self._engines.refuses_connections(endpoint):
+            self.record_completion(fingerprint, parts)
+            return
+        if fingerprint is not None:
+            suspects[fingerprint] = frozenset(parts)
+        if suspects:
+            self._begin_check(endpoint, suspects)
+
     async def _tell_owners(self, keyed: KeyedRecord) -> None:
         """Send a record directly, in case the store is slow or away."""
         message = CrashSeen(keyed.key, keyed.value)
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -54,10 +54,15 @@
 
 
 class EngineResponse(Protocol):
-    """An endpoint's response whose headers were read and match the call."""
+    """An endpoint's response whose headers were read and match the call.
+
+    If it `ends_with_connection`, it has no other sign of its end, so that a crash may
+    look like the end.
+    """
 
     status: int
     headers: HeaderList
+    ends_with_connection: bool
 
     def body(self) -> AsyncIterator[bytes]:
         """Yield the body; raise AttemptFailedError if it is incomplete."""
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -52,6 +52,34 @@
         }
         return EngineCall(**(fields | changes))
 
+    @parameterized.expand(
+        [
+            ("length", b"Content-Length: 2\r\n", b"ok", False),
+            ("chunks", b"Transfer-Encoding: chunked\r\n", b"0\r\n\r\n", False),
+            ("neither", b"", b"ok", True),
+        ]
+    )
+    def test_response_without_length_and_chunks_ends_with_its_connection(
+        self, _name, extra, body, expected
+    ):
+        """The end of the server's process would look like its end."""
+
+        async def serve(reader, writer) -> None:
+            await reader.read(65_536)
+            writer.write(response(extra=extra, body=body))
+            writer.close()
+
+        async def run() -> bool:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            endpoint = Endpoint(EndpointId("i"), ServiceName("s"), "127.0.0.1", port)
+            answer = await ServerClient().send(self.call(), endpoint)
+            answer.close()
+            server.close()
+            return answer.ends_with_connection
+
+        self.assertEqual(expected, asyncio.run(run()))
+
     def send_call(self, script: bytes, call: EngineCall) -> tuple[str, bytes, bytes]:
         """Return how the call ended, the body, and what the server received."""
         received = bytearray()
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -55,6 +55,7 @@
     def __init__(self, status: int, parts: list) -> None:
         self.status = status
         self.headers = [(b"x-server", b"1")]
+        self.ends_with_connection = False
         self._parts = parts
 
     async def body(self) -> AsyncIterator[bytes]:
--- a/tests/test_serving_partcrashes.py
+++ b/tests/test_serving_partcrashes.py
@@ -11,7 +11,7 @@
 from apricotquay.ids import EndpointId
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving import crashlog as crashlog_module
-from apricotquay.serving.attempts import AttemptRunner
+from apricotquay.serving.attempts import AttemptRunner, read_body
 from apricotquay.serving.crashlog import (
     ALL_RECORDS,
     CrashReport,
@@ -83,6 +83,39 @@
         return True
 
 
+class EndedResponse:
+    """A complete response without a body, with no sign of its end if so framed."""
+
+    def __init__(self, status: int, ends_with_connection: bool) -> None:
+        self.status = status
+        self.headers = []
+        self.ends_with_connection = ends_with_connection
+
+    async def body(self):
+        """Yield nothing."""
+        for part in ():
+            yield part
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class AnsweringEngines:
+    """Endpoints that answer; afterwards their ports refuse connections or not."""
+
+    def __init__(self, response: EndedResponse, has_crashed: bool) -> None:
+        self._response = response
+        self._has_crashed = has_crashed
+
+    async def send(self, call: EngineCall, endpoint) -> EndedResponse:
+        """Return the response."""
+        return self._response
+
+    async def refuses_connections(self, endpoint) -> bool:
+        """Return whether the endpoint is gone."""
+        return self._has_crashed
+
+
 class PartCrashesTest(SharedLogTest):
     """Several daemons with one log."""
 
@@ -123,7 +156,7 @@
         """The daemon that saw the crashes has not served a sound request yet."""
 
         async def scenario(log, clock, daemons):
-            daemons[1].detector.record_parts_completion([SHARED])
+            daemons[1].detector.record_completion(None, [SHARED])
             for number in range(5):
                 report_crash(daemons[0], number, SHARED, BAD)
             for daemon in daemons:
@@ -140,7 +173,7 @@
                 report_crash(daemons[0], number, SHARED)
             for daemon in daemons:
                 await self.wait_until(lambda d=daemon: refuses(d, SHARED))
-            daemons[1].detector.record_parts_completion([SHARED])
+            daemons[1].detector.record_completion(None, [SHARED])
             for daemon in daemons:
                 await self.wait_until(lambda d=daemon: not refuses(d, SHARED))
 
@@ -153,7 +186,7 @@
             report_crash(daemons[0], 0, SHARED)
             await self.wait_until(lambda: daemons[1].has_read(1))
             for number in range(1000):
-                daemons[1].detector.record_parts_completion([SHARED, f"x-{number}@m"])
+                daemons[1].detector.record_completion(None, [SHARED, f"x-{number}@m"])
             await self.wait_until(lambda: stored(log, PartsCompletion))
             report_crash(daemons[0], 1, SHARED)
             await self.wait_until(lambda: daemons[1].has_read(3))
@@ -191,7 +224,7 @@
             for number in range(3):
                 report_crash(daemons[0], number, SHARED)
             await self.wait_until(lambda: stored(log, PartsMark))
-            daemons[1].detector.record_parts_completion([SHARED])
+            daemons[1].detector.record_completion(None, [SHARED])
             await self.wait_until(lambda: not stored(log, PartsMark))
 
         self.run_daemons(scenario)
@@ -306,3 +339,42 @@
             self.assertEqual([[BAD]] * reports, found)
 
         self.run_daemons(scenario)
+
+    @parameterized.expand(
+        [
+            ("ended with the endpoint", True, True, True),
+            ("ended with its connection", True, False, False),
+            ("had a length", False, True, False),
+        ]
+    )
+    def test_response_that_ends_with_a_crash_is_no_completion(
+        self, _name, ends_with_connection, has_crashed, is_crash
+    ):
+        """It has neither a length nor chunks, so that its cut looks like its end."""
+
+        async def scenario(log, clock, daemons):
+            response = EndedResponse(200, ends_with_connection)
+            engines = AnsweringEngines(response, has_crashed)
+            daemons[0].detector._engines = engines
+            view = View(log, PlatformDirectory(), clock, quiet_reporter())
+            attempts = AttemptRunner(
+                view,
+                engines,
+                daemons[0].detector,
+                ServingMetrics(),
+                clock,
+                quiet_reporter(),
+            )
+            for number in range(3):
+                call = EngineCall(
+                    "a1", "POST", f"/{number}", [], b"", None, 9, prompt_parts=[BAD]
+                )
+                await attempts.run(call, started(f"e{number}"), 1.0, read_body)
+            if is_crash:
+                await self.wait_until(lambda: refuses(daemons[1]))
+            else:
+                await self.wait_until(
+                    lambda: not daemons[0].detector._parts.are_unclear([BAD])
+                )
+
+        self.run_daemons(scenario)
