--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -16,6 +16,7 @@
     is_success,
 )
 from ..serving.httpclient import ClientConnection, open_client
+from ..serving.promptparts import PartKey
 from . import wire
 
 # Connecting takes one round trip of a few milliseconds. After a timeout the request
@@ -25,6 +26,8 @@
 BODILESS_STATUSES = (204, 304)
 # Response headers that are not forwarded to callers.
 INTERNAL_HEADERS = frozenset((b"content-length", wire.SERVER_LOAD, wire.NOT_RUN))
+# A response with neither of them ends with its connection.
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
 class ServerResponse:
@@ -39,6 +42,9 @@
             for name, value in end_to_end_headers(list(head.headers))
             if name not in INTERNAL_HEADERS
         ]
+        self.ends_with_connection: bool = not any(
+            name in FRAMING_HEADERS for name, _ in head.headers
+        )
         self._connection: ClientConnection = connection
         self._may_be_empty: bool = may_be_empty or _has_delimited_body(head)
 
@@ -88,6 +94,10 @@
         may_be_empty = call.resume_after is not None or call.method == "HEAD"
         return ServerResponse(connection, head, may_be_empty=may_be_empty)
 
+    def prompt_parts(self, headers: HeaderList) -> list[PartKey]:
+        """Return the parts of a request's prompt that other requests may share."""
+        return wire.decode_prompt_parts(headers)
+
     async def refuses_connections(self, endpoint: Endpoint) -> bool:
         """Whether nothing listens at the endpoint's address.
 
--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -6,12 +6,12 @@
 
 import asyncio
 import hashlib
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import TypeVar
 
 from ..clocks import Clock
 from ..events import Event
-from ..ids import TeamId
+from ..ids import EndpointId, TeamId
 from .crashes import CrashDetector
 from .endpoints import Endpoint
 from .engine import (
@@ -22,8 +22,9 @@
     RequestNotRunError,
 )
 from .handover import Handover
-from .http1 import is_success
+from .http1 import HeaderList, is_success
 from .metrics import ServingMetrics
+from .promptparts import PartKey
 from .reporting import Reporter
 from .sse import EventSplitter, StreamEvent
 from .view import View
@@ -66,6 +67,20 @@
         """Whether a request must not be sent because it crashes endpoints."""
         return self._crash_detector.is_quarantined(fingerprint)
 
+    def find_causes(self, parts: Sequence[PartKey]) -> list[PartKey]:
+        """Return the parts for which a request must not be sent, if any."""
+        return self._crash_detector.find_causes(parts)
+
+    async def may_send_again(
+        self, endpoint: EndpointId, parts: Sequence[PartKey]
+    ) -> bool:
+        """Whether a request that failed at an endpoint may go to a further one."""
+        return await self._crash_detector.may_send_again(endpoint, parts)
+
+    def prompt_parts(self, headers: HeaderList) -> list[PartKey]:
+        """Return the parts of a request's prompt that other requests may share."""
+        return self._engines.prompt_parts(headers)
+
     async def run(
         self,
         call: EngineCall,
@@ -85,10 +100,10 @@
         fingerprint = None
         if may_crash_endpoints:
             fingerprint = fingerprint_of(call.target, call.team, call.body)
-        self._crash_detector.begin_attempt(endpoint, fingerprint)
+        self._crash_detector.begin_attempt(endpoint, fingerprint, call.prompt_parts)
         was_abandoned = True
         try:
-            status, result = await self._send(
+            response, result = await self._send(
                 call, endpoint, response_timeout_s, consume, handover
             )
             was_abandoned = False
@@ -116,10 +131,23 @@
             )
         self._view.endpoints.record_success(endpoint.id)
         # An endpoint may answer with a failure without having run the request.
-        if fingerprint is not None and is_success(status):
-            self._crash_detector.record_completion(fingerprint)
+        if is_success(response.status):
+            self._record_completion(call, endpoint, fingerprint, response)
         return result
 
+    def _record_completion(
+        self,
+        call: EngineCall,
+        endpoint: Endpoint,
+        fingerprint: str | None,
+        response: EngineResponse,
+    ) -> None:
+        detector, parts = self._crash_detector, call.prompt_parts
+        if response.ends_with_connection:
+            detector.check_completion(endpoint, fingerprint, parts)
+        else:
+            detector.record_completion(fingerprint, parts)
+
     async def _send(
         self,
         call: EngineCall,
@@ -127,8 +155,8 @@
         response_timeout_s: float | None,
         consume: Callable[[EngineResponse], Awaitable[T]],
         handover: Handover | None,
-    ) -> tuple[int, T]:
-        """Return the status of the response and what `consume` made of it."""
+    ) -> tuple[EngineResponse, T]:
+        """Return the response, which is closed, and what `consume` made of it."""
         try:
             response = await _wait_until(
                 _due_s(response_timeout_s), self._engines.send(call, endpoint), handover
@@ -138,7 +166,7 @@
                 f"no answer within {response_timeout_s:.2f} s", timed_out=True
             ) from exc
         try:
-            return response.status, await consume(response)
+            return response, await consume(response)
         finally:
             response.close()
 
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -169,6 +169,12 @@
             raise RequestError(
                 ErrorKind.REQUEST_QUARANTINED, "this request crashes endpoints"
             )
+        causes = self._attempts.find_causes(request.prompt_parts)
+        if causes:
+            raise RequestError(
+                ErrorKind.REQUEST_QUARANTINED,
+                f"prompts with {' and '.join(causes)} crash endpoints",
+            )
 
     async def _check_rate(self, team: Team | None) -> None:
         if team is None:
@@ -220,6 +226,7 @@
                 if lease.outcome is SlotOutcome.SUCCEEDED:
                     return
                 self._check_may_retry(route, progress)
+                await self._check_crash_suspicion(request, progress, lease)
                 next_lease = handover.take_lease()
             finally:
                 handover.close()
@@ -287,6 +294,17 @@
         elif not route.is_idempotent or progress.failed_attempts >= route.max_attempts:
             raise RequestError(ErrorKind.ENDPOINT_FAILED, reason, ran=Ran.UNKNOWN)
 
+    async def _check_crash_suspicion(
+        self, request: OnlineRequest, progress: RequestProgress, lease: SlotLease
+    ) -> None:
+        """Raise RequestError if a part of the prompt may have crashed the endpoint."""
+        if not progress.may_have_run:
+            return
+        parts = request.prompt_parts
+        if not await self._attempts.may_send_again(lease.endpoint, parts):
+            reason = progress.reasons[-1]
+            raise RequestError(ErrorKind.ENDPOINT_FAILED, reason, ran=Ran.UNKNOWN)
+
     async def _send_once(
         self,
         request: OnlineRequest,
@@ -368,6 +386,7 @@
             TeamId(team.id) if team else None,
             remaining_ms,
             progress.last_event_id,
+            request.prompt_parts,
         )
 
     async def _forward(
--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -29,6 +29,7 @@
 from apricotquay.serving.engine import AttemptFailedError, EngineCall
 from apricotquay.serving.keyedlog import KeyedRecord, LogRefusedError, Shard
 from apricotquay.serving.metrics import ServingMetrics
+from apricotquay.serving.promptparts import PartQuarantine
 from apricotquay.serving.view import View
 from standins.keyedlog import MemoryLog
 
@@ -117,6 +118,7 @@
         self.crash_log = CrashLog(log, name, clock, reporter)
         self.detector = CrashDetector(
             Quarantine(),
+            PartQuarantine(),
             self.crash_log,
             RefusingEngines(),
             OwnedShards(),
@@ -163,8 +165,8 @@
         return self.detector.is_quarantined(fingerprint)
 
 
-class CrashLogTest(ApricotTest):
-    """Several daemons with one log."""
+class SharedLogTest(ApricotTest):
+    """Base class of tests with several daemons and one log."""
 
     def run_daemons(self, scenario, count: int = 2) -> None:
         """Run a scenario with daemons that have started."""
@@ -189,6 +191,10 @@
         while not condition():
             await asyncio.sleep(0.01)
 
+
+class CrashLogTest(SharedLogTest):
+    """Who learns of crashes under whole requests, and for how long."""
+
     @parameterized.expand([("running", False), ("started later", True)])
     def test_reports_of_several_daemons_add_up_at_each(self, _name, starts_later):
         """Each daemon saw one of the three crashes."""
