--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -36,6 +36,7 @@
 
     Parts of the response are sent without buffering. `abort` closes the connection
     before the response ends, so that an incomplete response is recognized as such.
+    A handler that is cancelled without `caller_left` can and must still respond.
     """
 
     def __init__(
