Use a peer's reply that arrives with its call's timeout

After a moment in which a daemon's own loop stood still, calls that its peers had answered in time failed as "peer did not answer in time", and owners were not asked for 0.5 s to 1 s.

Cause, as with idle connections: the loop handles the reply and the timer in one round, and the timer cancels the wait though its future is done. Now that reply is used. Test before the change: "PeerUnavailableError: peer did not answer in time".

--- a/apricotquay/serving/peers.py
+++ b/apricotquay/serving/peers.py
@@ -57,6 +57,9 @@
             async with asyncio.timeout(timeout_s):
                 return await reply
         except TimeoutError as exc:
+            if reply.done() and not reply.cancelled():
+                # A busy loop handles a reply and the timeout in one round.
+                return reply.result()
             if (
                 asyncio.get_running_loop().time() - self._last_received_s
                 > SILENCE_TIMEOUT_S
--- a/tests/test_serving_peers.py
+++ b/tests/test_serving_peers.py
@@ -1,12 +1,13 @@
 """Connections between daemons: calls, timeouts, and failures."""
 
 import asyncio
+import time
 
 from apricotquay.errors import PeerUnavailableError
 from apricotquay.ids import JobId, TeamId
 from apricotquay.serving import peers as peers_module
-from apricotquay.serving.messages import ItemBody, ReadBody
-from apricotquay.serving.peers import Peers
+from apricotquay.serving.messages import ItemBody, ReadBody, encode_frame
+from apricotquay.serving.peers import PeerConnection, Peers
 
 from .base import ApricotTest
 from .test_serving_jobs import quiet_reporter
@@ -101,3 +102,36 @@
         self.patch(peers_module, "SILENCE_TIMEOUT_S", 0.1)
         self.patch(peers_module, "RECONNECT_DELAY_S", 0.0)
         self.run_scenario(handle, scenario)
+
+
+class SilentSocket:
+    """A connection on which nothing comes; a test hands over the frames."""
+
+    def __init__(self) -> None:
+        self.transport = self
+        self.is_aborted = False
+
+    async def send(self, _data: bytes) -> None:
+        """Drop a frame."""
+
+    def abort(self) -> None:
+        """Note that the connection was closed."""
+        self.is_aborted = True
+
+
+class LateLoopTest(ApricotTest):
+    """A loop that was busy and handles a reply and its call's timeout in one round."""
+
+    def test_reply_that_arrives_with_the_timeout_is_used(self):
+        """The peer answered in time; only this daemon was late."""
+
+        async def run() -> None:
+            connection = PeerConnection(SilentSocket(), None, quiet_reporter())
+            call = asyncio.ensure_future(connection.call(CALL, 0.05))
+            await asyncio.sleep(0.01)
+            frame = encode_frame(-1, ItemBody(True, b"x"))
+            asyncio.get_running_loop().call_soon(connection._handle_frame, frame)
+            time.sleep(0.1)
+            self.assertEqual(ItemBody(True, b"x"), await call)
+
+        asyncio.run(run())
