--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -257,8 +257,11 @@
                 connection.send(message)
                 await waiter.first_reply
         except (TimeoutError, PeerUnavailableError):
-            self._retry_owner_at_s[owner] = self._clock.now_s() + OWNER_RETRY_DELAY_S
-            return None
+            # A busy loop handles the answer and the timeout in one round.
+            if not _has_result(waiter.first_reply):
+                retry_at_s = self._clock.now_s() + OWNER_RETRY_DELAY_S
+                self._retry_owner_at_s[owner] = retry_at_s
+                return None
         return await self._wait_for_decision(connection, ticket, waiter)
 
     async def _wait_for_decision(
@@ -276,7 +279,7 @@
                 return await waiter.decision
         except TimeoutError:
             # The owner refuses late tickets itself unless it is overloaded or hangs.
-            return None
+            return waiter.decision.result() if _has_result(waiter.decision) else None
         finally:
             if end_wait in connection.on_close:
                 connection.on_close.remove(end_wait)
@@ -404,6 +407,10 @@
                 self._send_if_connected(owner, TicketList(service, ticket_ids))
 
 
+def _has_result(future: asyncio.Future) -> bool:
+    return future.done() and not future.cancelled()
+
+
 def _end_wait_of(waiter: _Waiter) -> Callable[[], None]:
     """Return a callback that ends the wait when the owner's connection closes."""
     return lambda: waiter.resolve(None)
--- a/tests/test_serving_slots.py
+++ b/tests/test_serving_slots.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 from parameterized import parameterized
 
@@ -11,7 +12,7 @@
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.dispatch import EndpointStatus, Work
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
-from apricotquay.serving.messages import AskSlot, SlotQueued
+from apricotquay.serving.messages import AskSlot, SlotGranted, SlotQueued
 from apricotquay.serving.outliers import SlotOutcome
 from apricotquay.serving.peers import Peers
 from apricotquay.serving.slots import SlotAllocator, SlotRequest, SlotUnavailableError
@@ -109,6 +110,23 @@
             self.is_open = not self._closes
 
 
+class LateLoopOwner(QueueingOwner):
+    """A connection to an owner whose answer the loop handles late."""
+
+    def __init__(self, slots: SlotAllocator) -> None:
+        super().__init__(slots, False)
+
+    def send(self, message) -> None:
+        """Grant a slot after a delay in which the loop stands still."""
+        if isinstance(message, AskSlot):
+            asyncio.get_running_loop().call_later(0.01, self._grant, message)
+
+    def _grant(self, message: AskSlot) -> None:
+        granted = SlotGranted(message.ticket, "e1")
+        asyncio.get_running_loop().call_soon(self._slots.handle_message, self, granted)
+        time.sleep(2 * slots_module.OWNER_ANSWER_TIMEOUT_S)
+
+
 class SlotAllocatorTest(ApricotTest):
     """Daemons with real connections on loopback."""
 
@@ -172,6 +190,19 @@
 
         self.run_fleet(scenario, 1)
 
+    def test_owner_whose_answer_arrives_with_the_timeout_is_used(self):
+        """The owner answered in time; only this daemon's loop was late."""
+
+        async def scenario(fleet) -> None:
+            daemon = fleet[0]
+            daemon.shards.believed_owner = "owner"
+            connection = LateLoopOwner(daemon.slots)
+            self.patch(daemon.peers, "connect", connection.connect)
+            lease = await self.acquire(daemon)
+            self.assertEqual(("owner", "e1"), (lease.owner, lease.endpoint))
+
+        self.run_fleet(scenario, 1)
+
     async def acquire(self, daemon: SlotDaemon, avoid: frozenset[str] = frozenset()):
         """Acquire a slot for an online request."""
         now_s = SystemClock().now_s()
