--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -23,6 +23,7 @@
 from apricotquay.serving.httpserver import HttpServer, ServerLimits
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
+from apricotquay.serving.promptparts import PartQuarantine
 from apricotquay.serving.reporting import Reporter
 from standins.keyedlog import MemoryLog
 
@@ -170,7 +171,14 @@
         view.configuration = Configuration(3, routes, [], [team], Limits())
         crash_log = CrashLog(MemoryLog(), "d", clock, reporter)
         crashes = CrashDetector(
-            Quarantine(), crash_log, self.engines, None, None, clock, reporter
+            Quarantine(),
+            PartQuarantine(),
+            crash_log,
+            self.engines,
+            None,
+            None,
+            clock,
+            reporter,
         )
         metrics = ServingMetrics()
         attempts = AttemptRunner(view, self.engines, crashes, metrics, clock, reporter)
