Keep most endpoints off probation after all were silent

Callers could see: requests that may run once (unsafe routes, streams that cannot be resumed) refused with 503 for up to 3 s after all endpoints of a service had been silent for a moment, and all others confined to one slot per endpoint.

At most a share of a service is ejected, but the probation that follows had no such bound: 1.5 s later every endpoint was on probation, with one slot, and none of those is given to a request that cannot repeat.

Change: probation has the bound of ejection, and holds for the endpoints that were really ejected.

The tests failed before: "3 != 10" endpoints on probation, and "4 != 0" slots granted out of 12 free ones.

--- a/apricotquay/serving/outliers.py
+++ b/apricotquay/serving/outliers.py
@@ -107,25 +107,28 @@
     def ejected(self, endpoints: Iterable[Endpoint], now_s: float) -> set[EndpointId]:
         """Return which of a service's endpoints get no work now."""
         listed = list(endpoints)
-        ejected = [
-            (self._history_of(e).ejected_until_s, e.id)
-            for e in listed
-            if self._history_of(e).is_ejected(now_s)
-        ]
-        max_ejected = int(MAX_EJECTED_SHARE * len(listed))
-        if len(listed) >= MIN_ENDPOINTS_TO_EJECT:
-            max_ejected = max(1, max_ejected)
-        return {
-            endpoint_id
-            for _, endpoint_id in sorted(ejected)[-max_ejected:]
-            if max_ejected
-        }
+        ejected = [e for e in listed if self._history_of(e).is_ejected(now_s)]
+        return self._latest_ejected(ejected, len(listed))
 
     def on_probation(
         self, endpoints: Iterable[Endpoint], now_s: float
     ) -> set[EndpointId]:
-        """Return which of a service's endpoints get little work now."""
-        return {e.id for e in endpoints if self._history_of(e).is_on_probation(now_s)}
+        """Return which of a service's endpoints get little work now: of those that
+        have returned, as many as may be ejected.
+        """
+        listed = list(endpoints)
+        returned = [e for e in listed if self._history_of(e).is_on_probation(now_s)]
+        return self._latest_ejected(returned, len(listed))
+
+    def _latest_ejected(
+        self, endpoints: list[Endpoint], listed_count: int
+    ) -> set[EndpointId]:
+        """Return those that are ejected for longest, as many as may be ejected."""
+        max_ejected = int(MAX_EJECTED_SHARE * listed_count)
+        if listed_count >= MIN_ENDPOINTS_TO_EJECT:
+            max_ejected = max(1, max_ejected)
+        ordered = sorted((self._history_of(e).ejected_until_s, e.id) for e in endpoints)
+        return {endpoint_id for _, endpoint_id in ordered[-max_ejected:] if max_ejected}
 
     def _history_of(self, endpoint: Endpoint) -> _EndpointHistory:
         history = self._histories.get(endpoint.id)
--- a/tests/test_serving_outliers.py
+++ b/tests/test_serving_outliers.py
@@ -98,6 +98,14 @@
             self.record_failures(number, MIN_FAILURES, 0.0)
         self.assertEqual(int(10 * MAX_EJECTED_SHARE), len(self.ejected(0.1)))
 
+    def test_most_endpoints_stay_off_probation_after_all_were_silent(self):
+        """Requests that may not repeat get no slot on probation."""
+        for number in range(10):
+            self.record_failures(number, MIN_FAILURES, 0.0)
+        return_s = EJECTION_BASE_S + 0.1
+        on_probation = self.detector.on_probation(self.endpoints, return_s)
+        self.assertEqual(int(10 * MAX_EJECTED_SHARE), len(on_probation))
+
     def test_restarted_endpoint_starts_with_empty_history(self):
         """A restarted server is not judged by the failures of its predecessor."""
         self.record_failures(0, MIN_FAILURES, 0.0)
--- a/tests/test_serving_slots.py
+++ b/tests/test_serving_slots.py
@@ -9,11 +9,18 @@
 from apricotquay.ids import EndpointId
 from apricotquay.serving import outliers, slots as slots_module
 from apricotquay.serving.catalog import ServiceName
-from apricotquay.serving.dispatch import EndpointStatus, Work
+from apricotquay.serving.dispatch import (
+    EndpointStatus,
+    Granted,
+    Ticket,
+    TicketId,
+    Work,
+)
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
 from apricotquay.serving.messages import AskSlot, SlotQueued
 from apricotquay.serving.outliers import SlotOutcome
 from apricotquay.serving.peers import Peers
+from apricotquay.serving.slotowner import SlotTables
 from apricotquay.serving.slots import SlotAllocator, SlotRequest, SlotUnavailableError
 
 from .base import ApricotTest
@@ -56,6 +63,21 @@
         return self.believed_owner
 
 
+class SteppedClock:
+    """A clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.at_s = 1_000.0
+
+    def now_s(self) -> float:
+        """Return the time."""
+        return self.at_s
+
+    def wall_ms(self) -> int:
+        """Return the time."""
+        return int(self.at_s * 1000)
+
+
 class SlotDaemon:
     """The parts of a daemon that handle slots."""
 
@@ -292,3 +314,26 @@
             fleet[1].slots.release(lease)
 
         self.run_fleet(scenario, 2)
+
+
+class SilentFleetTest(ApricotTest):
+    """Slots after all endpoints of a service were silent for a moment."""
+
+    def test_silence_of_all_endpoints_leaves_slots_for_requests_that_run_once(self):
+        """Each endpoint failed three attempts at once, and then goes on."""
+        clock = SteppedClock()
+        tables = SlotTables(FixedView(), clock, quiet_reporter())
+        granted = []
+        tables.on_local_decision = granted.append
+        tables.table(SERVICE)
+        for number in range(ENDPOINTS):
+            for _ in range(outliers.MIN_FAILURES):
+                tables.record_outcome(EndpointId(f"e{number}"), SlotOutcome.FAILED)
+        clock.at_s += outliers.EJECTION_BASE_S + 0.1
+        tables.tick()
+        due_s = clock.at_s + 1.0
+        for number in range(SLOTS):
+            ticket_id = TicketId(f"t{number}")
+            ticket = Ticket(ticket_id, Work.ONLINE, due_s, due_s, may_repeat=False)
+            tables.request_slot(SERVICE, ticket)
+        self.assertEqual(SLOTS, sum(isinstance(d, Granted) for d in granted))
