Take no endpoint for crashed because a connection to it fails here

Callers could see: sound requests refused as crashing ones after the link to their endpoints was cut, or after this daemon had no file descriptor left.

Change: `HttpError.refused` tells a refused connection, and only that counts; `timed_out`, which nothing reads any more, is gone.

The tests failed before: "True is not false", 3 of 3.

--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -91,15 +91,15 @@
     async def refuses_connections(self, endpoint: Endpoint) -> bool:
         """Whether nothing listens at the endpoint's address.
 
-        An address that is silent proves nothing: a sound endpoint or the network may
-        be silent for a while.
+        An address that is silent or has no route proves nothing: a sound endpoint may
+        be silent for a while, and the network or this daemon may be the cause.
         """
         try:
             connection = await open_client(
                 endpoint.host, endpoint.port, CONNECT_TIMEOUT_S
             )
         except HttpError as exc:
-            return not exc.timed_out
+            return exc.refused
         connection.close()
         await asyncio.sleep(0)
         return False
--- a/apricotquay/serving/http1.py
+++ b/apricotquay/serving/http1.py
@@ -28,15 +28,15 @@
     """A connection failed.
 
     `sent` tells whether bytes of the request may have reached the peer,
-    `timed_out` whether the failure is a timeout.
+    `refused` whether nothing listens at the address.
     """
 
     def __init__(
-        self, message: str, *, sent: bool = True, timed_out: bool = False
+        self, message: str, *, sent: bool = True, refused: bool = False
     ) -> None:
         super().__init__(message)
         self.sent: bool = sent
-        self.timed_out: bool = timed_out
+        self.refused: bool = refused
 
 
 class HttpRequest(msgspec.Struct):
--- a/apricotquay/serving/httpclient.py
+++ b/apricotquay/serving/httpclient.py
@@ -110,8 +110,9 @@
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(host, port)
     except TimeoutError as exc:
-        raise HttpError("connect timed out", sent=False, timed_out=True) from exc
+        raise HttpError("connect timed out", sent=False) from exc
     except (OSError, ValueError, OverflowError) as exc:
         # The latter two are those of an address that no connection can have.
-        raise HttpError(f"connect failed: {exc}", sent=False) from exc
+        refused = isinstance(exc, ConnectionRefusedError)
+        raise HttpError(f"connect failed: {exc}", sent=False, refused=refused) from exc
     return ClientConnection(reader, writer)
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import itertools
 import socket
 import struct
@@ -228,6 +229,23 @@
             )
             self.assertFalse(asyncio.run(ServerClient().refuses_connections(endpoint)))
 
+    @parameterized.expand(
+        [
+            ("no route to the host", errno.EHOSTUNREACH),
+            ("no route to the network", errno.ENETUNREACH),
+            ("no file left here", errno.EMFILE),
+        ]
+    )
+    def test_endpoint_behind_a_cut_link_is_not_taken_for_a_crashed_one(self, _, code):
+        """Only a refused connection tells that nothing listens there."""
+
+        async def fail(*_):
+            raise OSError(code, "cut")
+
+        self.patch(asyncio, "open_connection", fail)
+        endpoint = Endpoint(EndpointId("i-1"), ServiceName("llm"), "127.0.0.1", 9)
+        self.assertFalse(asyncio.run(ServerClient().refuses_connections(endpoint)))
+
 
 STREAM_HEAD = response(extra=b"Transfer-Encoding: chunked\r\n", body=b"")
 CLOSED_HEAD = response(extra=b"Connection: close\r\n", body=b"")
