Wait to the end for an endpoint, too, where a request may have run

Callers saw: a stream whose endpoint ended was cut off at once, and a safe request got 502, if at that moment no endpoint of its service was listed, or if the slot table estimated that no slot would be free in time.

Entries that expire while the store is away are back within two seconds, and the estimate counts each ticket as ahead and a mean service time for each.

Change: a request that may have run asks again each 0.2 s until its time limit, also while no endpoint is listed. One that certainly has not run is refused as before.

The tests failed before: "'complete' != 'broken off'" (stream, both cases) and "'complete' != 'endpoint_failed'" (whole answer).

--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -40,6 +40,8 @@
 
 # Counted from the arrival of a request that no endpoint may have run yet.
 SLOT_TIMEOUT_S = 1.8
+# A request that may have run asks again so long after no slot could be had.
+SLOT_RETRY_DELAY_S = 0.2
 MIN_FAILURE_STATUS = 500
 # A request that no endpoint may have run yet is refused after so many sends.
 MAX_NOT_RUN_SENDS = 6
@@ -263,21 +265,31 @@
     async def _acquire(
         self, service: ServiceName, slot_request: SlotRequest, progress: RequestProgress
     ) -> SlotLease:
-        if not any(True for _ in self._view.endpoints.serving(service)):
+        is_listed = any(True for _ in self._view.endpoints.serving(service))
+        if not is_listed and not progress.may_have_run:
             raise RequestError(ErrorKind.ENDPOINT_MISSING, "no endpoint is listed")
         requested_s = self._clock.now_s()
-        try:
-            lease = await self._slots.acquire(service, slot_request)
-        except SlotUnavailableError as exc:
-            raise RequestError(
-                ErrorKind.DEADLINE_UNREACHABLE,
-                "no slot can be had in time",
-                retry_after_ms=max(MIN_RETRY_AFTER_MS, int(exc.wait_s * 1000)),
-            ) from exc
+        lease = await self._wait_for_slot(service, slot_request, progress)
         progress.slot_granted_by = lease.owner or "own table"
         progress.slot_wait_ms = int((self._clock.now_s() - requested_s) * 1000)
         return lease
 
+    async def _wait_for_slot(
+        self, service: ServiceName, slot_request: SlotRequest, progress: RequestProgress
+    ) -> SlotLease:
+        while True:
+            try:
+                return await self._slots.acquire(service, slot_request)
+            except SlotUnavailableError as exc:
+                if not progress.may_have_run:
+                    raise RequestError(
+                        ErrorKind.DEADLINE_UNREACHABLE,
+                        "no slot can be had in time",
+                        retry_after_ms=max(MIN_RETRY_AFTER_MS, int(exc.wait_s * 1000)),
+                    ) from exc
+            # The wait was only estimated, and the request cannot be refused any more.
+            await asyncio.sleep(SLOT_RETRY_DELAY_S)
+
     def _check_may_retry(self, route: Route, progress: RequestProgress) -> None:
         """Raise RequestError unless the request may be sent again."""
         reason = progress.reasons[-1]
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import copy
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Collection
 
 from parameterized import parameterized
 
@@ -104,16 +104,26 @@
     """Grants a slot at the first endpoint that the request does not avoid.
 
     Slots after the first `at_once` are granted after a delay, or never if that is
-    None.
+    None. Requests for a slot with the numbers `refused` are refused at once.
     """
 
-    def __init__(self, at_once: int = 10_000, delay_s: float | None = None) -> None:
+    def __init__(
+        self,
+        at_once: int = 10_000,
+        delay_s: float | None = None,
+        refused: Collection[int] = (),
+    ) -> None:
         self.held = 0
+        self._refused: Collection[int] = refused
+        self._asked: int = 0
         self._at_once: int = at_once
         self._delay_s: float | None = delay_s
 
     async def acquire(self, service, slot_request) -> SlotLease:
         """Return a lease, unless the request's time for it has passed."""
+        self._asked += 1
+        if self._asked in self._refused:
+            raise SlotUnavailableError(0.5)
         if slot_request.slot_deadline_s <= SystemClock().now_s():
             raise SlotUnavailableError(0.0)
         self._at_once -= 1
@@ -530,6 +540,37 @@
         self.assertEqual("complete", writer.ending)
         self.assertEqual(len(script), len(engines.calls))
 
+    @parameterized.expand(
+        [
+            ("stream", {"is_resumable": True}, [event(0), CONNECTION_RESET]),
+            ("whole answer", {"kind": SAFE}, [CONNECTION_RESET]),
+        ]
+    )
+    def test_request_that_may_have_run_outlasts_a_moment_without_endpoints(
+        self, _name, fields, parts
+    ):
+        """They may be missing from the list for a moment, all at once."""
+        listed = [iter(["first"]), iter(())]
+        self.patch(
+            EndpointTable,
+            "serving",
+            lambda *_: listed.pop(0) if listed else iter(["back"]),
+        )
+        script = [ScriptedResponse(200, parts), ScriptedResponse(200, [event(1)])]
+        writer, engines = self.serve(route(**fields), script)
+        self.assertEqual("complete", writer.ending)
+        self.assertEqual(2, len(engines.calls))
+
+    def test_request_that_may_have_run_outlasts_an_estimate_of_the_wait(self):
+        """A wait that is estimated too long does not end it before its time."""
+        slots = FakeSlots(refused=[2])
+        script = [
+            ScriptedResponse(200, [event(0), CONNECTION_RESET]),
+            ScriptedResponse(200, [event(1)]),
+        ]
+        writer, _ = self.serve(route(is_resumable=True), script, slots=slots)
+        self.assertEqual("complete", writer.ending)
+
     def test_request_that_may_have_run_ends_in_time_if_all_endpoints_refuse(self):
         """Sends are spaced, so that refusing endpoints get few of them."""
         script = [ScriptedResponse(200, [CONNECTION_RESET]), *[REFUSED] * 1000]
