Name running successors at once if a claim names none

Cause, a fault of the product: only a successor that the holder's claim names may claim while the holder's process has not ended. A daemon that starts alone names none (the others' ports refuse), and named those that came later only after 5 s. Frozen before that, it kept its leases, rates' as well as orders', for as long as it was frozen. Beside load the daemons of the test start seconds apart.

A holder now names running members at once if none of those it named runs; otherwise it waits 5 s as before. Before, 2 of 5 cases of SuccessorChangeTest fail. What remains: the moment between a member's first answer and the next claim.

--- a/apricotquay/leasemanager.py
+++ b/apricotquay/leasemanager.py
@@ -11,7 +11,13 @@
 from .events import Event, EventLog
 from .fleet import Fleet
 from .ids import MemberId, ResourceName, StreamName
-from .leases import LatestClaim, LeaseState, LeaseStateMachine, LeaseTable
+from .leases import (
+    LatestClaim,
+    LeaseState,
+    LeaseStateMachine,
+    LeaseTable,
+    successor_change_delay_s,
+)
 from .leaseuser import BucketLevels, Lease, LeaseUser, ReceivedHandOver
 from .logclient import Appender, Log, ReadPage
 from .membership import MemberState
@@ -36,7 +42,6 @@
 MIN_CLAIM_INTERVAL_S = 1.0
 # For each rank in the order of preference, so that the first member claims first.
 CLAIM_DELAY_PER_RANK_S = 0.7
-RENEW_DELAY_S = 5.0
 RENEW_AT_RETENTION_SHARE = 1 / 3
 REBALANCE_DELAY_S = 4.0
 HAND_OVER_TIMEOUT_S = 2.0
@@ -418,12 +423,14 @@
         if age_ms > self._retention_ms * RENEW_AT_RETENTION_SHARE:
             return True
         wanted = set(self._successors(preferred))
-        if wanted == set(lease.latest.claim.successors):
+        named = set(lease.latest.claim.successors)
+        if wanted == named:
             lease.claimable_since_s = None
             return False
         if lease.claimable_since_s is None:
             lease.claimable_since_s = now_s
-        return now_s - lease.claimable_since_s >= RENEW_DELAY_S
+        delay_s = successor_change_delay_s(named, wanted)
+        return now_s - lease.claimable_since_s >= delay_s
 
     def _successors(self, preferred: list[MemberId]) -> list[MemberId]:
         return [m for m in preferred if m != self._fleet.me][:MAX_SUCCESSORS]
--- a/apricotquay/leases.py
+++ b/apricotquay/leases.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from collections.abc import Collection
 
 import msgspec
 
@@ -16,6 +17,20 @@
 # A claimer waits longer than the holder's lease by this share of it, so that
 # clocks which drift apart by up to this share cannot make two holders.
 CLOCK_DRIFT_MARGIN = 0.05
+# Members that come and go for less than this do not change the successors.
+SUCCESSOR_CHANGE_DELAY_S = 5.0
+
+
+def successor_change_delay_s(
+    named: Collection[MemberId], running: Collection[MemberId]
+) -> float:
+    """Return after how long a holder names the running members as its successors.
+
+    At once if it named none of them: no one could take over if it hung.
+    """
+    if running and not set(named) & set(running):
+        return 0.0
+    return SUCCESSOR_CHANGE_DELAY_S
 
 
 class LatestClaim(msgspec.Struct, frozen=True):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -11,7 +11,13 @@
 from apricotquay.buckets import ShardBuckets
 from apricotquay.charts import load_chart
 from apricotquay.ids import Incarnation, MemberId, ResourceName
-from apricotquay.leases import LatestClaim, LeaseState, LeaseStateMachine, LeaseTable
+from apricotquay.leases import (
+    LatestClaim,
+    LeaseState,
+    LeaseStateMachine,
+    LeaseTable,
+    successor_change_delay_s,
+)
 from apricotquay.records import Claim
 
 from .base import PROPERTY_SETTINGS, ApricotTest
@@ -168,6 +174,26 @@
         self.assertEqual(not handed_over, machine.may_act(1.1))
 
 
+class SuccessorChangeTest(ApricotTest):
+    """When a holder names other successors."""
+
+    @parameterized.expand(
+        [
+            ("started alone", "", "bc", False),
+            ("all named are gone", "b", "c", False),
+            ("one named still runs", "b", "bc", True),
+            ("one named is gone", "bc", "c", True),
+            ("no other member runs", "bc", "", True),
+        ]
+    )
+    def test_holder_that_hangs_has_a_running_successor(
+        self, _name, named, running, is_delayed
+    ):
+        """Without one its resource stays with it until its process ends."""
+        delay_s = successor_change_delay_s(list(named), list(running))
+        self.assertEqual(is_delayed, delay_s > 0)
+
+
 class Simulation:
     """Members, a log and messages in virtual time, driven by one seed.
 
