Judge crashes anew at most four times for refuted conclusions

A judgement in which conclusions refute each other was begun anew up to 30 times. The 120 tests of the decision, random histories among them, pass with either.

--- a/apricotquay/serving/promptparts.py
+++ b/apricotquay/serving/promptparts.py
@@ -60,7 +60,8 @@
 MAX_PART_ID_LENGTH = 64
 MAX_CONCLUSIONS = 500
 MAX_PATTERNS = 32
-MAX_REVISIONS = 30
+# Each costs as much as a judgement, in the event loop that serves requests.
+MAX_REVISIONS = 4
 # A request cut by a crash is sent again while its parts ran at fewer crashes.
 CRASHES_TO_STOP_RETRIES = 2
 
