Judge crashes without refuted parts as rivals

A part that was refuted still tied with the part that crashed the same endpoints, so that was concluded at the fifth crash only. Rows of the table show it.

--- a/apricotquay/serving/promptparts.py
+++ b/apricotquay/serving/promptparts.py
@@ -276,7 +276,7 @@
 
     def _judge(self, part: PartKey, crash: _Crash) -> None:
         """Conclude a part, or the group that it came in, if that is clear."""
-        starts = self._explained_by(part)
+        starts = set(self.open[part])
         if len(starts) >= CRASHES_TO_CONCLUDE:
             groups = self._groups_at(starts, self._rivals(starts))
         elif len(self._seen[part]) >= CRASHES_DESPITE_TIE:
@@ -285,14 +285,19 @@
             groups = self._groups_at(starts, [part])
         else:
             return
-        groups = [g for g in groups if self._has_several_requests(g, starts)]
+        groups = [
+            group
+            for group in groups
+            if self._has_several_requests(group, starts)
+            and not self._is_refuted(group, crash)
+        ]
         if not any(part in group for group in groups):
             return
         if len(starts) >= CRASHES_DESPITE_TIE:
             common = frozenset.intersection(*groups)
             for group in [common] if common else groups:
                 self._conclude(group, starts, crash)
-        elif len(groups) == 1 and not self._has_tie(groups[0], starts):
+        elif len(groups) == 1 and not self._has_tie(groups[0], starts, crash):
             self._conclude(groups[0], starts, crash)
 
     def _is_refuted(self, group: frozenset[PartKey], crash: _Crash) -> bool:
@@ -334,14 +339,6 @@
             if any(p.holds(group) for p in self._crashes[start].patterns())
         }
 
-    def _explained_by(self, part: PartKey) -> set[str]:
-        """Return the open crashes of a part, and those of conclusions it replaces."""
-        starts = set(self.open[part])
-        for conclusion in self.conclusions.values():
-            if conclusion.crashes <= self._seen[part]:
-                starts |= conclusion.crashes
-        return starts
-
     def _rivals(self, starts: set[str]) -> list[PartKey]:
         """Return the parts that explain all the crashes."""
         any_start = min(starts)
@@ -379,7 +376,9 @@
             return len(set.union(*fingerprints)) >= REQUESTS_TO_CONCLUDE
         return not set.intersection(*fingerprints)
 
-    def _has_tie(self, group: frozenset[PartKey], starts: set[str]) -> bool:
+    def _has_tie(
+        self, group: frozenset[PartKey], starts: set[str], crash: _Crash
+    ) -> bool:
         """Whether a part of another request explains as many crashes, partly these."""
         shared = collections.Counter(
             part
@@ -388,7 +387,9 @@
             if part not in group
         )
         return any(
-            count >= SHARED_CRASHES_OF_TIE and len(self.open[part]) >= len(starts)
+            count >= SHARED_CRASHES_OF_TIE
+            and len(self.open[part]) >= len(starts)
+            and not self._is_refuted(frozenset([part]), crash)
             for part, count in shared.items()
         )
 
--- a/tests/test_promptparts.py
+++ b/tests/test_promptparts.py
@@ -394,6 +394,35 @@
                 ],
                 ["a", "b", "c"],
             ),
+            (
+                "refuted, which gives its crashes back",
+                [
+                    *("1: t a", "2: t b", "3: t c", "4: x, 20: t", "5: x, 21: t"),
+                    *("6: x", "7: a", "8: b", "9: c", "10: a", "11: b", "12: c"),
+                    *("13: a", "14: b", "15: c"),
+                ],
+                ["a", "b", "c", "x"],
+            ),
+            (
+                "beside a known cause, once alone",
+                ["1: a", "2: a", "3: a", "4: a, 9: s", "5: a, 8: s", "6: s"],
+                ["a"],
+            ),
+            (
+                "one request that ran at two of the crashes ties",
+                ["1: a, 9: b", "2: a, 9: b", "9: b", "4: a"],
+                [],
+            ),
+            (
+                "part of the group in another request",
+                ["1: a b, 9: b", "2: a b, 8: b", "3: a b, 7: b"],
+                ["a b"],
+            ),
+            (
+                "two requests with it at each crash",
+                [f"{n}: a x, 1{n}: a y" for n in range(5)],
+                ["a"],
+            ),
             (
                 "refuted by a part that shares crashes, and concluded again",
                 [
@@ -521,6 +550,21 @@
             record(quarantine, number, f"r{number}: first bad s{number}")
         self.assertEqual(["bad"], named(quarantine.quarantined_here()))
 
+    def test_old_completion_does_not_clear_later_crashes(self):
+        """It may be told, or read from the log, after them."""
+        quarantine = PartQuarantine()
+        for number in range(3):
+            record(quarantine, number, f"r{number}: bad", COMPLETION_VALID_S + number)
+        quarantine.record_completion(parts_of("bad"), 0.0)
+        self.assertEqual(["bad"], named(quarantine.quarantined_here()))
+
+    def test_completion_outlasts_a_long_quarantine(self):
+        """A sound part that pauses is not refused again for the same crashes."""
+        quarantine = PartQuarantine()
+        quarantine.add_quarantined(frozenset(parts_of("a")), 7_200.0, 0.0)
+        quarantine.record_completion(parts_of("a"), 2.0)
+        self.assertFalse(refused(quarantine, "a", COMPLETION_VALID_S + 100.0))
+
     def test_replayed_completion_keeps_its_time(self):
         """An older record does not replace a newer one, nor extend it."""
         quarantine = PartQuarantine()
@@ -607,6 +651,7 @@
         quarantine.add_quarantined(group, 20.0 + 4 * FIRST_QUARANTINE_S, 20.0)
         self.assertTrue(refused(quarantine, "a b c", 30.0))
         self.assertFalse(refused(quarantine, "a c", 30.0))
+        self.assertTrue(quarantine.is_suspect(parts_of("a")[0], 30.0))
         self.assertEqual({}, quarantine.quarantined_here())
         end_s = 20.0 + 4 * FIRST_QUARANTINE_S
         quarantine.tick(end_s)
@@ -652,6 +697,14 @@
         self.assertEqual({}, quarantine._crashes_of)
         self.assertEqual({}, quarantine._open)
 
+    def test_crashes_are_bounded(self):
+        """The oldest yield."""
+        quarantine = PartQuarantine()
+        for number in range(MAX_CRASHES + 50):
+            record(quarantine, number, f"r{number}: s{number}", float(number))
+        self.assertLessEqual(len(quarantine._crashes), MAX_CRASHES)
+        self.assertFalse(quarantine.is_suspect(parts_of("s0")[0], 300.0))
+
     def test_one_crash_is_bounded(self):
         """A report with many requests of many parts."""
         quarantine = PartQuarantine()
