Keep a connection for the longest idle limit that its caller was given

Callers reuse a connection by the limits that they know. A connection that was opened before a configuration raised `idle_timeout_ms` and kept through one that lowered it again was closed by the limit of its opening, while its caller could still act on the raised one.

Now the longest limit under which the connection carried a request holds.

Test before the change: "b' 200 ' not in b''".

--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -141,7 +141,7 @@
         self._writer: asyncio.StreamWriter = writer
         self._limits: ServerLimits = server.limits()
         # A lowered limit holds for new connections: callers may not know it yet.
-        self._first_idle_timeout_s: float = self._limits.idle_timeout_s
+        self._known_idle_timeout_s: float = self._limits.idle_timeout_s
         self._protocol: h11.Connection = self._create_protocol()
         self.is_idle: bool = True
         self.is_receiving: bool = False
@@ -176,6 +176,9 @@
         if limits == self._limits:
             return
         self._limits = limits
+        self._known_idle_timeout_s = max(
+            self._known_idle_timeout_s, limits.idle_timeout_s
+        )
         unparsed, _ = self._protocol.trailing_data
         self._protocol = self._create_protocol()
         if unparsed:
@@ -350,7 +353,7 @@
         limits = self._server.limits()
         if has_begun:
             return limits.header_timeout_s
-        return max(limits.idle_timeout_s, self._first_idle_timeout_s) + IDLE_MARGIN_S
+        return max(limits.idle_timeout_s, self._known_idle_timeout_s) + IDLE_MARGIN_S
 
     async def _reject(self, rejected: RequestRejectedError) -> None:
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- a/tests/test_serving_connections.py
+++ b/tests/test_serving_connections.py
@@ -223,6 +223,25 @@
 
         self.run_scenario(scenario)
 
+    def test_lowered_idle_timeout_spares_connections_that_knew_a_raised_one(self):
+        """Their callers may act on the longest limit that they were given."""
+        self.limits = ServerLimits(1_000, 100, 5.0, 0.1)
+        self.patch(httpserver_module, "IDLE_MARGIN_S", 0.0)
+
+        async def scenario(_server, port):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            for idle_timeout_s in (3.0, 0.1):
+                self.limits = ServerLimits(1_000, 100, 5.0, idle_timeout_s)
+                writer.write(REQUEST)
+                self.assertIn(b" 200 ", await reader.readline())
+                await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.3)
+            writer.write(REQUEST)
+            self.assertIn(b" 200 ", await reader.readline())
+            writer.close()
+
+        self.run_scenario(scenario)
+
     def test_timeout_of_the_connection_itself_does_not_stop_the_loop(self):
         """The socket's own ETIMEDOUT is raised by each further read."""
 
