Notice a crash also on a VM that is late to see the refused connection

Could be seen by callers: a request or part that crashes endpoints goes on crashing them, since a daemon whose event loop stands still for 0.15 s takes the refused connection for a silent one, and a silent one counts as no crash any more.

Cause: the check for a crash used the connect timeout of a send, which is short so that the request can go elsewhere in time; the timer and the refusal are handled in one round, and the timer wins. The test failed before: False is not true.

--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -22,6 +22,8 @@
 # Connecting takes one round trip of a few milliseconds. After a timeout the request
 # can still be sent to another endpoint in time.
 CONNECT_TIMEOUT_S = 0.15
+# A slow VM may notice a refused connection late.
+CRASH_CHECK_TIMEOUT_S = 0.5
 MISDIRECTED_REQUEST = 421
 BODILESS_STATUSES = (204, 304)
 # Response headers that are not forwarded to callers.
@@ -106,7 +108,7 @@
         """
         try:
             connection = await open_client(
-                endpoint.host, endpoint.port, CONNECT_TIMEOUT_S
+                endpoint.host, endpoint.port, CRASH_CHECK_TIMEOUT_S
             )
         except HttpError as exc:
             return exc.refused
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -10,6 +10,7 @@
 from parameterized import parameterized
 
 from apricotquay.ids import EndpointId, TeamId
+from apricotquay.platform import engines as engines_module
 from apricotquay.platform.engines import ServerClient
 from apricotquay.serving import attempts as attempts_module
 from apricotquay.serving.batch import ItemProgress, _read_output
@@ -257,6 +258,22 @@
             )
             self.assertFalse(asyncio.run(ServerClient().refuses_connections(endpoint)))
 
+    def test_crash_is_seen_by_a_daemon_that_notices_the_refusal_late(self):
+        """Sending a request there would have timed out."""
+        open_connection = asyncio.open_connection
+
+        async def open_late(*args):
+            await asyncio.sleep(engines_module.CONNECT_TIMEOUT_S + 0.05)
+            return await open_connection(*args)
+
+        self.patch(asyncio, "open_connection", open_late)
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            endpoint = Endpoint(
+                EndpointId("i-1"), ServiceName("llm"), *unused.getsockname()
+            )
+            self.assertTrue(asyncio.run(ServerClient().refuses_connections(endpoint)))
+
     @parameterized.expand(
         [
             ("no route to the host", errno.EHOSTUNREACH),
