Keep a drain within the grace period while the store is silent

Callers of a daemon that stops would see closed connections without an answer: with a silent store, SIGTERM led to writes of each owned partition's progress, one after the other and each with its own time limit, and only then was the end of the grace period looked at. SIGKILL could come first, and then no request is refused.

Change: what is written at the beginning of a drain has the time of the drain at most. Found by reading; not seen in a trial or on the bench. A progress record that is not written costs its item a repeat at the next owner, as after SIGKILL.

The tests failed before: TimeoutError after the whole grace period, 2 of 2.

--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -1,6 +1,7 @@
 """The event-loop daemon: its components, peer messages, and draining on SIGTERM."""
 
 import asyncio
+import contextlib
 import secrets
 import signal
 from collections.abc import Callable
@@ -236,9 +237,13 @@
         self.reporter.write(
             Event.DAEMON_DRAINING, busy=self.callers.busy_count, reason="signal"
         )
-        await self.runner.stop()
-        await self.shards.leave()
-        deadline_s = started_s + self.settings.grace_s - SHUTDOWN_MARGIN_S
+        grace_s = self.settings.grace_s - SHUTDOWN_MARGIN_S
+        # The store may be silent, and requests are still refused after the wait.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(grace_s):
+                await self.runner.stop()
+                await self.shards.leave()
+        deadline_s = started_s + grace_s
         while self.clock.now_s() < deadline_s:
             is_removed_by_balancer = self.clock.now_s() - started_s > BALANCER_REMOVAL_S
             if is_removed_by_balancer and not self.callers.busy_count:
--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -2,9 +2,13 @@
 
 import asyncio
 
+from parameterized import parameterized
+
 from apricotquay.serving import daemon as daemon_module
+from apricotquay.serving.batch import BatchRunner
 from apricotquay.serving.http1 import HttpError, HttpRequest
 from apricotquay.serving.httpclient import open_client
+from apricotquay.serving.shards import Shards
 from standins.platform import SLOTS_PER_SERVER
 
 from .test_platform_fleet import PlatformTest
@@ -97,6 +101,28 @@
 
         self.run_scenario(scenario, daemons=1, servers=1, step_s=0.02)
 
+    @parameterized.expand(
+        [("progress", BatchRunner, "stop"), ("group", Shards, "leave")]
+    )
+    def test_silent_store_does_not_make_a_drain_outlast_the_grace_period(
+        self, _name, owner, method
+    ):
+        """Requests that still run then could not be refused."""
+        self.patch(daemon_module, "SHUTDOWN_MARGIN_S", LONG_MARGIN_S)
+
+        async def hang(_):
+            await asyncio.get_running_loop().create_future()
+
+        self.patch(owner, method, hang)
+
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            async with asyncio.timeout(daemon.settings.grace_s):
+                await daemon.drain()
+            self.assertTrue(daemon.callers.is_draining)
+
+        self.run_scenario(scenario, daemons=1)
+
     def test_reload_of_settings_cuts_no_request(self):
         """Also if the settings cannot be read."""
 
