Search on for an endpoint to take over from one that stays silent

Callers saw: a stream or safe request whose endpoint hung for good waited until its time limit and was cut, though other endpoints were sound and attempts were left.

Cause: "Leave a silent endpoint only for one with a free slot" searched once for each silence. The search ended for good if all other endpoints had failed this request before (a reset, a 500), if no other was listed at that moment, or if the slot table refused it by its estimate; the attempt was then kept until the time limit.

Change: the search goes on, each 0.2 s, until the endpoint's output or the end of the attempt, and takes an endpoint that failed before if there is no other.

--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -40,7 +40,7 @@
 
 # Counted from the arrival of a request that no endpoint may have run yet.
 SLOT_TIMEOUT_S = 1.8
-# A request that may have run asks again so long after no slot could be had.
+# A request that may have run asks for a slot again so long after none could be had.
 SLOT_RETRY_DELAY_S = 0.2
 MIN_FAILURE_STATUS = 500
 # A request that no endpoint may have run yet is refused after so many sends.
@@ -235,29 +235,42 @@
     ) -> Handover:
         """Return the handover of an attempt to an endpoint that did not fail yet."""
         slot_request = msgspec.structs.replace(
-            slot_request,
-            slot_deadline_s=deadline_s,
-            avoid=slot_request.avoid | {lease.endpoint},
-            holds_slot=True,
+            slot_request, slot_deadline_s=deadline_s, holds_slot=True
         )
         return Handover(
-            partial(self._acquire_elsewhere, lease.service, slot_request),
+            partial(self._acquire_elsewhere, lease, slot_request),
             self._slots.release,
             self._reporter,
         )
 
     async def _acquire_elsewhere(
-        self, service: ServiceName, slot_request: SlotRequest
+        self, silent: SlotLease, slot_request: SlotRequest
+    ) -> SlotLease:
+        """Acquire a slot outside the silent endpoint, at one that did not fail before
+        if there is one.
+        """
+        while True:
+            lease = await self._try_acquire_elsewhere(silent, slot_request)
+            if lease is not None:
+                return lease
+            await asyncio.sleep(SLOT_RETRY_DELAY_S)
+
+    async def _try_acquire_elsewhere(
+        self, silent: SlotLease, slot_request: SlotRequest
     ) -> SlotLease | None:
-        """Acquire a slot outside `slot_request.avoid`; None if none can be had."""
-        listed = {e.id for e in self._view.endpoints.serving(service)}
-        if not listed - slot_request.avoid:
+        listed = {e.id for e in self._view.endpoints.serving(silent.service)}
+        others = listed - {silent.endpoint}
+        if not others:
             return None
+        avoid = frozenset({silent.endpoint})
+        if others - slot_request.avoid:
+            avoid |= slot_request.avoid
+        slot_request = msgspec.structs.replace(slot_request, avoid=avoid)
         try:
-            lease = await self._slots.acquire(service, slot_request)
+            lease = await self._slots.acquire(silent.service, slot_request)
         except SlotUnavailableError:
             return None
-        if lease.endpoint in slot_request.avoid:
+        if lease.endpoint in avoid:
             self._slots.release(lease)
             return None
         return lease
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -481,6 +481,35 @@
             )
             self.assertEqual(["e0"], [name for _, name in engines.calls])
 
+    def test_silent_attempt_ends_when_all_other_endpoints_have_failed_before(self):
+        """They may be sound again; the silent one may never be."""
+        self.shorten_silence_limits()
+        script = [
+            ScriptedResponse(200, [event(0), CONNECTION_RESET]),
+            ScriptedResponse(200, [CONNECTION_RESET]),
+            ScriptedResponse(200, [None]),
+            ScriptedResponse(200, [event(1)]),
+        ]
+        writer, engines = self.serve(route(is_resumable=True, max_attempts=4), script)
+        self.assertEqual(
+            (event(0) + event(1), "complete"), (writer.body, writer.ending)
+        )
+        self.assertEqual(["e0", "e1", "e2"], [name for _, name in engines.calls][:3])
+        self.assertNotEqual("e2", engines.calls[3][1])
+
+    def test_silent_attempt_ends_when_a_refused_successor_gets_a_slot_later(self):
+        """One refusal does not end the search for another endpoint."""
+        self.shorten_silence_limits()
+        script = [
+            ScriptedResponse(200, [event(0), None]),
+            ScriptedResponse(200, [event(1)]),
+        ]
+        slots = FakeSlots(refused=[2])
+        writer, _ = self.serve(route(is_resumable=True), script, slots=slots)
+        self.assertEqual(
+            (event(0) + event(1), "complete"), (writer.body, writer.ending)
+        )
+
     def test_silent_attempt_ends_when_a_successor_has_a_slot(self):
         """Only one of the two attempts is ever forwarded."""
         self.shorten_silence_limits()
