Test handovers of many requests at silent endpoints for leaks and overlaps

Three daemons, a change of owner, silences around the limit, refusals, resets and callers that leave.

--- a/tests/test_serving_handover.py
+++ b/tests/test_serving_handover.py
@@ -1,16 +1,36 @@
 """The handover of a request from a silent endpoint: no slot is leaked."""
 
 import asyncio
+import random
+from collections import Counter
 
+from parameterized import parameterized
+
+from apricotquay.clocks import SystemClock
 from apricotquay.ids import EndpointId
+from apricotquay.quarantine import Quarantine
+from apricotquay.serving import timeouts
+from apricotquay.serving.attempts import AttemptRunner
 from apricotquay.serving.catalog import ServiceName
+from apricotquay.serving.crashes import CrashDetector
+from apricotquay.serving.crashlog import CrashLog
 from apricotquay.serving.dispatch import Ticket, TicketId, Work
+from apricotquay.serving.engine import AttemptFailedError, RequestNotRunError
 from apricotquay.serving.handover import Handover
+from apricotquay.serving.metrics import ServingMetrics
+from apricotquay.serving.online import OnlineRequestHandler
+from apricotquay.serving.requests import OnlineRequest
 from apricotquay.serving.slots import SlotLease
+from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
 from .test_serving_jobs import quiet_reporter
+from .test_serving_online import FakeRates, FakeView, RecordingWriter, event, route
+from .test_serving_slots import ENDPOINTS, SERVICE, SlotDaemon
 
+SILENCE_LIMIT_S = 0.02
+REQUESTS = 100
+EVENTS = 4
 TICKET = Ticket(TicketId("t"), Work.ONLINE, 0.0, 0.0)
 
 
@@ -83,3 +103,141 @@
 
         self.assertEqual(("late", None), self.run_wait(acquire))
         self.assertEqual([True], was_cancelled)
+
+
+class RandomEndpoints:
+    """Answers after delays around the silence limit; some calls are refused or cut.
+
+    `running` counts the attempts of each request, `overlaps` the requests that had
+    two at once.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.running: Counter = Counter()
+        self.overlaps = 0
+        self._rng = rng
+
+    async def send(self, call, _endpoint) -> "RandomResponse":
+        """Return a response, refuse the call or cut it."""
+        self.running[call.request_id] += 1
+        self.overlaps += self.running[call.request_id] > 1
+        try:
+            await self.pause()
+            self.fail_sometimes(RequestNotRunError("full"))
+            self.fail_sometimes(AttemptFailedError("reset", reset=True))
+        except BaseException:
+            self.running[call.request_id] -= 1
+            raise
+        return RandomResponse(self, call)
+
+    async def pause(self) -> None:
+        """Be silent for a while."""
+        silences_s = (0.0, 0.2, 0.99, 1.0, 1.01, 2.0, 4.0)
+        await asyncio.sleep(SILENCE_LIMIT_S * self._rng.choice(silences_s))
+
+    def fail_sometimes(self, error: Exception) -> None:
+        """Raise the error at times."""
+        if self._rng.random() < 0.05:
+            raise error
+
+    async def refuses_connections(self, _endpoint) -> bool:
+        """No endpoint crashes in these tests."""
+        return False
+
+
+class RandomResponse:
+    """A stream of EVENTS events, from the one after the last received."""
+
+    status = 200
+    headers = ()
+
+    def __init__(self, endpoints: RandomEndpoints, call) -> None:
+        self._endpoints = endpoints
+        self._call = call
+
+    async def body(self):
+        """Yield the events, each in two parts."""
+        resume_after = self._call.resume_after
+        for number in range(0 if resume_after is None else resume_after + 1, EVENTS):
+            self._endpoints.fail_sometimes(AttemptFailedError("reset", reset=True))
+            for part in (event(number)[:5], event(number)[5:]):
+                await self._endpoints.pause()
+                yield part
+
+    def close(self) -> None:
+        """End the attempt; each response is closed once."""
+        self._endpoints.running[self._call.request_id] -= 1
+
+
+class RandomHandoverTest(ApricotTest):
+    """Many requests at silent endpoints, over three daemons and a change of owner."""
+
+    @parameterized.expand([(seed,) for seed in range(4)])
+    def test_handovers_leak_no_slot_and_never_overlap(self, seed):
+        """A quarter of the callers leave at some moment."""
+        self.patch(timeouts, "MAX_FIRST_EVENT_TIMEOUT_S", SILENCE_LIMIT_S)
+        self.patch(timeouts, "MAX_PAUSE_TIMEOUT_S", SILENCE_LIMIT_S)
+        asyncio.run(self.play(random.Random(seed)))
+
+    async def play(self, rng: random.Random) -> None:
+        """Serve the requests, then count what is left of them."""
+        daemons = [SlotDaemon(f"d{number}") for number in range(3)]
+        for daemon in daemons:
+            await daemon.start()
+        endpoints = RandomEndpoints(rng)
+        handlers = [self.build_handler(daemon, endpoints) for daemon in daemons]
+        requests = []
+        for number in range(REQUESTS):
+            if number % (REQUESTS // 2) == 0:
+                owner = daemons[number * 2 // REQUESTS].shards.address
+                for daemon in daemons:
+                    daemon.shards.believed_owner = owner
+                    daemon.slots.refresh()
+            leaves_s = rng.uniform(0, 0.2) if rng.random() < 0.25 else None
+            request = self.serve(rng.choice(handlers), f"r{number}", leaves_s)
+            requests.append(asyncio.ensure_future(request))
+            await asyncio.sleep(rng.uniform(0, 0.01))
+        await asyncio.gather(*requests)
+        await asyncio.sleep(0.2)
+        self.assertEqual(0, endpoints.overlaps)
+        self.assertEqual(0, sum(endpoints.running.values()))
+        for daemon in daemons:
+            table = daemon.slots.tables.table(SERVICE)
+            running = [table.running_at(EndpointId(f"e{n}")) for n in range(ENDPOINTS)]
+            self.assertEqual([0] * ENDPOINTS, running)
+            self.assertEqual((0, 0), (daemon.slots.held_count, table.waiting_count))
+            await daemon.close()
+
+    def build_handler(
+        self, daemon: SlotDaemon, endpoints: RandomEndpoints
+    ) -> OnlineRequestHandler:
+        """Return a daemon's handler of online requests."""
+        clock, metrics, reporter = SystemClock(), ServingMetrics(), quiet_reporter()
+        view = FakeView(route(is_resumable=True, max_attempts=3, timeout_ms=900))
+        crash_log = CrashLog(MemoryLog(), daemon.name, clock, reporter)
+        crashes = CrashDetector(
+            Quarantine(), crash_log, endpoints, None, None, clock, reporter
+        )
+        attempts = AttemptRunner(view, endpoints, crashes, metrics, clock, reporter)
+        return OnlineRequestHandler(
+            view, FakeRates(REQUESTS), daemon.slots, attempts, metrics, clock, reporter
+        )
+
+    async def serve(
+        self, handler: OnlineRequestHandler, name: str, leaves_s: float | None
+    ) -> None:
+        """Serve a request, whose caller may leave."""
+        now_s = SystemClock().now_s()
+        request = OnlineRequest(
+            name, "POST", "/x/1", "/x/1", "h", [], name.encode(), "key", 900, now_s
+        )
+        writer = RecordingWriter()
+        admission = handler.authorize("h", "/x/1", "key")
+        served = asyncio.ensure_future(handler.serve(request, admission, writer))
+        if leaves_s is not None:
+            await asyncio.sleep(leaves_s)
+            writer.caller_left = True
+            served.cancel()
+        await asyncio.gather(served, return_exceptions=leaves_s is not None)
+        if writer.ending == "complete":
+            self.assertEqual(b"".join(map(event, range(EVENTS))), writer.body)
