Close no peer connection because it was idle before a slow reply

Callers could see: calls about jobs with an unknown outcome, and slots granted twice, after one reply of a peer came late by 0.15 s on a connection that had been quiet.

Change: the time counts from the first call that was sent after the last data. Weighed: a peer that is cut off from a quiet connection is now noticed as late as from a busy one, after 1 s with calls, no longer at the first call.

Test before the change: "False is not true" (the connection was open). test_connection_that_answers_no_call_in_a_row passes before and after.

--- a/apricotquay/serving/peers.py
+++ b/apricotquay/serving/peers.py
@@ -16,7 +16,7 @@
 CONNECT_TIMEOUT_S = 0.4
 # After a failure no connection to the peer is opened for this long.
 RECONNECT_DELAY_S = 0.5
-# A connection with a pending call and no data for this long is considered dead.
+# A connection with a call and no data after it for this long is considered dead.
 SILENCE_TIMEOUT_S = 1.0
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 
@@ -32,7 +32,8 @@
         self._socket = socket
         self._handler: Handler = handler
         self._reporter: Reporter = reporter
-        self._last_received_s: float = asyncio.get_running_loop().time()
+        # When the first call was sent after the last data was received.
+        self._unanswered_since_s: float | None = None
         self._call_numbers = itertools.count(1)
         self._pending_calls: dict[int, asyncio.Future] = {}
         self._outgoing: asyncio.Queue[bytes] = asyncio.Queue()
@@ -45,10 +46,12 @@
     async def call(self, message: Message, timeout_s: float) -> Message:
         """Send a call and wait for its reply.
 
-        On a timeout, the connection is closed if it has received nothing for
-        SILENCE_TIMEOUT_S. One that is only slow stays open, since other calls wait
-        for replies on it.
+        On a timeout, the connection is closed if it has answered no call for
+        SILENCE_TIMEOUT_S. One that is only slow or was idle stays open, since other
+        calls wait for replies on it.
         """
+        if self._unanswered_since_s is None:
+            self._unanswered_since_s = asyncio.get_running_loop().time()
         number = next(self._call_numbers)
         reply = asyncio.get_running_loop().create_future()
         self._pending_calls[number] = reply
@@ -57,10 +60,7 @@
             async with asyncio.timeout(timeout_s):
                 return await reply
         except TimeoutError as exc:
-            if (
-                asyncio.get_running_loop().time() - self._last_received_s
-                > SILENCE_TIMEOUT_S
-            ):
+            if self._is_silent():
                 self.close()
             raise PeerUnavailableError(
                 "peer did not answer in time", sent=True
@@ -68,6 +68,11 @@
         finally:
             self._pending_calls.pop(number, None)
 
+    def _is_silent(self) -> bool:
+        since_s = self._unanswered_since_s
+        now_s = asyncio.get_running_loop().time()
+        return since_s is not None and now_s - since_s > SILENCE_TIMEOUT_S
+
     def close(self) -> None:
         """Close the connection without waiting for the other side."""
         if self.is_open:
@@ -87,7 +92,7 @@
             self._clean_up()
 
     def _handle_frame(self, data: bytes) -> None:
-        self._last_received_s = asyncio.get_running_loop().time()
+        self._unanswered_since_s = None
         number, message = decode_frame(data)
         if number < 0:
             reply = self._pending_calls.get(-number)
--- a/tests/test_serving_peers.py
+++ b/tests/test_serving_peers.py
@@ -80,6 +80,40 @@
 
         self.run_scenario(handle, scenario)
 
+    def test_call_timeout_keeps_a_connection_that_was_idle_open(self):
+        """A peer that was asked nothing had nothing to send."""
+
+        async def handle(_connection, message):
+            await asyncio.sleep(30.0 if message.item == "i" else 0.0)
+            return ItemBody(True, b"")
+
+        async def scenario(caller, address):
+            connection = await caller.connect(address)
+            await asyncio.sleep(1.5 * peers_module.SILENCE_TIMEOUT_S)
+            with self.assertRaises(PeerUnavailableError):
+                await caller.call(address, CALL, 0.1)
+            self.assertTrue(connection.is_open)
+
+        self.run_scenario(handle, scenario)
+
+    def test_connection_that_answers_no_call_in_a_row_is_closed(self):
+        """Each call alone times out sooner than a connection counts as dead."""
+
+        async def handle(_connection, _message):
+            await asyncio.sleep(30.0)
+
+        async def scenario(caller, address):
+            connection = await caller.connect(address)
+            for _ in range(2):
+                self.assertTrue(connection.is_open)
+                with self.assertRaises(PeerUnavailableError):
+                    await caller.call(address, CALL, 0.3)
+            self.assertFalse(connection.is_open)
+
+        self.patch(peers_module, "SILENCE_TIMEOUT_S", 0.4)
+        self.patch(peers_module, "RECONNECT_DELAY_S", 0.0)
+        self.run_scenario(handle, scenario)
+
     def test_unresponsive_connection_is_closed_and_replaced(self):
         """An open connection may stop delivering data while new ones work."""
 
