--- a/tests/test_promptparts.py
+++ b/tests/test_promptparts.py
@@ -404,8 +404,8 @@
                 ["a", "b", "c", "x"],
             ),
             (
-                "beside a known cause, once alone",
-                ["1: a", "2: a", "3: a", "4: a, 9: s", "5: a, 8: s", "6: s"],
+                "beside a known cause, twice alone",
+                ["1: a", "2: a", "3: a", "4: a, 9: s", "6: s", "7: s"],
                 ["a"],
             ),
             (
