Keep the histories on which the decision on parts fails

Four histories of fleets that have served nothing before: shared parts that have not completed yet are suspects as well, so a bad part is concluded late.

--- a/tests/test_promptparts.py
+++ b/tests/test_promptparts.py
@@ -795,12 +795,26 @@
             ("three at once", 5, 24, [2, 4, 1], 0.2, 10.0),
             ("from the start", 6, 9, [2], 0.0, 0.0),
             ("no crash by parts", 7, 9, [], 1.0, 0.0),
+            ("three at once, none served before", 42, 9, [4, 1, 3], 0.0, 0.0),
+            ("three at once, endpoints lost", 52, 24, [0, 2, 4], 1.0, 0.0),
+            ("three at once, ties", 106, 24, [1, 3, 0], 1.0, 0.0),
+            ("a shared part explains most crashes", 114, 9, [2, 4, 1], 0.0, 0.0),
+            ("a shared part is refuted late", 168, 9, [3, 0, 2], 0.0, 0.0),
         ]
     )
     def test_history(self, _name, seed, daemons, bad, lost_per_s, bad_from_s):
         """Bad parts are refused everywhere, sound ones served, and all agree."""
         fleet = _Fleet(seed, daemons, 12, bad, 2.0, 25.0, lost_per_s, bad_from_s)
         fleet.run(bad_from_s + 10.0)
+        self._check(fleet)
+
+    def test_many_requests_with_a_bad_part_at_few_endpoints(self):
+        """Eight a second, so that several run at each crash, and none served before."""
+        fleet = _Fleet(14, 9, 4, [4], 8.0, 25.0, 0.2)
+        fleet.run(15.0)
+        self._check(fleet)
+
+    def _check(self, fleet: _Fleet) -> None:
         self._check_bad_parts(fleet)
         self._check_sound_requests(fleet)
         self._check_agreement(fleet)
