--- a/tests/test_serving_handover.py
+++ b/tests/test_serving_handover.py
@@ -19,6 +19,7 @@
 from apricotquay.serving.handover import Handover
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
+from apricotquay.serving.promptparts import PartQuarantine
 from apricotquay.serving.requests import OnlineRequest
 from apricotquay.serving.slots import SlotLease
 from standins.keyedlog import MemoryLog
@@ -216,7 +217,14 @@
         view = FakeView(route(is_resumable=True, max_attempts=3, timeout_ms=900))
         crash_log = CrashLog(MemoryLog(), daemon.name, clock, reporter)
         crashes = CrashDetector(
-            Quarantine(), crash_log, endpoints, None, None, clock, reporter
+            Quarantine(),
+            PartQuarantine(),
+            crash_log,
+            endpoints,
+            None,
+            None,
+            clock,
+            reporter,
         )
         attempts = AttemptRunner(view, endpoints, crashes, metrics, clock, reporter)
         return OnlineRequestHandler(
