--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -135,6 +135,18 @@
             self._record_completion(call, endpoint, fingerprint, response)
         return result
 
+    def record_silence(
+        self, call: EngineCall, endpoint: Endpoint, silence_s: float
+    ) -> None:
+        """Record a failure of an endpoint that was silent until its attempt ended."""
+        self._record_failure(
+            call,
+            endpoint,
+            fingerprint_of(call.target, call.team, call.body),
+            AttemptFailedError(f"silent for the last {silence_s:.2f} s"),
+            timed_out=True,
+        )
+
     def _record_completion(
         self,
         call: EngineCall,
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -13,6 +13,7 @@
 from .attempts import AttemptRunner, fingerprint_of, read_body, read_events
 from .catalog import Configuration, Route, RouteKind, ServiceName, Team
 from .dispatch import Work
+from .endpoints import Endpoint
 from .engine import (
     AttemptFailedError,
     EngineCall,
@@ -35,7 +36,7 @@
     interruption_error,
 )
 from .slots import SlotAllocator, SlotLease, SlotRequest, SlotUnavailableError
-from .timeouts import AdaptiveTimeouts, SilenceLimits
+from .timeouts import MAX_FIRST_EVENT_TIMEOUT_S, AdaptiveTimeouts, SilenceLimits
 from .view import View
 
 # Counted from the arrival of a request that no endpoint may have run yet.
@@ -364,6 +365,9 @@
                 ),
                 handover=handover,
             )
+        except asyncio.CancelledError:
+            self._record_silence(call, endpoint, route, progress, lease, started_s)
+            raise
         except RequestNotRunError as exc:
             progress.record_failure(endpoint.id, str(exc), may_have_run=False)
             return SlotOutcome.FAILED
@@ -376,6 +380,22 @@
         self._record_stream_timing(lease.service, route, progress, started_s)
         return SlotOutcome.SUCCEEDED
 
+    def _record_silence(
+        self,
+        call: EngineCall,
+        endpoint: Endpoint,
+        route: Route,
+        progress: RequestProgress,
+        lease: SlotLease,
+        started_s: float,
+    ) -> None:
+        """Count a silent endpoint's attempt that the time limit or the caller ended."""
+        last_sign_s = max(started_s, progress.last_event_s or started_s)
+        silence_s = self._clock.now_s() - last_sign_s
+        if route.is_idempotent and silence_s >= MAX_FIRST_EVENT_TIMEOUT_S:
+            self._attempts.record_silence(call, endpoint, silence_s)
+            lease.outcome = SlotOutcome.FAILED
+
     def _record_stream_timing(
         self,
         service: ServiceName,
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -27,6 +27,7 @@
 from apricotquay.serving.engine import AttemptFailedError, RequestNotRunError
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
+from apricotquay.serving.outliers import SlotOutcome
 from apricotquay.serving.partcrashes import PartCrashes
 from apricotquay.serving.promptparts import PartQuarantine
 from apricotquay.serving.ratelimiter import RateDecision
@@ -117,6 +118,7 @@
         refused: Collection[int] = (),
     ) -> None:
         self.held = 0
+        self.outcomes: list[SlotOutcome] = []
         self._refused: Collection[int] = refused
         self._asked: int = 0
         self._at_once: int = at_once
@@ -143,6 +145,7 @@
     def release(self, lease) -> None:
         """Count a lease as released."""
         self.held -= 1
+        self.outcomes.append(lease.outcome)
 
 
 class FakeRates:
@@ -716,6 +719,23 @@
         writer, _ = self.serve(route(UNSAFE, timeout_ms=80), [step])
         self.assertEqual(status, writer.status)
 
+    @parameterized.expand(
+        [
+            ("before the first event", {"is_resumable": True}, [], SlotOutcome.FAILED),
+            ("in a stream", {"is_resumable": True}, [event(0)], SlotOutcome.FAILED),
+            ("may run only once", {}, [event(0)], SlotOutcome.UNKNOWN),
+        ]
+    )
+    def test_endpoint_that_hangs_in_the_last_attempt_counts_as_failing(
+        self, _name, changes, parts, outcome
+    ):
+        """Otherwise requests go on to be sent there."""
+        self.patch(online_module, "MAX_FIRST_EVENT_TIMEOUT_S", 0.1)
+        slots = FakeSlots()
+        tested_route = route(max_attempts=1, timeout_ms=400, **changes)
+        self.serve(tested_route, [ScriptedResponse(200, [*parts, None])], slots=slots)
+        self.assertEqual([outcome], slots.outcomes)
+
     def test_rate_refusal_has_retry_after(self):
         """The request is not sent to any endpoint."""
         writer, engines = self.serve(route(), [], rates=FakeRates(0))
