--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes.py
@@ -30,8 +30,9 @@
 from .keyedlog import KeyedRecord
 from .messages import CrashSeen
 from .partcrashes import PartCrashes
+from .partquarantine import PartQuarantine
 from .peers import Peers
-from .promptparts import PartKey, PartQuarantine
+from .promptparts import PartKey
 from .reporting import Reporter
 from .shards import Shards, shard_number
 from .tasks import start_task
--- a/apricotquay/serving/crashlog.py
+++ b/apricotquay/serving/crashlog.py
@@ -22,7 +22,8 @@
 from ..quarantine import SUSPECT_RETENTION_S
 from .backoff import Backoff
 from .keyedlog import KeyedLog, KeyedRecord, LogError, Page, Topic
-from .promptparts import PROBATION_S, PartKey, PartsAtCrash
+from .partquarantine import PROBATION_S
+from .promptparts import PartKey, PartsAtCrash
 from .reporting import Reporter
 from .tasks import start_task
 from .topicfollower import RETRY_DELAY_S, TopicFollower
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -42,8 +42,8 @@
 )
 from .metrics import ServingMetrics
 from .online import OnlineRequestHandler
+from .partquarantine import PartQuarantine
 from .peers import PeerConnection, Peers
-from .promptparts import PartQuarantine
 from .ratelimiter import RateLimiter
 from .reporting import Reporter
 from .shards import Shards
--- a/apricotquay/serving/partcrashes.py
+++ b/apricotquay/serving/partcrashes.py
@@ -11,13 +11,8 @@
 from ..clocks import Clock
 from ..events import Event
 from .crashlog import CrashLog, CrashRecord, CrashReport, PartsCompletion, PartsMark
-from .promptparts import (
-    COMPLETION_VALID_S,
-    CRASHES_TO_STOP_RETRIES,
-    PartKey,
-    PartQuarantine,
-    PartsAtCrash,
-)
+from .partquarantine import COMPLETION_VALID_S, CRASHES_TO_STOP_RETRIES, PartQuarantine
+from .promptparts import PartKey, PartsAtCrash
 from .reporting import Reporter
 
 # Bounds the size of a report; requests with the most parts are left out first.
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -23,7 +23,7 @@
 from apricotquay.serving.httpserver import HttpServer, ServerLimits
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
-from apricotquay.serving.promptparts import PartQuarantine
+from apricotquay.serving.partquarantine import PartQuarantine
 from apricotquay.serving.reporting import Reporter
 from standins.keyedlog import MemoryLog
 
--- a/tests/test_promptparts.py
+++ b/tests/test_promptparts.py
@@ -7,22 +7,26 @@
 
 from parameterized import parameterized
 
-from apricotquay.serving.promptparts import (
+from apricotquay.serving.partjudgement import (
+    CRASHES_DESPITE_TIE,
+    FIRST_QUARANTINE_S,
+    MAX_QUARANTINE_S,
+    MAX_REQUESTS_PER_CRASH,
+)
+from apricotquay.serving.partquarantine import (
     COMPLETION_VALID_S,
     CRASH_RETENTION_S,
-    CRASHES_DESPITE_TIE,
     CRASHES_TO_STOP_RETRIES,
-    FIRST_QUARANTINE_S,
     MAX_COMPLETIONS,
     MAX_CONCLUSIONS,
     MAX_CRASHES,
-    MAX_PARTS_PER_REQUEST,
-    MAX_QUARANTINE_S,
-    MAX_REQUESTS_PER_CRASH,
     MAX_SUSPECTS,
     PROBATION_S,
-    PartKey,
     PartQuarantine,
+)
+from apricotquay.serving.promptparts import (
+    MAX_PARTS_PER_REQUEST,
+    PartKey,
     PartsAtCrash,
     part_key,
 )
--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -29,7 +29,7 @@
 from apricotquay.serving.engine import AttemptFailedError, EngineCall
 from apricotquay.serving.keyedlog import KeyedRecord, LogRefusedError, Shard
 from apricotquay.serving.metrics import ServingMetrics
-from apricotquay.serving.promptparts import PartQuarantine
+from apricotquay.serving.partquarantine import PartQuarantine
 from apricotquay.serving.view import View
 from standins.keyedlog import MemoryLog
 
--- a/tests/test_serving_handover.py
+++ b/tests/test_serving_handover.py
@@ -19,7 +19,7 @@
 from apricotquay.serving.handover import Handover
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
-from apricotquay.serving.promptparts import PartQuarantine
+from apricotquay.serving.partquarantine import PartQuarantine
 from apricotquay.serving.requests import OnlineRequest
 from apricotquay.serving.slots import SlotLease
 from standins.keyedlog import MemoryLog
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -29,7 +29,7 @@
 from apricotquay.serving.online import OnlineRequestHandler
 from apricotquay.serving.outliers import SlotOutcome
 from apricotquay.serving.partcrashes import PartCrashes
-from apricotquay.serving.promptparts import PartQuarantine
+from apricotquay.serving.partquarantine import PartQuarantine
 from apricotquay.serving.ratelimiter import RateDecision
 from apricotquay.serving.requests import OnlineRequest
 from apricotquay.serving.slots import SlotLease, SlotUnavailableError
--- a/tests/test_serving_partcrashes.py
+++ b/tests/test_serving_partcrashes.py
@@ -26,14 +26,13 @@
     RequestNotRunError,
 )
 from apricotquay.serving.metrics import ServingMetrics
-from apricotquay.serving.promptparts import (
+from apricotquay.serving.partjudgement import FIRST_QUARANTINE_S
+from apricotquay.serving.partquarantine import (
     CRASH_RETENTION_S,
-    FIRST_QUARANTINE_S,
     PROBATION_S,
     PartQuarantine,
-    PartsAtCrash,
-    part_key,
 )
+from apricotquay.serving.promptparts import PartsAtCrash, part_key
 from apricotquay.serving.view import View
 from standins.keyedlog import MemoryLog
 
