Refuse a request that arrives late in a drain rather than cut it

Cause: a draining daemon takes requests from kept connections until its very end, though what comes in the last seconds cannot end in time. Now it refuses what it reads after 0.4 of the drain (3 s of 7.5 s) with 503 and closes the connection: the request has not run, and its caller goes to another daemon at once.

--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -56,6 +56,8 @@
 # The load balancer stops opening connections after two failed checks, 1 s apart.
 BALANCER_REMOVAL_S = 2.6
 DRAIN_POLL_INTERVAL_S = 0.05
+# Share of a drain after which new requests are refused, as they may not end in time.
+NEW_REQUESTS_SHARE = 0.4
 # Remaining grace period at which running requests are aborted.
 SHUTDOWN_MARGIN_S = 0.5
 
@@ -240,6 +242,9 @@
             Event.DAEMON_DRAINING, busy=self.callers.busy_count, reason="signal"
         )
         grace_s = self.settings.grace_s - SHUTDOWN_MARGIN_S
+        asyncio.get_running_loop().call_later(
+            grace_s * NEW_REQUESTS_SHARE, self.callers.refuse_requests
+        )
         # The store may be silent, and requests are still refused after the wait.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(grace_s):
--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -12,6 +12,7 @@
 from .http1 import READ_BYTES, HeaderList, HttpRequest, HttpResponse
 
 MAX_REASON_CHARS = 200
+UNAVAILABLE = 503
 HTTP_WITHOUT_CHUNKS = b"1.0"
 # A `struct linger` with a timeout of 0 s.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -195,6 +196,8 @@
         if request is None:
             self._report_closed("closed by the caller")
             return False
+        if self._server.refuses_requests:
+            raise RequestRejectedError(UNAVAILABLE, "the daemon is stopping")
         self.is_idle = self.is_receiving = False
         exchange = Exchange(
             self._protocol, self._writer, request, lambda: self._server.is_draining
@@ -403,6 +406,7 @@
         self.limits = limits
         self.on_failure = on_failure
         self.is_draining: bool = False
+        self.refuses_requests: bool = False
         self._server: asyncio.Server | None = None
         self._connections: dict[ServerConnection, asyncio.Task] = {}
 
@@ -425,6 +429,10 @@
         """Serve further requests, but close each connection after its response."""
         self.is_draining = True
 
+    def refuse_requests(self) -> None:
+        """Refuse all requests that are read from now on; they do not run."""
+        self.refuses_requests = True
+
     async def close(self) -> None:
         """Stop listening, let handlers refuse their requests, and close."""
         if self._server is not None:
--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -101,6 +101,36 @@
 
         self.run_scenario(scenario, daemons=1, servers=1, step_s=0.02)
 
+    def test_request_late_in_a_drain_is_refused_rather_than_cut(self):
+        """It arrives on a kept connection while another request runs."""
+        self.patch(daemon_module, "SHUTDOWN_MARGIN_S", LONG_MARGIN_S)
+
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            address = daemon.settings.callers
+            connection = await open_client(address.host, address.port, 2.0)
+            for server in fleet.servers:
+                server.is_holding = True
+            busy = asyncio.ensure_future(
+                fleet.call(daemon, "POST", "/s/1", b"events=3", attempt_id="busy")
+            )
+            await fleet.wait_until(lambda: fleet.runs)
+            drain = asyncio.ensure_future(daemon.drain())
+            await fleet.wait_until(lambda: daemon.callers.refuses_requests)
+            headers = [
+                (b"host", b"a.example"),
+                (b"key", b"k1"),
+                (b"attempt-id", b"late"),
+            ]
+            connection.send(HttpRequest("POST", "/s/1", headers, b"events=3"))
+            self.assertEqual(503, (await connection.read_response()).status)
+            self.assertNotIn("late", [run["ran"] for run in fleet.runs])
+            await drain
+            await daemon.close()
+            await asyncio.gather(busy, return_exceptions=True)
+
+        self.run_scenario(scenario)
+
     @parameterized.expand(
         [("progress", BatchRunner, "stop"), ("group", Shards, "leave")]
     )
