Log the limits on requests that endpoints name

The header is decoded in the adapter, also malformed ones, and a change is logged (1508, 1509). Nothing acts on it yet.

--- a/apricotquay/events.py
+++ b/apricotquay/events.py
@@ -49,6 +49,8 @@
     ENDPOINT_UNLISTED = (1505, "endpoint no longer listed")
     ENDPOINT_CRASHED = (1506, "endpoint died while requests ran there")
     CRASH_NOT_CONFIRMED = (1507, "attempt ended but the endpoint did not crash")
+    LIMIT_CHANGED = (1508, "endpoint named or lifted a limit on requests")
+    LIMIT_MALFORMED = (1509, "endpoint named a limit that is no number")
     REQUEST_ENDED = (1601, "request ended")
     REQUEST_RETRIED = (1602, "request retried")
     REQUEST_QUARANTINED = (1603, "request fingerprint quarantined")
--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -6,7 +6,12 @@
 import h11
 
 from ..serving.endpoints import Endpoint
-from ..serving.engine import AttemptFailedError, EngineCall, RequestNotRunError
+from ..serving.engine import (
+    AttemptFailedError,
+    EndpointLimit,
+    EngineCall,
+    RequestNotRunError,
+)
 from ..serving.http1 import (
     HeaderList,
     HttpError,
@@ -47,6 +52,7 @@
         self.ends_with_connection: bool = not any(
             name in FRAMING_HEADERS for name, _ in head.headers
         )
+        self.limit: EndpointLimit = wire.decode_limit(list(head.headers))
         self._connection: ClientConnection = connection
         self._may_be_empty: bool = may_be_empty or _has_delimited_body(head)
 
@@ -151,7 +157,10 @@
     if head.status_code == MISDIRECTED_REQUEST:
         raise RequestNotRunError("another endpoint has the address", unreachable=True)
     if find_header(headers, wire.NOT_RUN) is not None:
-        raise RequestNotRunError(f"endpoint refused with {head.status_code}")
+        raise RequestNotRunError(
+            f"endpoint refused with {head.status_code}",
+            limit=wire.decode_limit(headers),
+        )
     if find_header(headers, wire.REQUEST_ID) != call.request_id:
         raise AttemptFailedError("the answer belongs to another request")
     if find_header(headers, b"content-encoding") is not None:
--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -4,6 +4,8 @@
 `RecordUnreadableError` with the reason.
 """
 
+import math
+import re
 from typing import Any
 
 import msgspec
@@ -20,6 +22,7 @@
     WeightedService,
 )
 from ..serving.endpoints import Endpoint
+from ..serving.engine import NO_LIMIT, EndpointLimit
 from ..serving.http1 import HeaderList, find_header
 from ..serving.keyedlog import KeyedRecord, Topic
 from ..serving.promptparts import (
@@ -41,6 +44,7 @@
 SIGNATURE = b"response-stamp"
 ANSWERING_ENDPOINT = b"instance"
 SERVER_LOAD = b"server-load"
+SERVER_LIMIT = b"server-limit"
 MODEL = b"model"
 PROMPT_PARTS = b"prompt-prefix"
 LONG_POLL_MS = b"wait-ms"
@@ -64,6 +68,9 @@
 )
 
 CONFIGURATION_KEY = b"config"
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,20}(\.[0-9]{0,20})?(e[+-]?[0-9]{1,3})?", re.ASCII)
+MAX_SHOWN_LENGTH = 40
+EMPTY_VALUE = "(empty)"
 
 
 class _WeightedService(msgspec.Struct):
@@ -138,6 +145,17 @@
     return [part_key(model, part_id) for part_id in shared][:MAX_PARTS_PER_REQUEST]
 
 
+def decode_limit(headers: HeaderList) -> EndpointLimit:
+    """Return the limit that a response names; two headers are malformed."""
+    values = [value for name, value in headers if name == SERVER_LIMIT]
+    if not values:
+        return NO_LIMIT
+    text = b",".join(values).decode("latin-1").strip() or EMPTY_VALUE
+    if not DECIMAL_NUMBER.fullmatch(text) or not math.isfinite(float(text)):
+        return EndpointLimit(malformed=text[:MAX_SHOWN_LENGTH])
+    return EndpointLimit(float(text))
+
+
 class PlatformDirectory:
     """Decodes the records of the platform's two topics; implements `Directory`."""
 
--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -15,7 +15,9 @@
 from .crashes import CrashDetector
 from .endpoints import Endpoint
 from .engine import (
+    NO_LIMIT,
     AttemptFailedError,
+    EndpointLimit,
     EngineCall,
     EngineClient,
     EngineResponse,
@@ -90,12 +92,14 @@
         *,
         may_crash_endpoints: bool = True,
         handover: Handover | None = None,
+        on_limit: Callable[[EndpointLimit], None] = lambda limit: None,
     ) -> T:
         """Send a call and consume its response; errors are recorded and re-raised.
 
         `response_timeout_s` limits the time until the response begins; with a
         `handover` the attempt then ends only when another endpoint takes over. No
-        crash is ever attributed to a call without `may_crash_endpoints`.
+        crash is ever attributed to a call without `may_crash_endpoints`. `on_limit`
+        gets what the answer says of the endpoint's limit, before the body is read.
         """
         fingerprint = None
         if may_crash_endpoints:
@@ -104,11 +108,13 @@
         was_abandoned = True
         try:
             response, result = await self._send(
-                call, endpoint, response_timeout_s, consume, handover
+                call, endpoint, response_timeout_s, consume, handover, on_limit
             )
             was_abandoned = False
         except RequestNotRunError as exc:
             was_abandoned = False
+            if exc.limit != NO_LIMIT:
+                on_limit(exc.limit)
             self._record_failure(
                 call, endpoint, fingerprint, exc, unreachable=exc.unreachable
             )
@@ -167,6 +173,7 @@
         response_timeout_s: float | None,
         consume: Callable[[EngineResponse], Awaitable[T]],
         handover: Handover | None,
+        on_limit: Callable[[EndpointLimit], None],
     ) -> tuple[EngineResponse, T]:
         """Return the response, which is closed, and what `consume` made of it."""
         try:
@@ -178,6 +185,8 @@
                 f"no answer within {response_timeout_s:.2f} s", timed_out=True
             ) from exc
         try:
+            if is_success(response.status) or response.limit != NO_LIMIT:
+                on_limit(response.limit)
             return response, await consume(response)
         finally:
             response.close()
--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -451,6 +451,7 @@
                 lambda response: _read_output(response, progress),
                 # An accepted item is owed, whatever ended while it ran.
                 may_crash_endpoints=False,
+                on_limit=partial(self._slots.record_limit, lease),
             )
         except RequestNotRunError as exc:
             return AttemptResult(Outcome.RETRY, str(exc), SlotOutcome.FAILED)
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -28,15 +28,36 @@
     prompt_parts: list[PartKey] = []
 
 
+class EndpointLimit(msgspec.Struct, frozen=True):
+    """What an endpoint's answer says of the requests a second that it takes from all
+    daemons together: `rate_per_s`, None for no limit. A `malformed` value names none
+    and says nothing of an earlier one.
+    """
+
+    rate_per_s: float | None = None
+    malformed: str = ""
+
+
+NO_LIMIT = EndpointLimit()
+
+
 class RequestNotRunError(ApricotquayError):
     """The endpoint certainly did not run the request.
 
-    `unreachable` means that no connection could be opened.
+    `unreachable` means that no connection could be opened. `limit` is what the
+    endpoint's refusal says.
     """
 
-    def __init__(self, reason: str, *, unreachable: bool = False) -> None:
+    def __init__(
+        self,
+        reason: str,
+        *,
+        unreachable: bool = False,
+        limit: EndpointLimit = NO_LIMIT,
+    ) -> None:
         super().__init__(reason)
         self.unreachable: bool = unreachable
+        self.limit: EndpointLimit = limit
 
 
 class AttemptFailedError(ApricotquayError):
@@ -63,6 +84,7 @@
     status: int
     headers: HeaderList
     ends_with_connection: bool
+    limit: EndpointLimit
 
     def body(self) -> AsyncIterator[bytes]:
         """Yield the body; raise AttemptFailedError if it is incomplete."""
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -364,6 +364,7 @@
                     response, route, writer, progress, silence_limits, handover
                 ),
                 handover=handover,
+                on_limit=partial(self._slots.record_limit, lease),
             )
         except asyncio.CancelledError:
             self._record_silence(call, endpoint, route, progress, lease, started_s)
--- a/apricotquay/serving/slotowner.py
+++ b/apricotquay/serving/slotowner.py
@@ -15,6 +15,7 @@
     Ticket,
     TicketId,
 )
+from .engine import NO_LIMIT, EndpointLimit
 from .messages import (
     AskSlot,
     HeldSlot,
@@ -62,6 +63,7 @@
         self._reporter: Reporter = reporter
         self._outlier_detector = OutlierDetector()
         self._tables: dict[ServiceName, Dispatcher] = {}
+        self._limits: dict[EndpointId, EndpointLimit] = {}
         self._peer_tickets: dict[TicketId, PeerTicket] = {}
         self._tickets_of_connection: dict[PeerConnection, set[TicketId]] = {}
         self.on_local_decision = lambda decision: None
@@ -110,6 +112,18 @@
                 for_s=ejection_s,
             )
 
+    def record_limit(self, endpoint_id: EndpointId, limit: EndpointLimit) -> None:
+        """Log a change of the limit that an endpoint names."""
+        if self._limits.get(endpoint_id, NO_LIMIT) == limit:
+            return
+        self._limits[endpoint_id] = limit
+        self._reporter.write(
+            Event.LIMIT_MALFORMED if limit.malformed else Event.LIMIT_CHANGED,
+            endpoint=endpoint_id,
+            rate_per_s=limit.rate_per_s,
+            value=limit.malformed,
+        )
+
     def refresh(self) -> None:
         """Update the tables with the endpoints that take new work."""
         for service, table in self._tables.items():
--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -11,6 +11,7 @@
 from ..ids import EndpointId
 from .catalog import ServiceName
 from .dispatch import Decision, Granted, Refused, Revoked, Ticket, TicketId, Work
+from .engine import EndpointLimit
 from .messages import (
     AskSlot,
     HeldSlot,
@@ -183,6 +184,10 @@
             self.tables.record_outcome(lease.endpoint, lease.outcome)
         self._release_ticket(lease.service, lease.ticket.id, lease.owner, lease.outcome)
 
+    def record_limit(self, lease: SlotLease, limit: EndpointLimit) -> None:
+        """Record what an answer to the request in a slot says of a limit."""
+        self.tables.record_limit(lease.endpoint, limit)
+
     def handle_message(self, connection: PeerConnection, message: Message) -> None:
         """Handle a message of an owner, or of a peer that considers this the owner."""
         if isinstance(message, DECISION_MESSAGES):
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -161,6 +161,7 @@
     `crash=1` to end the server without an answer. A request whose prompt has one of
     the `crashing_parts`, not as its last part, ends the server `crash_delay_s` after
     it begins, in a stream of `events_before_crash` events if there are any.
+    Answers name `limit` if it is set; `arrived_s` lists when requests arrived.
     """
 
     def __init__(self, name: str, step_s: float, record_run=None) -> None:
@@ -174,6 +175,8 @@
         self.crashing_parts: frozenset[str] = frozenset()
         self.crash_delay_s: float = 0.0
         self.events_before_crash: int = 0
+        self.limit: str = ""
+        self.arrived_s: list[float] = []
         self._step_s: float = step_s
         self._record_run = record_run or (
             lambda run: print(json.dumps(run), flush=True)
@@ -224,6 +227,9 @@
             (b"attempt-id", request_id.encode()),
             (b"server-load", f"{self.running},0,{SLOTS_PER_SERVER}".encode()),
         ]
+        self.arrived_s.append(time.monotonic())
+        if self.limit:
+            head.append((b"server-limit", self.limit.encode()))
         if request.header(b"expect-instance") not in (None, self.name):
             await exchange.respond(HttpResponse(421, [(b"instance", b"other")]))
             return
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -5,8 +5,13 @@
 from parameterized import parameterized
 
 from apricotquay.platform.store import decode_records, encode_record
-from apricotquay.platform.wire import PlatformDirectory, decode_prompt_parts
+from apricotquay.platform.wire import (
+    PlatformDirectory,
+    decode_limit,
+    decode_prompt_parts,
+)
 from apricotquay.serving.catalog import RouteKind
+from apricotquay.serving.engine import NO_LIMIT, EndpointLimit
 from apricotquay.serving.keyedlog import KeyedRecord
 from apricotquay.serving.promptparts import MAX_PARTS_PER_REQUEST
 from apricotquay.serving.view import RecordUnreadableError
@@ -201,3 +206,30 @@
         parts = decode_prompt_parts(headers)
         self.assertEqual(MAX_PARTS_PER_REQUEST, len(parts))
         self.assertLess(max(map(len, parts)), 200)
+
+
+class LimitHeaderTest(ApricotTest):
+    """The limit on requests that a response names."""
+
+    @parameterized.expand(
+        [
+            ("no header", [], NO_LIMIT),
+            ("a number", [b"4.25"], EndpointLimit(4.25)),
+            ("spaces around it", [b" 3 "], EndpointLimit(3.0)),
+            ("nothing at all", [b"0"], EndpointLimit(0.0)),
+            ("less than one", [b"0.3"], EndpointLimit(0.3)),
+            ("no bound in practice", [b"1e9"], EndpointLimit(1e9)),
+            ("a word", [b"many"], EndpointLimit(malformed="many")),
+            ("negative", [b"-2"], EndpointLimit(malformed="-2")),
+            ("not a number", [b"nan"], EndpointLimit(malformed="nan")),
+            ("infinite", [b"inf"], EndpointLimit(malformed="inf")),
+            ("too large for a float", [b"1e999"], EndpointLimit(malformed="1e999")),
+            ("empty", [b""], EndpointLimit(malformed="(empty)")),
+            ("two headers", [b"2", b"9"], EndpointLimit(malformed="2,9")),
+            ("very long", [b"9" * 99], EndpointLimit(malformed="9" * 40)),
+        ]
+    )
+    def test_limit_is_read_or_told_as_malformed(self, _name, values, expected):
+        """Other programs write the header, so it may hold anything."""
+        headers = [(b"server-limit", value) for value in values]
+        self.assertEqual(expected, decode_limit(headers))
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -24,7 +24,11 @@
 from apricotquay.serving.crashlog import CrashLog
 from apricotquay.serving.dispatch import Ticket, TicketId, Work
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
-from apricotquay.serving.engine import AttemptFailedError, RequestNotRunError
+from apricotquay.serving.engine import (
+    NO_LIMIT,
+    AttemptFailedError,
+    RequestNotRunError,
+)
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
 from apricotquay.serving.outliers import SlotOutcome
@@ -58,6 +62,7 @@
         self.status = status
         self.headers = [(b"x-server", b"1")]
         self.ends_with_connection = False
+        self.limit = NO_LIMIT
         self._parts = parts
 
     async def body(self) -> AsyncIterator[bytes]:
@@ -142,6 +147,9 @@
         ticket = Ticket(TicketId("t"), Work.ONLINE, 0.0, 0.0)
         return SlotLease(service, ticket, EndpointId(endpoint), None)
 
+    def record_limit(self, lease, limit) -> None:
+        """Ignore limits."""
+
     def release(self, lease) -> None:
         """Count a lease as released."""
         self.held -= 1
--- a/tests/test_serving_partcrashes.py
+++ b/tests/test_serving_partcrashes.py
@@ -21,6 +21,7 @@
     encode_crash_record,
 )
 from apricotquay.serving.engine import (
+    NO_LIMIT,
     AttemptFailedError,
     EngineCall,
     RequestNotRunError,
@@ -89,6 +90,7 @@
         self.status = status
         self.headers = []
         self.ends_with_connection = ends_with_connection
+        self.limit = NO_LIMIT
 
     async def body(self):
         """Yield nothing."""
