Keep the limits that endpoints name, over all daemons together

Cause: the limit was not read, and nothing counted what all daemons send to one endpoint in a time; slots bound only what runs there at once. Class: a bound over the fleet that no one keeps for the fleet.

Change: the owner of a service's slots grants every send, so it keeps a token bucket for each limited endpoint (rate as named, one second's burst, empty at first). Daemons report what answers say (LimitSeen), the owner tells those that ask it (LimitList, coalesced), and a daemon tells an owner that it meets for the first time what it knows, so that a restarted or new owner knows it before it grants. Without an owner a daemon has a share: a send now and then, lost if not used at once, so that shares are not saved up for one moment. Only a request granted after the limit was known ends it, and the load then doubles each second for five. Requests go to the other endpoints first, batch items (one request for a long time) to limited ones; what cannot be sent in time is refused at once, also when it already waits; no item is revoked where nothing may be sent.

Ruled out: each daemon keeping the limit alone (nine times as much); sending nothing to an endpoint with limit 0 (its end would never be seen: one request in four seconds).

--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -27,6 +27,8 @@
     CancelJob,
     CrashSeen,
     HeldSlot,
+    LimitList,
+    LimitSeen,
     Message,
     PullView,
     ReadBody,
@@ -66,6 +68,8 @@
     ReleaseSlot,
     HeldSlot,
     TicketList,
+    LimitSeen,
+    LimitList,
     SlotQueued,
     SlotGranted,
     SlotRefused,
@@ -331,6 +335,7 @@
         self.metrics.set_gauge("view_age_s", round(self.view.age_s(), 3))
         self.metrics.set_gauge("shards_owned", len(self.shards.owned))
         self.metrics.set_gauge("callers_busy", self.callers.busy_count)
+        self.metrics.set_gauge("endpoints_limited", self.slots.tables.limited_count)
         headers = [(b"content-type", b"text/plain; charset=utf-8")]
         body = self.metrics.render().encode()
         await exchange.respond(HttpResponse(200, headers, body))
--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from ..ids import EndpointId
+from .sendlimits import SendLimit
 
 TicketId = NewType("TicketId", str)
 
@@ -135,11 +136,33 @@
         self.online_count: int = 0
         self.is_open: bool = True
         self.status: EndpointStatus = EndpointStatus.NORMAL
+        self.limit: SendLimit | None = None
 
     @property
     def free(self) -> int:
         return self.count - len(self.running)
 
+    def may_send(self, now_s: float) -> bool:
+        """Whether the endpoint's limit allows a request now."""
+        return self.limit is None or self.limit.may_send(now_s)
+
+    def can_run(self, ticket: Ticket, now_s: float) -> bool:
+        """Whether a ticket can be granted a slot now, whatever it avoids."""
+        if not self.is_open or self.free <= 0:
+            return False
+        if self.limit is None:
+            return True
+        if ticket.work is Work.BATCH:
+            return self.limit.may_send_batch(now_s)
+        return self.limit.may_send(now_s)
+
+    def throughput_per_s(self, service_time_s: float, now_s: float) -> float:
+        """Return how many online requests a second the endpoint can begin."""
+        by_slots = self.count / service_time_s
+        if self.limit is None:
+            return by_slots
+        return min(by_slots, self.limit.granted_per_s(now_s))
+
 
 class Dispatcher:
     """The slot table of one service. Used by the service's owner, and by every
@@ -162,6 +185,7 @@
         self._service_time_s: float = DEFAULT_SERVICE_TIME_S
         self._random = random.Random(seed)
         self._endpoint_of_prefix: dict[str, EndpointId] = {}
+        self._has_limits: bool = False
 
     @property
     def waiting_count(self) -> int:
@@ -186,13 +210,21 @@
         """Return the endpoint where a ticket holds a slot."""
         return self._endpoint_of.get(ticket_id)
 
+    def granted_s(self, ticket_id: TicketId) -> float:
+        """Return when a ticket was granted its slot, minus infinity if it has none."""
+        endpoint = self._endpoint_of.get(ticket_id)
+        if endpoint is None:
+            return float("-inf")
+        return self._slots[endpoint].granted_s[ticket_id]
+
     def set_endpoints(
         self,
         counts: dict[EndpointId, int],
         now_s: float,
         statuses: Mapping[EndpointId, EndpointStatus] = MappingProxyType({}),
+        limits: Mapping[EndpointId, SendLimit] = MappingProxyType({}),
     ) -> list[Decision]:
-        """Set which endpoints take new work, their slot counts and their status."""
+        """Set which endpoints take new work, their slot counts, status and limits."""
         for endpoint, slots in list(self._slots.items()):
             slots.is_open = endpoint in counts
             if not slots.is_open and not slots.running:
@@ -201,6 +233,8 @@
             slots = self._slots.setdefault(endpoint, _EndpointSlots(endpoint, count))
             slots.count = count
             slots.status = statuses.get(endpoint, EndpointStatus.NORMAL)
+            slots.limit = limits.get(endpoint)
+        self._has_limits = bool(limits)
         return list(self._serve_queues(now_s))
 
     def record_grant(self, ticket: Ticket, endpoint: EndpointId, now_s: float) -> None:
@@ -241,12 +275,16 @@
         return list(self._serve_queues(now_s))
 
     def tick(self, now_s: float) -> list[Decision]:
-        """Refuse waiting online tickets that are past their slot deadline."""
+        """Refuse waiting online tickets that are past their slot deadline, or cannot
+        get a slot before it because endpoints have named limits.
+        """
         late = [t for t in self._waiting_online.values() if t.slot_deadline_s <= now_s]
+        if self._has_limits:
+            late += self._hopeless_tickets(now_s)
         for ticket in late:
             self._stop_waiting(ticket.id)
         refusals: list[Decision] = [
-            Refused(ticket.id, self._retry_after_s(self._expected_wait_s(), now_s))
+            Refused(ticket.id, self._retry_after_s(self._expected_wait_s(now_s), now_s))
             for ticket in late
         ]
         return refusals + list(self._serve_queues(now_s))
@@ -255,31 +293,61 @@
         """Refuse an online ticket that cannot get a slot before its deadline."""
         if ticket.work is not Work.ONLINE:
             return None
-        wait_s = self._expected_wait_s()
+        wait_s = self._expected_wait_s(now_s)
         if not wait_s or now_s + wait_s <= ticket.slot_deadline_s:
             return None
         return Refused(ticket.id, self._retry_after_s(wait_s, now_s))
 
+    def _hopeless_tickets(self, now_s: float) -> list[Ticket]:
+        """Return the waiting online tickets that would be granted a slot too late."""
+        waiting = [
+            t for t in self._waiting_online.values() if t.slot_deadline_s > now_s
+        ]
+        waiting.sort(key=lambda t: (self._rank(t, now_s), t.due_s))
+        interval_s = 1 / self._throughput_per_s(now_s)
+        hopeless = []
+        ahead = 0
+        for ticket in waiting:
+            if ticket.holds_slot:
+                continue
+            if now_s + ahead * interval_s > ticket.slot_deadline_s:
+                hopeless.append(ticket)
+            else:
+                ahead += 1
+        return hopeless
+
     def _retry_after_s(self, wait_s: float, now_s: float) -> float:
         """Return a refused caller's retry delay, spread over what can be served."""
         self._retry_times_s = [at_s for at_s in self._retry_times_s if at_s > now_s]
-        after_s = (
-            wait_s
-            + len(self._retry_times_s) * self._service_time_s / self._slot_total()
-        )
+        after_s = wait_s + len(self._retry_times_s) / self._throughput_per_s(now_s)
         self._retry_times_s.append(now_s + after_s)
         return after_s
 
-    def _slot_total(self) -> int:
-        return max(1, sum(s.count for s in self._slots.values() if s.is_open))
+    def _throughput_per_s(self, now_s: float) -> float:
+        """Return how many online requests a second the endpoints can begin."""
+        total = sum(
+            s.throughput_per_s(self._service_time_s, now_s)
+            for s in self._slots.values()
+            if s.is_open
+        )
+        return total or 1 / self._service_time_s
 
-    def _expected_wait_s(self) -> float:
+    def _expected_wait_s(self, now_s: float) -> float:
         """Estimate a new online ticket's wait; batch items can be preempted."""
-        free = sum(s.count - s.online_count for s in self._slots.values() if s.is_open)
+        free = sum(
+            s.count - s.online_count
+            for s in self._slots.values()
+            if s.is_open and s.limit is None
+        )
+        free += sum(
+            min(1, s.count - s.online_count)
+            for s in self._slots.values()
+            if s.is_open and s.limit is not None and s.may_send(now_s)
+        )
         ahead = sum(1 for t in self._waiting_online.values() if not t.holds_slot)
         if ahead < free or not self._slots:
             return 0.0
-        return (ahead - free + 1) * self._service_time_s / self._slot_total()
+        return (ahead - free + 1) / self._throughput_per_s(now_s)
 
     def _rank(self, ticket: Ticket, now_s: float) -> Rank:
         """Return a ticket's rank; overridden to compare other orders."""
@@ -299,7 +367,9 @@
         """Grant slots to a queue; move tickets that became late to the late queue."""
         queue = self._queues[rank]
         skipped = []
-        while queue and len(skipped) < MAX_SKIPPED_TICKETS and self._has_free_slot():
+        while (
+            queue and len(skipped) < MAX_SKIPPED_TICKETS and self._has_free_slot(now_s)
+        ):
             entry = heapq.heappop(queue)
             ticket = entry[2]
             if self._waiting.get(ticket.id) is not ticket:
@@ -308,7 +378,7 @@
             if current_rank is not rank:
                 heapq.heappush(self._queues[current_rank], entry)
                 continue
-            slots = self._choose_endpoint(ticket)
+            slots = self._choose_endpoint(ticket, now_s)
             if slots is None:
                 skipped.append(entry)
                 if not ticket.avoid:
@@ -316,16 +386,20 @@
                 continue
             self._stop_waiting(ticket.id)
             self._assign(ticket, slots, now_s)
+            if slots.limit is not None:
+                slots.limit.take(now_s)
             yield Granted(ticket.id, slots.endpoint)
         for entry in skipped:
             heapq.heappush(queue, entry)
 
-    def _choose_endpoint(self, ticket: Ticket) -> _EndpointSlots | None:
+    def _choose_endpoint(self, ticket: Ticket, now_s: float) -> _EndpointSlots | None:
         """Choose the least loaded endpoint, or the one that served the prefix last
         if at least half of its slots are free."""
-        usable = self._usable_endpoints(ticket)
+        usable = self._usable_endpoints(ticket, now_s)
         if not usable:
             return None
+        if self._has_limits:
+            usable = _preferred_by_limit(usable, ticket.work, now_s)
         preferred = self._endpoint_of_prefix.get(ticket.prefix)
         for slots in usable:
             if slots.endpoint == preferred and slots.free * 2 >= slots.count:
@@ -340,23 +414,37 @@
             self._endpoint_of_prefix[ticket.prefix] = slots.endpoint
         return slots
 
-    def _usable_endpoints(self, ticket: Ticket) -> list[_EndpointSlots]:
+    def _usable_endpoints(self, ticket: Ticket, now_s: float) -> list[_EndpointSlots]:
         """Return the endpoints with a free slot that a ticket may use now."""
         with_free_slots = [
             s
             for s in self._slots.values()
-            if s.is_open and s.free > 0 and s.endpoint not in ticket.avoid
+            if s.can_run(ticket, now_s) and s.endpoint not in ticket.avoid
         ]
         if ticket.work is Work.BATCH:
             return [
                 s for s in with_free_slots if s.status is not EndpointStatus.EJECTED
             ]
         normal = [s for s in with_free_slots if s.status is EndpointStatus.NORMAL]
-        can_revoke = len(self._batch_running) > len(self._revoked)
-        if normal or can_revoke or not ticket.may_repeat:
+        if normal or not ticket.may_repeat or self._can_revoke(now_s):
             return normal
         return with_free_slots
 
+    def _can_revoke(self, now_s: float) -> bool:
+        """Whether a batch item can be revoked in favour of an online request."""
+        if not self._has_limits:
+            return len(self._batch_running) > len(self._revoked)
+        return any(True for _ in self._revocable(now_s))
+
+    def _revocable(self, now_s: float) -> Iterable[tuple[Ticket, _EndpointSlots]]:
+        """Yield the batch items whose slots an online request could use."""
+        for slots in self._slots.values():
+            if not slots.is_open or not slots.may_send(now_s):
+                continue
+            for ticket in slots.running.values():
+                if ticket.work is Work.BATCH and ticket.id not in self._revoked:
+                    yield ticket, slots
+
     def _revoke_for_online(self, now_s: float) -> Iterable[Decision]:
         """Revoke one batch item for each waiting online ticket that can be in time."""
         if len(self._batch_running) == len(self._revoked):
@@ -371,10 +459,7 @@
             return
         candidates = [
             (self._revocation_key(ticket, slots, now_s), ticket.id)
-            for slots in self._slots.values()
-            if slots.is_open
-            for ticket in slots.running.values()
-            if ticket.work is Work.BATCH and ticket.id not in self._revoked
+            for ticket, slots in self._revocable(now_s)
         ]
         for _, ticket_id in heapq.nsmallest(missing, candidates):
             self._revoked.add(ticket_id)
@@ -391,8 +476,10 @@
         slack_s = ticket.due_s - now_s - remaining_s
         return float("-inf") if slack_s < 0 else -slack_s
 
-    def _has_free_slot(self) -> bool:
-        return any(s.is_open and s.free > 0 for s in self._slots.values())
+    def _has_free_slot(self, now_s: float) -> bool:
+        return any(
+            s.is_open and s.free > 0 and s.may_send(now_s) for s in self._slots.values()
+        )
 
     def _stop_waiting(self, ticket_id: TicketId) -> None:
         self._waiting.pop(ticket_id, None)
@@ -406,3 +493,16 @@
         slots.running[ticket.id] = ticket
         slots.granted_s[ticket.id] = now_s
         self._endpoint_of[ticket.id] = slots.endpoint
+
+
+def _preferred_by_limit(
+    usable: list[_EndpointSlots], work: Work, now_s: float
+) -> list[_EndpointSlots]:
+    """Return the endpoints that work should go to: batch items, which use their slots
+    for long, to those that take few requests, and online requests to the others.
+    """
+    if work is Work.BATCH:
+        preferred = [s for s in usable if s.limit is not None]
+    else:
+        preferred = [s for s in usable if s.limit is None or s.limit.needs_check(now_s)]
+    return preferred or usable
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -14,6 +14,7 @@
 from .jobrecords import JobItem
 from .keyedlog import KeyedRecord
 from .outliers import SlotOutcome
+from .sendlimits import LimitNotice
 
 
 class AskSlot(msgspec.Struct, frozen=True, tag="ask_slot"):
@@ -82,6 +83,27 @@
     needs_ms: int
 
 
+class LimitSeen(msgspec.Struct, frozen=True, tag="limit_seen"):
+    """Reports to a service's owner what the answer to a request in a slot says of the
+    endpoint's limit; no `rate_per_s` means that it names none.
+    """
+
+    service: ServiceName
+    ticket: str
+    endpoint: str
+    started_ms: int
+    rate_per_s: float | None
+
+
+class LimitList(msgspec.Struct, frozen=True, tag="limit_list"):
+    """Endpoints' limits that the sender knows. An owner also tells how many `daemons`
+    ask it for slots; 0 from others.
+    """
+
+    limits: list[LimitNotice]
+    daemons: int = 0
+
+
 class TicketList(msgspec.Struct, frozen=True, tag="ticket_list"):
     """All tickets of the sender that hold slots of the owner or wait for them."""
 
@@ -229,6 +251,8 @@
     | ReleaseSlot
     | HeldSlot
     | TicketList
+    | LimitSeen
+    | LimitList
     | TakeToken
     | TokenAnswer
     | SubmitJob
--- a/apricotquay/serving/slotowner.py
+++ b/apricotquay/serving/slotowner.py
@@ -1,5 +1,7 @@
 """The owner's side of slot allocation: a table per service, with peers' tickets."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from ..clocks import Clock
@@ -15,10 +17,13 @@
     Ticket,
     TicketId,
 )
-from .engine import NO_LIMIT, EndpointLimit
+from .endpoints import Endpoint
+from .engine import EndpointLimit
 from .messages import (
     AskSlot,
     HeldSlot,
+    LimitList,
+    LimitSeen,
     Message,
     ReleaseSlot,
     SlotGranted,
@@ -30,6 +35,13 @@
 from .outliers import OutlierDetector, SlotOutcome
 from .peers import PeerConnection
 from .reporting import Reporter
+from .sendlimits import (
+    DEFAULT_DAEMONS,
+    MAX_LIMITS,
+    LimitNotice,
+    SendLimit,
+    SendLimits,
+)
 from .view import View
 
 DEFAULT_SLOTS = 8
@@ -37,6 +49,8 @@
 # A newer ticket may have been requested after its peer compiled its ticket list.
 LIST_GRACE_S = 0.5
 PROBATION_SLOTS = 1
+# Changes of limits are told to peers together, at most this often.
+LIMITS_INTERVAL_S = 0.5
 
 
 class PeerTicket(msgspec.Struct):
@@ -63,11 +77,21 @@
         self._reporter: Reporter = reporter
         self._outlier_detector = OutlierDetector()
         self._tables: dict[ServiceName, Dispatcher] = {}
-        self._limits: dict[EndpointId, EndpointLimit] = {}
+        self.limits = SendLimits()
+        self._malformed: dict[EndpointId, str] = {}
+        # How many daemons share limits, as an owner told last.
+        self._known_daemons: int = DEFAULT_DAEMONS
+        self._limits_told_s: float = float("-inf")
+        self.is_owned: Callable[[ServiceName], bool] = lambda service: True
         self._peer_tickets: dict[TicketId, PeerTicket] = {}
         self._tickets_of_connection: dict[PeerConnection, set[TicketId]] = {}
         self.on_local_decision = lambda decision: None
 
+    @property
+    def limited_count(self) -> int:
+        """Number of endpoints that do not take the whole load."""
+        return len(self.limits)
+
     @property
     def peer_ticket_count(self) -> int:
         """Number of known tickets of peers."""
@@ -112,17 +136,56 @@
                 for_s=ejection_s,
             )
 
-    def record_limit(self, endpoint_id: EndpointId, limit: EndpointLimit) -> None:
-        """Log a change of the limit that an endpoint names."""
-        if self._limits.get(endpoint_id, NO_LIMIT) == limit:
+    def record_limit(
+        self, endpoint_id: EndpointId, limit: EndpointLimit, sent_s: float
+    ) -> bool:
+        """Record what an answer to a request that was sent at `sent_s` says of its
+        endpoint's limit; return whether the owner of the service should know.
+        """
+        endpoint = self._view.endpoints.get(endpoint_id)
+        if endpoint is None or limit.malformed:
+            self._report_malformed(endpoint_id, limit)
+            return False
+        was_limited = self.limits.find(endpoint) is not None
+        self._apply_limit(endpoint, limit.rate_per_s, sent_s)
+        return was_limited or limit.rate_per_s is not None
+
+    def _report_malformed(self, endpoint_id: EndpointId, limit: EndpointLimit) -> None:
+        if self._malformed.get(endpoint_id, "") == limit.malformed:
             return
-        self._limits[endpoint_id] = limit
+        if len(self._malformed) >= MAX_LIMITS:
+            self._malformed.clear()
+        self._malformed[endpoint_id] = limit.malformed
         self._reporter.write(
-            Event.LIMIT_MALFORMED if limit.malformed else Event.LIMIT_CHANGED,
+            Event.LIMIT_MALFORMED, endpoint=endpoint_id, value=limit.malformed
+        )
+
+    def _apply_limit(
+        self, endpoint: Endpoint, rate_per_s: float | None, sent_s: float
+    ) -> None:
+        now_s = self._clock.now_s()
+        limits = self.limits
+        if rate_per_s is None:
+            changed = limits.end(endpoint.id, endpoint.started_ms, sent_s, now_s)
+        else:
+            changed = limits.name(endpoint.id, endpoint.started_ms, rate_per_s, now_s)
+        if changed:
+            self._handle_limit_change(endpoint.id, rate_per_s, "an answer")
+
+    def _handle_limit_change(
+        self, endpoint_id: EndpointId, rate_per_s: float | None, reason: str
+    ) -> None:
+        self._reporter.write(
+            Event.LIMIT_CHANGED,
             endpoint=endpoint_id,
-            rate_per_s=limit.rate_per_s,
-            value=limit.malformed,
+            rate_per_s=rate_per_s,
+            reason=reason,
         )
+        self.refresh()
+
+    def limit_list(self) -> LimitList:
+        """Return all limits that this daemon knows, for a daemon that may not."""
+        return LimitList(self.limits.notices(self._clock.now_s()))
 
     def refresh(self) -> None:
         """Update the tables with the endpoints that take new work."""
@@ -153,6 +216,9 @@
         if statuses != self.statuses:
             self.statuses = statuses
             self.refresh()
+        if len(self.limits):
+            self._forget_limits(now_s)
+            self._tell_limits(now_s)
         for table in self._tables.values():
             if table.waiting_count:
                 self._deliver(table.tick(now_s))
@@ -167,6 +233,10 @@
             self._handle_release_slot(message)
         elif isinstance(message, TicketList):
             self._handle_ticket_list(connection, message)
+        elif isinstance(message, LimitSeen):
+            self._handle_limit_seen(message)
+        elif isinstance(message, LimitList):
+            self._handle_limit_list(message)
 
     def _handle_ask_slot(self, connection: PeerConnection, message: AskSlot) -> None:
         now_s = self._clock.now_s()
@@ -217,6 +287,51 @@
             ):
                 self._release_peer_ticket(ticket_id)
 
+    def _handle_limit_seen(self, message: LimitSeen) -> None:
+        endpoint = self._view.endpoints.get(EndpointId(message.endpoint))
+        if message.rate_per_s is not None:
+            notice = LimitNotice(
+                message.endpoint, message.started_ms, message.rate_per_s, False, 0
+            )
+            self._merge_limits([notice], "a peer's answer")
+        elif endpoint is not None and endpoint.started_ms == message.started_ms:
+            granted_s = self.table(message.service).granted_s(TicketId(message.ticket))
+            self._apply_limit(endpoint, None, granted_s)
+
+    def _handle_limit_list(self, message: LimitList) -> None:
+        if message.daemons:
+            self._known_daemons = message.daemons
+        self._merge_limits(message.limits, "a peer")
+
+    def _merge_limits(self, notices: list[LimitNotice], reason: str) -> None:
+        now_s = self._clock.now_s()
+        for notice in notices:
+            if self.limits.merge(notice, now_s):
+                rate_per_s = None if notice.has_ended else notice.rate_per_s
+                self._handle_limit_change(
+                    EndpointId(notice.endpoint), rate_per_s, reason
+                )
+
+    def _tell_limits(self, now_s: float) -> None:
+        """Tell peers that ask this daemon for slots which limits have changed."""
+        if now_s - self._limits_told_s < LIMITS_INTERVAL_S:
+            return
+        self._limits_told_s = now_s
+        changes = self.limits.take_changes(now_s)
+        if not changes:
+            return
+        for connection in self._tickets_of_connection:
+            connection.send(LimitList(changes, self._asking_daemons()))
+
+    def _asking_daemons(self) -> int:
+        return len(self._tickets_of_connection) + 1
+
+    def _forget_limits(self, now_s: float) -> None:
+        services = self._tables
+        listed = {e.id for s in services for e in self._view.endpoints.serving(s)}
+        if self.limits.forget(listed, now_s):
+            self.refresh()
+
     def _add_peer_ticket(
         self, connection: PeerConnection, service: ServiceName, ticket: TicketId
     ) -> None:
@@ -227,6 +342,9 @@
         if connection not in self._tickets_of_connection:
             self._tickets_of_connection[connection] = set()
             connection.on_close.append(lambda: self._release_tickets_of(connection))
+            if len(self.limits):
+                notices = self.limits.notices(self._clock.now_s())
+                connection.send(LimitList(notices, self._asking_daemons()))
         self._tickets_of_connection[connection].add(ticket)
 
     def _release_tickets_of(self, connection: PeerConnection) -> None:
@@ -275,7 +393,26 @@
             else entry.slots or default
             for entry in self._view.endpoints.serving(service)
         }
-        return table.set_endpoints(slot_counts, now_s, statuses)
+        limits = self._limits_of(service, now_s)
+        return table.set_endpoints(slot_counts, now_s, statuses, limits)
+
+    def _limits_of(
+        self, service: ServiceName, now_s: float
+    ) -> dict[EndpointId, SendLimit]:
+        """Return the limits of a service's endpoints, for all daemons together if this
+        daemon owns the service.
+        """
+        if not len(self.limits):
+            return {}
+        is_owned = self.is_owned(service)
+        daemons = self._asking_daemons() if is_owned else self._known_daemons
+        found = {}
+        for endpoint in self._view.endpoints.serving(service):
+            limit = self.limits.find(endpoint)
+            if limit is not None:
+                limit.share_among(daemons, now_s, is_shared=not is_owned)
+                found[endpoint.id] = limit
+        return found
 
     def _default_slots(self, service: ServiceName) -> int:
         configuration = self._view.configuration
--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import weakref
 from collections.abc import Callable
 
 import msgspec
@@ -15,6 +16,7 @@
 from .messages import (
     AskSlot,
     HeldSlot,
+    LimitSeen,
     Message,
     ReleaseSlot,
     SlotGranted,
@@ -67,7 +69,8 @@
 
     `owner` is the peer whose table also records the slot, None if only the table of
     this daemon does.
-    The holder sets `outcome` before it releases the slot.
+    The holder sets `outcome` before it releases the slot. `granted_by` is the owner
+    that granted the slot, at `granted_s`.
     """
 
     service: ServiceName
@@ -76,6 +79,8 @@
     owner: str | None
     outcome: SlotOutcome = SlotOutcome.UNKNOWN
     on_revoke: Callable[[], None] = lambda: None
+    granted_by: str | None = None
+    granted_s: float = float("-inf")
 
 
 class _Waiter:
@@ -113,6 +118,7 @@
         self._reporter: Reporter = reporter
         self.tables = SlotTables(view, clock, reporter)
         self.tables.on_local_decision = self._handle_local_decision
+        self.tables.is_owned = self._is_owned
         self._view: View = view
         self._shards: Shards = shards
         self._peers: Peers = peers
@@ -124,6 +130,7 @@
         self._retry_owner_at_s: dict[str, float] = {}
         self._last_owners: dict[ServiceName, str | None] = {}
         self._listed_keys: set[tuple[ServiceName, str]] = set()
+        self._introduced: weakref.WeakSet[PeerConnection] = weakref.WeakSet()
         self._tasks: list[asyncio.Task] = []
 
     @property
@@ -185,8 +192,27 @@
         self._release_ticket(lease.service, lease.ticket.id, lease.owner, lease.outcome)
 
     def record_limit(self, lease: SlotLease, limit: EndpointLimit) -> None:
-        """Record what an answer to the request in a slot says of a limit."""
-        self.tables.record_limit(lease.endpoint, limit)
+        """Record what the answer to the request in a slot says of its endpoint's
+        limit, and tell the owner.
+        """
+        granted_s = lease.granted_s
+        if not self.tables.record_limit(lease.endpoint, limit, granted_s):
+            return
+        endpoint = self._view.endpoints.get(lease.endpoint)
+        # A new owner learns of an older slot as if it had just been granted.
+        has_moved = lease.owner != lease.granted_by
+        if endpoint is None or lease.owner is None:
+            return
+        if limit.rate_per_s is None and has_moved:
+            return
+        report = LimitSeen(
+            lease.service,
+            lease.ticket.id,
+            endpoint.id,
+            endpoint.started_ms,
+            limit.rate_per_s,
+        )
+        self._send_if_connected(lease.owner, report)
 
     def handle_message(self, connection: PeerConnection, message: Message) -> None:
         """Handle a message of an owner, or of a peer that considers this the owner."""
@@ -262,6 +288,7 @@
         try:
             async with asyncio.timeout(OWNER_ANSWER_TIMEOUT_S):
                 connection = await self._peers.connect(owner)
+                self._introduce(connection)
                 connection.send(message)
                 await waiter.first_reply
         except (TimeoutError, PeerUnavailableError):
@@ -272,6 +299,14 @@
                 return None
         return await self._wait_for_decision(connection, ticket, waiter)
 
+    def _introduce(self, connection: PeerConnection) -> None:
+        """Tell an owner the known limits at first: it may have started just now."""
+        if connection in self._introduced:
+            return
+        self._introduced.add(connection)
+        if self.tables.limited_count:
+            connection.send(self.tables.limit_list())
+
     async def _wait_for_decision(
         self, connection: PeerConnection, ticket: Ticket, waiter: _Waiter
     ) -> Decision | None:
@@ -299,7 +334,14 @@
         endpoint: EndpointId,
         owner: str | None,
     ) -> SlotLease:
-        lease = SlotLease(service, ticket, endpoint, owner)
+        lease = SlotLease(
+            service,
+            ticket,
+            endpoint,
+            owner,
+            granted_by=owner,
+            granted_s=self._clock.now_s(),
+        )
         self._leases[ticket.id] = lease
         if owner is not None:
             self.tables.record_grant(service, ticket, endpoint)
