Test limits while owners die, and their end, over whole fleets

Four daemons and servers, 2 requests a second each, fifty asked: the owner is killed, silent, leaves or is replaced in the middle; limits end; batch; values that make no sense.

--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -3,9 +3,14 @@
 import asyncio
 import itertools
 import time
+from collections.abc import Callable
 
 from parameterized import parameterized
 
+from apricotquay.serving.daemon import Daemon
+from apricotquay.serving.http1 import HttpError
+from standins.platform import ModelServer
+
 from .test_platform_fleet import PlatformFleet, PlatformTest
 
 SERVERS = 4
@@ -31,23 +36,38 @@
 class LimitTest(PlatformTest):
     """A limit holds over all daemons together, and the rest is served elsewhere."""
 
-    async def send_load(self, fleet: PlatformFleet, until_s: float) -> list[int]:
-        """Send requests to all daemons in turn; return their statuses."""
+    async def send_load(
+        self,
+        fleet: PlatformFleet,
+        until_s: float,
+        daemons: Callable[[], list[Daemon]] | None = None,
+    ) -> list[int]:
+        """Send requests to the daemons in turn; return their statuses, 0 for none."""
         calls = []
-        numbers = itertools.count()
-        while time.monotonic() < until_s:
-            number = next(numbers)
-            daemon = fleet.daemons[number % len(fleet.daemons)]
-            target = f"/s/{number}"
-            calls.append(
-                asyncio.ensure_future(
-                    fleet.call(
-                        daemon, "POST", target, b"events=4", attempt_id=f"r{number}"
-                    )
-                )
-            )
+        for number in itertools.count():
+            if time.monotonic() >= until_s:
+                break
+            targets = daemons() if daemons else fleet.daemons
+            daemon = targets[number % len(targets)]
+            calls.append(asyncio.ensure_future(self.send(fleet, daemon, number)))
             await asyncio.sleep(REQUEST_INTERVAL_S)
-        return [response.status for response in await asyncio.gather(*calls)]
+        return await asyncio.gather(*calls)
+
+    async def send(self, fleet: PlatformFleet, daemon: Daemon, number: int) -> int:
+        """Send a request; return its status, 0 if it has none."""
+        try:
+            response = await fleet.call(
+                daemon, "POST", f"/s/{number}", b"events=4", attempt_id=f"r{number}"
+            )
+        except HttpError:
+            return 0
+        return response.status
+
+    def check_limits(self, servers: list[ModelServer], named_s: float) -> None:
+        """Check the users' rule."""
+        for server in servers:
+            most = most_in_window(server.arrived_s, named_s + LEARN_S)
+            self.assertLessEqual(most, ALLOWED)
 
     @parameterized.expand([("half of the servers", 2), ("all servers", SERVERS)])
     def test_limited_servers_get_no_more_than_they_named(self, _name, limited):
@@ -58,12 +78,83 @@
                 server.limit = str(LIMIT_PER_S)
             named_s = time.monotonic()
             statuses = await self.send_load(fleet, named_s + RUN_S)
-            for server in fleet.servers[:limited]:
-                most = most_in_window(server.arrived_s, named_s + LEARN_S)
-                self.assertLessEqual(most, ALLOWED)
+            self.check_limits(fleet.servers[:limited], named_s)
             if limited < SERVERS:
                 self.assertEqual({200}, set(statuses))
             else:
                 self.assertEqual({200, 503}, set(statuses))
 
         self.run_scenario(scenario, daemons=3, servers=SERVERS, step_s=0.02)
+
+    @parameterized.expand([("killed",), ("silent",), ("leaving",), ("replaced",)])
+    def test_limit_holds_while_the_owner_is(self, change):
+        """Daemons grant themselves slots, and a new owner starts without a burst."""
+
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.limit = str(LIMIT_PER_S)
+            named_s = time.monotonic()
+            load = asyncio.ensure_future(
+                self.send_load(
+                    fleet, named_s + RUN_S, lambda: [d for d in fleet.daemons if d]
+                )
+            )
+            await asyncio.sleep(LEARN_S)
+            owner = next(d for d in fleet.daemons if d.slots._is_owned("llm"))
+            if change == "silent":
+                owner.slots.handle_message = lambda connection, message: None
+            else:
+                fleet.daemons.remove(owner)
+                if change == "leaving":
+                    await owner.shards.leave()
+                await owner.close()
+            if change == "replaced":
+                await fleet.add_daemon("d9")
+            statuses = await load
+            self.check_limits(fleet.servers, named_s)
+            self.assertIn(200, statuses[-len(statuses) // 4 :])
+
+        self.run_scenario(scenario, daemons=4, servers=SERVERS, step_s=0.02)
+
+    def test_whole_load_returns_after_the_limit(self):
+        """No daemon keeps to a limit that no server names any more."""
+
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.limit = "1"
+            await self.send_load(fleet, time.monotonic() + 2.0)
+            for server in fleet.servers:
+                server.limit = ""
+            await self.send_load(fleet, time.monotonic() + 6.0)
+            self.assertEqual(
+                [0, 0, 0], [len(d.slots.tables.limits) for d in fleet.daemons]
+            )
+            statuses = await self.send_load(fleet, time.monotonic() + 1.0)
+            self.assertEqual({200}, set(statuses))
+
+        self.run_scenario(scenario, daemons=3, servers=SERVERS, step_s=0.02)
+
+    @parameterized.expand([("many",), ("-1",), ("1e9",), ("2,2",), ("nan",)])
+    def test_limit_that_makes_no_sense_changes_nothing(self, limit):
+        """All requests are served by a server that names it."""
+
+        async def scenario(fleet):
+            fleet.servers[0].limit = limit
+            statuses = await self.send_load(fleet, time.monotonic() + 1.0)
+            self.assertEqual({200}, set(statuses))
+
+        self.run_scenario(scenario, daemons=2, servers=1)
+
+    def test_batch_job_ends_at_limited_servers(self):
+        """Its items wait for sends; each runs once."""
+
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.limit = "3"
+            bodies = ["events=3"] * 6
+            self.assertEqual(202, await fleet.submit(fleet.daemons[0], "j1", bodies))
+            results = await fleet.wait_for_results(fleet.daemons[1], "j1")
+            self.assertEqual({"done"}, {state for state, _ in results.values()})
+            self.assertEqual(6, len(fleet.runs))
+
+        self.run_scenario(scenario)
