Count a refusal for a limit as no failure of the endpoint

An endpoint that names a limit and refuses a request for it is in need, not failing. It was ejected after three such refusals, which took what it still takes from callers.

Both tests failed before: outcome FAILED instead of UNKNOWN; the endpoint was ejected by the daemons themselves. Attempts were not spent by it before either: it is "not run".

--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -116,7 +116,12 @@
             if exc.limit != NO_LIMIT:
                 on_limit(exc.limit)
             self._record_failure(
-                call, endpoint, fingerprint, exc, unreachable=exc.unreachable
+                call,
+                endpoint,
+                fingerprint,
+                exc,
+                unreachable=exc.unreachable,
+                is_for_limit=exc.is_for_limit,
             )
             raise
         except AttemptFailedError as exc:
@@ -201,6 +206,7 @@
         unreachable: bool = False,
         reset: bool = False,
         timed_out: bool = False,
+        is_for_limit: bool = False,
     ) -> None:
         reason = str(error)
         self._metrics.count("attempts_failed")
@@ -216,6 +222,8 @@
             timed_out=timed_out,
             resumed_after=call.resume_after,
         )
+        if is_for_limit:
+            return
         now_s = self._clock.now_s()
         if self._view.endpoints.record_failure(endpoint.id, unreachable, now_s):
             self._reporter.write(
--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -454,7 +454,10 @@
                 on_limit=partial(self._slots.record_limit, lease),
             )
         except RequestNotRunError as exc:
-            return AttemptResult(Outcome.RETRY, str(exc), SlotOutcome.FAILED)
+            slot_outcome = SlotOutcome.FAILED
+            if exc.is_for_limit:
+                slot_outcome = SlotOutcome.UNKNOWN
+            return AttemptResult(Outcome.RETRY, str(exc), slot_outcome)
         except AttemptFailedError as exc:
             return AttemptResult(
                 Outcome.RETRY,
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -59,6 +59,11 @@
         self.unreachable: bool = unreachable
         self.limit: EndpointLimit = limit
 
+    @property
+    def is_for_limit(self) -> bool:
+        """Whether the endpoint is in need rather than failing."""
+        return self.limit.rate_per_s is not None
+
 
 class AttemptFailedError(ApricotquayError):
     """The attempt failed after the request may have run.
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -176,6 +176,7 @@
         self.crash_delay_s: float = 0.0
         self.events_before_crash: int = 0
         self.limit: str = ""
+        self.refuses_all: bool = False
         self.arrived_s: list[float] = []
         self._step_s: float = step_s
         self._record_run = record_run or (
@@ -233,7 +234,7 @@
         if request.header(b"expect-instance") not in (None, self.name):
             await exchange.respond(HttpResponse(421, [(b"instance", b"other")]))
             return
-        if self.running >= SLOTS_PER_SERVER:
+        if self.refuses_all or self.running >= SLOTS_PER_SERVER:
             await exchange.respond(HttpResponse(503, [*head, (b"not-run", b"1")]))
             return
         self.running += 1
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -158,3 +158,24 @@
             self.assertEqual(6, len(fleet.runs))
 
         self.run_scenario(scenario)
+
+    def test_server_that_refuses_for_its_limit_is_not_ejected(self):
+        """It is in need, not failing; the requests go to the other one."""
+
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.limit = "100"
+            fleet.servers[0].refuses_all = True
+            load = asyncio.ensure_future(self.send_load(fleet, time.monotonic() + 1.5))
+            ejected = set()
+            while not load.done():
+                for daemon in fleet.daemons:
+                    now_s = daemon.clock.now_s()
+                    ejected |= daemon.view.endpoints.ejected("llm", now_s)
+                    ejected |= set(daemon.slots.tables.statuses)
+                await asyncio.sleep(0.01)
+            self.assertEqual({200}, set(load.result()))
+            self.assertEqual(set(), ejected)
+            self.assertGreater(len(fleet.servers[0].arrived_s), 5)
+
+        self.run_scenario(scenario, servers=SERVERS)
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -27,6 +27,7 @@
 from apricotquay.serving.engine import (
     NO_LIMIT,
     AttemptFailedError,
+    EndpointLimit,
     RequestNotRunError,
 )
 from apricotquay.serving.metrics import ServingMetrics
@@ -293,6 +294,13 @@
         self.patch(timeouts, "MAX_FIRST_EVENT_TIMEOUT_S", 0.05)
         self.patch(timeouts, "MAX_PAUSE_TIMEOUT_S", 0.05)
 
+    def test_refusal_for_a_limit_counts_as_no_failure_of_the_endpoint(self):
+        """It is sent elsewhere, and the endpoint is not ejected for it."""
+        slots = FakeSlots()
+        refusal = RequestNotRunError("full", limit=EndpointLimit(2.0))
+        self.serve(route(), [refusal, ScriptedResponse(200, [event(0)])], slots=slots)
+        self.assertEqual([SlotOutcome.UNKNOWN, SlotOutcome.SUCCEEDED], slots.outcomes)
+
     def test_quarantined_request_waits_for_no_slot_and_costs_no_rate(self):
         """It is refused at once, as one that has not run."""
         self.patch(CrashDetector, "is_quarantined", lambda *_: True)
