--- a/apricotquay/serving/sendlimits.py
+++ b/apricotquay/serving/sendlimits.py
@@ -70,9 +70,18 @@
         self._daemons: int = DEFAULT_DAEMONS
         self._is_shared: bool = True
         self._bucket = Bucket(0.0, now_s)
+        # Spares the slot table, which asks for each decision, most computations.
+        self._no_token_until_s: float = float("-inf")
         self._phase: float = random.random()
         self._used_share: int = -1
 
+    def update(self, rate_per_s: float, stated_s: float, *, has_ended: bool) -> None:
+        """Record what the endpoint says now."""
+        self.named_per_s = rate_per_s
+        self.stated_s = stated_s
+        self.has_ended = has_ended
+        self._no_token_until_s = float("-inf")
+
     def rate_per_s(self, now_s: float) -> float:
         """Return the rate that the endpoint may get from all daemons now."""
         if not self.has_ended:
@@ -108,8 +117,13 @@
         """Whether a request may be sent now."""
         if self._is_shared:
             return self._current_share(now_s) is not None
+        if now_s < self._no_token_until_s:
+            return False
         self._refill(now_s)
-        return self._bucket.tokens >= 1.0
+        missing = 1.0 - self._bucket.tokens
+        if missing > 0:
+            self._no_token_until_s = now_s + missing / self.rate_per_s(now_s)
+        return missing <= 0
 
     def may_send_batch(self, now_s: float) -> bool:
         """Whether a batch item may be sent now: online requests have left sends."""
@@ -181,8 +195,7 @@
             return False
         if sent_s <= limit.stated_s:
             return False
-        limit.has_ended = True
-        limit.stated_s = now_s
+        limit.update(limit.named_per_s, now_s, has_ended=True)
         return True
 
     def merge(self, notice: LimitNotice, now_s: float) -> bool:
@@ -204,9 +217,7 @@
         changed = known.has_ended != notice.has_ended or _differ(
             known.named_per_s, notice.rate_per_s
         )
-        known.stated_s = stated_s
-        known.has_ended = notice.has_ended
-        known.named_per_s = notice.rate_per_s
+        known.update(notice.rate_per_s, stated_s, has_ended=notice.has_ended)
         return changed
 
     def notices(self, now_s: float) -> list[LimitNotice]:
