--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -131,6 +131,7 @@
     zone: str = ""
     slots: int = 0
     born: int = 0
+    version: str = ""
 
 
 def decode_prompt_parts(headers: HeaderList) -> list[PartKey]:
@@ -197,6 +198,8 @@
             raw.slots,
             raw.state == "draining",
             raw.born,
+            # Without a version it may be any, so it counts as one of its own.
+            raw.version or f"of {endpoint_id}",
         )
         return endpoint_id, endpoint
 
--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -215,6 +215,7 @@
             request=call.request_id,
             endpoint=endpoint.id,
             address=f"{endpoint.host}:{endpoint.port}",
+            version=endpoint.version,
             fingerprint=fingerprint,
             reason=reason,
             unreachable=unreachable,
--- a/apricotquay/serving/endpoints.py
+++ b/apricotquay/serving/endpoints.py
@@ -25,7 +25,7 @@
 class Endpoint(msgspec.Struct, frozen=True):
     """One start of a server, as the platform lists it.
 
-    `slots` is 0 if unknown. `EndpointTable` holds the state at this daemon.
+    `slots` is 0 if unknown, `version` that of its software. `EndpointTable` holds the state at this daemon.
     """
 
     id: EndpointId
@@ -36,6 +36,7 @@
     slots: int = 0
     is_leaving: bool = False
     started_ms: int = 0
+    version: str = ""
 
 
 class LocalHealth:
--- a/apricotquay/serving/view.py
+++ b/apricotquay/serving/view.py
@@ -187,6 +187,8 @@
                 Event.ENDPOINT_LEAVING if entry.is_leaving else Event.ENDPOINT_LISTED,
                 endpoint=endpoint_id,
                 address=f"{entry.host}:{entry.port}",
+                version=entry.version,
+                started_ms=entry.started_ms,
                 known_before=before is not None,
                 offset=record.offset,
             )
