--- a/apricotquay/serving/endpoints.py
+++ b/apricotquay/serving/endpoints.py
@@ -25,7 +25,8 @@
 class Endpoint(msgspec.Struct, frozen=True):
     """One start of a server, as the platform lists it.
 
-    `slots` is 0 if unknown, `version` that of its software. `EndpointTable` holds the state at this daemon.
+    `slots` is 0 if unknown, `version` that of its software. `EndpointTable` holds
+    the state at this daemon.
     """
 
     id: EndpointId
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -161,7 +161,8 @@
     `crash=1` to end the server without an answer. A request whose prompt has one of
     the `crashing_parts`, not as its last part, ends the server `crash_delay_s` after
     it begins, in a stream of `events_before_crash` events if there are any.
-    Answers name `limit` if it is set; `arrived_s` lists when requests arrived.
+    Answers name `limit` if it is set; `arrived_s` lists when requests arrived. With
+    `first_run_events` a stream that is not resumed breaks off after so many events.
     """
 
     def __init__(self, name: str, step_s: float, record_run=None) -> None:
@@ -177,6 +178,8 @@
         self.events_before_crash: int = 0
         self.limit: str = ""
         self.refuses_all: bool = False
+        self.version: str = "v1"
+        self.first_run_events: int = 0
         self.arrived_s: list[float] = []
         self._step_s: float = step_s
         self._record_run = record_run or (
@@ -196,7 +199,7 @@
             "service": "llm",
             "address": shown or f"{host}:{port}",
             "zone": "z",
-            "version": "v1",
+            "version": self.version,
             "slots": SLOTS_PER_SERVER,
             "state": "ready",
             "cold_left_ms": 0,
@@ -253,6 +256,7 @@
             {
                 "ran": request_id,
                 "server": self.name,
+                "version": self.version,
                 "after": after,
                 "tenant": request.header(b"tenant"),
                 "key": request.header(b"key"),
@@ -276,6 +280,9 @@
             await self._wait_while_holding()
             await exchange.send(_encode_event(request_id, number))
             self.sent_event_count += 1
+            if after < 0 and number + 1 == self.first_run_events:
+                exchange.abort()
+                return
         await exchange.finish()
 
     async def _wait_while_holding(self) -> None:
@@ -364,9 +371,11 @@
         shown: str = "",
         crashing_part: str = "",
         crash_delay_s: float = 0.1,
+        version: str = "v1",
     ) -> None:
         """Run a model server; a prompt with the crashing part ends it."""
         server = ModelServer(name, step_s)
+        server.version = version
         server.crashing_parts = frozenset([str(crashing_part)] if crashing_part else [])
         server.crash_delay_s = crash_delay_s
         asyncio.run(
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Sequence
 
 from parameterized import parameterized
 
@@ -40,12 +41,21 @@
         self.servers: list[ModelServer] = []
         self.store = StoreServer()
 
-    async def start(self, daemons: int, servers: int, step_s: float) -> None:
-        """Start everything and wait until all daemons are ready."""
+    async def start(
+        self,
+        daemons: int,
+        servers: int,
+        step_s: float,
+        versions: Sequence[str] = ("v1",),
+    ) -> None:
+        """Start everything and wait until all daemons are ready. The servers have the
+        versions in turn.
+        """
         self.store_address = f"{HOST}:{await self.store.start(HOST, 0)}"
         await self.configure(1, small=["k1"], large=["k2"])
         for number in range(servers):
             server = ModelServer(f"i-{number}", step_s, self.runs.append)
+            server.version = versions[number % len(versions)]
             await server.start(HOST, 0, self.store_address)
             self.servers.append(server)
         for number in range(daemons):
@@ -158,7 +168,9 @@
 class PlatformTest(ApricotTest):
     """Base class of tests with a fleet."""
 
-    def run_scenario(self, scenario, daemons=2, servers=2, step_s=0.001) -> None:
+    def run_scenario(
+        self, scenario, daemons=2, servers=2, step_s=0.001, versions=("v1",)
+    ) -> None:
         """Run a scenario with a new fleet."""
         self.patch(shards_module, "JOIN_INTERVAL_S", 0.05)
         self.patch(shards_module, "OWNERS_INTERVAL_S", 0.05)
@@ -167,7 +179,7 @@
             fleet = PlatformFleet()
             try:
                 async with asyncio.timeout(3 * TIMEOUT_S):
-                    await fleet.start(daemons, servers, step_s)
+                    await fleet.start(daemons, servers, step_s, versions)
                     await scenario(fleet)
             finally:
                 await fleet.close()
