Let a stream go on only at the version that began it, within one answer

Class: endpoints of one service held to be exchangeable.

Change: a stream under way asks for slots of its version, that of the endpoint whose first event was passed on; the slot table keeps a queue a version, so that no other work waits behind a version without slots, and revokes items of that version. Before each send the daemon compares its own entry with the stream's version, whatever the owner's list says. Without an endpoint of the version the answer breaks off.

--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -9,6 +9,7 @@
 batch jobs, and the loss of endpoints.
 """
 
+import collections
 import enum
 import heapq
 import random
@@ -73,7 +74,8 @@
     batch item will hold its slot. `avoid` lists endpoints where it already failed,
     and `prefix` identifies the shared part of its prompt. `may_repeat` tells
     whether it can be sent again after an endpoint failed part-way, `holds_slot` that
-    another ticket's slot is released when this one gets its own.
+    another ticket's slot is released when this one gets its own. A stream under way
+    goes on only at endpoints with its software `version`, empty for any.
     """
 
     id: TicketId
@@ -85,6 +87,7 @@
     avoid: frozenset[str] = frozenset()
     may_repeat: bool = True
     holds_slot: bool = False
+    version: str = ""
 
     def is_late(self, now_s: float) -> bool:
         """Whether the ticket would miss `due_s` even with a slot now."""
@@ -137,6 +140,7 @@
         self.is_open: bool = True
         self.status: EndpointStatus = EndpointStatus.NORMAL
         self.limit: SendLimit | None = None
+        self.version: str = ""
 
     @property
     def free(self) -> int:
@@ -150,6 +154,8 @@
         """Whether a ticket can be granted a slot now, whatever it avoids."""
         if not self.is_open or self.free <= 0:
             return False
+        if ticket.version and ticket.version != self.version:
+            return False
         if self.limit is None:
             return True
         if ticket.work is Work.BATCH:
@@ -164,6 +170,9 @@
         return min(by_slots, self.limit.granted_per_s(now_s))
 
 
+_QueueEntry = tuple[float, int, Ticket]
+
+
 class Dispatcher:
     """The slot table of one service. Used by the service's owner, and by every
     daemon for its own requests while the owner does not answer.
@@ -172,8 +181,10 @@
     def __init__(self, seed: int = 0) -> None:
         self._slots: dict[EndpointId, _EndpointSlots] = {}
         self._endpoint_of: dict[TicketId, EndpointId] = {}
-        self._queues: dict[Rank, list[tuple[float, int, Ticket]]] = {
-            rank: [] for rank in Rank
+        # A queue for each version that tickets ask for, so that those of a version
+        # without free slots hold no others up.
+        self._queues: dict[Rank, dict[str, list[_QueueEntry]]] = {
+            rank: {} for rank in Rank
         }
         self._waiting: dict[TicketId, Ticket] = {}
         # The online tickets of `_waiting`, kept apart because every event scans them.
@@ -223,8 +234,9 @@
         now_s: float,
         statuses: Mapping[EndpointId, EndpointStatus] = MappingProxyType({}),
         limits: Mapping[EndpointId, SendLimit] = MappingProxyType({}),
+        versions: Mapping[EndpointId, str] = MappingProxyType({}),
     ) -> list[Decision]:
-        """Set which endpoints take new work, their slot counts, status and limits."""
+        """Set which endpoints take new work, and what the table knows of them."""
         for endpoint, slots in list(self._slots.items()):
             slots.is_open = endpoint in counts
             if not slots.is_open and not slots.running:
@@ -234,6 +246,7 @@
             slots.count = count
             slots.status = statuses.get(endpoint, EndpointStatus.NORMAL)
             slots.limit = limits.get(endpoint)
+            slots.version = versions.get(endpoint, "")
         self._has_limits = bool(limits)
         return list(self._serve_queues(now_s))
 
@@ -356,33 +369,37 @@
     def _push(self, ticket: Ticket, now_s: float) -> None:
         self._sequence += 1
         entry = (ticket.due_s, self._sequence, ticket)
-        heapq.heappush(self._queues[self._rank(ticket, now_s)], entry)
+        heapq.heappush(self._queue(self._rank(ticket, now_s), ticket.version), entry)
+
+    def _queue(self, rank: Rank, version: str) -> list[_QueueEntry]:
+        return self._queues[rank].setdefault(version, [])
 
     def _serve_queues(self, now_s: float) -> Iterable[Decision]:
         for rank in Rank:
-            yield from self._serve_queue(rank, now_s)
+            yield from self._serve_rank(rank, now_s)
         yield from self._revoke_for_online(now_s)
 
-    def _serve_queue(self, rank: Rank, now_s: float) -> Iterable[Decision]:
-        """Grant slots to a queue; move tickets that became late to the late queue."""
-        queue = self._queues[rank]
+    def _serve_rank(self, rank: Rank, now_s: float) -> Iterable[Decision]:
+        """Grant slots to a rank's queues; move tickets that became late."""
         skipped = []
-        while (
-            queue and len(skipped) < MAX_SKIPPED_TICKETS and self._has_free_slot(now_s)
-        ):
+        blocked: set[str] = set()
+        while len(skipped) < MAX_SKIPPED_TICKETS and self._has_free_slot(now_s):
+            queue = self._next_queue(rank, blocked)
+            if queue is None:
+                break
             entry = heapq.heappop(queue)
             ticket = entry[2]
             if self._waiting.get(ticket.id) is not ticket:
                 continue
             current_rank = self._rank(ticket, now_s)
             if current_rank is not rank:
-                heapq.heappush(self._queues[current_rank], entry)
+                heapq.heappush(self._queue(current_rank, ticket.version), entry)
                 continue
             slots = self._choose_endpoint(ticket, now_s)
             if slots is None:
                 skipped.append(entry)
                 if not ticket.avoid:
-                    break
+                    blocked.add(ticket.version)
                 continue
             self._stop_waiting(ticket.id)
             self._assign(ticket, slots, now_s)
@@ -390,7 +407,18 @@
                 slots.limit.take(now_s)
             yield Granted(ticket.id, slots.endpoint)
         for entry in skipped:
-            heapq.heappush(queue, entry)
+            heapq.heappush(self._queue(rank, entry[2].version), entry)
+
+    def _next_queue(self, rank: Rank, blocked: set[str]) -> list[_QueueEntry] | None:
+        """Return the queue whose first ticket comes next, of those not blocked."""
+        if "" in blocked:
+            # Not even a ticket for any version has an endpoint.
+            return None
+        queues = self._queues[rank]
+        for version in [v for v, queue in queues.items() if v and not queue]:
+            del queues[version]
+        open_queues = [q for v, q in queues.items() if q and v not in blocked]
+        return min(open_queues, key=lambda queue: queue[0][:2], default=None)
 
     def _choose_endpoint(self, ticket: Ticket, now_s: float) -> _EndpointSlots | None:
         """Choose the least loaded endpoint, or the one that served the prefix last
@@ -449,21 +477,30 @@
         """Revoke one batch item for each waiting online ticket that can be in time."""
         if len(self._batch_running) == len(self._revoked):
             return
-        in_time_count = sum(
-            1
+        wanted = collections.Counter(
+            t.version
             for t in self._waiting_online.values()
             if self._rank(t, now_s) is Rank.ONLINE_IN_TIME
         )
-        missing = in_time_count - len(self._revoked)
+        missing = wanted.total() - len(self._revoked)
         if missing <= 0:
             return
-        candidates = [
-            (self._revocation_key(ticket, slots, now_s), ticket.id)
+        candidates = sorted(
+            (self._revocation_key(ticket, slots, now_s), ticket.id, slots.version)
             for ticket, slots in self._revocable(now_s)
-        ]
-        for _, ticket_id in heapq.nsmallest(missing, candidates):
-            self._revoked.add(ticket_id)
-            yield Revoked(ticket_id)
+        )
+        # Tickets that need a version come first: fewer items are of use to them.
+        for version in sorted(wanted, reverse=True):
+            for candidate in candidates:
+                if missing <= 0 or wanted[version] <= 0:
+                    break
+                _, ticket_id, item_version = candidate
+                if ticket_id in self._revoked or version not in ("", item_version):
+                    continue
+                missing -= 1
+                wanted[version] -= 1
+                self._revoked.add(ticket_id)
+                yield Revoked(ticket_id)
 
     def _revocation_key(
         self, ticket: Ticket, slots: _EndpointSlots, now_s: float
--- a/apricotquay/serving/endpoints.py
+++ b/apricotquay/serving/endpoints.py
@@ -112,12 +112,16 @@
             self._entries.pop(endpoint_id, None)
         return expired
 
-    def serving(self, service: ServiceName) -> Iterator[Endpoint]:
-        """Yield the endpoints of a service that may get new work."""
+    def serving(self, service: ServiceName, version: str = "") -> Iterator[Endpoint]:
+        """Yield the endpoints of a service, and of a version if it is not empty, that
+        may get new work.
+        """
         return (
             entry
             for entry in self._entries.values()
-            if entry.service == service and not entry.is_leaving
+            if entry.service == service
+            and not entry.is_leaving
+            and version in ("", entry.version)
         )
 
     def ejected(self, service: ServiceName, now_s: float) -> frozenset[EndpointId]:
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -33,6 +33,7 @@
     avoid: list[str]
     may_repeat: bool = True
     holds_slot: bool = False
+    version: str = ""
 
 
 class SlotQueued(msgspec.Struct, frozen=True, tag="slot_queued"):
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -217,10 +217,11 @@
                 prefix=request.prefix,
                 avoid=frozenset(progress.failed_endpoints),
                 may_repeat=route.is_idempotent,
+                version=progress.version,
             )
             if lease is None:
                 lease = await self._acquire(service, slot_request, progress)
-            handover = self._build_handover(lease, slot_request, deadline_s)
+            handover = self._build_handover(lease, slot_request, progress, deadline_s)
             next_lease: SlotLease | None = None
             try:
                 lease.outcome = await self._send_once(
@@ -239,24 +240,29 @@
                 await asyncio.sleep(_backoff_s(progress))
 
     def _build_handover(
-        self, lease: SlotLease, slot_request: SlotRequest, deadline_s: float
+        self,
+        lease: SlotLease,
+        slot_request: SlotRequest,
+        progress: RequestProgress,
+        deadline_s: float,
     ) -> Handover:
         """Return the handover of an attempt to an endpoint that did not fail yet."""
         slot_request = msgspec.structs.replace(
             slot_request, slot_deadline_s=deadline_s, holds_slot=True
         )
         return Handover(
-            partial(self._acquire_elsewhere, lease, slot_request),
+            partial(self._acquire_elsewhere, lease, slot_request, progress),
             self._slots.release,
             self._reporter,
         )
 
     async def _acquire_elsewhere(
-        self, silent: SlotLease, slot_request: SlotRequest
+        self, silent: SlotLease, slot_request: SlotRequest, progress: RequestProgress
     ) -> SlotLease:
         """Acquire a slot outside the silent endpoint, at one that did not fail before
         if there is one.
         """
+        slot_request = msgspec.structs.replace(slot_request, version=progress.version)
         while True:
             lease = await self._try_acquire_elsewhere(silent, slot_request)
             if lease is not None:
@@ -266,7 +272,8 @@
     async def _try_acquire_elsewhere(
         self, silent: SlotLease, slot_request: SlotRequest
     ) -> SlotLease | None:
-        listed = {e.id for e in self._view.endpoints.serving(silent.service)}
+        serving = self._view.endpoints.serving(silent.service, slot_request.version)
+        listed = {e.id for e in serving}
         others = listed - {silent.endpoint}
         if not others:
             return None
@@ -286,7 +293,14 @@
     async def _acquire(
         self, service: ServiceName, slot_request: SlotRequest, progress: RequestProgress
     ) -> SlotLease:
-        is_listed = any(True for _ in self._view.endpoints.serving(service))
+        version = slot_request.version
+        is_listed = any(True for _ in self._view.endpoints.serving(service, version))
+        if not is_listed and version and progress.may_have_run:
+            raise RequestError(
+                ErrorKind.ENDPOINT_FAILED,
+                f"no endpoint of version {version} is left",
+                ran=Ran.UNKNOWN,
+            )
         if not is_listed and not progress.may_have_run:
             raise RequestError(ErrorKind.ENDPOINT_MISSING, "no endpoint is listed")
         requested_s = self._clock.now_s()
@@ -346,6 +360,11 @@
         if endpoint is None or endpoint.is_leaving:
             progress.record_failure(lease.endpoint, "endpoint left", may_have_run=False)
             return SlotOutcome.UNKNOWN
+        if progress.version and endpoint.version != progress.version:
+            progress.record_failure(
+                lease.endpoint, "another version", may_have_run=False
+            )
+            return SlotOutcome.UNKNOWN
         # Other daemons may have seen it crash endpoints while it waited.
         self._check_quarantine(request, admission.team)
         call = self._build_call(request, admission.team, progress, deadline_s)
@@ -361,7 +380,13 @@
                 endpoint,
                 silence_limits.first_event_s,
                 lambda response: self._forward(
-                    response, route, writer, progress, silence_limits, handover
+                    response,
+                    endpoint,
+                    route,
+                    writer,
+                    progress,
+                    silence_limits,
+                    handover,
                 ),
                 handover=handover,
                 on_limit=partial(self._slots.record_limit, lease),
@@ -438,6 +463,7 @@
     async def _forward(
         self,
         response: EngineResponse,
+        endpoint: Endpoint,
         route: Route,
         writer: ResponseWriter,
         progress: RequestProgress,
@@ -446,7 +472,7 @@
     ) -> None:
         if route.kind is RouteKind.STREAMING and response.status == 200:
             await self._forward_stream(
-                response, silence_limits, handover, writer, progress
+                response, endpoint, silence_limits, handover, writer, progress
             )
         else:
             await self._forward_body(response, route, writer, progress)
@@ -488,6 +514,7 @@
     async def _forward_stream(
         self,
         response: EngineResponse,
+        endpoint: Endpoint,
         silence_limits: SilenceLimits,
         handover: Handover,
         writer: ResponseWriter,
@@ -501,6 +528,7 @@
         async for events in batches:
             for event in events:
                 progress.record_event(event)
+            progress.version = endpoint.version
             data = b"".join(event.raw for event in events)
             await self._forward_events(response, writer, progress, data)
         if not progress.response_started:
--- a/apricotquay/serving/requests.py
+++ b/apricotquay/serving/requests.py
@@ -96,6 +96,8 @@
         self.endpoint: str = ""
         self.was_sent: bool = False
         self.is_at_endpoint: bool = False
+        # The software version of the endpoint that began the stream, if it has begun.
+        self.version: str = ""
 
     def record_failure(
         self, endpoint: EndpointId, reason: str, *, may_have_run: bool
--- a/apricotquay/serving/slotowner.py
+++ b/apricotquay/serving/slotowner.py
@@ -250,6 +250,7 @@
             frozenset(message.avoid),
             message.may_repeat,
             message.holds_slot,
+            message.version,
         )
         self._add_peer_ticket(connection, message.service, ticket.id)
         decisions = self.table(message.service).request_slot(ticket, now_s)
@@ -394,7 +395,8 @@
             for entry in self._view.endpoints.serving(service)
         }
         limits = self._limits_of(service, now_s)
-        return table.set_endpoints(slot_counts, now_s, statuses, limits)
+        versions = {e.id: e.version for e in self._view.endpoints.serving(service)}
+        return table.set_endpoints(slot_counts, now_s, statuses, limits, versions)
 
     def _limits_of(
         self, service: ServiceName, now_s: float
--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -62,6 +62,7 @@
     avoid: frozenset[str] = frozenset()
     may_repeat: bool = True
     holds_slot: bool = False
+    version: str = ""
 
 
 class SlotLease(msgspec.Struct):
@@ -167,9 +168,10 @@
             request.slot_deadline_s,
             request.expected_duration_s,
             request.prefix,
-            self._excluded_endpoints(service, request.avoid),
+            self._excluded_endpoints(service, request),
             request.may_repeat,
             request.holds_slot,
+            request.version,
         )
         owner = self._owner(service)
         self._update_owner(service, owner)
@@ -237,10 +239,12 @@
         return TicketId(f"{self._daemon_name}#{next(self._ticket_numbers)}")
 
     def _excluded_endpoints(
-        self, service: ServiceName, failed: frozenset[str]
+        self, service: ServiceName, request: SlotRequest
     ) -> frozenset[str]:
         """Return the failed and ejected endpoints, as far as others are left to use."""
-        listed = {e.id for e in self._view.endpoints.serving(service)}
+        failed = request.avoid
+        serving = self._view.endpoints.serving(service, request.version)
+        listed = {e.id for e in serving}
         ejected = self._view.endpoints.ejected(service, self._clock.now_s())
         if listed - failed - ejected:
             return failed | ejected
@@ -284,6 +288,7 @@
             sorted(ticket.avoid),
             ticket.may_repeat,
             ticket.holds_slot,
+            ticket.version,
         )
         try:
             async with asyncio.timeout(OWNER_ANSWER_TIMEOUT_S):
--- a/tests/test_serving_dispatch.py
+++ b/tests/test_serving_dispatch.py
@@ -372,3 +372,58 @@
         count += 1
         apply(dispatcher.request_slot(ticket, now_s), now_s)
     return waits
+
+
+class VersionTest(ApricotTest):
+    """Tickets of streams under way, which need endpoints of one software version."""
+
+    def table(self) -> Dispatcher:
+        """Return a table of two endpoints with two slots each."""
+        dispatcher = Dispatcher(seed=1)
+        counts = {EndpointId("a"): 2, EndpointId("b"): 2}
+        versions = {EndpointId("a"): "v1", EndpointId("b"): "v2"}
+        dispatcher.set_endpoints(counts, 0.0, versions=versions)
+        return dispatcher
+
+    def test_stream_waits_for_its_version_and_holds_no_other_up(self):
+        """A free slot of another version is of no use to it."""
+        table = self.table()
+        for name in ("t1", "t2"):
+            decisions = table.request_slot(online(name, version="v1"), 0.0)
+            self.assertEqual([Granted(TicketId(name), EndpointId("a"))], decisions)
+        for number in range(2 * MAX_SKIPPED_TICKETS):
+            ticket = online(f"w{number}", version="v1", holds_slot=True)
+            self.assertEqual([], table.request_slot(ticket, 0.0))
+        for name in ("u1", "u2"):
+            decisions = table.request_slot(online(name, due_s=0.9), 0.1)
+            self.assertEqual([Granted(TicketId(name), EndpointId("b"))], decisions)
+        decisions = table.release(TicketId("t1"), 0.2)
+        self.assertEqual([Granted(TicketId("w0"), EndpointId("a"))], decisions)
+
+    def test_items_are_revoked_at_the_version_that_is_waited_for(self):
+        """A slot of another version would not help."""
+        table = self.table()
+        for name, version in (("i1", "v2"), ("i2", "v2"), ("i3", "v1"), ("i4", "v1")):
+            ticket = Ticket(TicketId(name), Work.BATCH, 9.0, 3600.0, version=version)
+            table.request_slot(ticket, 0.0)
+        decisions = table.request_slot(online("t", 1.0, version="v1"), 0.1)
+        self.assertIn(decisions, [[Revoked(TicketId("i3"))], [Revoked(TicketId("i4"))]])
+
+    def test_tickets_of_all_versions_are_served_by_due_time(self):
+        """Ten random tables: no ticket is left waiting while its version has a slot."""
+        for seed in range(10):
+            rng = random.Random(seed)
+            table = self.table()
+            left = {f"t{n}": rng.choice(["", "v1", "v2"]) for n in range(60)}
+            running = []
+            for name, version in left.items():
+                due_s = rng.uniform(50, 60)
+                ticket = online(name, due_s, 1e6, version=version)
+                running += table.request_slot(ticket, 0.0)
+            while running:
+                granted = running.pop(0)
+                version = left.pop(granted.ticket)
+                endpoint = {"v1": "a", "v2": "b"}.get(version, granted.endpoint)
+                self.assertEqual(endpoint, granted.endpoint)
+                running += table.release(granted.ticket, 0.0)
+            self.assertEqual({}, left)
