Let a stream that is taken up go on only at the version that began it

What callers saw: a stream that they took up at another daemon went on at any version.

Cause: an identity that ended with one attempt and one daemon: nothing told which version the attempt that Resumes names had begun at.

Change: the daemon that passes a stream's first event on records its version under a hash of team and attempt, and tells two owners of shards by that hash while several versions serve, or after its start. A daemon where a stream is taken up looks at its own records, then asks all owners of shards (at most 0.25 s); the first who knows decides. What nobody knows is refused as not run (stream_unknown), unless only one version was listed for as long as a stream may last.

Ruled out: a version worked out from the id (falls apart when versions change); the slots' owner alone as keeper (dies with its streams' daemon); guessing.

--- a/apricotquay/errors.py
+++ b/apricotquay/errors.py
@@ -37,6 +37,7 @@
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINT_FAILED = "endpoint_failed"
     STREAM_BROKEN = "stream_broken"
+    STREAM_UNKNOWN = "stream_unknown"
     VIEW_STALE = "view_stale"
     LIMIT_UNAVAILABLE = "limit_unavailable"
     LOG_UNAVAILABLE = "log_unavailable"
@@ -83,6 +84,7 @@
     ErrorKind.ENDPOINT_REFUSED: ErrorResponse(503, _NOT_RUN, 1_000),
     ErrorKind.ENDPOINT_FAILED: ErrorResponse(502, _UNKNOWN, 1_000),
     ErrorKind.STREAM_BROKEN: ErrorResponse(502, _RAN, 1_000),
+    ErrorKind.STREAM_UNKNOWN: ErrorResponse(503, _NOT_RUN, 1_000),
     ErrorKind.VIEW_STALE: ErrorResponse(503, _NOT_RUN, 2_000),
     ErrorKind.LIMIT_UNAVAILABLE: ErrorResponse(503, _NOT_RUN, 2_000),
     ErrorKind.LOG_UNAVAILABLE: ErrorResponse(503, _UNKNOWN, 5_000),
--- a/apricotquay/events.py
+++ b/apricotquay/events.py
@@ -59,6 +59,7 @@
     REQUEST_ABANDONED = (1606, "request abandoned by its caller")
     CONNECTION_FAILED = (1607, "connection closed within a request")
     PARTS_QUARANTINED = (1608, "parts of prompts quarantined")
+    STREAM_TAKEN_UP = (1609, "stream taken up")
     JOB_ACCEPTED = (1701, "job accepted")
     JOB_FINISHED = (1702, "job finished")
     JOB_CANCELLED = (1703, "job cancelled")
--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -365,6 +365,7 @@
         int(resume) if resume is not None and resume.isdigit() else None,
         parts[-2] if len(parts) > 1 else "",
         wire.decode_prompt_parts(request.headers),
+        request.header(wire.RESUMES) or "",
     )
 
 
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -26,6 +26,7 @@
     CallNotServed,
     CancelJob,
     CrashSeen,
+    FindStream,
     HeldSlot,
     LimitList,
     LimitSeen,
@@ -38,6 +39,7 @@
     SlotQueued,
     SlotRefused,
     SlotRevoked,
+    StreamBegan,
     SubmitJob,
     TakeToken,
     TicketList,
@@ -50,6 +52,7 @@
 from .reporting import Reporter
 from .shards import Shards
 from .slots import SlotAllocator
+from .streamkeeper import StreamKeeper
 from .tasks import start_task
 from .view import Directory, View
 from .viewexchange import ViewExchange
@@ -158,6 +161,9 @@
         self.slots = SlotAllocator(
             self.view, self.shards, self.peers, self.clock, name, self.reporter
         )
+        self.streams = StreamKeeper(
+            self.view, self.shards, self.peers, self.clock, self.reporter
+        )
         self.rates = RateLimiter(
             self.view, self.shards, self.peers, self.clock, settings.starts_full
         )
@@ -185,6 +191,7 @@
             self.slots,
             attempts,
             self.metrics,
+            self.streams,
             self.clock,
             self.reporter,
         )
@@ -214,6 +221,7 @@
         self.crashes.start()
         self.exchange.start()
         self.slots.start()
+        self.streams.start()
         self.runner.start()
         await self.callers.start(settings.callers.host, settings.callers.port)
         self._tasks = [
@@ -274,6 +282,7 @@
         await self.runner.close()
         await self.jobs.close()
         self.slots.close()
+        await self.streams.close()
         await self.exchange.close()
         await self.crashes.close()
         await self.crash_log.close()
@@ -335,6 +344,7 @@
         self.metrics.set_gauge("view_age_s", round(self.view.age_s(), 3))
         self.metrics.set_gauge("shards_owned", len(self.shards.owned))
         self.metrics.set_gauge("callers_busy", self.callers.busy_count)
+        self.metrics.set_gauge("streams_kept", self.streams.kept_count)
         self.metrics.set_gauge("endpoints_limited", self.slots.tables.limited_count)
         headers = [(b"content-type", b"text/plain; charset=utf-8")]
         body = self.metrics.render().encode()
@@ -353,6 +363,11 @@
         if isinstance(message, CrashSeen):
             self.crashes.handle_crash_seen(message)
             return None
+        if isinstance(message, StreamBegan):
+            self.streams.handle_stream_began(message)
+            return None
+        if isinstance(message, FindStream):
+            return self.streams.handle_find_stream(message)
         if isinstance(message, PullView):
             return self.exchange.handle_pull_view(message)
         return CallNotServed("not a call")
--- a/apricotquay/serving/endpoints.py
+++ b/apricotquay/serving/endpoints.py
@@ -1,6 +1,6 @@
 """The endpoints that the platform lists, and which of them take new work. Pure."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -69,6 +69,10 @@
         """Return an endpoint that may still be used."""
         return self._entries.get(endpoint_id)
 
+    def all(self) -> Iterable[Endpoint]:
+        """Return all endpoints that may still be used, leaving ones included."""
+        return self._entries.values()
+
     def record_list_unavailable(self, now_s: float) -> None:
         """Record that the list cannot be read; entries it drops may return."""
         if self._unavailable_since_s is None:
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -237,6 +237,29 @@
     value: bytes
 
 
+class StreamBegan(msgspec.Struct, frozen=True, tag="stream_began"):
+    """Tells the software versions that began streams, by the streams' keys."""
+
+    streams: list[tuple[bytes, str]]
+
+
+class FindStream(msgspec.Struct, frozen=True, tag="find_stream"):
+    """Asks which version began a stream of a service."""
+
+    service: ServiceName
+    key: bytes
+
+
+class StreamFound(msgspec.Struct, frozen=True, tag="stream_found"):
+    """A stream's versions, none if it is unknown. `listed` are the service's versions
+    that the sender has observed lately, `is_complete` whether for long enough.
+    """
+
+    versions: list[str]
+    listed: list[str]
+    is_complete: bool
+
+
 class CallNotServed(msgspec.Struct, frozen=True, tag="not_here"):
     """This daemon could not serve the call; `reason` is for logs."""
 
@@ -266,6 +289,9 @@
     | PullView
     | ViewRecords
     | CrashSeen
+    | StreamBegan
+    | FindStream
+    | StreamFound
     | CallNotServed
 )
 
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from functools import partial
 
 import msgspec
@@ -36,6 +37,7 @@
     interruption_error,
 )
 from .slots import SlotAllocator, SlotLease, SlotRequest, SlotUnavailableError
+from .streamkeeper import StreamKeeper
 from .timeouts import MAX_FIRST_EVENT_TIMEOUT_S, AdaptiveTimeouts, SilenceLimits
 from .view import View
 
@@ -49,6 +51,7 @@
 NOT_RUN_BACKOFF_S = 0.02
 MAX_NOT_RUN_BACKOFF_S = 0.2
 MIN_RETRY_AFTER_MS = 100
+MAX_SHOWN_ID_LENGTH = 40
 # Reserved out of a request's time for sending the response back to the caller.
 DEADLINE_MARGIN_S = 0.03
 
@@ -66,9 +69,11 @@
         slots: SlotAllocator,
         attempts: AttemptRunner,
         metrics: ServingMetrics,
+        streams: StreamKeeper,
         clock: Clock,
         reporter: Reporter,
     ) -> None:
+        self._streams: StreamKeeper = streams
         self._view: View = view
         self._rates: RateLimiter = rates
         self._slots: SlotAllocator = slots
@@ -207,6 +212,7 @@
         """Retry until a response is delivered or no further attempt is allowed."""
         route = admission.route
         service = route.service_for(random.random())
+        await self._find_version(request, admission, progress, service)
         due_s = request.arrived_s + route.objective_ms / 1000
         lease: SlotLease | None = None
         while True:
@@ -239,6 +245,52 @@
             if lease is None:
                 await asyncio.sleep(_backoff_s(progress))
 
+    async def _find_version(
+        self,
+        request: OnlineRequest,
+        admission: Admission,
+        progress: RequestProgress,
+        service: ServiceName,
+    ) -> None:
+        """Find which version a stream that is taken up goes on at; raise RequestError
+        if that is not known.
+        """
+        is_stream = admission.route.kind is RouteKind.STREAMING
+        if request.resume_after is None or not is_stream:
+            return
+        team = TeamId(admission.team.id) if admission.team else None
+        known = await self._streams.find(service, team, request.resumes)
+        self._metrics.count("streams_taken_up")
+        self._reporter.write(
+            Event.STREAM_TAKEN_UP,
+            request=request.id,
+            resumes=request.resumes[:MAX_SHOWN_ID_LENGTH],
+            after=request.resume_after,
+            version=known.version,
+            known_by=known.known_by,
+        )
+        if not known.version:
+            raise RequestError(
+                ErrorKind.STREAM_UNKNOWN, "the version that began it is not known"
+            )
+        progress.version = known.version
+
+    def _record_version(
+        self,
+        request: OnlineRequest,
+        admission: Admission,
+        progress: RequestProgress,
+        endpoint: Endpoint,
+    ) -> None:
+        """Record the version of a stream's first event before it is passed on."""
+        if progress.version and progress.response_started:
+            return
+        progress.version = endpoint.version
+        team = TeamId(admission.team.id) if admission.team else None
+        attempts = {request.id, request.resumes} if request.resumes else {request.id}
+        for attempt in attempts:
+            self._streams.record(endpoint.service, team, attempt, endpoint.version)
+
     def _build_handover(
         self,
         lease: SlotLease,
@@ -295,7 +347,8 @@
     ) -> SlotLease:
         version = slot_request.version
         is_listed = any(True for _ in self._view.endpoints.serving(service, version))
-        if not is_listed and version and progress.may_have_run:
+        others_are_listed = any(True for _ in self._view.endpoints.serving(service))
+        if not is_listed and others_are_listed and progress.may_have_run:
             raise RequestError(
                 ErrorKind.ENDPOINT_FAILED,
                 f"no endpoint of version {version} is left",
@@ -373,6 +426,9 @@
         silence_limits = self._timeouts.silence_limits(
             route, lease.service, progress.failed_attempts
         )
+        on_events = partial(
+            self._record_version, request, admission, progress, endpoint
+        )
         started_s = self._clock.now_s()
         try:
             await self._attempts.run(
@@ -381,12 +437,12 @@
                 silence_limits.first_event_s,
                 lambda response: self._forward(
                     response,
-                    endpoint,
                     route,
                     writer,
                     progress,
                     silence_limits,
                     handover,
+                    on_events,
                 ),
                 handover=handover,
                 on_limit=partial(self._slots.record_limit, lease),
@@ -463,16 +519,16 @@
     async def _forward(
         self,
         response: EngineResponse,
-        endpoint: Endpoint,
         route: Route,
         writer: ResponseWriter,
         progress: RequestProgress,
         silence_limits: SilenceLimits,
         handover: Handover,
+        on_events: Callable[[], None],
     ) -> None:
         if route.kind is RouteKind.STREAMING and response.status == 200:
             await self._forward_stream(
-                response, endpoint, silence_limits, handover, writer, progress
+                response, silence_limits, handover, writer, progress, on_events
             )
         else:
             await self._forward_body(response, route, writer, progress)
@@ -514,11 +570,11 @@
     async def _forward_stream(
         self,
         response: EngineResponse,
-        endpoint: Endpoint,
         silence_limits: SilenceLimits,
         handover: Handover,
         writer: ResponseWriter,
         progress: RequestProgress,
+        on_events: Callable[[], None],
     ) -> None:
         """Forward complete events as they arrive."""
         first_s = (
@@ -528,7 +584,7 @@
         async for events in batches:
             for event in events:
                 progress.record_event(event)
-            progress.version = endpoint.version
+            on_events()
             data = b"".join(event.raw for event in events)
             await self._forward_events(response, writer, progress, data)
         if not progress.response_started:
--- a/apricotquay/serving/requests.py
+++ b/apricotquay/serving/requests.py
@@ -21,7 +21,8 @@
 
     `caller_timeout_ms` is how long the caller waits, `resume_after` the id of the
     last event that it received from an earlier response, `prefix` identifies the
-    prompt's shared prefix, `prompt_parts` are its parts without the last. Times in
+    prompt's shared prefix, `prompt_parts` are its parts without the last. `resumes`
+    is the id of the request that brought the first event of the stream. Times in
     seconds are read from the daemon's clock.
     """
 
@@ -38,6 +39,7 @@
     resume_after: int | None = None
     prefix: str = ""
     prompt_parts: list[PartKey] = []
+    resumes: str = ""
 
 
 class ResponseWriter(Protocol):
--- /dev/null
+++ b/apricotquay/serving/streamkeeper.py
@@ -0,0 +1,234 @@
+"""Keeps the software versions of streams under way, with the other daemons.
+
+The daemon that passes a stream's first event on tells two others, chosen among the
+owners of shards by the stream's key. A daemon where the stream is taken up asks all
+owners of shards. What nobody knows is not guessed, unless only one version was listed
+for as long as a stream may last.
+"""
+
+import asyncio
+import contextlib
+
+import msgspec
+
+from ..clocks import Clock
+from ..errors import PeerUnavailableError
+from ..ids import TeamId, stable_hash
+from .catalog import ServiceName
+from .messages import FindStream, Message, StreamBegan, StreamFound
+from .peers import Peers
+from .reporting import Reporter
+from .shards import Shards
+from .streamversions import StreamVersions, VersionHistory, stream_key
+from .tasks import start_task
+from .view import View
+
+# How long a stream may last, with its callers' later attempts, and how long endpoints
+# go on after they were listed last.
+STREAM_LIFETIME_S = 15.0
+KEEPERS_PER_STREAM = 2
+QUESTION_TIMEOUT_S = 0.25
+TELL_TIMEOUT_S = 0.5
+OBSERVE_INTERVAL_S = 0.25
+# With an older view, versions that only other daemons know may serve.
+MAX_VIEW_AGE_S = 2.5
+# The key of a stream that its caller does not name.
+NO_STREAM = b""
+
+
+class KnownVersion(msgspec.Struct, frozen=True):
+    """A stream's version and who knew it; empty if nobody knows it for sure."""
+
+    version: str = ""
+    known_by: str = "nobody"
+
+
+class StreamKeeper:
+    """Records the versions of streams and finds them. One per daemon, used by
+    `OnlineRequestHandler`.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        shards: Shards,
+        peers: Peers,
+        clock: Clock,
+        reporter: Reporter,
+    ) -> None:
+        self._view: View = view
+        self._shards: Shards = shards
+        self._peers: Peers = peers
+        self._clock: Clock = clock
+        self._reporter: Reporter = reporter
+        self._own = StreamVersions(STREAM_LIFETIME_S)
+        self._kept = StreamVersions(STREAM_LIFETIME_S)
+        self._history = VersionHistory(STREAM_LIFETIME_S)
+        self._is_telling: bool = False
+        self._observer: asyncio.Task | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def kept_count(self) -> int:
+        """Number of streams whose versions this daemon keeps for others."""
+        return len(self._kept)
+
+    def start(self) -> None:
+        """Start to observe which versions are listed."""
+        self._observer = start_task("versions", self._observe_loop, self._reporter)
+
+    async def close(self) -> None:
+        """Stop."""
+        for task in (self._observer, *self._tasks):
+            if task is not None:
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
+
+    def record(
+        self, service: ServiceName, team: TeamId | None, attempt: str, version: str
+    ) -> None:
+        """Record the version of a stream before its first event is passed on."""
+        now_s = self._clock.now_s()
+        key = stream_key(team, attempt)
+        self._own.record(key, version, now_s)
+        self._observe()
+        if self._must_tell(service, now_s):
+            self._tell([(key, version)])
+
+    async def find(
+        self, service: ServiceName, team: TeamId | None, attempt: str
+    ) -> KnownVersion:
+        """Return the version of a stream that a caller takes up."""
+        self._observe()
+        now_s = self._clock.now_s()
+        versions = self._history.versions(service, now_s)
+        is_current = self._view.age_s() < MAX_VIEW_AGE_S
+        if len(versions) == 1 and is_current and self._history.is_complete(now_s):
+            return KnownVersion(next(iter(versions)), "the only version")
+        key = stream_key(team, attempt) if attempt else NO_STREAM
+        own = self._find_here(key)
+        if own:
+            return _only(own, "this daemon")
+        return await self._ask(service, key)
+
+    def handle_stream_began(self, message: StreamBegan) -> None:
+        """Keep the versions that a peer tells."""
+        now_s = self._clock.now_s()
+        for key, version in message.streams:
+            self._kept.record(key, version, now_s)
+
+    def handle_find_stream(self, message: FindStream) -> Message:
+        """Tell a peer what this daemon knows of a stream."""
+        self._observe()
+        now_s = self._clock.now_s()
+        return StreamFound(
+            sorted(self._find_here(message.key)),
+            sorted(self._history.versions(message.service, now_s)),
+            self._history.is_complete(now_s),
+        )
+
+    def _find_here(self, key: bytes) -> frozenset[str]:
+        now_s = self._clock.now_s()
+        return self._own.find(key, now_s) | self._kept.find(key, now_s)
+
+    async def _ask(self, service: ServiceName, key: bytes) -> KnownVersion:
+        """Ask all owners of shards; the first who knows the stream decides."""
+        calls = [
+            asyncio.ensure_future(self._ask_peer(address, FindStream(service, key)))
+            for address in self._shards.addresses()
+        ]
+        replies = []
+        try:
+            async with asyncio.timeout(QUESTION_TIMEOUT_S):
+                for call in asyncio.as_completed(calls):
+                    reply = await call
+                    if reply is not None and reply.versions:
+                        return _only(frozenset(reply.versions), "a peer")
+                    replies.append(reply)
+        except TimeoutError:
+            replies.append(None)
+        finally:
+            for call in calls:
+                call.cancel()
+        return self._find_only_version(service, replies)
+
+    def _find_only_version(
+        self, service: ServiceName, replies: list[StreamFound | None]
+    ) -> KnownVersion:
+        """Return the only version that this daemon and all that answered have seen, if
+        one of them has observed for long enough.
+        """
+        answers = [reply for reply in replies if reply is not None]
+        listed = self._history.versions(service, self._clock.now_s())
+        listed = listed.union(*(answer.listed for answer in answers))
+        if not any(answer.is_complete for answer in answers):
+            return KnownVersion()
+        return _only(listed, "the only version")
+
+    async def _ask_peer(self, address: str, question: FindStream) -> StreamFound | None:
+        try:
+            reply = await self._peers.call(address, question, QUESTION_TIMEOUT_S)
+        except PeerUnavailableError:
+            # Peers logs the failure; the others may know the stream.
+            return None
+        return reply if isinstance(reply, StreamFound) else None
+
+    def _must_tell(self, service: ServiceName, now_s: float) -> bool:
+        """Whether another daemon could not know a stream's version by itself."""
+        several = len(self._history.versions(service, now_s)) > 1
+        return several or not self._history.is_complete(now_s)
+
+    def _tell(self, streams: list[tuple[bytes, str]]) -> None:
+        """Tell the keepers of streams their versions."""
+        told: dict[str, list[tuple[bytes, str]]] = {}
+        for key, version in streams:
+            for address in self._keepers(key):
+                told.setdefault(address, []).append((key, version))
+        for address, its_streams in told.items():
+            message = StreamBegan(its_streams)
+            connection = self._peers.find_connection(address)
+            if connection is not None:
+                connection.send(message)
+                continue
+            task = asyncio.ensure_future(self._connect_and_tell(address, message))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _connect_and_tell(self, address: str, message: StreamBegan) -> None:
+        with contextlib.suppress(PeerUnavailableError, TimeoutError):
+            # Peers logs the failure; the stream has another keeper.
+            async with asyncio.timeout(TELL_TIMEOUT_S):
+                connection = await self._peers.connect(address)
+                connection.send(message)
+
+    def _keepers(self, key: bytes) -> list[str]:
+        """Return the daemons that keep a stream's version, besides this one."""
+        addresses = self._shards.addresses()
+        addresses.sort(key=lambda address: stable_hash(key.hex(), address))
+        return addresses[:KEEPERS_PER_STREAM]
+
+    def _observe(self) -> None:
+        self._history.observe(self._view.endpoints.all(), self._clock.now_s())
+
+    async def _observe_loop(self) -> None:
+        while True:
+            self._observe()
+            self._tell_recent_streams()
+            await asyncio.sleep(OBSERVE_INTERVAL_S)
+
+    def _tell_recent_streams(self) -> None:
+        """Tell the versions of streams that began while one version was listed."""
+        now_s = self._clock.now_s()
+        services = {endpoint.service for endpoint in self._view.endpoints.all()}
+        several = any(len(self._history.versions(s, now_s)) > 1 for s in services)
+        if several and not self._is_telling:
+            self._tell(self._own.recent(now_s - STREAM_LIFETIME_S))
+        self._is_telling = several
+
+
+def _only(versions: frozenset[str], known_by: str) -> KnownVersion:
+    """Return the version if it is the only one."""
+    if len(versions) != 1:
+        return KnownVersion()
+    return KnownVersion(next(iter(versions)), known_by)
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -32,6 +32,7 @@
     SERVICE,
     FakeRates,
     FakeSlots,
+    FakeStreams,
     FakeView,
     ScriptedEngines,
     ScriptedResponse,
@@ -183,7 +184,14 @@
         metrics = ServingMetrics()
         attempts = AttemptRunner(view, self.engines, crashes, metrics, clock, reporter)
         online = OnlineRequestHandler(
-            view, self.rates, self.slots, attempts, metrics, clock, reporter
+            view,
+            self.rates,
+            self.slots,
+            attempts,
+            metrics,
+            FakeStreams(),
+            clock,
+            reporter,
         )
         return CallerApi(online, self.jobs, metrics, clock, reporter)
 
--- a/tests/test_serving_handover.py
+++ b/tests/test_serving_handover.py
@@ -26,7 +26,14 @@
 
 from .base import ApricotTest
 from .test_serving_jobs import quiet_reporter
-from .test_serving_online import FakeRates, FakeView, RecordingWriter, event, route
+from .test_serving_online import (
+    FakeRates,
+    FakeStreams,
+    FakeView,
+    RecordingWriter,
+    event,
+    route,
+)
 from .test_serving_slots import ENDPOINTS, SERVICE, SlotDaemon
 
 SILENCE_LIMIT_S = 0.02
@@ -228,7 +235,14 @@
         )
         attempts = AttemptRunner(view, endpoints, crashes, metrics, clock, reporter)
         return OnlineRequestHandler(
-            view, FakeRates(REQUESTS), daemon.slots, attempts, metrics, clock, reporter
+            view,
+            FakeRates(REQUESTS),
+            daemon.slots,
+            attempts,
+            metrics,
+            FakeStreams(),
+            clock,
+            reporter,
         )
 
     async def serve(
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -38,6 +38,7 @@
 from apricotquay.serving.ratelimiter import RateDecision
 from apricotquay.serving.requests import OnlineRequest
 from apricotquay.serving.slots import SlotLease, SlotUnavailableError
+from apricotquay.serving.streamkeeper import KnownVersion
 from apricotquay.serving.timeouts import AdaptiveTimeout
 from standins.keyedlog import MemoryLog
 
@@ -157,6 +158,22 @@
         self.outcomes.append(lease.outcome)
 
 
+class FakeStreams:
+    """Knows one version of all streams, empty for none."""
+
+    def __init__(self, version: str = "v1") -> None:
+        self.version = version
+        self.recorded: list[tuple[str, str]] = []
+
+    def record(self, service, team, attempt, version) -> None:
+        """Keep an attempt and its version."""
+        self.recorded.append((attempt, version))
+
+    async def find(self, service, team, attempt) -> KnownVersion:
+        """Return the version."""
+        return KnownVersion(self.version, "the test")
+
+
 class FakeRates:
     """Admits a given number of requests."""
 
@@ -177,7 +194,8 @@
         self.configuration = Configuration(3, [route], [], [team], Limits())
         self.endpoints = EndpointTable()
         for number in range(endpoint_count):
-            entry = Endpoint(EndpointId(f"e{number}"), SERVICE, "127.0.0.1", 1)
+            name = EndpointId(f"e{number}")
+            entry = Endpoint(name, SERVICE, "127.0.0.1", 1, version="v1")
             self.endpoints.apply(entry.id, entry, number, 0.0)
 
     def age_s(self) -> float:
@@ -242,6 +260,7 @@
         rates=None,
         slots=None,
         endpoint_count=3,
+        version="v1",
         **request,
     ):
         """Serve a request; return the recorded response and the engines."""
@@ -264,7 +283,14 @@
         metrics = ServingMetrics()
         attempts = AttemptRunner(view, engines, crashes, metrics, clock, reporter)
         handler = OnlineRequestHandler(
-            view, rates or FakeRates(), slots, attempts, metrics, clock, reporter
+            view,
+            rates or FakeRates(),
+            slots,
+            attempts,
+            metrics,
+            FakeStreams(version),
+            clock,
+            reporter,
         )
         writer = RecordingWriter()
 
@@ -724,6 +750,20 @@
         self.assertEqual((event(3), "complete"), (writer.body, writer.ending))
         self.assertEqual(2, engines.calls[1][0].resume_after)
 
+    @parameterized.expand(
+        [
+            ("unknown", "", "stream_unknown"),
+            ("one that no endpoint has", "v0", "endpoint_missing"),
+        ]
+    )
+    def test_stream_is_not_resumed_at_another_version(self, _name, version, ending):
+        """The caller is told at once that nothing has run."""
+        writer, engines = self.serve(
+            route(is_resumable=True), [], version=version, resume_after=2
+        )
+        self.assertEqual((503, ending), (writer.status, writer.ending))
+        self.assertEqual([], engines.calls)
+
     @parameterized.expand(
         [
             ("no body", ScriptedResponse(200, [None]), 504),
