Let a batch item go on only at the version that began it

What callers saw: an item's text could hold events of two software versions; items are resumed each time that online work takes their slots, also by another owner.

Change: the progress record carries it (earlier records have none: such items run anew). An item asks for slots of its version, and begins anew once no endpoint has it. The slot table refuses tickets whose version no endpoint has any more, since an item may wait for an hour; an online request looks again after each refusal.

--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -12,7 +12,7 @@
 from ..clocks import Clock
 from ..events import Event
 from .attempts import MAX_BODY_BYTES, AttemptRunner, read_events
-from .catalog import Route
+from .catalog import Route, ServiceName
 from .dispatch import Work
 from .engine import (
     AttemptFailedError,
@@ -64,6 +64,8 @@
         self.data: list[str] = list(known.data) if known else []
         self.last_id: int = known.last_id if known else -1
         self.failures: int = known.failures if known else 0
+        # The software version of the endpoints that made the output.
+        self.version: str = known.version if known else ""
         self.ran_s: float = 0.0
         self._failed_endpoint: str = ""
         self._fruitless_in_a_row: int = 0
@@ -91,22 +93,26 @@
         self.ran_s += ran_s
         self._failed_endpoint = endpoint if failed else ""
 
-    def append_event(self, event: StreamEvent) -> None:
-        """Append an event; raise AttemptFailedError if ids are missing."""
+    def append_event(self, event: StreamEvent, version: str) -> None:
+        """Append an event of a version; raise AttemptFailedError if ids are missing."""
         expected = self.last_id + 1
         if self.last_id >= 0 and event.id != expected:
             raise AttemptFailedError(f"event {event.id} came instead of {expected}")
         self.data.append(event.data)
         self.last_id = event.id
+        self.version = version
 
     def discard_output(self) -> None:
         """Forget the output so far; the next attempt starts from the beginning."""
         self.data.clear()
         self.last_id = -1
+        self.version = ""
 
     def to_record(self) -> ProgressRecord:
         """Return the record from which another daemon can resume the item."""
-        return ProgressRecord(self.last_id, list(self.data), self.failures)
+        return ProgressRecord(
+            self.last_id, list(self.data), self.failures, self.version
+        )
 
 
 class RunningItem(msgspec.Struct):
@@ -360,6 +366,7 @@
         service = route.service_for(random.random())
         due_s = self._clock.now_s() + (job.header.due_ms - self._clock.wall_ms()) / 1000
         item = job.items[index]
+        self._discard_lost_version(service, progress)
         needs_s = self._run_times.remaining_s(progress.ran_s)
         slot_request = SlotRequest(
             Work.BATCH,
@@ -367,6 +374,7 @@
             due_s + MAX_SLOT_WAIT_S,
             needs_s,
             avoid=progress.endpoints_to_avoid(),
+            version=progress.version,
         )
         requested_s = self._clock.now_s()
         try:
@@ -414,6 +422,17 @@
         )
         return result
 
+    def _discard_lost_version(
+        self, service: ServiceName, progress: ItemProgress
+    ) -> None:
+        """Discard output that no endpoint can go on with; the item runs anew."""
+        endpoints = self._view.endpoints
+        if progress.last_id < 0 or not any(endpoints.serving(service)):
+            return
+        if progress.version and any(endpoints.serving(service, progress.version)):
+            return
+        progress.discard_output()
+
     async def _send(
         self,
         job: Job,
@@ -425,6 +444,8 @@
         endpoint = self._view.endpoints.get(lease.endpoint)
         if endpoint is None or endpoint.is_leaving:
             return AttemptResult(Outcome.RETRY, "endpoint left")
+        if progress.version and endpoint.version != progress.version:
+            return AttemptResult(Outcome.RETRY, "another version")
         item = job.items[index]
         headers = [
             (b"host", job.header.host.encode()),
@@ -448,7 +469,7 @@
                 call,
                 endpoint,
                 EVENT_TIMEOUT_S,
-                lambda response: _read_output(response, progress),
+                lambda response: _read_output(response, progress, endpoint.version),
                 # An accepted item is owed, whatever ended while it ran.
                 may_crash_endpoints=False,
                 on_limit=partial(self._slots.record_limit, lease),
@@ -468,7 +489,7 @@
 
 
 async def _read_output(
-    response: EngineResponse, progress: ItemProgress
+    response: EngineResponse, progress: ItemProgress, version: str
 ) -> AttemptResult:
     """Read a response; only a failure of the endpoint's processing counts against
     the item."""
@@ -485,5 +506,5 @@
             progress.discard_output()
             raise AttemptFailedError(f"output of more than {MAX_BODY_BYTES} bytes")
         for event in events:
-            progress.append_event(event)
+            progress.append_event(event, version)
     return AttemptResult(Outcome.DONE, slot_outcome=SlotOutcome.SUCCEEDED)
--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -300,6 +300,7 @@
             Refused(ticket.id, self._retry_after_s(self._expected_wait_s(now_s), now_s))
             for ticket in late
         ]
+        refusals += self._refuse_missing_versions()
         return refusals + list(self._serve_queues(now_s))
 
     def _refuse_if_too_late(self, ticket: Ticket, now_s: float) -> Refused | None:
@@ -311,6 +312,17 @@
             return None
         return Refused(ticket.id, self._retry_after_s(wait_s, now_s))
 
+    def _refuse_missing_versions(self) -> Iterable[Refused]:
+        """Refuse waiting tickets that need a version which no endpoint has any more."""
+        listed = {s.version for s in self._slots.values() if s.is_open}
+        wanted = {v for queues in self._queues.values() for v in queues if v}
+        if not listed or wanted <= listed:
+            return
+        for ticket in list(self._waiting.values()):
+            if ticket.version and ticket.version not in listed:
+                self._stop_waiting(ticket.id)
+                yield Refused(ticket.id, 0.0)
+
     def _hopeless_tickets(self, now_s: float) -> list[Ticket]:
         """Return the waiting online tickets that would be granted a slot too late."""
         waiting = [
--- a/apricotquay/serving/jobrecords.py
+++ b/apricotquay/serving/jobrecords.py
@@ -62,11 +62,13 @@
 
 class ProgressRecord(msgspec.Struct, frozen=True):
     """An item's output so far: the events' data up to the id `last_id`, -1 for none,
-    and how often it has failed."""
+    and how often it has failed. `version` is the software version of the endpoints
+    that made the events, empty if it is not known."""
 
     last_id: int
     data: list[str]
     failures: int = 0
+    version: str = ""
 
     def is_newer_than(self, known: "ProgressRecord | None") -> bool:
         """Whether this record has more events or failures than `known`."""
@@ -161,16 +163,18 @@
 def encode_progress(key: str, item: int, progress: ProgressRecord) -> KeyedRecord:
     """Return the record of an item's progress."""
     text = "\x00".join(progress.data).encode("utf-8", "surrogateescape")
-    value = cbor2.dumps([progress.last_id, zlib.compress(text, 1), progress.failures])
+    fields = [progress.last_id, zlib.compress(text, 1), progress.failures]
+    value = cbor2.dumps([*fields, progress.version])
     return KeyedRecord(_progress_key(key, item), value)
 
 
 def decode_progress(value: bytes) -> ProgressRecord:
     """Decode a progress record."""
-    last_id, packed, failures = cbor2.loads(value)
+    # Earlier releases wrote no version.
+    last_id, packed, failures, *version = cbor2.loads(value)
     text = zlib.decompress(packed).decode("utf-8", "surrogateescape")
     data = text.split("\x00") if last_id >= 0 else []
-    return ProgressRecord(last_id, data, failures)
+    return ProgressRecord(last_id, data, failures, *version)
 
 
 def progress_tombstone(key: str, item: int) -> KeyedRecord:
--- a/apricotquay/serving/jobtable.py
+++ b/apricotquay/serving/jobtable.py
@@ -74,7 +74,9 @@
         if item not in self.open_items or not progress.is_newer_than(known):
             return
         if known is not None and known.last_id > progress.last_id:
-            progress = ProgressRecord(known.last_id, known.data, progress.failures)
+            progress = ProgressRecord(
+                known.last_id, known.data, progress.failures, known.version
+            )
         self.progress[item] = progress
 
     def apply_result(self, item: int, result: ResultRecord) -> None:
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -345,7 +345,16 @@
     async def _acquire(
         self, service: ServiceName, slot_request: SlotRequest, progress: RequestProgress
     ) -> SlotLease:
-        version = slot_request.version
+        requested_s = self._clock.now_s()
+        lease = await self._wait_for_slot(service, slot_request, progress)
+        progress.slot_granted_by = lease.owner or "own table"
+        progress.slot_wait_ms = int((self._clock.now_s() - requested_s) * 1000)
+        return lease
+
+    def _check_listed(
+        self, service: ServiceName, version: str, progress: RequestProgress
+    ) -> None:
+        """Raise RequestError if no endpoint can serve the request."""
         is_listed = any(True for _ in self._view.endpoints.serving(service, version))
         others_are_listed = any(True for _ in self._view.endpoints.serving(service))
         if not is_listed and others_are_listed and progress.may_have_run:
@@ -356,16 +365,12 @@
             )
         if not is_listed and not progress.may_have_run:
             raise RequestError(ErrorKind.ENDPOINT_MISSING, "no endpoint is listed")
-        requested_s = self._clock.now_s()
-        lease = await self._wait_for_slot(service, slot_request, progress)
-        progress.slot_granted_by = lease.owner or "own table"
-        progress.slot_wait_ms = int((self._clock.now_s() - requested_s) * 1000)
-        return lease
 
     async def _wait_for_slot(
         self, service: ServiceName, slot_request: SlotRequest, progress: RequestProgress
     ) -> SlotLease:
         while True:
+            self._check_listed(service, slot_request.version, progress)
             try:
                 return await self._slots.acquire(service, slot_request)
             except SlotUnavailableError as exc:
