Find the endpoints with room once for all queues of a slot table

For each ticket and rank the table looked through all endpoints for one with room, and asked each limit. They are found once for each decision now.

--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -150,17 +150,19 @@
         """Whether the endpoint's limit allows a request now."""
         return self.limit is None or self.limit.may_send(now_s)
 
-    def can_run(self, ticket: Ticket, now_s: float) -> bool:
-        """Whether a ticket can be granted a slot now, whatever it avoids."""
-        if not self.is_open or self.free <= 0:
+    def is_available(self, now_s: float) -> bool:
+        """Whether some ticket could be granted a slot now."""
+        return self.is_open and self.count > len(self.running) and self.may_send(now_s)
+
+    def suits(self, ticket: Ticket, now_s: float) -> bool:
+        """Whether a ticket may use the endpoint, which is available."""
+        if self.endpoint in ticket.avoid:
             return False
         if ticket.version and ticket.version != self.version:
             return False
-        if self.limit is None:
+        if self.limit is None or ticket.work is Work.ONLINE:
             return True
-        if ticket.work is Work.BATCH:
-            return self.limit.may_send_batch(now_s)
-        return self.limit.may_send(now_s)
+        return self.limit.may_send_batch(now_s)
 
     def throughput_per_s(self, service_time_s: float, now_s: float) -> float:
         """Return how many online requests a second the endpoint can begin."""
@@ -387,15 +389,21 @@
         return self._queues[rank].setdefault(version, [])
 
     def _serve_queues(self, now_s: float) -> Iterable[Decision]:
+        available = [s for s in self._slots.values() if s.is_available(now_s)]
         for rank in Rank:
-            yield from self._serve_rank(rank, now_s)
+            if available:
+                yield from self._serve_rank(rank, available, now_s)
         yield from self._revoke_for_online(now_s)
 
-    def _serve_rank(self, rank: Rank, now_s: float) -> Iterable[Decision]:
-        """Grant slots to a rank's queues; move tickets that became late."""
+    def _serve_rank(
+        self, rank: Rank, available: list[_EndpointSlots], now_s: float
+    ) -> Iterable[Decision]:
+        """Grant slots to a rank's queues; move tickets that became late. Endpoints
+        that take no more are removed from `available`.
+        """
         skipped = []
         blocked: set[str] = set()
-        while len(skipped) < MAX_SKIPPED_TICKETS and self._has_free_slot(now_s):
+        while available and len(skipped) < MAX_SKIPPED_TICKETS:
             queue = self._next_queue(rank, blocked)
             if queue is None:
                 break
@@ -407,7 +415,7 @@
             if current_rank is not rank:
                 heapq.heappush(self._queue(current_rank, ticket.version), entry)
                 continue
-            slots = self._choose_endpoint(ticket, now_s)
+            slots = self._choose_endpoint(ticket, available, now_s)
             if slots is None:
                 skipped.append(entry)
                 if not ticket.avoid:
@@ -417,6 +425,8 @@
             self._assign(ticket, slots, now_s)
             if slots.limit is not None:
                 slots.limit.take(now_s)
+            if not slots.is_available(now_s):
+                available.remove(slots)
             yield Granted(ticket.id, slots.endpoint)
         for entry in skipped:
             heapq.heappush(self._queue(rank, entry[2].version), entry)
@@ -432,10 +442,12 @@
         open_queues = [q for v, q in queues.items() if q and v not in blocked]
         return min(open_queues, key=lambda queue: queue[0][:2], default=None)
 
-    def _choose_endpoint(self, ticket: Ticket, now_s: float) -> _EndpointSlots | None:
+    def _choose_endpoint(
+        self, ticket: Ticket, available: list[_EndpointSlots], now_s: float
+    ) -> _EndpointSlots | None:
         """Choose the least loaded endpoint, or the one that served the prefix last
         if at least half of its slots are free."""
-        usable = self._usable_endpoints(ticket, now_s)
+        usable = self._usable_endpoints(ticket, available, now_s)
         if not usable:
             return None
         if self._has_limits:
@@ -454,13 +466,11 @@
             self._endpoint_of_prefix[ticket.prefix] = slots.endpoint
         return slots
 
-    def _usable_endpoints(self, ticket: Ticket, now_s: float) -> list[_EndpointSlots]:
-        """Return the endpoints with a free slot that a ticket may use now."""
-        with_free_slots = [
-            s
-            for s in self._slots.values()
-            if s.can_run(ticket, now_s) and s.endpoint not in ticket.avoid
-        ]
+    def _usable_endpoints(
+        self, ticket: Ticket, available: list[_EndpointSlots], now_s: float
+    ) -> list[_EndpointSlots]:
+        """Return the available endpoints that a ticket may use now."""
+        with_free_slots = [s for s in available if s.suits(ticket, now_s)]
         if ticket.work is Work.BATCH:
             return [
                 s for s in with_free_slots if s.status is not EndpointStatus.EJECTED
@@ -487,7 +497,7 @@
 
     def _revoke_for_online(self, now_s: float) -> Iterable[Decision]:
         """Revoke one batch item for each waiting online ticket that can be in time."""
-        if len(self._batch_running) == len(self._revoked):
+        if not self._waiting_online or len(self._batch_running) == len(self._revoked):
             return
         wanted = collections.Counter(
             t.version
@@ -525,11 +535,6 @@
         slack_s = ticket.due_s - now_s - remaining_s
         return float("-inf") if slack_s < 0 else -slack_s
 
-    def _has_free_slot(self, now_s: float) -> bool:
-        return any(
-            s.is_open and s.free > 0 and s.may_send(now_s) for s in self._slots.values()
-        )
-
     def _stop_waiting(self, ticket_id: TicketId) -> None:
         self._waiting.pop(ticket_id, None)
         self._waiting_online.pop(ticket_id, None)
