--- /dev/null
+++ b/tests/test_streamversions.py
@@ -0,0 +1,233 @@
+"""Which software version began a stream: records, history, questions to peers."""
+
+import asyncio
+
+from parameterized import parameterized
+
+from apricotquay.errors import PeerUnavailableError
+from apricotquay.ids import EndpointId, TeamId
+from apricotquay.serving import streamkeeper, streamversions
+from apricotquay.serving.catalog import ServiceName
+from apricotquay.serving.endpoints import Endpoint, EndpointTable
+from apricotquay.serving.messages import FindStream, StreamBegan, StreamFound
+from apricotquay.serving.streamkeeper import StreamKeeper
+from apricotquay.serving.streamversions import (
+    StreamVersions,
+    VersionHistory,
+    stream_key,
+)
+
+from .base import ApricotTest
+from .test_serving_jobs import quiet_reporter
+from .test_serving_slots import SteppedClock
+
+SERVICE = ServiceName("llm")
+TEAM = TeamId("team")
+KEPT_S = 10.0
+
+
+def endpoint(name: str, version: str) -> Endpoint:
+    """Return an endpoint of a version."""
+    return Endpoint(EndpointId(name), SERVICE, "h", 1, version=version)
+
+
+class StreamVersionsTest(ApricotTest):
+    """The records of one daemon."""
+
+    @parameterized.expand(
+        [
+            ("another team", TeamId("other"), "a"),
+            ("another attempt", TEAM, "b"),
+            ("both run together", TeamId("tea"), "ma"),
+            ("no team", None, "a"),
+        ]
+    )
+    def test_key_names_one_attempt_of_one_team(self, _name, team, attempt):
+        """Nobody learns of another team's streams, whatever ids are invented."""
+        self.assertNotEqual(stream_key(TEAM, "a"), stream_key(team, attempt))
+        self.assertEqual(streamversions.KEY_BYTES, len(stream_key(TEAM, "x" * 9_999)))
+
+    def test_id_that_is_used_twice_has_both_versions(self):
+        """Neither may be taken for the stream's."""
+        records = StreamVersions(KEPT_S)
+        records.record(b"k", "v1", 0.0)
+        records.record(b"k", "v2", 1.0)
+        self.assertEqual({"v1", "v2"}, records.find(b"k", 2.0))
+
+    def test_records_are_bounded_in_time_and_number(self):
+        """The oldest go first; one that is recorded again stays."""
+        self.patch(streamversions, "MAX_STREAMS", 3)
+        records = StreamVersions(KEPT_S)
+        for number in range(3):
+            records.record(b"%d" % number, "v1", float(number))
+        records.record(b"0", "v1", 3.0)
+        records.record(b"3", "v1", 4.0)
+        self.assertEqual(3, len(records))
+        self.assertEqual(frozenset(), records.find(b"1", 4.0))
+        self.assertEqual({"v1"}, records.find(b"0", 4.0))
+        self.assertEqual(frozenset(), records.find(b"0", 3.0 + KEPT_S))
+
+    def test_version_that_is_gone_counts_as_long_as_its_streams_may_last(self):
+        """A stream may have begun there."""
+        history = VersionHistory(KEPT_S)
+        history.observe([endpoint("a", "v1"), endpoint("b", "v2")], 0.0)
+        history.observe([endpoint("b", "v2")], 5.0)
+        self.assertEqual({"v1", "v2"}, history.versions(SERVICE, 9.0))
+        self.assertFalse(history.is_complete(9.0))
+        history.observe([endpoint("b", "v2")], 11.0)
+        self.assertEqual({"v2"}, history.versions(SERVICE, 11.0))
+        self.assertTrue(history.is_complete(11.0))
+
+
+class FixedPeers:
+    """Answers questions with given replies by address; None does not answer."""
+
+    def __init__(self, replies: dict[str, StreamFound | None]) -> None:
+        self.replies = replies
+        self.sent: dict[str, list] = {}
+
+    async def call(self, address: str, message, timeout_s: float) -> StreamFound:
+        """Return the reply, or fail."""
+        reply = self.replies[address]
+        if reply is None:
+            await asyncio.sleep(timeout_s)
+            raise PeerUnavailableError("silent")
+        return reply
+
+    def find_connection(self, address: str) -> "FixedConnection":
+        """Return an open connection."""
+        return FixedConnection(self.sent.setdefault(address, []))
+
+
+class FixedConnection:
+    """Keeps the messages that are sent."""
+
+    def __init__(self, sent: list) -> None:
+        self._sent = sent
+
+    def send(self, message) -> None:
+        """Keep a message."""
+        self._sent.append(message)
+
+
+class FixedOwners:
+    """The addresses of other owners of shards."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        self._addresses = addresses
+
+    def addresses(self) -> list[str]:
+        """Return the addresses."""
+        return list(self._addresses)
+
+
+class ListedEndpoints:
+    """A view with endpoints of the given versions."""
+
+    def __init__(self, versions: list[str]) -> None:
+        self.endpoints = EndpointTable()
+        self.at_s: float = 0.0
+        for number, version in enumerate(versions):
+            entry = endpoint(f"e{number}", version)
+            self.endpoints.apply(entry.id, entry, number, 0.0)
+
+    def age_s(self) -> float:
+        """Return the view's age."""
+        return self.at_s
+
+
+UNKNOWN = StreamFound([], ["v1"], True)
+UNKNOWN_OF_TWO = StreamFound([], ["v1", "v2"], True)
+UNKNOWN_SINCE_NOW = StreamFound([], ["v1"], False)
+
+
+class StreamKeeperTest(ApricotTest):
+    """One daemon's questions and answers."""
+
+    def keeper(self, versions: list[str], replies: dict) -> StreamKeeper:
+        """Return a keeper whose daemon has just started."""
+        self.clock = SteppedClock()
+        self.view = ListedEndpoints(versions)
+        self.peers = FixedPeers(replies)
+        self.patch(streamkeeper, "QUESTION_TIMEOUT_S", 0.05)
+        owners = FixedOwners(sorted(replies))
+        return StreamKeeper(self.view, owners, self.peers, self.clock, quiet_reporter())
+
+    def find(self, keeper: StreamKeeper, attempt: str = "a") -> str:
+        """Return the version that is found."""
+        return asyncio.run(keeper.find(SERVICE, TEAM, attempt)).version
+
+    @parameterized.expand(
+        [
+            (
+                "a peer knows",
+                {"p": UNKNOWN_OF_TWO, "q": StreamFound(["v2"], [], True)},
+                "v2",
+            ),
+            (
+                "a peer knows, another is silent",
+                {"p": None, "q": StreamFound(["v2"], [], True)},
+                "v2",
+            ),
+            ("its id was used twice", {"p": StreamFound(["v1", "v2"], [], True)}, ""),
+            ("nobody knows, two serve", {"p": UNKNOWN_OF_TWO, "q": UNKNOWN}, ""),
+            ("nobody knows, one served", {"p": UNKNOWN, "q": UNKNOWN_SINCE_NOW}, "v1"),
+            ("all have just started", {"p": UNKNOWN_SINCE_NOW}, ""),
+            ("all are silent", {"p": None, "q": None}, ""),
+            ("there are no others", {}, ""),
+        ]
+    )
+    def test_version_is_asked_for_and_never_guessed(self, _name, replies, expected):
+        """This daemon has just started and sees one version."""
+        self.assertEqual(expected, self.find(self.keeper(["v1"], replies)))
+
+    @parameterized.expand([("fresh", 0.0, "v1"), ("old", 60.0, "")])
+    def test_only_version_is_certain_with_a_fresh_view(self, _name, age_s, expected):
+        """Another version may serve that only others know."""
+        keeper = self.keeper(["v1"], {})
+        self.find(keeper)
+        self.clock.at_s += streamkeeper.STREAM_LIFETIME_S + 1
+        self.view.at_s = age_s
+        self.assertEqual(expected, self.find(keeper, ""))
+
+    def test_two_peers_are_told_while_versions_serve_side_by_side(self):
+        """They answer when this daemon is gone."""
+        keeper = self.keeper(["v1", "v2"], dict.fromkeys("pqrs", UNKNOWN))
+        keeper.record(SERVICE, TEAM, "a", "v1")
+        message = StreamBegan([(stream_key(TEAM, "a"), "v1")])
+        told = [messages for messages in self.peers.sent.values() if messages]
+        self.assertEqual([[message], [message]], told)
+        other = self.keeper(["v1", "v2"], {})
+        other.handle_stream_began(message)
+        answer = other.handle_find_stream(FindStream(SERVICE, stream_key(TEAM, "a")))
+        self.assertEqual(["v1"], answer.versions)
+
+    def test_nobody_is_told_while_one_version_serves(self):
+        """Each daemon can tell by itself."""
+        keeper = self.keeper(["v1"], dict.fromkeys("pqrs", UNKNOWN))
+        self.find(keeper)
+        self.clock.at_s += streamkeeper.STREAM_LIFETIME_S + 1
+        keeper.record(SERVICE, TEAM, "a", "v1")
+        self.assertEqual({}, self.peers.sent)
+
+    def test_streams_under_way_are_told_when_a_second_version_starts(self):
+        """Their daemon may be gone when they are taken up."""
+
+        async def scenario() -> None:
+            keeper = self.keeper(["v1"], dict.fromkeys("pqrs", UNKNOWN))
+            self.patch(streamkeeper, "OBSERVE_INTERVAL_S", 0.001)
+            await keeper.find(SERVICE, TEAM, "a")
+            self.clock.at_s += streamkeeper.STREAM_LIFETIME_S + 1
+            keeper.record(SERVICE, TEAM, "a", "v1")
+            keeper.start()
+            await asyncio.sleep(0.02)
+            self.assertEqual({}, self.peers.sent)
+            self.view.endpoints.apply(
+                EndpointId("n"), endpoint("n", "v2"), 9, self.clock.at_s
+            )
+            async with asyncio.timeout(5.0):
+                while len(self.peers.sent) < 2:
+                    await asyncio.sleep(0.001)
+            await keeper.close()
+
+        asyncio.run(scenario())
