Lose no event that came together with a gap

Cause: recorded before sent, one by one. All ids are checked first now. The test failed before: the caller's body stayed empty, as the second attempt's first event came again.

--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -587,8 +587,7 @@
         )
         batches = read_events(response, first_s, silence_limits.pause_s, handover)
         async for events in batches:
-            for event in events:
-                progress.record_event(event)
+            progress.record_events(events)
             on_events()
             data = b"".join(event.raw for event in events)
             await self._forward_events(response, writer, progress, data)
--- a/apricotquay/serving/requests.py
+++ b/apricotquay/serving/requests.py
@@ -1,6 +1,7 @@
 """Online requests of the event-loop daemon: admission, progress, response writer."""
 
 import asyncio
+from collections.abc import Sequence
 from typing import Protocol
 
 import msgspec
@@ -123,13 +124,16 @@
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self.last_event_s = now_s
 
-    def record_event(self, event: StreamEvent) -> None:
-        """Record a forwarded event; raise AttemptFailedError if ids are missing."""
-        if self.last_event_id is not None and event.id != self.last_event_id + 1:
-            raise AttemptFailedError(
-                f"event {event.id} came after {self.last_event_id}"
-            )
-        self.last_event_id = event.id
+    def record_events(self, events: Sequence[StreamEvent]) -> None:
+        """Record events that will be forwarded; raise AttemptFailedError, and record
+        none, if ids are missing.
+        """
+        last_id = self.last_event_id
+        for event in events:
+            if last_id is not None and event.id != last_id + 1:
+                raise AttemptFailedError(f"event {event.id} came after {last_id}")
+            last_id = event.id
+        self.last_event_id = last_id
 
 
 def interruption_error(reason: str, *, may_have_run: bool) -> RequestError:
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -743,6 +743,16 @@
         self.assertEqual("broken off", writer.ending)
         self.assertEqual(calls, len(engines.calls))
 
+    def test_event_before_a_gap_that_came_with_it_is_not_lost(self):
+        """The next attempt goes on after the last event that was passed on."""
+        script = [
+            ScriptedResponse(200, [event(0) + event(2)]),
+            ScriptedResponse(200, [event(0), event(1), event(2)]),
+        ]
+        writer, engines = self.serve(route(is_resumable=True), script)
+        self.assertEqual(event(0) + event(1) + event(2), writer.body)
+        self.assertIsNone(engines.calls[1][0].resume_after)
+
     def test_resuming_caller_continues_after_its_last_event(self):
         """A stream that skips the next event is a failed attempt."""
         script = [ScriptedResponse(200, [event(4)]), ScriptedResponse(200, [event(3)])]
