--- a/standins/processes.py
+++ b/standins/processes.py
@@ -96,10 +96,18 @@
 
 
 class PlatformProcesses:
-    """A store, model servers and event-loop daemons, each in its own process."""
+    """A store, model servers and event-loop daemons, each in its own process.
+
+    The servers have so many software `versions` in turn.
+    """
 
     def __init__(
-        self, daemons: int, servers: int, step_s: float, crashing_part: str = ""
+        self,
+        daemons: int,
+        servers: int,
+        step_s: float,
+        crashing_part: str = "",
+        versions: int = 1,
     ) -> None:
         self.output_dir = Path(tempfile.mkdtemp(prefix="apricotquay-"))
         self.proxy = FaultProxy()
@@ -107,6 +115,7 @@
         self.caller_addresses: list[Address] = []
         self._step_s: float = step_s
         self._crashing_part: str = crashing_part
+        self._versions: int = versions
         self._allocator = AddressAllocator()
         self._listeners: list[tuple[str, Address, Address]] = []
         self._store_address = self._allocator.allocate_address()
@@ -175,6 +184,7 @@
         args = ["standins.platform", "server", "--name", f"i-{number}"]
         args += ["--store", self.store_address, *_listen_args(listen)]
         args += ["--shown", _format_address(proxied), "--step-s", str(self._step_s)]
+        args += ["--version", f"v{number % self._versions}"]
         if self._crashing_part:
             args += ["--crashing-part", self._crashing_part]
         return self._make_process(f"i{number}", args)
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -90,13 +90,17 @@
 class Soak:
     """One run of the soak test; the seed determines its faults."""
 
-    def __init__(self, seed: int, seconds: float, daemons: int, servers: int) -> None:
+    def __init__(
+        self, seed: int, seconds: float, daemons: int, servers: int, versions: int
+    ) -> None:
         self.violations: list[str] = []
         self._rng = random.Random(seed)
         # Separate, so that the other faults of a seed stay as they are.
         self._silence_rng = random.Random(f"silence{seed}")
         self._seconds: float = seconds
-        self._fleet = PlatformProcesses(daemons, servers, EVENT_INTERVAL_S)
+        self._fleet = PlatformProcesses(
+            daemons, servers, EVENT_INTERVAL_S, versions=versions
+        )
         self._proxy = self._fleet.proxy
         self._caller_addresses = self._fleet.caller_addresses
         self._daemons = self._fleet.daemons
@@ -441,16 +445,7 @@
         requests = {request.id: request for request in self._requests}
         items = {item: job for job in self._jobs for item in job.items}
         for run_id, runs in runs_by_id.items():
-            if run_id not in requests and run_id not in items:
-                self.violations.append(f"{run_id} was run but never requested")
-            if any(run["key"] is not None for run in runs):
-                self.violations.append(f"{run_id} reached a server with its key")
-            team = requests[run_id].team if run_id in requests else "large"
-            if any(run["tenant"] != team for run in runs):
-                self.violations.append(f"{run_id} was run for another team")
-            statuses = items[run_id].statuses if run_id in items else []
-            if statuses and all(status in REFUSAL_STATUSES for status in statuses):
-                self.violations.append(f"{run_id} was run although its job was refused")
+            self._check_run(run_id, runs, requests.get(run_id), items.get(run_id))
         sent_to = self._read_attempts()
         for request in self._requests:
             runs = runs_by_id.get(request.id, [])
@@ -458,6 +453,27 @@
             servers = sent_to[request.daemon].get(request.id, set())
             self._check_end(request, servers | {run["server"] for run in runs})
 
+    def _check_run(
+        self,
+        run_id: str,
+        runs: list[dict],
+        request: SentRequest | None,
+        job: SubmittedJob | None,
+    ) -> None:
+        """Check the runs of one request or item on all servers."""
+        if request is None and job is None:
+            self.violations.append(f"{run_id} was run but never requested")
+        if any(run["key"] is not None for run in runs):
+            self.violations.append(f"{run_id} reached a server with its key")
+        if _has_two_versions(runs):
+            self.violations.append(f"{run_id} went on at another version")
+        team = request.team if request is not None else "large"
+        if any(run["tenant"] != team for run in runs):
+            self.violations.append(f"{run_id} was run for another team")
+        statuses = job.statuses if job is not None else []
+        if statuses and all(status in REFUSAL_STATUSES for status in statuses):
+            self.violations.append(f"{run_id} was run although its job was refused")
+
     def _read_attempts(self) -> list[dict[str, set[str]]]:
         """Return, by daemon and request, the servers that the daemon's log names."""
         attempts = []
@@ -523,11 +539,26 @@
         )
 
 
+def _has_two_versions(runs: list[dict]) -> bool:
+    """Whether a run went on at another version than the run that began before it."""
+    began = ""
+    for run in sorted(runs, key=lambda run: run["at"]):
+        if run["after"] < 0:
+            began = run["version"]
+        elif run["version"] != began:
+            return True
+    return False
+
+
 def main(
-    seed: int = 1, seconds: float = 20.0, daemons: int = 4, servers: int = 3
+    seed: int = 1,
+    seconds: float = 20.0,
+    daemons: int = 4,
+    servers: int = 3,
+    versions: int = 1,
 ) -> None:
     """Run the soak test with a seed and print the violated guarantees."""
-    soak = Soak(seed, seconds, daemons, servers)
+    soak = Soak(seed, seconds, daemons, servers, versions)
     violations = asyncio.run(soak.run())
     print(f"seed {seed}: {soak.summary()}")
     for line in violations:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
     @parameterized.expand(
         [
             ("short", 1, 5),
+            ("two software versions", 2, 8, 2),
             # Two SIGTERMs overlapped, and the soak test waited for the wrong process.
             ("overlapping stops", 14, 8),
             # Killed servers quarantined a request that all callers had sent.
@@ -25,9 +26,10 @@
             ("silent servers", 2003, 8),
         ]
     )
-    def test_no_guarantee_is_violated(self, _name, seed, seconds):
+    def test_no_guarantee_is_violated(self, _name, seed, seconds, versions=1):
         """The soak test finds no violation, whichever faults are injected."""
         args = ["standins.soak", "--seed", str(seed), "--seconds", str(seconds)]
+        args += ["--servers", str(3 * versions), "--versions", str(versions)]
         result = subprocess.run(
             [sys.executable, "-m", *args],
             cwd=ROOT,
