Tell peers how many daemons share a limit only as an owner

A daemon that owns nothing, and was asked by one peer by mistake, told it that two daemons share a limit; without an owner that peer's share would then be half of it. And a new owner, which few have asked yet, lowers the number by half at most.

--- a/apricotquay/serving/slotowner.py
+++ b/apricotquay/serving/slotowner.py
@@ -79,8 +79,8 @@
         self._tables: dict[ServiceName, Dispatcher] = {}
         self.limits = SendLimits()
         self._malformed: dict[EndpointId, str] = {}
-        # How many daemons share limits, as an owner told last.
-        self._known_daemons: int = DEFAULT_DAEMONS
+        # How many daemons share limits, as owners told; 0 if none has.
+        self._known_daemons: int = 0
         self._limits_told_s: float = float("-inf")
         self.is_owned: Callable[[ServiceName], bool] = lambda service: True
         self._peer_tickets: dict[TicketId, PeerTicket] = {}
@@ -301,7 +301,8 @@
 
     def _handle_limit_list(self, message: LimitList) -> None:
         if message.daemons:
-            self._known_daemons = message.daemons
+            # A new owner may not have been asked by all daemons yet.
+            self._known_daemons = max(message.daemons, self._known_daemons // 2)
         self._merge_limits(message.limits, "a peer")
 
     def _merge_limits(self, notices: list[LimitNotice], reason: str) -> None:
@@ -321,12 +322,18 @@
         changes = self.limits.take_changes(now_s)
         if not changes:
             return
+        message = LimitList(changes, self._told_daemons())
         for connection in self._tickets_of_connection:
-            connection.send(LimitList(changes, self._asking_daemons()))
+            connection.send(message)
 
     def _asking_daemons(self) -> int:
         return len(self._tickets_of_connection) + 1
 
+    def _told_daemons(self) -> int:
+        """Return the number of daemons to tell peers, 0 if this one owns nothing."""
+        owns_service = any(self.is_owned(service) for service in self._tables)
+        return self._asking_daemons() if owns_service else 0
+
     def _forget_limits(self, now_s: float) -> None:
         services = self._tables
         listed = {e.id for s in services for e in self._view.endpoints.serving(s)}
@@ -345,7 +352,7 @@
             connection.on_close.append(lambda: self._release_tickets_of(connection))
             if len(self.limits):
                 notices = self.limits.notices(self._clock.now_s())
-                connection.send(LimitList(notices, self._asking_daemons()))
+                connection.send(LimitList(notices, self._told_daemons()))
         self._tickets_of_connection[connection].add(ticket)
 
     def _release_tickets_of(self, connection: PeerConnection) -> None:
@@ -407,7 +414,11 @@
         if not len(self.limits):
             return {}
         is_owned = self.is_owned(service)
-        daemons = self._asking_daemons() if is_owned else self._known_daemons
+        daemons = (
+            self._asking_daemons()
+            if is_owned
+            else self._known_daemons or DEFAULT_DAEMONS
+        )
         found = {}
         for endpoint in self._view.endpoints.serving(service):
             limit = self.limits.find(endpoint)
--- a/tests/test_serving_slots.py
+++ b/tests/test_serving_slots.py
@@ -18,6 +18,7 @@
     Work,
 )
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
+from apricotquay.serving.engine import EndpointLimit
 from apricotquay.serving.messages import AskSlot, SlotGranted, SlotQueued
 from apricotquay.serving.outliers import SlotOutcome
 from apricotquay.serving.peers import Peers
@@ -332,6 +333,34 @@
 
         self.run_fleet(scenario, 3)
 
+    def test_limit_is_known_to_all_and_to_a_new_owner_before_it_grants(self):
+        """One daemon heard it; the new owner tells how many share it."""
+
+        async def scenario(fleet):
+            leases = [await self.acquire(daemon) for daemon in fleet[1:]]
+            fleet[1].slots.record_limit(leases[0], EndpointLimit(2.0))
+            while any(not d.slots.tables.limited_count for d in fleet):
+                await asyncio.sleep(0.01)
+            self.assertEqual(4, fleet[2].slots.tables._known_daemons)
+            new = SlotDaemon("d9")
+            await new.start()
+            try:
+                for daemon in (*fleet, new):
+                    daemon.shards.believed_owner = new.shards.address
+                await self.acquire(fleet[2])
+                self.assertEqual(1, new.slots.tables.limited_count)
+            finally:
+                await new.close()
+
+        self.run_fleet(scenario, 4)
+
+    def test_daemon_that_owns_nothing_tells_no_number_of_daemons(self):
+        """Few ask it, so that each would take too large a share of a limit."""
+        tables = SlotTables(FixedView(), SteppedClock(), quiet_reporter())
+        tables.is_owned = lambda service: False
+        tables.table(SERVICE)
+        self.assertEqual(0, tables._told_daemons())
+
     def test_unreachable_owner_is_replaced_by_the_local_table(self):
         """The local table grants at once."""
 
