Refuse a request that holds its key where endpoints or logs would see it

What callers saw: nothing; their key, written into another header, the path, the query or the body, also percent-encoded or within a batch item, reached an endpoint, the store and the log of the daemons on the platform.

Cause: only the key's own header was held back. The whole request is searched now before anything is done with it, decoded items too; 400, and the log line tells nothing of it.

The threaded daemon is as it was.

--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -18,6 +18,7 @@
 from ..serving.httpserver import CallerDisconnectedError, Exchange
 from ..serving.jobrecords import JobItem, Submission
 from ..serving.jobs import Jobs, JobsUnavailableError
+from ..serving.keysearch import contains_key, holds_key
 from ..serving.messages import JobPage
 from ..serving.metrics import ServingMetrics
 from ..serving.online import OnlineRequestHandler
@@ -56,6 +57,7 @@
     job_outcomes.OUTCOME_UNKNOWN: 504,
 }
 JOB_RETRY_AFTER_MS = 500
+KEY_ELSEWHERE = "the key stands outside its header; nothing has run"
 
 
 class _SubmittedItem(msgspec.Struct):
@@ -140,6 +142,10 @@
         """Handle one request and respond to it."""
         writer = ExchangeWriter(exchange)
         request = exchange.request
+        key = request.header(wire.CALLER_KEY)
+        if key and holds_key(request, key, wire.CALLER_KEY):
+            await self._refuse_exposed_key(writer)
+            return
         path, _, query = request.target.partition("?")
         try:
             await self._dispatch(exchange, request, path, query, writer)
@@ -165,6 +171,20 @@
             # An unexpected error ends this request only; the daemon keeps running.
             await self._handle_unexpected_error(request, path, writer, exc)
 
+    async def _refuse_exposed_key(self, writer: ExchangeWriter) -> None:
+        """Refuse a request that holds its key elsewhere; nothing of it is logged."""
+        error = RequestError(ErrorKind.BAD_REQUEST, KEY_ELSEWHERE)
+        self._metrics.count(f"refused_{error.kind.value}")
+        self._reporter.write(
+            Event.REQUEST_REFUSED,
+            request=None,
+            path="",
+            version=self._online.version,
+            kind=error.kind.value,
+            reason=error.message,
+        )
+        await writer.refuse(error)
+
     async def _handle_unexpected_error(
         self,
         request: HttpRequest,
@@ -391,6 +411,7 @@
         ]
     except (msgspec.DecodeError, binascii.Error) as exc:
         raise RequestError(ErrorKind.BAD_REQUEST, f"not a batch job: {exc}") from exc
+    _check_items(items, request.header(wire.CALLER_KEY) or "")
     job = request.header(wire.REQUEST_ID)
     if not job:
         raise RequestError(ErrorKind.BAD_REQUEST, "the batch job has no id")
@@ -408,6 +429,15 @@
     )
 
 
+def _check_items(items: list[JobItem], key: str) -> None:
+    """Raise RequestError if an item, as decoded, holds the key."""
+    for item in items:
+        texts = [item.id, item.path, *(text for pair in item.headers for text in pair)]
+        parts = [item.body, *(text.encode("utf-8", "replace") for text in texts)]
+        if any(contains_key(part, key) for part in parts):
+            raise RequestError(ErrorKind.BAD_REQUEST, KEY_ELSEWHERE)
+
+
 def _encode_page(page: JobPage, after: int) -> bytes:
     results = [
         {
