--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -318,7 +318,7 @@
 
 async def read_item(answer) -> None:
     """Read the output of a batch item."""
-    await _read_output(answer, ItemProgress(None))
+    await _read_output(answer, ItemProgress(None), "v1")
 
 
 def number_events():
@@ -398,7 +398,7 @@
         progress = ItemProgress(None)
 
         async def read(answer) -> None:
-            await _read_output(answer, progress)
+            await _read_output(answer, progress, "v1")
 
         outcome, sent = self.read_endless(CLOSED_HEAD, number_events(), read)
         self.assertEqual((FAILED, []), (outcome, progress.data))
@@ -436,7 +436,7 @@
             progress = ItemProgress(None)
             try:
                 answer = await ServerClient().send(call, endpoint)
-                await _read_output(answer, progress)
+                await _read_output(answer, progress, "v1")
                 return COMPLETE, len(progress.data)
             except AttemptFailedError:
                 return FAILED, len(progress.data)
