Send nothing new to an endpoint that says it leaves

Cause: servers that leave say so in their answers (Server-Leaving), and no code read the header, so daemons went on sending until the list said so. What callers saw: requests at a server that was about to exit, cut off when it did; on the stand-ins (6 daemons, 8 servers of which 3 say so, list unchanged) requests reached them throughout.

Change: the adapter decodes the header (exactly one value, 1) from all answers, refusals included, except from those of another server (421). The endpoint table marks that start of the endpoint as leaving, so it is out of the slot tables and the check before each send; the daemon's slot requests avoid it even if the owner does not know yet. The slots' owner is told and tells all daemons, also those that connect later. Waiting tickets of a service without endpoints are refused at once. A leaving server's refusal is no failure.

Ruled out: changing the list's entry only (the next record of the list brings it back); forgetting after a time (the same start never takes work again).

--- a/apricotquay/events.py
+++ b/apricotquay/events.py
@@ -51,6 +51,7 @@
     CRASH_NOT_CONFIRMED = (1507, "attempt ended but the endpoint did not crash")
     LIMIT_CHANGED = (1508, "endpoint named or lifted a limit on requests")
     LIMIT_MALFORMED = (1509, "endpoint named a limit that is no number")
+    ENDPOINT_SAID_LEAVING = (1510, "endpoint said in an answer that it leaves")
     REQUEST_ENDED = (1601, "request ended")
     REQUEST_RETRIED = (1602, "request retried")
     REQUEST_QUARANTINED = (1603, "request fingerprint quarantined")
--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -53,6 +53,7 @@
             name in FRAMING_HEADERS for name, _ in head.headers
         )
         self.limit: EndpointLimit = wire.decode_limit(list(head.headers))
+        self.is_leaving: bool = wire.decode_leaving(list(head.headers))
         self._connection: ClientConnection = connection
         self._may_be_empty: bool = may_be_empty or _has_delimited_body(head)
 
@@ -154,16 +155,18 @@
 def _check_head(call: EngineCall, head: h11.Response) -> None:
     """Raise unless the expected server sent this response to this call."""
     headers = list(head.headers)
+    is_leaving = wire.decode_leaving(headers)
     if head.status_code == MISDIRECTED_REQUEST:
         raise RequestNotRunError("another endpoint has the address", unreachable=True)
     if find_header(headers, wire.NOT_RUN) is not None:
         raise RequestNotRunError(
             f"endpoint refused with {head.status_code}",
             limit=wire.decode_limit(headers),
+            is_leaving=is_leaving,
         )
     if find_header(headers, wire.REQUEST_ID) != call.request_id:
         raise AttemptFailedError("the answer belongs to another request")
     if find_header(headers, b"content-encoding") is not None:
-        raise AttemptFailedError("the answer is encoded")
+        raise AttemptFailedError("the answer is encoded", is_leaving=is_leaving)
     if is_success(head.status_code) and find_header(headers, wire.SIGNATURE) is None:
-        raise AttemptFailedError("the answer has no signature")
+        raise AttemptFailedError("the answer has no signature", is_leaving=is_leaving)
--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -46,6 +46,7 @@
 ANSWERING_ENDPOINT = b"instance"
 SERVER_LOAD = b"server-load"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
 MODEL = b"model"
 PROMPT_PARTS = b"prompt-prefix"
 LONG_POLL_MS = b"wait-ms"
@@ -158,6 +159,11 @@
     return EndpointLimit(float(text))
 
 
+def decode_leaving(headers: HeaderList) -> bool:
+    """Whether a response says that its server leaves."""
+    return [value for name, value in headers if name == SERVER_LEAVING] == [b"1"]
+
+
 class PlatformDirectory:
     """Decodes the records of the platform's two topics; implements `Directory`."""
 
--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -13,7 +13,7 @@
 from ..events import Event
 from ..ids import EndpointId, TeamId
 from .crashes import CrashDetector
-from .endpoints import Endpoint
+from .endpoints import Endpoint, LeavingNotice
 from .engine import (
     NO_LIMIT,
     AttemptFailedError,
@@ -115,16 +115,18 @@
             was_abandoned = False
             if exc.limit != NO_LIMIT:
                 on_limit(exc.limit)
+            self._record_leaving(endpoint, exc.is_leaving)
             self._record_failure(
                 call,
                 endpoint,
                 fingerprint,
                 exc,
                 unreachable=exc.unreachable,
-                is_for_limit=exc.is_for_limit,
+                is_failure=exc.is_failure,
             )
             raise
         except AttemptFailedError as exc:
+            self._record_leaving(endpoint, exc.is_leaving)
             self._record_failure(
                 call,
                 endpoint,
@@ -189,6 +191,7 @@
             raise AttemptFailedError(
                 f"no answer within {response_timeout_s:.2f} s", timed_out=True
             ) from exc
+        self._record_leaving(endpoint, response.is_leaving)
         try:
             if is_success(response.status) or response.limit != NO_LIMIT:
                 on_limit(response.limit)
@@ -196,6 +199,12 @@
         finally:
             response.close()
 
+    def _record_leaving(self, endpoint: Endpoint, is_leaving: bool) -> None:
+        """Record what an answer to a request that was sent to an endpoint says."""
+        if is_leaving:
+            notice = LeavingNotice(endpoint.id, endpoint.started_ms)
+            self._view.record_leaving([notice], is_answer=True)
+
     def _record_failure(
         self,
         call: EngineCall,
@@ -206,7 +215,7 @@
         unreachable: bool = False,
         reset: bool = False,
         timed_out: bool = False,
-        is_for_limit: bool = False,
+        is_failure: bool = True,
     ) -> None:
         reason = str(error)
         self._metrics.count("attempts_failed")
@@ -223,7 +232,7 @@
             timed_out=timed_out,
             resumed_after=call.resume_after,
         )
-        if is_for_limit:
+        if not is_failure:
             return
         now_s = self._clock.now_s()
         if self._view.endpoints.record_failure(endpoint.id, unreachable, now_s):
--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -475,9 +475,7 @@
                 on_limit=partial(self._slots.record_limit, lease),
             )
         except RequestNotRunError as exc:
-            slot_outcome = SlotOutcome.FAILED
-            if exc.is_for_limit:
-                slot_outcome = SlotOutcome.UNKNOWN
+            slot_outcome = SlotOutcome.FAILED if exc.is_failure else SlotOutcome.UNKNOWN
             return AttemptResult(Outcome.RETRY, str(exc), slot_outcome)
         except AttemptFailedError as exc:
             return AttemptResult(
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -28,6 +28,7 @@
     CrashSeen,
     FindStream,
     HeldSlot,
+    LeavingList,
     LimitList,
     LimitSeen,
     Message,
@@ -73,6 +74,7 @@
     TicketList,
     LimitSeen,
     LimitList,
+    LeavingList,
     SlotQueued,
     SlotGranted,
     SlotRefused,
@@ -213,6 +215,7 @@
             metrics = settings.metrics
             await self.metrics_server.start(metrics.host, metrics.port)
         self.view.on_change = self._on_view_change
+        self.view.on_leaving = self.slots.tell_leaving
         self.shards.on_change = self._on_shards_change
         self.jobs.on_change = self.runner.wake
         self.view.start()
@@ -346,6 +349,8 @@
         self.metrics.set_gauge("callers_busy", self.callers.busy_count)
         self.metrics.set_gauge("streams_kept", self.streams.kept_count)
         self.metrics.set_gauge("endpoints_limited", self.slots.tables.limited_count)
+        leaving_count = len(self.view.endpoints.leaving_notices())
+        self.metrics.set_gauge("endpoints_said_leaving", leaving_count)
         headers = [(b"content-type", b"text/plain; charset=utf-8")]
         body = self.metrics.render().encode()
         await exchange.respond(HttpResponse(200, headers, body))
--- a/apricotquay/serving/endpoints.py
+++ b/apricotquay/serving/endpoints.py
@@ -20,13 +20,16 @@
 FAILURES_TO_EJECT = 3
 # At most this share of a service's endpoints is ejected for failed responses.
 MAX_EJECTED_SHARE = 0.4
+# How many endpoints that said they leave are remembered.
+MAX_LEAVING = 4_096
 
 
 class Endpoint(msgspec.Struct, frozen=True):
     """One start of a server, as the platform lists it.
 
-    `slots` is 0 if unknown, `version` that of its software. `EndpointTable` holds
-    the state at this daemon.
+    `slots` is 0 if unknown, `version` that of its software. It `is_leaving` if the
+    platform or an answer of the endpoint says so. `EndpointTable` holds the state at
+    this daemon.
     """
 
     id: EndpointId
@@ -40,6 +43,15 @@
     version: str = ""
 
 
+class LeavingNotice(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon tells others of an endpoint whose answer said that it leaves. It
+    holds for the start of the endpoint at `started_ms`.
+    """
+
+    endpoint: EndpointId
+    started_ms: int
+
+
 class LocalHealth:
     """The health of an endpoint as this daemon observes it."""
 
@@ -60,6 +72,8 @@
         self._offsets: dict[EndpointId, int] = {}
         self._removal_due_s: dict[EndpointId, float] = {}
         self._health: dict[EndpointId, LocalHealth] = {}
+        # The latest start of each endpoint whose answer said that it leaves.
+        self._leaving_start_ms: dict[EndpointId, int] = {}
         self._unavailable_since_s: float | None = None
         self._available_again_s: float = float("-inf")
         self._last_peer_read_s: float = float("-inf")
@@ -105,9 +119,43 @@
         previous = self._entries.get(endpoint_id)
         if previous is not None and previous.started_ms != entry.started_ms:
             self._health.pop(endpoint_id, None)
+        entry = self._with_what_answers_said(entry)
         self._entries[endpoint_id] = entry
         return previous != entry
 
+    def record_leaving(self, notice: LeavingNotice) -> bool:
+        """Record that an answer of an endpoint said that it leaves; return whether
+        this was not known. The list may call it ready long after.
+        """
+        known_ms = self._leaving_start_ms.get(notice.endpoint, -1)
+        if notice.started_ms <= known_ms:
+            return False
+        if known_ms < 0 and len(self._leaving_start_ms) >= MAX_LEAVING:
+            del self._leaving_start_ms[next(iter(self._leaving_start_ms))]
+        self._leaving_start_ms[notice.endpoint] = notice.started_ms
+        entry = self._entries.get(notice.endpoint)
+        if entry is not None:
+            self._entries[notice.endpoint] = self._with_what_answers_said(entry)
+        return True
+
+    def leaving_notices(self) -> list[LeavingNotice]:
+        """Return the listed endpoints whose answers said that they leave."""
+        listed = (self._entries.get(e) for e in self._leaving_start_ms)
+        return [
+            LeavingNotice(entry.id, entry.started_ms)
+            for entry in listed
+            if entry is not None and self._said_to_leave(entry)
+        ]
+
+    def _with_what_answers_said(self, entry: Endpoint) -> Endpoint:
+        """Return an entry as leaving if an answer of the same start said so."""
+        if not self._said_to_leave(entry):
+            return entry
+        return msgspec.structs.replace(entry, is_leaving=True)
+
+    def _said_to_leave(self, entry: Endpoint) -> bool:
+        return entry.started_ms <= self._leaving_start_ms.get(entry.id, -1)
+
     def expire(self, now_s: float) -> list[EndpointId]:
         """Remove entries whose grace period has ended; return them."""
         expired = [e for e, at_s in self._removal_due_s.items() if at_s <= now_s]
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -44,8 +44,8 @@
 class RequestNotRunError(ApricotquayError):
     """The endpoint certainly did not run the request.
 
-    `unreachable` means that no connection could be opened. `limit` is what the
-    endpoint's refusal says.
+    `unreachable` means that no connection could be opened. `limit` and `is_leaving`
+    are what the endpoint's refusal says.
     """
 
     def __init__(
@@ -54,42 +54,52 @@
         *,
         unreachable: bool = False,
         limit: EndpointLimit = NO_LIMIT,
+        is_leaving: bool = False,
     ) -> None:
         super().__init__(reason)
         self.unreachable: bool = unreachable
         self.limit: EndpointLimit = limit
+        self.is_leaving: bool = is_leaving
 
     @property
-    def is_for_limit(self) -> bool:
-        """Whether the endpoint is in need rather than failing."""
-        return self.limit.rate_per_s is not None
+    def is_failure(self) -> bool:
+        """Whether the endpoint failed, rather than being in need or leaving."""
+        return self.limit.rate_per_s is None and not self.is_leaving
 
 
 class AttemptFailedError(ApricotquayError):
     """The attempt failed after the request may have run.
 
-    `reset` means that the connection ended, `timed_out` that no data came in time.
+    `reset` means that the connection ended, `timed_out` that no data came in time,
+    `is_leaving` that the endpoint's response says so.
     """
 
     def __init__(
-        self, reason: str, *, reset: bool = False, timed_out: bool = False
+        self,
+        reason: str,
+        *,
+        reset: bool = False,
+        timed_out: bool = False,
+        is_leaving: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reset: bool = reset
         self.timed_out: bool = timed_out
+        self.is_leaving: bool = is_leaving
 
 
 class EngineResponse(Protocol):
     """An endpoint's response whose headers were read and match the call.
 
     If it `ends_with_connection`, it has no other sign of its end, so that a crash may
-    look like the end.
+    look like the end. `is_leaving` means that the endpoint says it takes no new work.
     """
 
     status: int
     headers: HeaderList
     ends_with_connection: bool
     limit: EndpointLimit
+    is_leaving: bool
 
     def body(self) -> AsyncIterator[bytes]:
         """Yield the body; raise AttemptFailedError if it is incomplete."""
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -11,6 +11,7 @@
 from ..ids import JobId, TeamId
 from .catalog import ServiceName
 from .dispatch import Work
+from .endpoints import LeavingNotice
 from .jobrecords import JobItem
 from .keyedlog import KeyedRecord
 from .outliers import SlotOutcome
@@ -105,6 +106,12 @@
     daemons: int = 0
 
 
+class LeavingList(msgspec.Struct, frozen=True, tag="leaving_list"):
+    """Endpoints whose answers said that they leave."""
+
+    endpoints: list[LeavingNotice]
+
+
 class TicketList(msgspec.Struct, frozen=True, tag="ticket_list"):
     """All tickets of the sender that hold slots of the owner or wait for them."""
 
@@ -277,6 +284,7 @@
     | TicketList
     | LimitSeen
     | LimitList
+    | LeavingList
     | TakeToken
     | TokenAnswer
     | SubmitJob
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -457,7 +457,7 @@
             raise
         except RequestNotRunError as exc:
             progress.record_failure(endpoint.id, str(exc), may_have_run=False)
-            return SlotOutcome.UNKNOWN if exc.is_for_limit else SlotOutcome.FAILED
+            return SlotOutcome.FAILED if exc.is_failure else SlotOutcome.UNKNOWN
         except AttemptFailedError as exc:
             progress.record_failure(endpoint.id, str(exc), may_have_run=True)
             if exc.timed_out:
--- a/apricotquay/serving/slotowner.py
+++ b/apricotquay/serving/slotowner.py
@@ -17,11 +17,12 @@
     Ticket,
     TicketId,
 )
-from .endpoints import Endpoint
+from .endpoints import Endpoint, LeavingNotice
 from .engine import EndpointLimit
 from .messages import (
     AskSlot,
     HeldSlot,
+    LeavingList,
     LimitList,
     LimitSeen,
     Message,
@@ -237,6 +238,13 @@
             self._handle_limit_seen(message)
         elif isinstance(message, LimitList):
             self._handle_limit_list(message)
+        elif isinstance(message, LeavingList):
+            self._view.record_leaving(message.endpoints, is_answer=False)
+
+    def tell_leaving(self, notices: list[LeavingNotice]) -> None:
+        """Tell peers that ask this daemon for slots which endpoints leave."""
+        for connection in self._tickets_of_connection:
+            connection.send(LeavingList(notices))
 
     def _handle_ask_slot(self, connection: PeerConnection, message: AskSlot) -> None:
         now_s = self._clock.now_s()
@@ -353,6 +361,9 @@
             if len(self.limits):
                 notices = self.limits.notices(self._clock.now_s())
                 connection.send(LimitList(notices, self._told_daemons()))
+            leaving = self._view.endpoints.leaving_notices()
+            if leaving:
+                connection.send(LeavingList(leaving))
         self._tickets_of_connection[connection].add(ticket)
 
     def _release_tickets_of(self, connection: PeerConnection) -> None:
--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -12,10 +12,12 @@
 from ..ids import EndpointId
 from .catalog import ServiceName
 from .dispatch import Decision, Granted, Refused, Revoked, Ticket, TicketId, Work
+from .endpoints import LeavingNotice
 from .engine import EndpointLimit
 from .messages import (
     AskSlot,
     HeldSlot,
+    LeavingList,
     LimitSeen,
     Message,
     ReleaseSlot,
@@ -154,11 +156,18 @@
     def refresh(self) -> None:
         """Apply changes of endpoints and owners."""
         self.tables.refresh()
+        self._refuse_without_endpoints()
         lost = {s for s in self.tables.services() if not self._is_owned(s)}
         self.tables.release_peer_tickets(lost)
         for service in list(self._last_owners):
             self._update_owner(service, self._owner(service))
 
+    def _refuse_without_endpoints(self) -> None:
+        """Refuse the waiting tickets of services whose endpoints have all left."""
+        for ticket_id, waiter in self._waiters.items():
+            if not any(self._view.endpoints.serving(waiter.service)):
+                waiter.resolve(Refused(ticket_id, 0.0))
+
     async def acquire(self, service: ServiceName, request: SlotRequest) -> SlotLease:
         """Wait for a slot; raise SlotUnavailableError when none comes in time."""
         ticket = Ticket(
@@ -216,6 +225,18 @@
         )
         self._send_if_connected(lease.owner, report)
 
+    def tell_leaving(self, notices: list[LeavingNotice], is_answer: bool) -> None:
+        """Tell peers which endpoints leave: those that ask this daemon for slots, and
+        the owners if an answer to this daemon said so.
+        """
+        self.tables.tell_leaving(notices)
+        if not is_answer:
+            return
+        found = (self._view.endpoints.get(notice.endpoint) for notice in notices)
+        owners = {self._owner(endpoint.service) for endpoint in found if endpoint}
+        for owner in owners - {None}:
+            self._send_if_connected(owner, LeavingList(notices))
+
     def handle_message(self, connection: PeerConnection, message: Message) -> None:
         """Handle a message of an owner, or of a peer that considers this the owner."""
         if isinstance(message, DECISION_MESSAGES):
@@ -241,14 +262,17 @@
     def _excluded_endpoints(
         self, service: ServiceName, request: SlotRequest
     ) -> frozenset[str]:
-        """Return the failed and ejected endpoints, as far as others are left to use."""
+        """Return the endpoints that answers said to leave, which the owner may not know
+        yet, and the failed and ejected ones, as far as others are left to use.
+        """
+        leaving = {notice.endpoint for notice in self._view.endpoints.leaving_notices()}
         failed = request.avoid
         serving = self._view.endpoints.serving(service, request.version)
         listed = {e.id for e in serving}
         ejected = self._view.endpoints.ejected(service, self._clock.now_s())
         if listed - failed - ejected:
-            return failed | ejected
-        return failed if listed - failed else frozenset()
+            return failed | ejected | leaving
+        return failed | leaving if listed - failed else frozenset(leaving)
 
     async def _acquire_from(
         self, owner: str | None, service: ServiceName, ticket: Ticket
@@ -305,10 +329,15 @@
         return await self._wait_for_decision(connection, ticket, waiter)
 
     def _introduce(self, connection: PeerConnection) -> None:
-        """Tell an owner the known limits at first: it may have started just now."""
+        """Tell an owner at first which endpoints have limits or leave: it may have
+        started just now.
+        """
         if connection in self._introduced:
             return
         self._introduced.add(connection)
+        leaving = self._view.endpoints.leaving_notices()
+        if leaving:
+            connection.send(LeavingList(leaving))
         if self.tables.limited_count:
             connection.send(self.tables.limit_list())
 
--- a/apricotquay/serving/view.py
+++ b/apricotquay/serving/view.py
@@ -11,7 +11,7 @@
 from ..events import Event
 from ..ids import EndpointId
 from .catalog import Configuration
-from .endpoints import Endpoint, EndpointTable
+from .endpoints import Endpoint, EndpointTable, LeavingNotice
 from .keyedlog import KeyedLog, KeyedRecord, Page, Topic
 from .reporting import Reporter
 from .tasks import start_task
@@ -49,6 +49,11 @@
         self.configuration: Configuration | None = None
         self.endpoints: EndpointTable = EndpointTable()
         self.on_change: Callable[[], None] = lambda: None
+        # Called with the endpoints that are newly known to leave, and whether an
+        # answer to this daemon said so rather than a peer.
+        self.on_leaving: Callable[[list[LeavingNotice], bool], None] = (
+            lambda notices, is_answer: None
+        )
         self.configuration_record: KeyedRecord | None = None
         self.endpoint_records: dict[bytes, KeyedRecord] = {}
         self._directory: Directory = directory
@@ -101,6 +106,21 @@
         self._apply(self._directory.configuration_topic, configuration)
         self._apply(self._directory.endpoint_topic, endpoints)
 
+    def record_leaving(self, notices: list[LeavingNotice], *, is_answer: bool) -> None:
+        """Record endpoints that leave, as an answer to this daemon or a peer says."""
+        new = [n for n in notices if self.endpoints.record_leaving(n)]
+        if not new:
+            return
+        for notice in new:
+            self._reporter.write(
+                Event.ENDPOINT_SAID_LEAVING,
+                endpoint=notice.endpoint,
+                started_ms=notice.started_ms,
+                reason="an answer" if is_answer else "a peer",
+            )
+        self.on_change()
+        self.on_leaving(new, is_answer)
+
     def record_peer_read(self, age_s: float) -> None:
         """Record that a peer read from the store `age_s` ago."""
         self.endpoints.record_peer_read(self._clock.now_s() - age_s)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -161,7 +161,8 @@
     `crash=1` to end the server without an answer. A request whose prompt has one of
     the `crashing_parts`, not as its last part, ends the server `crash_delay_s` after
     it begins, in a stream of `events_before_crash` events if there are any.
-    Answers name `limit` if it is set; `arrived_s` lists when requests arrived. With
+    Answers name `limit` if it is set, and hold each value of `leaving_values` in a
+    header of its own; `arrived_s` lists when requests arrived. With
     `first_run_events` a stream that is not resumed breaks off after so many events.
     """
 
@@ -177,6 +178,7 @@
         self.crash_delay_s: float = 0.0
         self.events_before_crash: int = 0
         self.limit: str = ""
+        self.leaving_values: list[str] = []
         self.refuses_all: bool = False
         self.version: str = "v1"
         self.first_run_events: int = 0
@@ -234,6 +236,8 @@
         self.arrived_s.append(time.monotonic())
         if self.limit:
             head.append((b"server-limit", self.limit.encode()))
+        for value in self.leaving_values:
+            head.append((b"server-leaving", value.encode()))
         if request.header(b"expect-instance") not in (None, self.name):
             await exchange.respond(HttpResponse(421, [(b"instance", b"other")]))
             return
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -65,6 +65,7 @@
         self.headers = [(b"x-server", b"1")]
         self.ends_with_connection = False
         self.limit = NO_LIMIT
+        self.is_leaving = False
         self._parts = parts
 
     async def body(self) -> AsyncIterator[bytes]:
--- a/tests/test_serving_partcrashes.py
+++ b/tests/test_serving_partcrashes.py
@@ -91,6 +91,7 @@
         self.headers = []
         self.ends_with_connection = ends_with_connection
         self.limit = NO_LIMIT
+        self.is_leaving = False
 
     async def body(self):
         """Yield nothing."""
