Conclude from a crash once all daemons have reported what ran there

Threaded daemon. Cause of the known red test_poison_request (beside load): its responses are slow there, so nothing has completed, which would clear it, when the first engine crashes. Trace (engines slowed to 40 ms a step, no load, one run of six): the culprit at one daemon and a harmless request at another were retried at the same engines three times in a row, and each daemon quarantined its own 6 ms before the other's report of the third crash arrived.

The retry's placement used the suspects known before its delay, in which the others' reports arrive, so two daemons dedicated the same endpoint to two suspects. And each daemon concluded from its own report alone and told the others the verdict, which they never take back.

Change: a retry's ticket is made after the delay; the daemon whose request failed reports, waits 0.1 s for the others' reports and concludes then; reports of others alone conclude nothing. Ruled out: that a process that exits still accepts connections (every crash of the trace was seen by all).

--- a/apricotquay/online.py
+++ b/apricotquay/online.py
@@ -185,9 +185,8 @@
     def _stream_with_retries(
         self, request: OnlineRequest, progress: Progress
     ) -> Iterator[Token | StreamEnd]:
-        next_ticket = self._create_ticket(request)
+        ticket = self._create_ticket(request)
         while True:
-            ticket = next_ticket
             progress.attempts += 1
             endpoint = self._acquire(ticket, progress)
             started_s = self._clock.now_s()
@@ -198,14 +197,12 @@
                 self._poison.record_completion(request.fingerprint)
                 return
             except EndpointError as exc:
-                next_ticket = self._handle_failure(
-                    request, progress, ticket, endpoint, exc
-                )
+                self._handle_failure(request, progress, endpoint, exc)
             finally:
                 tokens = progress.next_index - first_index
                 duration_s = self._clock.now_s() - started_s
                 self._admission.release(ticket, tokens, duration_s)
-            time.sleep(RETRY_DELAY_S)
+            ticket = self._wait_for_retry(request, ticket, endpoint)
 
     def _stream_once(
         self, request: OnlineRequest, progress: Progress, endpoint: Endpoint
@@ -246,9 +243,8 @@
         headers: dict[str, str],
         body: bytes,
     ) -> ServiceResponse:
-        next_ticket = self._create_ticket(request)
+        ticket = self._create_ticket(request)
         while True:
-            ticket = next_ticket
             progress.attempts += 1
             endpoint = self._acquire(ticket, progress)
             started_s = self._clock.now_s()
@@ -264,12 +260,10 @@
                 self._record_success(endpoint, progress.first_token_ms)
                 return response
             except EndpointError as exc:
-                next_ticket = self._handle_failure(
-                    request, progress, ticket, endpoint, exc
-                )
+                self._handle_failure(request, progress, endpoint, exc)
             finally:
                 self._admission.release(ticket, 0, 0.0)
-            time.sleep(RETRY_DELAY_S)
+            ticket = self._wait_for_retry(request, ticket, endpoint)
 
     def _acquire(self, ticket: Ticket, progress: Progress) -> Endpoint:
         """Acquire an endpoint; on a retry, failure raises the last attempt's error."""
@@ -301,20 +295,22 @@
         self,
         request: OnlineRequest,
         progress: Progress,
-        ticket: Ticket,
         endpoint: Endpoint,
         exc: EndpointError,
-    ) -> Ticket:
-        """Return the ticket of the next attempt, or raise the final error."""
+    ) -> None:
+        """Record a failed attempt; raise the final error if it was the last one."""
         progress.record_error(exc)
         self._record_failure(request, endpoint, exc)
         self._check_retry(request, progress, exc)
-        return self._create_retry_ticket(request, ticket, endpoint)
 
-    def _create_retry_ticket(
+    def _wait_for_retry(
         self, request: OnlineRequest, failed: Ticket, endpoint: Endpoint
     ) -> Ticket:
-        """Exclude the endpoints that failed and drop the prefix affinity."""
+        """Return the next attempt's ticket after a delay: with the suspects that other
+        daemons reported meanwhile, without the endpoints that failed, and without the
+        prefix affinity.
+        """
+        time.sleep(RETRY_DELAY_S)
         self._check_quarantine(request.fingerprint, ran=True)
         ticket = self._create_ticket(request)
         ticket.prefix = ""
--- a/apricotquay/poison.py
+++ b/apricotquay/poison.py
@@ -20,6 +20,8 @@
 NOTICE_TIMEOUT_S = 0.6
 PROBE_ATTEMPTS = 4
 PROBE_INTERVAL_S = 0.05
+# All daemons with requests at an endpoint that crashes report them at the same moment.
+REPORTS_DELAY_S = 0.1
 
 
 class PoisonDetector:
@@ -83,8 +85,10 @@
         with self._lock:
             running_here = self._running.get(endpoint, Counter())
             suspects = sorted({fingerprint, *running_here})
-        self._record_crash(endpoint, suspects)
+        self._record_suspects(endpoint, suspects)
         self._notify_all(QuarantineNotice(endpoint, suspects, []))
+        time.sleep(REPORTS_DELAY_S)
+        self._conclude(endpoint)
         return True
 
     def handle_notice(self, notice: QuarantineNotice) -> None:
@@ -94,7 +98,7 @@
             for fingerprint in notice.quarantined:
                 self._quarantine.add_quarantined(fingerprint, until_s)
         if notice.suspects:
-            self._record_crash(EndpointId(notice.endpoint), notice.suspects)
+            self._record_suspects(EndpointId(notice.endpoint), notice.suspects)
 
     def apply_mark(self, record: QuarantineMarked) -> None:
         """Apply a quarantine record of the fleet stream."""
@@ -126,15 +130,17 @@
                 return False
         return False
 
-    def _record_crash(self, endpoint: EndpointId, suspects: list[str]) -> None:
+    def _record_suspects(self, endpoint: EndpointId, suspects: list[str]) -> None:
         with self._lock:
-            quarantined = self._quarantine.record_crash(
-                endpoint, suspects, self._clock.now_s()
-            )
+            self._quarantine.add_suspects(endpoint, suspects, self._clock.now_s())
             crash_counts = self._quarantine.crash_counts(suspects)
         self._events.write(
             Event.ENDPOINT_CRASHED, endpoint=endpoint, suspects=crash_counts
         )
+
+    def _conclude(self, endpoint: EndpointId) -> None:
+        with self._lock:
+            quarantined = self._quarantine.conclude(endpoint, self._clock.now_s())
         for fingerprint in quarantined:
             self._events.write(Event.REQUEST_QUARANTINED, fingerprint=fingerprint)
             now_ms = self._clock.wall_ms()
--- a/apricotquay/quarantine.py
+++ b/apricotquay/quarantine.py
@@ -78,8 +78,23 @@
         self, endpoint: str, fingerprints: list[str], now_s: float
     ) -> list[str]:
         """Count a crash of an endpoint; return fingerprints quarantined for it."""
+        self.add_suspects(endpoint, fingerprints, now_s)
+        return self.conclude(endpoint, now_s)
+
+    def add_suspects(
+        self, endpoint: str, fingerprints: list[str], now_s: float
+    ) -> None:
+        """Record what a daemon reports to have run at a crash. What other daemons
+        report of it may change the conclusion.
+        """
         crash = self._find_or_add_crash(endpoint, now_s)
         crash.suspects.update(self.without_recent_completion(fingerprints, now_s))
+
+    def conclude(self, endpoint: str, now_s: float) -> list[str]:
+        """Quarantine the cause of an endpoint's crash, as far as it is known; return
+        the fingerprints that are quarantined for it.
+        """
+        crash = self._find_or_add_crash(endpoint, now_s)
         if self._has_known_cause(crash):
             return []
         self._release_tied(crash)
