Know streams' versions after all daemons restarted together

What callers saw: after all daemons were killed at once, every stream that was taken up was refused for 15 s (true, "not run", and never joined from two versions), since the versions were kept in daemons' memory only; in a service of one version, too.

Change: one of a stream's two keepers appends its version to the store's topic "streams", in batches of a tenth of a second; the owner of a service's shard notes there which versions are listed, at each change and each 5 s. Nobody follows the topic: it is read when a stream is taken up that no daemon knows. A stream in it goes on at its version. One that is not goes on only if a complete note, all later ones and the list name a single version. An id that was used twice, history that the store forgot, a store that is away: refused, as before.

Tests: all daemons restarted with two versions (24 streams, all go on, none joined), with one version gone meanwhile, and tables of what the store may say.

--- a/apricotquay/platform/store.py
+++ b/apricotquay/platform/store.py
@@ -49,6 +49,10 @@
     end: int = 0
 
 
+class _ExpiredResponse(msgspec.Struct):
+    first: int = 0
+
+
 class _NewestItem(msgspec.Struct):
     key: str
     value: str
@@ -161,8 +165,10 @@
         timeout_s = wait_ms / 1000 + LONG_POLL_MARGIN_S
         response = await self._call("GET", "/-/log-read", query, timeout_s=timeout_s)
         if response.status == 410:
+            expired = self._decode_response(response, _ExpiredResponse, 410)
             raise LogExpiredError(
-                f"{topic}/{partition}: records at {start_offset} have expired"
+                f"{topic}/{partition}: records at {start_offset} have expired",
+                expired.first,
             )
         if response.status != 200 or len(response.body) < READ_HEADER.size:
             raise LogRefusedError(f"log-read: status {response.status}")
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -54,6 +54,7 @@
 from .shards import Shards
 from .slots import SlotAllocator
 from .streamkeeper import StreamKeeper
+from .streamlog import StreamLog
 from .tasks import start_task
 from .view import Directory, View
 from .viewexchange import ViewExchange
@@ -164,7 +165,12 @@
             self.view, self.shards, self.peers, self.clock, name, self.reporter
         )
         self.streams = StreamKeeper(
-            self.view, self.shards, self.peers, self.clock, self.reporter
+            self.view,
+            self.shards,
+            self.peers,
+            StreamLog(log, self.clock, self.reporter),
+            self.clock,
+            self.reporter,
         )
         self.rates = RateLimiter(
             self.view, self.shards, self.peers, self.clock, settings.starts_full
--- a/apricotquay/serving/keyedlog.py
+++ b/apricotquay/serving/keyedlog.py
@@ -63,7 +63,13 @@
 
 
 class LogExpiredError(LogError):
-    """The requested records have expired; the newest of each key remain."""
+    """The requested records have expired; the newest of each key remain in a keyed
+    topic. Those from `first_offset` on can be read.
+    """
+
+    def __init__(self, reason: str, first_offset: int) -> None:
+        super().__init__(reason)
+        self.first_offset: int = first_offset
 
 
 class KeyedLog(Protocol):
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -245,9 +245,12 @@
 
 
 class StreamBegan(msgspec.Struct, frozen=True, tag="stream_began"):
-    """Tells the software versions that began streams, by the streams' keys."""
+    """Tells the software versions that began streams, by the streams' keys. One of a
+    stream's keepers also keeps it in the store: those whom `must_store` tells.
+    """
 
     streams: list[tuple[bytes, str]]
+    must_store: bool = False
 
 
 class FindStream(msgspec.Struct, frozen=True, tag="find_stream"):
--- a/apricotquay/serving/streamkeeper.py
+++ b/apricotquay/serving/streamkeeper.py
@@ -1,9 +1,10 @@
 """Keeps the software versions of streams under way, with the other daemons.
 
 The daemon that passes a stream's first event on tells two others, chosen among the
-owners of shards by the stream's key. A daemon where the stream is taken up asks all
-owners of shards. What nobody knows is not guessed, unless only one version was listed
-for as long as a stream may last.
+owners of shards by the stream's key; one of them keeps it in the store, too. A daemon
+where the stream is taken up asks all owners of shards, then the store. What nobody
+knows is not guessed, unless only one version was listed for as long as a stream may
+last.
 """
 
 import asyncio
@@ -18,7 +19,8 @@
 from .messages import FindStream, Message, StreamBegan, StreamFound
 from .peers import Peers
 from .reporting import Reporter
-from .shards import Shards
+from .shards import Shards, shard_number
+from .streamlog import StreamLog, VersionNote
 from .streamversions import StreamVersions, VersionHistory, stream_key
 from .tasks import start_task
 from .view import View
@@ -30,6 +32,8 @@
 QUESTION_TIMEOUT_S = 0.25
 TELL_TIMEOUT_S = 0.5
 OBSERVE_INTERVAL_S = 0.25
+# How often the store gets a note of a service's versions that do not change.
+NOTE_INTERVAL_S = 5.0
 # With an older view, versions that only other daemons know may serve.
 MAX_VIEW_AGE_S = 2.5
 # The key of a stream that its caller does not name.
@@ -53,9 +57,11 @@
         view: View,
         shards: Shards,
         peers: Peers,
+        stored: StreamLog,
         clock: Clock,
         reporter: Reporter,
     ) -> None:
+        self._stored: StreamLog = stored
         self._view: View = view
         self._shards: Shards = shards
         self._peers: Peers = peers
@@ -65,6 +71,8 @@
         self._kept = StreamVersions(STREAM_LIFETIME_S)
         self._history = VersionHistory(STREAM_LIFETIME_S)
         self._is_telling: bool = False
+        # What was noted last of each service, and when.
+        self._noted: dict[ServiceName, tuple[frozenset[str], float]] = {}
         self._observer: asyncio.Task | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -84,6 +92,7 @@
                 task.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
+        await self._stored.close()
 
     def record(
         self, service: ServiceName, team: TeamId | None, attempt: str, version: str
@@ -110,13 +119,20 @@
         own = self._find_here(key)
         if own:
             return _only(own, "this daemon")
-        return await self._ask(service, key)
+        replies = await self._ask(service, key)
+        told = [frozenset(r.versions) for r in replies if r is not None and r.versions]
+        if told:
+            return _only(told[0], "a peer")
+        known = self._find_only_version(service, replies)
+        return known if known.version else await self._find_in_store(service, key)
 
     def handle_stream_began(self, message: StreamBegan) -> None:
         """Keep the versions that a peer tells."""
         now_s = self._clock.now_s()
         for key, version in message.streams:
             self._kept.record(key, version, now_s)
+        if message.must_store:
+            self._stored.enqueue(message.streams)
 
     def handle_find_stream(self, message: FindStream) -> Message:
         """Tell a peer what this daemon knows of a stream."""
@@ -132,8 +148,8 @@
         now_s = self._clock.now_s()
         return self._own.find(key, now_s) | self._kept.find(key, now_s)
 
-    async def _ask(self, service: ServiceName, key: bytes) -> KnownVersion:
-        """Ask all owners of shards; the first who knows the stream decides."""
+    async def _ask(self, service: ServiceName, key: bytes) -> list[StreamFound | None]:
+        """Ask all owners of shards; the first who knows the stream ends it."""
         calls = [
             asyncio.ensure_future(self._ask_peer(address, FindStream(service, key)))
             for address in self._shards.addresses()
@@ -143,15 +159,33 @@
             async with asyncio.timeout(QUESTION_TIMEOUT_S):
                 for call in asyncio.as_completed(calls):
                     reply = await call
-                    if reply is not None and reply.versions:
-                        return _only(frozenset(reply.versions), "a peer")
                     replies.append(reply)
+                    if reply is not None and reply.versions:
+                        break
         except TimeoutError:
             replies.append(None)
         finally:
             for call in calls:
                 call.cancel()
-        return self._find_only_version(service, replies)
+        return replies
+
+    async def _find_in_store(self, service: ServiceName, key: bytes) -> KnownVersion:
+        """Return what the store says of a stream whose keepers are gone, or the only
+        version that was noted or listed for as long as a stream may last.
+        """
+        stored = await self._stored.read()
+        if stored is None:
+            return KnownVersion()
+        versions = stored.find(key)
+        if versions:
+            return _only(versions, "the store")
+        lifetime_ms = int(STREAM_LIFETIME_S * 1000)
+        now_ms = self._clock.wall_ms()
+        noted = stored.listed(service, now_ms - 2 * lifetime_ms, now_ms - lifetime_ms)
+        if noted is None or self._view.age_s() >= MAX_VIEW_AGE_S:
+            return KnownVersion()
+        listed = self._history.versions(service, self._clock.now_s())
+        return _only(noted | listed, "the only version")
 
     def _find_only_version(
         self, service: ServiceName, replies: list[StreamFound | None]
@@ -181,12 +215,12 @@
 
     def _tell(self, streams: list[tuple[bytes, str]]) -> None:
         """Tell the keepers of streams their versions."""
-        told: dict[str, list[tuple[bytes, str]]] = {}
+        told: dict[tuple[str, bool], list[tuple[bytes, str]]] = {}
         for key, version in streams:
-            for address in self._keepers(key):
-                told.setdefault(address, []).append((key, version))
-        for address, its_streams in told.items():
-            message = StreamBegan(its_streams)
+            for number, address in enumerate(self._keepers(key)):
+                told.setdefault((address, number == 0), []).append((key, version))
+        for (address, must_store), its_streams in told.items():
+            message = StreamBegan(its_streams, must_store)
             connection = self._peers.find_connection(address)
             if connection is not None:
                 connection.send(message)
@@ -215,8 +249,28 @@
         while True:
             self._observe()
             self._tell_recent_streams()
+            self._note_versions()
             await asyncio.sleep(OBSERVE_INTERVAL_S)
 
+    def _note_versions(self) -> None:
+        """Keep in the store which versions of this daemon's services are listed."""
+        now_s = self._clock.now_s()
+        for service in {endpoint.service for endpoint in self._view.endpoints.all()}:
+            if shard_number(service, self._shards.count) not in self._shards.owned:
+                self._noted.pop(service, None)
+                continue
+            versions = self._history.versions(service, now_s)
+            noted, noted_s = self._noted.get(service, (None, 0.0))
+            if versions == noted and now_s - noted_s < NOTE_INTERVAL_S:
+                continue
+            self._noted[service] = (versions, now_s)
+            is_complete = self._history.is_complete(now_s)
+            self._stored.note(
+                VersionNote(
+                    service, sorted(versions), is_complete, self._clock.wall_ms()
+                )
+            )
+
     def _tell_recent_streams(self) -> None:
         """Tell the versions of streams that began while one version was listed."""
         now_s = self._clock.now_s()
--- a/standins/keyedlog.py
+++ b/standins/keyedlog.py
@@ -73,8 +73,11 @@
         """Read records from an offset on; wait up to `wait_ms` if there are none."""
         self._check_available()
         shard = Shard(topic, partition)
-        if start_offset < self._first_offsets.get(shard, 0):
-            raise LogExpiredError(f"records from offset {start_offset} have expired")
+        first = self._first_offsets.get(shard, 0)
+        if start_offset < first:
+            raise LogExpiredError(
+                f"records from offset {start_offset} have expired", first
+            )
         if wait_ms and start_offset >= len(self._partitions.get(shard, [])):
             self._changed.clear()
             try:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -95,8 +95,8 @@
         topic, part = Topic(fields["topic"]), int(fields["part"])
         try:
             page = await self.log.read(topic, part, start, wait_ms)
-        except LogExpiredError:
-            return _json_response(410, {"first": 0})
+        except LogExpiredError as exc:
+            return _json_response(410, {"first": exc.first_offset})
         data = struct.pack(">QQ", page.end, 0)
         return HttpResponse(200, [], data + b"".join(map(encode_record, page.records)))
 
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -16,6 +16,7 @@
 from apricotquay.serving.daemon import Address, Daemon, ServingSettings
 from apricotquay.serving.http1 import HttpRequest, HttpResponse
 from apricotquay.serving.httpclient import open_client
+from apricotquay.serving.keyedlog import KeyedRecord, Topic
 from standins.addresses import ADMIN_PORT, PEER_PORT, SERVER_PORT, AddressAllocator
 from standins.platform import (
     ModelServer,
@@ -108,6 +109,13 @@
         self.daemons.append(daemon)
         return daemon
 
+    async def unlist(self, server: ModelServer) -> None:
+        """Stop a server and remove its entry, as when it has left."""
+        await server.close()
+        record = KeyedRecord(server.name.encode(), None)
+        await self.store.log.append(Topic("keyed.servers"), 0, [record], None)
+        self.servers.remove(server)
+
     async def close(self) -> None:
         """Stop everything."""
         for component in (*self.daemons, *self.servers, self.store):
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -5,12 +5,16 @@
 
 from parameterized import parameterized
 
+from apricotquay.clocks import SystemClock
 from apricotquay.serving.daemon import Daemon
 from apricotquay.serving.http1 import HttpError, HttpRequest
 from apricotquay.serving.httpclient import open_client
+from apricotquay.serving.streamlog import StreamLog
+from apricotquay.serving.streamversions import stream_key
 from standins.platform import make_configuration, write_configuration
 
 from .test_platform_fleet import TIMEOUT_S, PlatformFleet, PlatformTest
+from .test_serving_jobs import quiet_reporter
 
 VERSIONS = ("v1", "v1.1")
 STREAMS = 24
@@ -188,6 +192,64 @@
             scenario, daemons=4, servers=6, step_s=0.01, versions=VERSIONS
         )
 
+    async def restart_all(self, fleet: PlatformFleet) -> None:
+        """Stop all daemons at once and start as many new ones."""
+        count = len(fleet.daemons)
+        for daemon in fleet.daemons:
+            await daemon.close()
+        fleet.daemons.clear()
+        fleet.store.log._members.clear()
+        for number in range(count):
+            await fleet.add_daemon(f"new{number}")
+        for daemon in fleet.daemons:
+            await fleet.wait_until(
+                lambda d=daemon: (
+                    d.view.configuration is not None
+                    and any(d.view.endpoints.serving("llm"))
+                    and len(d.shards.known_owners()[0]) == d.shards.count
+                )
+            )
+
+    async def wait_until_stored(self, fleet: PlatformFleet, streams: dict) -> None:
+        """Wait until the versions of all streams are in the store."""
+        log = StreamLog(fleet.store.log, SystemClock(), quiet_reporter())
+        keys = [stream_key("small", f"{stream}.0") for stream in streams]
+        async with asyncio.timeout(TIMEOUT_S):
+            while not all(map((await log.read()).find, keys)):
+                await asyncio.sleep(0.02)
+
+    def test_stream_that_is_taken_up_after_all_daemons_restarted_goes_on(self):
+        """No daemon knows its version; the store does."""
+
+        async def scenario(fleet):
+            last_ids = await self.begin_all(fleet, fleet.daemons)
+            await self.wait_until_stored(fleet, last_ids)
+            await self.restart_all(fleet)
+            statuses = await self.take_up_all(fleet, fleet.daemons, last_ids)
+            self.check_versions(fleet)
+            self.assertEqual({200: STREAMS}, statuses)
+
+        self.run_scenario(
+            scenario, daemons=4, servers=6, step_s=0.01, versions=VERSIONS
+        )
+
+    def test_stream_whose_version_left_while_all_daemons_restarted_is_not_joined(self):
+        """Only servers of the other version are listed now."""
+
+        async def scenario(fleet):
+            last_ids = await self.begin_all(fleet, fleet.daemons)
+            for server in [s for s in fleet.servers if s.version == VERSIONS[0]]:
+                await fleet.unlist(server)
+            await self.restart_all(fleet)
+            statuses = await self.take_up_all(fleet, fleet.daemons, last_ids)
+            self.check_versions(fleet)
+            self.assertLessEqual(set(statuses), {200, 503})
+            self.assertGreater(statuses[503], 0)
+
+        self.run_scenario(
+            scenario, daemons=4, servers=6, step_s=0.01, versions=VERSIONS
+        )
+
     @parameterized.expand(
         [
             ("an unknown attempt", {"resumes": "unknown"}),
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -9,13 +9,25 @@
 from apricotquay.serving import streamkeeper, streamversions
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
+from apricotquay.serving.keyedlog import KeyedRecord
 from apricotquay.serving.messages import FindStream, StreamBegan, StreamFound
 from apricotquay.serving.streamkeeper import StreamKeeper
+from apricotquay.serving.streamlog import (
+    PARTITION,
+    RECORD_KEY,
+    STREAMS,
+    StoredStreams,
+    StreamLog,
+    StreamRecord,
+    VersionNote,
+    encode_stream_record,
+)
 from apricotquay.serving.streamversions import (
     StreamVersions,
     VersionHistory,
     stream_key,
 )
+from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
 from .test_serving_jobs import quiet_reporter
@@ -113,6 +125,9 @@
 class FixedOwners:
     """The addresses of other owners of shards."""
 
+    count = 12
+    owned: frozenset[int] = frozenset()
+
     def __init__(self, addresses: list[str]) -> None:
         self._addresses = addresses
 
@@ -150,8 +165,15 @@
         self.view = ListedEndpoints(versions)
         self.peers = FixedPeers(replies)
         self.patch(streamkeeper, "QUESTION_TIMEOUT_S", 0.05)
-        owners = FixedOwners(sorted(replies))
-        return StreamKeeper(self.view, owners, self.peers, self.clock, quiet_reporter())
+        self.log = MemoryLog()
+        return StreamKeeper(
+            self.view,
+            FixedOwners(sorted(replies)),
+            self.peers,
+            StreamLog(self.log, self.clock, quiet_reporter()),
+            self.clock,
+            quiet_reporter(),
+        )
 
     def find(self, keeper: StreamKeeper, attempt: str = "a") -> str:
         """Return the version that is found."""
@@ -194,11 +216,13 @@
         """They answer when this daemon is gone."""
         keeper = self.keeper(["v1", "v2"], dict.fromkeys("pqrs", UNKNOWN))
         keeper.record(SERVICE, TEAM, "a", "v1")
-        message = StreamBegan([(stream_key(TEAM, "a"), "v1")])
+        streams = [(stream_key(TEAM, "a"), "v1")]
         told = [messages for messages in self.peers.sent.values() if messages]
-        self.assertEqual([[message], [message]], told)
+        self.assertEqual(
+            [[StreamBegan(streams, True)], [StreamBegan(streams, False)]], told
+        )
         other = self.keeper(["v1", "v2"], {})
-        other.handle_stream_began(message)
+        other.handle_stream_began(told[1][0])
         answer = other.handle_find_stream(FindStream(SERVICE, stream_key(TEAM, "a")))
         self.assertEqual(["v1"], answer.versions)
 
@@ -231,3 +255,124 @@
             await keeper.close()
 
         asyncio.run(scenario())
+
+    @parameterized.expand(
+        [
+            ("its record", [(b"", "v2")], [], "v2"),
+            ("no record", [], [], ""),
+            ("an id used twice", [(b"", "v1"), (b"", "v2")], [], ""),
+            ("a note of one version", [], [(["v1"], True)], "v1"),
+            ("a note of two", [], [(["v1", "v2"], True)], ""),
+            ("a note of another version than listed", [], [(["v2"], True)], ""),
+            ("a note of a daemon that had just started", [], [(["v1"], False)], ""),
+            ("a later note", [], [(["v1"], True), (["v1", "v2"], False)], ""),
+        ]
+    )
+    def test_store_tells_after_all_daemons_restarted(
+        self, _name, streams, notes, expected
+    ):
+        """No daemon has observed versions for long, and the keepers have gone."""
+        keeper = self.keeper(["v1"], {"p": UNKNOWN_SINCE_NOW})
+        key = stream_key(TEAM, "a")
+        record = StreamRecord(
+            [(key, version) for _, version in streams],
+            [VersionNote(SERVICE, v, c, self.clock.wall_ms()) for v, c in notes],
+        )
+
+        async def scenario() -> str:
+            stored = encode_stream_record(record)
+            await self.log.append(STREAMS, PARTITION, [stored], None)
+            return (await keeper.find(SERVICE, TEAM, "a")).version
+
+        self.assertEqual(expected, asyncio.run(scenario()))
+
+
+NOW_MS = 100_000
+
+
+class StreamLogTest(ApricotTest):
+    """What is kept in the store."""
+
+    @parameterized.expand(
+        [
+            ("complete", [("llm", ["v1"], True, 95_000)], {"v1"}),
+            ("complete and too old", [("llm", ["v1"], True, 84_000)], None),
+            ("of another service", [("other", ["v1"], True, 95_000)], None),
+            (
+                "an older one counts too",
+                [("llm", ["v0"], True, 80_000), ("llm", ["v1"], True, 95_000)],
+                {"v0", "v1"},
+            ),
+            (
+                "one of a stream that has ended",
+                [("llm", ["v0"], True, 60_000), ("llm", ["v1"], True, 95_000)],
+                {"v1"},
+            ),
+            ("none", [], None),
+        ]
+    )
+    def test_versions_are_sure_only_after_a_complete_note(self, _name, notes, expected):
+        """A version that may have served is never left out."""
+        stored = StoredStreams()
+        stored.apply(StreamRecord([], [VersionNote(*note) for note in notes]))
+        found = stored.listed(SERVICE, NOW_MS - 30_000, NOW_MS - 15_000)
+        self.assertEqual(expected, found)
+
+    def run_with_log(self, scenario) -> None:
+        """Run a scenario with the log of a daemon and that of one that starts later."""
+
+        async def run() -> None:
+            memory, clock = MemoryLog(), SteppedClock()
+            first = StreamLog(memory, clock, quiet_reporter())
+            second = StreamLog(memory, clock, quiet_reporter())
+            await scenario(memory, first, second)
+            await first.close()
+            await second.close()
+
+        asyncio.run(run())
+
+    async def append(self, log: MemoryLog, first: StreamLog, key: bytes) -> None:
+        """Append a stream and wait until it is stored."""
+        end = (await log.read_newest(STREAMS, PARTITION)).end
+        first.enqueue([(key, "v1")])
+        async with asyncio.timeout(5.0):
+            while (await log.read_newest(STREAMS, PARTITION)).end == end:
+                await asyncio.sleep(0.01)
+
+    def test_later_daemon_reads_what_was_appended_since_it_read_last(self):
+        """A malformed record of another writer is passed over."""
+
+        async def scenario(memory, first, second):
+            self.assertEqual(frozenset(), (await second.read()).find(b"a"))
+            await self.append(memory, first, b"a")
+            broken = KeyedRecord(RECORD_KEY, b"\xff\x00")
+            await memory.append(STREAMS, PARTITION, [broken], None)
+            await self.append(memory, first, b"b")
+            stored = await second.read()
+            self.assertEqual({"v1"}, stored.find(b"a"))
+            self.assertEqual({"v1"}, stored.find(b"b"))
+
+        self.run_with_log(scenario)
+
+    def test_history_that_the_store_forgot_is_passed_over(self):
+        """What follows it is read."""
+
+        async def scenario(memory, first, second):
+            await self.append(memory, first, b"a")
+            memory.expire()
+            await self.append(memory, first, b"b")
+            stored = await second.read()
+            self.assertEqual(frozenset(), stored.find(b"a"))
+            self.assertEqual({"v1"}, stored.find(b"b"))
+
+        self.run_with_log(scenario)
+
+    def test_store_that_is_away_tells_nothing(self):
+        """The daemon goes on."""
+
+        async def scenario(memory, first, second):
+            memory.is_down = True
+            first.enqueue([(b"a", "v1")])
+            self.assertIsNone(await second.read())
+
+        self.run_with_log(scenario)
