--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -117,7 +117,9 @@
         status = NOT_RUN_STATUS
     headers = [JSON_CONTENT_TYPE]
     if error.retry_after_ms and error.ran is Ran.NOT_RUN:
-        headers.append((b"retry-after", f"{error.retry_after_ms / 1000:.3f}".encode()))
+        headers.append(
+            (wire.RETRY_AFTER, f"{error.retry_after_ms / 1000:.3f}".encode())
+        )
     return HttpResponse(status, headers, msgspec.json.encode(error.body()))
 
 
@@ -255,7 +257,7 @@
         headers = [JSON_CONTENT_TYPE]
         if status in (429, 503):
             retry_after = f"{JOB_RETRY_AFTER_MS / 1000:.3f}".encode()
-            headers.append((b"retry-after", retry_after))
+            headers.append((wire.RETRY_AFTER, retry_after))
         await exchange.respond(HttpResponse(status, headers, b"{}"))
 
     async def _handle_job(
--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -50,6 +50,7 @@
 MODEL = b"model"
 PROMPT_PARTS = b"prompt-prefix"
 LONG_POLL_MS = b"wait-ms"
+RETRY_AFTER = b"retry-after"
 EXPECTED_VERSION = b"expect-version"
 
 # Request headers of callers that are not forwarded to endpoints: the daemon sets
