Let nothing of an idle daemon wake without cause

Each now waits until there is something: a waiting ticket, an ejected or limited endpoint or a change of the list; an entry in its grace period; a queued line. Then it goes on at the same pace, so nothing is later than before.

--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -141,8 +141,11 @@
         self.reporter: Reporter = reporter or Reporter(settings.vm_id, self.clock)
         self.metrics: ServingMetrics = ServingMetrics()
         self._reload = reload
+        self._log: KeyedLog = log
         self._is_draining: bool = False
         self._stop = asyncio.Event()
+        self._has_lines = asyncio.Event()
+        self.reporter.on_line = self._has_lines.set
         self._tasks: list[asyncio.Task] = []
         incarnation = secrets.token_hex(4)
         address = str(settings.peers)
@@ -351,6 +354,7 @@
             return
         self.metrics.set_gauge("log_lines_dropped", self.reporter.dropped)
         self.metrics.set_gauge("view_age_s", round(self.view.age_s(), 3))
+        self.metrics.set_gauge("store_calls", self._log.call_count)
         self.metrics.set_gauge("shards_owned", len(self.shards.owned))
         self.metrics.set_gauge("callers_busy", self.callers.busy_count)
         self.metrics.set_gauge("streams_kept", self.streams.kept_count)
@@ -385,5 +389,9 @@
 
     async def _flush_loop(self) -> None:
         while True:
+            await self._has_lines.wait()
+            self._has_lines.clear()
             await asyncio.sleep(LOG_FLUSH_INTERVAL_S)
             self.reporter.flush()
+            if self.reporter.has_unwritten:
+                self._has_lines.set()
--- a/apricotquay/serving/endpoints.py
+++ b/apricotquay/serving/endpoints.py
@@ -156,6 +156,11 @@
     def _said_to_leave(self, entry: Endpoint) -> bool:
         return entry.started_ms <= self._leaving_start_ms.get(entry.id, -1)
 
+    @property
+    def has_pending_removals(self) -> bool:
+        """Whether an entry that the list dropped is kept for a grace period."""
+        return bool(self._removal_due_s)
+
     def expire(self, now_s: float) -> list[EndpointId]:
         """Remove entries whose grace period has ended; return them."""
         expired = [e for e, at_s in self._removal_due_s.items() if at_s <= now_s]
--- a/apricotquay/serving/keyedlog.py
+++ b/apricotquay/serving/keyedlog.py
@@ -73,7 +73,12 @@
 
 
 class KeyedLog(Protocol):
-    """The store's log. Implemented by the platform's adapter and by a stand-in."""
+    """The store's log. Implemented by the platform's adapter and by a stand-in.
+
+    `call_count` is the number of calls so far, which the platform charges for.
+    """
+
+    call_count: int
 
     async def read_newest(self, topic: Topic, partition: int) -> Page:
         """Read the newest record of each key.
--- a/apricotquay/serving/reporting.py
+++ b/apricotquay/serving/reporting.py
@@ -3,6 +3,7 @@
 import collections
 import os
 import sys
+from collections.abc import Callable
 
 import msgspec
 import structlog
@@ -29,6 +30,11 @@
         self._unwritten: bytes = b""
         os.set_blocking(descriptor, False)
 
+    @property
+    def has_unwritten(self) -> bool:
+        """Whether lines wait for the descriptor."""
+        return bool(self._unwritten or self._lines)
+
     @property
     def has_room(self) -> bool:
         """Whether the queue accepts another line."""
@@ -92,6 +98,8 @@
     """Writes log events with the time, the VM and fields. One per daemon."""
 
     def __init__(self, vm: str, clock: Clock, writer: LineWriter | None = None) -> None:
+        # Called when a line was queued, so that the daemon flushes soon.
+        self.on_line: Callable[[], None] = lambda: None
         self._clock: Clock = clock
         self._writer: LineWriter = writer or LineWriter(sys.stdout.fileno())
         self._lost_since_s: dict[str, float] = {}
@@ -109,6 +117,11 @@
         """Number of lines dropped since the start."""
         return self._writer.dropped
 
+    @property
+    def has_unwritten(self) -> bool:
+        """Whether lines wait to be written."""
+        return self._writer.has_unwritten
+
     def write(self, event: Event, **fields: object) -> None:
         """Queue an event."""
         self._logger.info(
@@ -117,6 +130,7 @@
             at_ms=self._clock.wall_ms(),
             **fields,
         )
+        self.on_line()
 
     def write_limited(self, event: Event, **fields: object) -> None:
         """Queue an event unless LIMITED_LINES_PER_S of it were queued this second."""
@@ -149,7 +163,7 @@
             )
 
     def flush(self) -> None:
-        """Write queued lines; the daemon calls this periodically."""
+        """Write queued lines; the daemon calls this soon after lines were queued."""
         self._writer.flush()
         dropped = self._writer.dropped
         if dropped > self._dropped_reported and self._writer.has_room:
--- a/apricotquay/serving/slotowner.py
+++ b/apricotquay/serving/slotowner.py
@@ -1,5 +1,6 @@
 """The owner's side of slot allocation: a table per service, with peers' tickets."""
 
+import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -73,6 +74,8 @@
     def __init__(self, view: View, clock: Clock, reporter: Reporter) -> None:
         # Holds only endpoints that are ejected or on probation after failures.
         self.statuses: dict[EndpointId, EndpointStatus] = {}
+        # Set while the passing of time may change a table.
+        self.needs_tick = asyncio.Event()
         self._view: View = view
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
@@ -109,6 +112,7 @@
     def request_slot(self, service: ServiceName, ticket: Ticket) -> None:
         """Request a slot for this daemon."""
         self._deliver(self.table(service).request_slot(ticket, self._clock.now_s()))
+        self._tick_if_waiting(service)
 
     def record_grant(
         self, service: ServiceName, ticket: Ticket, endpoint: EndpointId
@@ -130,6 +134,7 @@
         failures, total = self._outlier_detector.failure_counts(endpoint, now_s)
         ejection_s = self._outlier_detector.record_attempt(endpoint, outcome, now_s)
         if ejection_s:
+            self.needs_tick.set()
             self._reporter.write(
                 Event.ENDPOINT_EJECTED,
                 endpoint=endpoint_id,
@@ -190,6 +195,7 @@
 
     def refresh(self) -> None:
         """Update the tables with the endpoints that take new work."""
+        self.needs_tick.set()
         for service, table in self._tables.items():
             self._deliver(self._set_endpoints(service, table))
 
@@ -220,9 +226,15 @@
         if len(self.limits):
             self._forget_limits(now_s)
             self._tell_limits(now_s)
-        for table in self._tables.values():
-            if table.waiting_count:
-                self._deliver(table.tick(now_s))
+        waiting = [table for table in self._tables.values() if table.waiting_count]
+        for table in waiting:
+            self._deliver(table.tick(now_s))
+        if not waiting and not self.statuses and not len(self.limits):
+            self.needs_tick.clear()
+
+    def _tick_if_waiting(self, service: ServiceName) -> None:
+        if self.table(service).waiting_count:
+            self.needs_tick.set()
 
     def handle_message(self, connection: PeerConnection, message: Message) -> None:
         """Handle a message of a peer that considers this daemon the owner."""
@@ -263,6 +275,7 @@
         self._add_peer_ticket(connection, message.service, ticket.id)
         decisions = self.table(message.service).request_slot(ticket, now_s)
         self._deliver(decisions)
+        self._tick_if_waiting(message.service)
         if all(decision.ticket != ticket.id for decision in decisions):
             connection.send(SlotQueued(ticket.id))
 
--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -470,6 +470,7 @@
 
     async def _tick_loop(self) -> None:
         while True:
+            await self.tables.needs_tick.wait()
             await asyncio.sleep(TICK_INTERVAL_S)
             self.tables.tick()
 
--- a/apricotquay/serving/view.py
+++ b/apricotquay/serving/view.py
@@ -75,6 +75,7 @@
         endpoint_follower.on_lost = self._record_list_unavailable
         endpoint_follower.on_recovered = self._record_list_available
         self._expiry: asyncio.Task | None = None
+        self._has_removals = asyncio.Event()
 
     def start(self) -> None:
         """Start following the platform's topics."""
@@ -161,6 +162,8 @@
                     offset=record.offset,
                     reason=str(exc),
                 )
+        if self.endpoints.has_pending_removals:
+            self._has_removals.set()
         if changed:
             self.on_change()
 
@@ -216,6 +219,7 @@
 
     async def _expire(self) -> None:
         while True:
+            await self._has_removals.wait()
             await asyncio.sleep(EXPIRE_INTERVAL_S)
             expired = self.endpoints.expire(self._clock.now_s())
             for endpoint_id in expired:
@@ -224,3 +228,5 @@
                 )
             if expired:
                 self.on_change()
+            if not self.endpoints.has_pending_removals:
+                self._has_removals.clear()
--- a/bench/main.py
+++ b/bench/main.py
@@ -3,7 +3,7 @@
 import argparse
 from pathlib import Path
 
-from . import calls, decisions, fleets, policies, rates, slottable
+from . import calls, decisions, fleets, idle, policies, rates, slottable
 from .results import Row, format_table, save_results
 
 PARTS = {
@@ -29,6 +29,7 @@
     ),
     "relay": lambda seed: fleets.measure_relay_overhead(),
     "control": lambda seed: fleets.measure_idle_cost(),
+    "idle": lambda seed: idle.measure_idle_daemons(),
 }
 
 
--- a/standins/keyedlog.py
+++ b/standins/keyedlog.py
@@ -40,6 +40,7 @@
     def __init__(self) -> None:
         self.choose_fault: Callable[[], str] = lambda: ""
         self.is_down: bool = False
+        self.call_count: int = 0
         self._partitions: dict[Shard, list[KeyedRecord]] = {}
         self._first_offsets: dict[Shard, int] = {}
         self._delayed: list[tuple] = []
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -35,6 +35,11 @@
         self._popen: subprocess.Popen | None = None
         self._output_start: int = 0
 
+    @property
+    def pid(self) -> int:
+        """Id of the process that was started last."""
+        return self._popen.pid
+
     def start(self) -> None:
         """Start the process; its output is appended to a file."""
         with self.output_path.open("ab") as output:
@@ -98,7 +103,8 @@
 class PlatformProcesses:
     """A store, model servers and event-loop daemons, each in its own process.
 
-    The servers have so many software `versions` in turn.
+    The servers have so many software `versions` in turn. Daemons serve their metrics
+    at `metrics`, a port and a path, if it is set.
     """
 
     def __init__(
@@ -108,7 +114,9 @@
         step_s: float,
         crashing_part: str = "",
         versions: int = 1,
+        metrics: str = "",
     ) -> None:
+        self._metrics: str = metrics
         self.output_dir = Path(tempfile.mkdtemp(prefix="apricotquay-"))
         self.proxy = FaultProxy()
         self.proxy_listeners: list[str] = []
@@ -173,6 +181,8 @@
         path = self.output_dir / f"d{number}.json"
         path.write_text(json.dumps(boot))
         args = ["apricotquay.platform"]
+        if self._metrics:
+            args += ["--metrics", self._metrics]
         return self._make_process(f"d{number}", args, APRICOTQUAY_BOOT=str(path))
 
     def _make_server(self, number: int) -> Process:
