End a request that sends a byte now and then

What callers saw: nothing, but one of them could hold a connection (and a daemon's descriptor) for ever: the time limit began anew with each byte, in headers and in bodies.

Change: a request must arrive within the header timeout of its first byte, plus a second for each 100 bytes that have come, so a slow upload that goes on is read whole. Two tests (headers, body) failed before; one holds that a slow body is read.

--- a/apricotquay/serving/httpserver.py
+++ b/apricotquay/serving/httpserver.py
@@ -19,6 +19,9 @@
 # Idle connections are closed so long after the limit that callers know, since what
 # they send at the limit is on its way for a while.
 IDLE_MARGIN_S = 0.5
+# Slower requests are ended: a caller that sends a byte now and then would hold its
+# connection for ever.
+MIN_RECEIVED_BYTES_PER_S = 100
 # How long cancelled handlers may take to respond when the server stops.
 STOP_TIMEOUT_S = 0.2
 # How long and how much is read of a request that was refused.
@@ -148,6 +151,9 @@
         self.is_idle: bool = True
         self.is_receiving: bool = False
         self._handler: asyncio.Task | None = None
+        # When the request that is received began, and how much of it has arrived.
+        self._begun_s: float | None = None
+        self._received_bytes: int = 0
 
     async def run(self) -> None:
         """Serve requests until the connection is closed."""
@@ -188,6 +194,7 @@
 
     async def _serve_request(self) -> bool:
         self.is_idle = True
+        self._begun_s = None
         try:
             request = await self._read_request()
         except OSError as exc:
@@ -311,11 +318,10 @@
         has_begun = in_request or bool(self._protocol.trailing_data[0])
         self.is_receiving = has_begun
         self.is_idle = not has_begun
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        while (
-            remaining_s := self._read_timeout_s(has_begun) - (loop.time() - started_s)
-        ) > 0:
+        if has_begun and self._begun_s is None:
+            self._begin_request()
+        started_s = asyncio.get_running_loop().time()
+        while (remaining_s := self._remaining_s(has_begun, started_s)) > 0:
             # The limit may be raised during the wait, which then continues.
             data = await self._read_within(remaining_s)
             if data is not None:
@@ -331,6 +337,9 @@
         if not self.is_receiving:
             self._apply_new_limits()
         self._protocol.receive_data(data)
+        if self._begun_s is None:
+            self._begin_request()
+        self._received_bytes += len(data)
         if data:
             self.is_receiving = True
             self.is_idle = False
@@ -353,11 +362,22 @@
             await asyncio.sleep(0)
         return await self._read_within(0)
 
-    def _read_timeout_s(self, has_begun: bool) -> float:
+    def _begin_request(self) -> None:
+        self._begun_s = asyncio.get_running_loop().time()
+        self._received_bytes = 0
+
+    def _remaining_s(self, has_begun: bool, started_s: float) -> float:
+        """Return how much longer to wait for data: for the next request, or for the
+        rest of one, which must arrive at a minimum rate.
+        """
         limits = self._server.limits()
         if has_begun:
-            return limits.header_timeout_s
-        return max(limits.idle_timeout_s, self._known_idle_timeout_s) + IDLE_MARGIN_S
+            allowed_s = self._received_bytes / MIN_RECEIVED_BYTES_PER_S
+            due_s = self._begun_s + limits.header_timeout_s + allowed_s
+        else:
+            idle_s = max(limits.idle_timeout_s, self._known_idle_timeout_s)
+            due_s = started_s + idle_s + IDLE_MARGIN_S
+        return due_s - asyncio.get_running_loop().time()
 
     async def _reject(self, rejected: RequestRejectedError) -> None:
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- a/tests/test_serving_connections.py
+++ b/tests/test_serving_connections.py
@@ -124,6 +124,50 @@
         self.run_scenario(scenario)
         self.assertEqual([408], [status for _, status in self.failures])
 
+    @parameterized.expand(
+        [
+            ("headers", REQUEST[:20], b"x"),
+            (
+                "body",
+                b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 90\r\n\r\n",
+                b"x",
+            ),
+        ]
+    )
+    def test_request_that_sends_a_byte_now_and_then_is_ended(self, _name, begin, drip):
+        """Each byte comes well within the time limit."""
+        self.limits = ServerLimits(1_000, 100, 0.2, 5.0)
+
+        async def scenario(_server, port):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(begin)
+            answer = asyncio.ensure_future(reader.readline())
+            for _ in range(85):
+                if answer.done():
+                    break
+                writer.write(drip)
+                await asyncio.sleep(0.05)
+            self.assertTrue(answer.done())
+            self.assertIn(b" 408 ", await answer)
+            writer.close()
+
+        self.run_scenario(scenario)
+
+    def test_slow_body_that_goes_on_is_read_whole(self):
+        """It takes longer than the time limit of its headers."""
+        self.limits = ServerLimits(1_000, 100, 0.2, 5.0)
+
+        async def scenario(_server, port):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 90\r\n\r\n")
+            for _ in range(9):
+                writer.write(b"x" * 10)
+                await asyncio.sleep(0.04)
+            self.assertIn(b" 200 ", await reader.readline())
+            writer.close()
+
+        self.run_scenario(scenario)
+
     @parameterized.expand(
         [(type(e).__name__, e) for e in (OSError("x"), TimeoutError(), KeyError("x"))]
     )
