Don't take a second copy of a store's answer for the next call's

Cause: an idle connection to the store was used again without a look at what had arrived in the meantime; h11 sees only bytes that came together with the answer. A late second copy was then the answer of the next call: an owner's list for another, an append taken as done.

Change: before a kept connection is used again its buffer is read without waiting; bytes or its end close it. The test failed before (the second call got the first one's answer). A copy that arrives after the next call was sent can't be told apart: the store's answers have no ids. Endpoints aren't concerned: each send has a connection of its own.

--- a/apricotquay/platform/store.py
+++ b/apricotquay/platform/store.py
@@ -291,7 +291,7 @@
     async def _acquire_connection(self) -> ClientConnection:
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_reusable:
+            if connection.is_reusable and not await connection.has_unexpected_data():
                 return connection
             connection.close()
         try:
--- a/apricotquay/serving/httpclient.py
+++ b/apricotquay/serving/httpclient.py
@@ -38,6 +38,20 @@
             and not self._writer.is_closing()
         )
 
+    async def has_unexpected_data(self) -> bool:
+        """Whether bytes have arrived that belong to no request, or the end. The
+        connection must not be used again then: a second copy of a response would be
+        taken for that to the next request.
+        """
+        try:
+            async with asyncio.timeout(0):
+                await self._reader.read(1)
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+        return True
+
     def send(self, request: HttpRequest) -> None:
         """Write a request; connection errors are raised when the response is read."""
         headers = list(request.headers)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 
 import msgspec
 from parameterized import parameterized
@@ -68,3 +69,53 @@
         with self.assertRaises(LogError):
             asyncio.run(store.read_newest(TOPIC, 0))
         self.assertEqual([""], store.requested_after)
+
+
+class RepeatingStore:
+    """Answers each call with its number, and the first one again a moment later."""
+
+    def __init__(self) -> None:
+        self.connections: int = 0
+        self.repeated = asyncio.Event()
+        self._calls = 0
+
+    async def serve(self, reader, writer) -> None:
+        """Serve a connection."""
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self._calls += 1
+                body = b'{"owners": [["t", %d, "m", 0]]}' % self._calls
+                answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+                writer.write(answer + body)
+                if self._calls == 1:
+                    await asyncio.sleep(0.05)
+                    writer.write(answer + body)
+                    await writer.drain()
+                    self.repeated.set()
+        writer.close()
+
+
+class RepeatedAnswerTest(ApricotTest):
+    """A store that sends a second copy of an answer on an idle connection."""
+
+    def test_second_copy_of_an_answer_is_not_taken_for_the_next_calls(self):
+        """The connection isn't used again."""
+
+        async def scenario() -> None:
+            store = RepeatingStore()
+            server = await asyncio.start_server(store.serve, "127.0.0.1", 0)
+            client = StoreClient(*server.sockets[0].getsockname())
+            first = await client.read_owners("g")
+            await store.repeated.wait()
+            await asyncio.sleep(0.05)
+            second = await client.read_owners("g")
+            third = await client.read_owners("g")
+            numbers = [next(iter(r)).number for r in (first, second, third)]
+            self.assertEqual([1, 2, 3], numbers)
+            self.assertEqual(2, store.connections)
+            client.close()
+            server.close()
+
+        asyncio.run(scenario())
