Log an unexpected error while a peer's message is handled

A table of 14 malformed frames (cut, deep, huge, wrong types, unknown) ends their own connection only, before and after; an error of a handler left the connection working but was logged nowhere. It is logged now; the call gets no reply, since it may have had effects. A frame whose number is no number, and errors of the decoder of other kinds, are malformed frames now.

--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -17,6 +17,8 @@
 from .outliers import SlotOutcome
 from .sendlimits import LimitNotice
 
+MAX_ERROR_CHARS = 200
+
 
 class AskSlot(msgspec.Struct, frozen=True, tag="ask_slot"):
     """Requests a slot from a service's owner.
@@ -317,6 +319,8 @@
     """Decode one frame; raise ValueError if it is malformed."""
     try:
         number, value = cbor2.loads(data)
-        return number, msgspec.convert(value, Message, builtin_types=(bytes,))
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, TypeError) as exc:
-        raise ValueError(f"malformed frame: {exc}") from exc
+        message = msgspec.convert(value, Message, builtin_types=(bytes,))
+        return msgspec.convert(number, int), message
+    except Exception as exc:
+        # The decoders raise errors of many kinds for bytes of another writer.
+        raise ValueError(f"malformed frame: {exc!r}"[:MAX_ERROR_CHARS]) from exc
--- a/apricotquay/serving/peers.py
+++ b/apricotquay/serving/peers.py
@@ -10,6 +10,7 @@
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from ..errors import PeerUnavailableError
+from ..events import Event
 from .messages import CallNotServed, Message, decode_frame, encode_frame
 from .reporting import Reporter
 
@@ -107,7 +108,14 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _handle_message(self, number: int, message: Message) -> None:
-        reply = await self._handler(self, message)
+        try:
+            reply = await self._handler(self, message)
+        except Exception as exc:
+            # No reply: the call may have had effects, so it is not said to be refused.
+            self._reporter.write(
+                Event.THREAD_FAILED, task="peer message", error=repr(exc)[:200]
+            )
+            return
         if number > 0:
             frame = encode_frame(-number, reply or CallNotServed("no reply"))
             self._outgoing.put_nowait(frame)
--- a/tests/test_serving_peers.py
+++ b/tests/test_serving_peers.py
@@ -3,6 +3,11 @@
 import asyncio
 import time
 
+import cbor2
+from parameterized import parameterized
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+
 from apricotquay.errors import PeerUnavailableError
 from apricotquay.ids import JobId, TeamId
 from apricotquay.serving import peers as peers_module
@@ -65,6 +70,63 @@
 
         self.run_scenario(lambda *_: None, scenario)
 
+    @parameterized.expand(
+        [
+            ("nothing", b""),
+            ("no frame", b"hello"),
+            ("text", "text"),
+            ("cut", encode_frame(1, CALL)[:-3]),
+            ("no number", cbor2.dumps(["x", {"type": "call_job"}])),
+            ("number of no kind", cbor2.dumps([None, {"type": "read_body"}])),
+            ("unknown message", cbor2.dumps([1, {"type": "none"}])),
+            ("missing fields", cbor2.dumps([1, {"type": "read_body"}])),
+            (
+                "wrong types",
+                cbor2.dumps(
+                    [1, {"type": "read_body", "team": 1, "job": [], "item": 2}]
+                ),
+            ),
+            ("one value", cbor2.dumps(7)),
+            ("three values", cbor2.dumps([1, 2, 3])),
+            ("deep", b"\x81" * 20_000),
+            ("huge length", b"\x9b" + b"\xff" * 8),
+            ("unknown tag", b"\xda\xff\xff\xff\xff\x00"),
+        ]
+    )
+    def test_malformed_frame_ends_its_connection_only(self, _name, frame):
+        """The daemon goes on, and the next connection works."""
+
+        async def handle(_connection, message):
+            return ItemBody(True, message.item.encode())
+
+        async def scenario(caller, address):
+            async with connect(f"ws://{address}/", proxy=None) as socket:
+                await socket.send(frame)
+                with self.assertRaises(ConnectionClosed):
+                    while True:
+                        await socket.recv()
+            reply = await caller.call(address, CALL, 5.0)
+            self.assertEqual(b"i", reply.body)
+
+        self.run_scenario(handle, scenario)
+
+    def test_unexpected_error_of_a_handler_leaves_the_connection_working(self):
+        """The call gets no reply: it may have had effects."""
+
+        async def handle(_connection, message):
+            if message.item == "i":
+                raise KeyError("unexpected")
+            return ItemBody(True, b"")
+
+        async def scenario(caller, address):
+            connection = await caller.connect(address)
+            with self.assertRaises(PeerUnavailableError) as caught:
+                await caller.call(address, CALL, 0.1)
+            self.assertTrue(caught.exception.sent)
+            await connection.call(ReadBody(TeamId("t"), JobId("j"), "other"), 5.0)
+
+        self.run_scenario(handle, scenario)
+
     def test_call_timeout_keeps_a_live_connection_open(self):
         """Other calls may use it; the timed-out call may have been processed."""
 
