Eject a crashed endpoint at every daemon that hears of the crash

Suspects now avoid the crashed endpoints, so nobody's connection to them was refused, nobody ejected them, and other requests went there, each at the cost of a retry, until the team's retries were used up. A report of a crash is proof that nothing listens there: own ones (the port refuses connections) and peers'. The test failed before.

--- a/apricotquay/poison.py
+++ b/apricotquay/poison.py
@@ -139,10 +139,19 @@
         with self._lock:
             self._quarantine.add_suspects(endpoint, suspects, self._clock.now_s())
             crash_counts = self._quarantine.crash_counts(suspects)
+        self._eject(endpoint)
         self._events.write(
             Event.ENDPOINT_CRASHED, endpoint=endpoint, suspects=crash_counts
         )
 
+    def _eject(self, endpoint_id: EndpointId) -> None:
+        """Eject a crashed endpoint: each request sent there would cost a retry."""
+        with self._fleet.lock:
+            endpoint = self._fleet.endpoints.get(endpoint_id)
+            if endpoint is not None:
+                now_s = self._clock.now_s()
+                self._fleet.endpoints.record_failure(endpoint, now_s, refused=True)
+
     def _conclude(self, endpoint: EndpointId) -> None:
         with self._lock:
             quarantined = self._quarantine.conclude(endpoint, self._clock.now_s())
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -92,7 +92,8 @@
         wakes = next(s for s in status if s.startswith("voluntary_ctxt_switches"))
         address = self._processes.caller_addresses[number]
         metrics = await _exchange(
-            Address(address.host, METRICS_PORT), HttpRequest("GET", "/metrics", [], b"")
+            Address(address.host, METRICS_PORT),
+            HttpRequest("GET", "/metrics", [(b"host", b"daemon")], b""),
         )
         return Usage(
             (int(fields[USER_TICKS]) + int(fields[SYSTEM_TICKS])) / TICKS_PER_S,
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -7,11 +7,13 @@
 from apricotquay.clocks import SystemClock
 from apricotquay.engineclient import EndpointError
 from apricotquay.errors import Ran
-from apricotquay.ids import EndpointId
+from apricotquay.ids import EndpointId, MemberId
+from apricotquay.membership import VmEntry
 from apricotquay.messages import QuarantineNotice
 from apricotquay.online import OnlineRequestHandler
 from apricotquay.poison import PoisonDetector
 from apricotquay.quarantine import Quarantine, QuarantineStatus
+from apricotquay.routing import EndpointTable
 
 from .base import ApricotTest
 
@@ -23,11 +25,12 @@
         """Create a detector that notifies nobody; all endpoints refuse connections."""
         super().setUp()
         self.engines = Mock()
+        self.fleet = MagicMock()
         self.engines.fetch_load.side_effect = EndpointError(
             "refused", Ran.NOT_RUN, refused=True
         )
         self.detector = PoisonDetector(
-            Quarantine(), Mock(), self.engines, SystemClock(), Mock()
+            Quarantine(), self.fleet, self.engines, SystemClock(), Mock()
         )
         self.detector._notify_all = lambda notice: None
         self.reports: list[QuarantineNotice] = []
@@ -61,6 +64,22 @@
             self.detector.handle_notice(report)
         self.assertIs(QuarantineStatus.SUSPECT, self.detector.status("harmless"))
 
+    def test_crashed_endpoint_is_ejected_by_every_daemon_that_hears_of_it(self):
+        """Requests that are sent there would use up the team's retries."""
+        table = EndpointTable(MemberId("d"), "z1", 8)
+        names = [f"e{number}" for number in range(3)]
+        entries = [
+            VmEntry(name, "model", "127.0.0.1", 1, "z1", serves="m") for name in names
+        ]
+        table.apply_vm_list(entries, [MemberId("d")])
+        self.fleet.endpoints = table
+        self.crash("e0", "culprit", [])
+        report = QuarantineNotice(EndpointId("e1"), ["culprit"], [])
+        self.detector.handle_notice(report)
+        now_s = SystemClock().now_s()
+        ejected = [name for name in names if table.get(name).is_ejected(now_s)]
+        self.assertEqual(["e0", "e1"], ejected)
+
 
 class RetryTest(ApricotTest):
     """The retry of a request whose endpoint crashed."""
