--- a/bench/main.py
+++ b/bench/main.py
@@ -9,6 +9,7 @@
 PARTS = {
     "decisions": lambda seed: decisions.measure_decisions(),
     "policies": policies.measure_policies,
+    "owners": policies.measure_owner_counts,
     "slots": lambda seed: slottable.measure_slot_table(seed),
     "rates": rates.measure_rate_limits,
     "calls": lambda seed: calls.measure_calls(),
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -11,6 +11,7 @@
 
 from .queueing import EarliestDueDispatcher, LocalTables, Policy, QueueingModel
 from .results import Row
+from .splittables import SplitTables
 from .upperbound import compute_upper_bound
 from .workloads import DEPLOYMENTS, Deployment, Disturbance, generate_workload
 
@@ -37,6 +38,46 @@
     Policy("attempts given up after 0.2 s", first_event_timeout_s=0.2),
 )
 
+# The users' large deployment: 39 engines before 195 daemons.
+LARGE = Deployment(
+    engines=39,
+    online_per_s=178.7,
+    online_service_time_s=0.7,
+    objective_s=0.308,
+    time_to_first_event_s=0.04,
+    online_value=1.5,
+    online_late_value=0.22,
+    jobs_per_s=2.23,
+    item_value=9.0,
+    item_late_value=0.9,
+    duration_s=30.0,
+)
+LARGE_DISTURBANCES = (
+    Disturbance("calm"),
+    Disturbance("online x1.6", online_factor=1.6),
+    Disturbance("nine engines lost", engines_lost=9),
+)
+OWNER_POLICIES = (
+    Policy("one table"),
+    *(
+        Policy(
+            f"{count} owners{', requests move' if moves else ''}",
+            lambda seed, count=count, moves=moves: SplitTables(
+                count, seed, moves=moves
+            ),
+        )
+        for count in (3, 13, 39)
+        for moves in (False, True)
+    ),
+)
+
+
+def measure_owner_counts(seed: int) -> Iterator[Row]:
+    """Yield what it costs to split the slot table of a large service by endpoints."""
+    yield from measure_policies(
+        seed, OWNER_POLICIES, {"large": LARGE}, LARGE_DISTURBANCES
+    )
+
 
 def measure_policies(
     seed: int,
--- a/tests/test_bench_model.py
+++ b/tests/test_bench_model.py
@@ -7,7 +7,8 @@
 from apricotquay.events import Event
 from apricotquay.serving.dispatch import Work
 from bench.policies import POLICIES, compute_margin, measure_policies
-from bench.queueing import LocalTables, Policy, QueueingModel
+from bench.queueing import TICK_INTERVAL_S, LocalTables, Policy, QueueingModel
+from bench.splittables import SplitTables
 from bench.upperbound import compute_upper_bound
 from bench.workloads import (
     Deployment,
@@ -77,6 +78,19 @@
         model = self.run_model(workload, policy)
         self.assertLessEqual(model.in_time_share(Work.ONLINE), 0.5)
 
+    @parameterized.expand([("stays", False), ("moves", True)])
+    def test_request_that_waits_at_a_full_owner_moves_to_a_free_slot(self, _, moves):
+        """Two requests, two owners of an engine with one slot each, ten seeds."""
+        arrivals = [OnlineArrival(0.0, 1.0), OnlineArrival(0.01, 1.0)]
+        workload = Workload(3.0, arrivals, [], [EngineCount(0.0, 2)])
+        longest_s = []
+        for seed in range(10):
+            policy = Policy("split", lambda _, n=seed: SplitTables(2, n, moves=moves))
+            model = QueueingModel(Deployment(engines=2, slots=1), workload, policy, 1)
+            model.run()
+            longest_s.append(model.slot_waits_s(Work.ONLINE)[-1])
+        self.assertEqual(moves, max(longest_s) <= TICK_INTERVAL_S)
+
     def test_policies_are_compared_on_the_same_workloads(self):
         """Each mean has a margin, and the upper bound is reported."""
         rows = list(
