--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import base64
+import itertools
 import json
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 
 from parameterized import parameterized
 
@@ -14,7 +16,7 @@
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving import shards as shards_module
 from apricotquay.serving.daemon import Address, Daemon, ServingSettings
-from apricotquay.serving.http1 import HttpRequest, HttpResponse
+from apricotquay.serving.http1 import HttpError, HttpRequest, HttpResponse
 from apricotquay.serving.httpclient import open_client
 from apricotquay.serving.keyedlog import KeyedRecord, Topic
 from standins.addresses import ADMIN_PORT, PEER_PORT, SERVER_PORT, AddressAllocator
@@ -31,6 +33,8 @@
 HOST = "127.0.0.1"
 ADDRESSES = AddressAllocator()
 TIMEOUT_S = 20.0
+# Between requests of a load that a whole fleet gets.
+REQUEST_INTERVAL_S = 0.02
 
 
 class PlatformFleet:
@@ -194,6 +198,33 @@
 
         asyncio.run(run())
 
+    async def send_load(
+        self,
+        fleet: PlatformFleet,
+        until_s: float,
+        daemons: Callable[[], list[Daemon]] | None = None,
+    ) -> list[int]:
+        """Send requests to the daemons in turn; return their statuses, 0 for none."""
+        calls = []
+        for number in itertools.count():
+            if time.monotonic() >= until_s:
+                break
+            targets = daemons() if daemons else fleet.daemons
+            daemon = targets[number % len(targets)]
+            calls.append(asyncio.ensure_future(self.send(fleet, daemon, number)))
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+        return await asyncio.gather(*calls)
+
+    async def send(self, fleet: PlatformFleet, daemon: Daemon, number: int) -> int:
+        """Send a request; return its status, 0 if it has none."""
+        try:
+            response = await fleet.call(
+                daemon, "POST", f"/s/{number}", b"events=4", attempt_id=f"r{number}"
+            )
+        except HttpError:
+            return 0
+        return response.status
+
 
 class PlatformFleetTest(PlatformTest):
     """Responses that callers get, and what reaches the servers."""
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -1,7 +1,6 @@
 """Servers whose answers say that they leave, beneath a whole fleet."""
 
 import asyncio
-import itertools
 import time
 from collections.abc import Callable
 
@@ -9,7 +8,6 @@
 
 from apricotquay.platform.engines import ServerClient
 from apricotquay.serving.daemon import Daemon
-from apricotquay.serving.http1 import HttpError
 from standins.platform import ModelServer
 
 from . import test_platform_fleet
@@ -20,7 +18,6 @@
 # The users allow a daemon this long after the first answer that it passed on.
 DRAIN_S = 2.0
 RUN_S = 4.0
-REQUEST_INTERVAL_S = 0.02
 
 
 class RecordingClient(ServerClient):
@@ -59,33 +56,14 @@
         RecordingClient.all = []
         self.patch(test_platform_fleet, "ServerClient", RecordingClient)
 
-    async def send_load(
+    async def send_for(
         self,
         fleet: PlatformFleet,
         seconds: float,
         daemons: Callable[[], list[Daemon]] | None = None,
     ) -> list[int]:
-        """Send streams to the daemons in turn; return their statuses, 0 for none."""
-        until_s = time.monotonic() + seconds
-        calls = []
-        for number in itertools.count():
-            if time.monotonic() >= until_s:
-                break
-            targets = daemons() if daemons else fleet.daemons
-            daemon = targets[number % len(targets)]
-            calls.append(asyncio.ensure_future(self.send(fleet, daemon, number)))
-            await asyncio.sleep(REQUEST_INTERVAL_S)
-        return await asyncio.gather(*calls)
-
-    async def send(self, fleet: PlatformFleet, daemon: Daemon, number: int) -> int:
-        """Send a stream; return its status, 0 if it has none."""
-        try:
-            response = await fleet.call(
-                daemon, "POST", f"/s/{number}", b"events=4", attempt_id=f"r{number}"
-            )
-        except HttpError:
-            return 0
-        return response.status
+        """Send requests for a while; return their statuses, 0 for none."""
+        return await self.send_load(fleet, time.monotonic() + seconds, daemons)
 
     def check_drained(self) -> None:
         """Check the users' rule."""
@@ -100,12 +78,12 @@
             leaving = fleet.servers[:LEAVING]
             for server in leaving:
                 server.leaving_values = ["1"]
-            statuses = await self.send_load(fleet, RUN_S)
+            statuses = await self.send_for(fleet, RUN_S)
             self.check_drained()
             self.assertEqual({200}, set(statuses))
             for server in leaving:
                 server.arrived_s.clear()
-            await self.send_load(fleet, 1.0)
+            await self.send_for(fleet, 1.0)
             self.assertEqual([[]] * LEAVING, [s.arrived_s for s in leaving])
 
         self.run_scenario(scenario, daemons, SERVERS, step_s=0.02)
@@ -116,9 +94,9 @@
         async def scenario(fleet):
             for server in fleet.servers[:LEAVING]:
                 server.leaving_values = ["1"]
-            await self.send_load(fleet, 1.0)
+            await self.send_for(fleet, 1.0)
             await fleet.store.close()
-            await self.send_load(fleet, RUN_S)
+            await self.send_for(fleet, RUN_S)
             self.check_drained()
 
         self.run_scenario(scenario, 6, SERVERS, step_s=0.02)
@@ -130,7 +108,7 @@
             leaving = fleet.servers[:LEAVING]
             for server in leaving:
                 server.leaving_values = ["1"]
-            await self.send_load(fleet, 1.0)
+            await self.send_for(fleet, 1.0)
             first = fleet.daemons[0]
             await first.shards.leave()
             await first.close()
@@ -139,7 +117,7 @@
             fleet.daemons.pop(0)
             new = fleet.daemons[-1]
             await fleet.wait_until(lambda: fleet.is_ready(new, SERVERS))
-            statuses = await self.send_load(fleet, 2.0, lambda: [new])
+            statuses = await self.send_for(fleet, 2.0, lambda: [new])
             self.assertEqual({200}, set(statuses))
             ids = {server.name for server in leaving}
             sent = [s for s, _ in RecordingClient.all[-1].sent if s in ids]
@@ -155,12 +133,12 @@
         async def scenario(fleet):
             old = fleet.servers[0]
             old.leaving_values = ["1"]
-            await self.send_load(fleet, 1.0)
+            await self.send_for(fleet, 1.0)
             await old.close()
             new = ModelServer(old.name, 0.02, fleet.runs.append)
             await new.start(HOST, 0, fleet.store_address)
             fleet.servers[0] = new
-            await self.send_load(fleet, 2.0)
+            await self.send_for(fleet, 2.0)
             self.assertGreater(len(new.arrived_s), 0)
 
         self.run_scenario(scenario, 3, servers=2, step_s=0.02)
@@ -171,7 +149,7 @@
 
         async def scenario(fleet):
             fleet.servers[0].leaving_values = values
-            statuses = await self.send_load(fleet, 1.0)
+            statuses = await self.send_for(fleet, 1.0)
             self.assertEqual({200}, set(statuses))
 
         self.run_scenario(scenario, servers=1)
@@ -182,10 +160,10 @@
         async def scenario(fleet):
             for server in fleet.servers:
                 server.leaving_values = ["1"]
-            await self.send_load(fleet, 1.0)
+            await self.send_for(fleet, 1.0)
             for server in fleet.servers:
                 server.arrived_s.clear()
-            statuses = await self.send_load(fleet, 0.5)
+            statuses = await self.send_for(fleet, 0.5)
             self.assertEqual({503}, set(statuses))
             self.assertEqual([[], []], [s.arrived_s for s in fleet.servers])
 
@@ -198,7 +176,7 @@
             leaving = fleet.servers[0]
             leaving.leaving_values = ["1"]
             leaving.refuses_all = True
-            load = asyncio.ensure_future(self.send_load(fleet, 1.5))
+            load = asyncio.ensure_future(self.send_for(fleet, 1.5))
             ejected = set()
             while not load.done():
                 for daemon in fleet.daemons:
@@ -209,7 +187,7 @@
             self.assertEqual({200}, set(load.result()))
             self.assertEqual(set(), ejected)
             leaving.arrived_s.clear()
-            await self.send_load(fleet, 0.5)
+            await self.send_for(fleet, 0.5)
             self.assertEqual([], leaving.arrived_s)
 
         self.run_scenario(scenario, servers=3, step_s=0.02)
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -1,17 +1,13 @@
 """Servers that name a limit on requests, beneath a whole fleet."""
 
 import asyncio
-import itertools
 import time
-from collections.abc import Callable
 
 from parameterized import parameterized
 
-from apricotquay.serving.daemon import Daemon
-from apricotquay.serving.http1 import HttpError
 from standins.platform import ModelServer
 
-from .test_platform_fleet import PlatformFleet, PlatformTest
+from .test_platform_fleet import PlatformTest
 
 SERVERS = 4
 LIMIT_PER_S = 2.0
@@ -21,7 +17,6 @@
 # The rule counts from then on; a daemon restarts within the users' bounds by then.
 LEARN_S = 3.0
 RUN_S = 9.0
-REQUEST_INTERVAL_S = 0.02
 
 
 def most_in_window(times_s: list[float], from_s: float) -> int:
@@ -36,33 +31,6 @@
 class LimitTest(PlatformTest):
     """A limit holds over all daemons together, and the rest is served elsewhere."""
 
-    async def send_load(
-        self,
-        fleet: PlatformFleet,
-        until_s: float,
-        daemons: Callable[[], list[Daemon]] | None = None,
-    ) -> list[int]:
-        """Send requests to the daemons in turn; return their statuses, 0 for none."""
-        calls = []
-        for number in itertools.count():
-            if time.monotonic() >= until_s:
-                break
-            targets = daemons() if daemons else fleet.daemons
-            daemon = targets[number % len(targets)]
-            calls.append(asyncio.ensure_future(self.send(fleet, daemon, number)))
-            await asyncio.sleep(REQUEST_INTERVAL_S)
-        return await asyncio.gather(*calls)
-
-    async def send(self, fleet: PlatformFleet, daemon: Daemon, number: int) -> int:
-        """Send a request; return its status, 0 if it has none."""
-        try:
-            response = await fleet.call(
-                daemon, "POST", f"/s/{number}", b"events=4", attempt_id=f"r{number}"
-            )
-        except HttpError:
-            return 0
-        return response.status
-
     def check_limits(self, servers: list[ModelServer], named_s: float) -> None:
         """Check the users' rule."""
         for server in servers:
