Close an endpoint's response whatever error follows, and let the random handover test read streams again

Cause: an error between the response and the block that closes it left the attempt running at its endpoint; the error was the test's own, whose response lacks the new field. The line is within the block now.

The response has all fields now, and more than half of the streams must be read whole; it passes.

--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -191,8 +191,8 @@
             raise AttemptFailedError(
                 f"no answer within {response_timeout_s:.2f} s", timed_out=True
             ) from exc
-        self._record_leaving(endpoint, response.is_leaving)
         try:
+            self._record_leaving(endpoint, response.is_leaving)
             if is_success(response.status) or response.limit != NO_LIMIT:
                 on_limit(response.limit)
             return response, await consume(response)
--- a/tests/test_serving_handover.py
+++ b/tests/test_serving_handover.py
@@ -15,7 +15,11 @@
 from apricotquay.serving.crashes import CrashDetector
 from apricotquay.serving.crashlog import CrashLog
 from apricotquay.serving.dispatch import Ticket, TicketId, Work
-from apricotquay.serving.engine import AttemptFailedError, RequestNotRunError
+from apricotquay.serving.engine import (
+    NO_LIMIT,
+    AttemptFailedError,
+    RequestNotRunError,
+)
 from apricotquay.serving.handover import Handover
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
@@ -117,12 +121,13 @@
     """Answers after delays around the silence limit; some calls are refused or cut.
 
     `running` counts the attempts of each request, `overlaps` the requests that had
-    two at once.
+    two at once, `completed` the streams that were read to their end.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self.running: Counter = Counter()
         self.overlaps = 0
+        self.completed = 0
         self._rng = rng
 
     async def send(self, call, _endpoint) -> "RandomResponse":
@@ -158,6 +163,9 @@
 
     status = 200
     headers = ()
+    ends_with_connection = False
+    limit = NO_LIMIT
+    is_leaving = False
 
     def __init__(self, endpoints: RandomEndpoints, call) -> None:
         self._endpoints = endpoints
@@ -171,6 +179,7 @@
             for part in (event(number)[:5], event(number)[5:]):
                 await self._endpoints.pause()
                 yield part
+        self._endpoints.completed += 1
 
     def close(self) -> None:
         """End the attempt; each response is closed once."""
@@ -207,6 +216,8 @@
             await asyncio.sleep(rng.uniform(0, 0.01))
         await asyncio.gather(*requests)
         await asyncio.sleep(0.2)
+        # A quarter of the callers leave.
+        self.assertGreater(endpoints.completed, REQUESTS / 2)
         self.assertEqual(0, endpoints.overlaps)
         self.assertEqual(0, sum(endpoints.running.values()))
         for daemon in daemons:
