Log whether peers reach an endpoint that a daemon cannot reach

The incident's hypotheses differ in whether an endpoint could be reached by other VMs at the moment at which one VM could not; no log line told that. Daemons tell in the opening handshake that they understand the question, since daemons of an older version close a connection on which an unknown message arrives.

The check for a crash uses the same probe, with its time limit unchanged.

--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -1,7 +1,7 @@
 """Sends calls to endpoints, which the platform calls servers, and checks responses."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
 
@@ -9,7 +9,9 @@
 from ..serving.engine import (
     AttemptFailedError,
     EndpointLimit,
+    EndpointUnreachableError,
     EngineCall,
+    Reachability,
     RequestNotRunError,
 )
 from ..serving.http1 import (
@@ -28,7 +30,7 @@
 # can still be sent to another endpoint in time.
 CONNECT_TIMEOUT_S = 0.15
 # A slow VM may notice a refused connection late.
-CRASH_CHECK_TIMEOUT_S = 0.5
+PROBE_TIMEOUT_S = 0.5
 MISDIRECTED_REQUEST = 421
 BODILESS_STATUSES = (204, 304)
 # Response headers that are not forwarded to callers.
@@ -37,6 +39,10 @@
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
+# Opens a connection to a host and port within a time in seconds.
+Connect = Callable[[str, int, float], Awaitable[ClientConnection]]
+
+
 class ServerResponse:
     """A response whose head has been checked; implements `EngineResponse`."""
 
@@ -75,18 +81,21 @@
 
 
 class ServerClient:
-    """Implements `EngineClient`. Opens a connection for each call: an idle one may be
-    dead, and a late response on it could be taken for that to another request.
+    """Implements `DirectEngineClient`. Opens a connection for each call: an idle one
+    may be dead, and a late response on it could be taken for that to another request.
     """
 
+    def __init__(self, connect: Connect = open_client) -> None:
+        self._connect: Connect = connect
+
     async def send(self, call: EngineCall, endpoint: Endpoint) -> ServerResponse:
         """Send a call and return its response, whose head has been checked."""
         try:
-            connection = await open_client(
+            connection = await self._connect(
                 endpoint.host, endpoint.port, CONNECT_TIMEOUT_S
             )
         except HttpError as exc:
-            raise RequestNotRunError(str(exc), unreachable=True) from exc
+            raise EndpointUnreachableError(str(exc)) from exc
         try:
             connection.send(_build_request(call, endpoint))
             head = await connection.read_head()
@@ -107,21 +116,25 @@
         """Return the parts of a request's prompt that other requests may share."""
         return wire.decode_prompt_parts(headers)
 
-    async def refuses_connections(self, endpoint: Endpoint) -> bool:
-        """Whether nothing listens at the endpoint's address.
+    def forwarded_headers(self, headers: HeaderList) -> HeaderList:
+        """Return the headers of a caller that servers may get: no key is left."""
+        return [
+            (name, value)
+            for name, value in end_to_end_headers(headers)
+            if name not in wire.RESERVED_HEADERS
+        ]
 
-        An address that is silent or has no route proves nothing: a sound endpoint may
-        be silent for a while, and the network or this daemon may be the cause.
-        """
+    async def probe(self, endpoint: Endpoint) -> Reachability:
+        """Open and close a connection to a server."""
         try:
-            connection = await open_client(
-                endpoint.host, endpoint.port, CRASH_CHECK_TIMEOUT_S
+            connection = await self._connect(
+                endpoint.host, endpoint.port, PROBE_TIMEOUT_S
             )
         except HttpError as exc:
-            return exc.refused
+            return Reachability.REFUSED if exc.refused else Reachability.SILENT
         connection.close()
         await asyncio.sleep(0)
-        return False
+        return Reachability.REACHED
 
 
 def _build_request(call: EngineCall, endpoint: Endpoint) -> HttpRequest:
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -16,7 +16,7 @@
 from .catalog import Limits
 from .crashes import CrashDetector
 from .crashlog import CrashLog
-from .engine import EngineClient
+from .engine import DirectEngineClient
 from .http1 import HttpResponse
 from .httpserver import Exchange, HttpServer, ServerLimits
 from .jobs import Jobs
@@ -25,6 +25,7 @@
     AskSlot,
     CallNotServed,
     CancelJob,
+    CheckEndpoint,
     CrashSeen,
     FindStream,
     HeldSlot,
@@ -48,9 +49,11 @@
 from .metrics import ServingMetrics
 from .online import OnlineRequestHandler
 from .partquarantine import PartQuarantine
+from .peerchecks import PeerChecks
 from .peers import PeerConnection, Peers
 from .ratelimiter import RateLimiter
 from .reporting import Reporter
+from .routedclient import RoutedEngineClient
 from .shards import Shards
 from .slots import SlotAllocator
 from .streamkeeper import StreamKeeper
@@ -130,7 +133,7 @@
         settings: ServingSettings,
         log: KeyedLog,
         directory: Directory,
-        engines: EngineClient,
+        direct: DirectEngineClient,
         interface: Callable,
         reload: Callable[[], ServingSettings] | None = None,
         clock: Clock | None = None,
@@ -178,6 +181,10 @@
         self.rates = RateLimiter(
             self.view, self.shards, self.peers, self.clock, settings.starts_full
         )
+        self.checks = PeerChecks(direct, self.view, self.shards, self.peers)
+        engines = RoutedEngineClient(
+            direct, self.checks, self.metrics, self.clock, self.reporter
+        )
         self.crashes = CrashDetector(
             Quarantine(),
             PartQuarantine(),
@@ -383,6 +390,8 @@
             return None
         if isinstance(message, FindStream):
             return self.streams.handle_find_stream(message)
+        if isinstance(message, CheckEndpoint):
+            return await self.checks.handle_check_endpoint(message)
         if isinstance(message, PullView):
             return self.exchange.handle_pull_view(message)
         return CallNotServed("not a call")
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -1,5 +1,6 @@
 """The interface to endpoints: calls, responses, and errors of an attempt."""
 
+import enum
 from collections.abc import AsyncIterator
 from typing import Protocol
 
@@ -41,11 +42,22 @@
 NO_LIMIT = EndpointLimit()
 
 
+class Reachability(enum.Enum):
+    """What became of a connection that was tried: SILENT proves nothing about the
+    endpoint, since the network or this daemon may be the cause.
+    """
+
+    REACHED = "reached"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class RequestNotRunError(ApricotquayError):
     """The endpoint certainly did not run the request.
 
     `unreachable` means that no connection could be opened. `limit` and `is_leaving`
-    are what the endpoint's refusal says.
+    are what the endpoint's refusal says. A failure of the path says nothing of the
+    endpoint, which other daemons may reach.
     """
 
     def __init__(
@@ -55,23 +67,35 @@
         unreachable: bool = False,
         limit: EndpointLimit = NO_LIMIT,
         is_leaving: bool = False,
+        is_path_failure: bool = False,
     ) -> None:
         super().__init__(reason)
         self.unreachable: bool = unreachable
         self.limit: EndpointLimit = limit
         self.is_leaving: bool = is_leaving
+        self.is_path_failure: bool = is_path_failure
 
     @property
     def is_failure(self) -> bool:
         """Whether the endpoint failed, rather than being in need or leaving."""
-        return self.limit.rate_per_s is None and not self.is_leaving
+        is_excused = self.is_leaving or self.is_path_failure
+        return self.limit.rate_per_s is None and not is_excused
+
+
+class EndpointUnreachableError(RequestNotRunError):
+    """No connection to the endpoint could be opened from this VM."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason, unreachable=True)
 
 
 class AttemptFailedError(ApricotquayError):
     """The attempt failed after the request may have run.
 
     `reset` means that the connection ended, `timed_out` that no data came in time,
-    `is_leaving` that the endpoint's response says so.
+    `is_leaving` that the endpoint's response says so. `is_path_failure` means that
+    the way to the endpoint failed, which says nothing of the endpoint, and
+    `was_relayed` that a peer made the attempt.
     """
 
     def __init__(
@@ -81,11 +105,20 @@
         reset: bool = False,
         timed_out: bool = False,
         is_leaving: bool = False,
+        is_path_failure: bool = False,
+        was_relayed: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reset: bool = reset
         self.timed_out: bool = timed_out
         self.is_leaving: bool = is_leaving
+        self.is_path_failure: bool = is_path_failure
+        self.was_relayed: bool = was_relayed
+
+    @property
+    def is_failure(self) -> bool:
+        """Whether the endpoint failed, rather than the way to it."""
+        return not self.is_path_failure
 
 
 class EngineResponse(Protocol):
@@ -108,8 +141,30 @@
         """Close the connection, which also stops the endpoint's work."""
 
 
+class DirectEngineClient(Protocol):
+    """Sends calls to endpoints over this VM's own connections. Implemented by the
+    platform's `ServerClient`, used by `RoutedEngineClient`.
+    """
+
+    async def send(self, call: EngineCall, endpoint: Endpoint) -> EngineResponse:
+        """Send a call and wait for the headers of its response; raise
+        EndpointUnreachableError when no connection can be opened.
+        """
+
+    async def probe(self, endpoint: Endpoint) -> Reachability:
+        """Open and close a connection to an endpoint."""
+
+    def prompt_parts(self, headers: HeaderList) -> list[PartKey]:
+        """Return the parts of a request's prompt that other requests may share."""
+
+    def forwarded_headers(self, headers: HeaderList) -> HeaderList:
+        """Return the headers of a caller that endpoints may get: no key is left."""
+
+
 class EngineClient(Protocol):
-    """Sends calls to endpoints. Implemented by the platform's `ServerClient`."""
+    """Sends calls to endpoints, whatever the way. Implemented by
+    `RoutedEngineClient`.
+    """
 
     async def send(self, call: EngineCall, endpoint: Endpoint) -> EngineResponse:
         """Send a call and wait for the headers of its response."""
@@ -118,4 +173,7 @@
         """Return the parts of a request's prompt that other requests may share."""
 
     async def refuses_connections(self, endpoint: Endpoint) -> bool:
-        """Whether the endpoint's port refuses connections."""
+        """Whether the endpoint's port refuses connections, as far as can be told."""
+
+    async def has_lost_path(self, endpoint: Endpoint) -> bool:
+        """Whether a peer reaches an endpoint that this VM does not reach."""
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -12,6 +12,7 @@
 from .catalog import ServiceName
 from .dispatch import Work
 from .endpoints import LeavingNotice
+from .engine import Reachability
 from .jobrecords import JobItem
 from .keyedlog import KeyedRecord
 from .outliers import SlotOutcome
@@ -272,6 +273,19 @@
     is_complete: bool
 
 
+class CheckEndpoint(msgspec.Struct, frozen=True, tag="check_endpoint"):
+    """Asks a peer to open a connection to a start of an endpoint."""
+
+    endpoint: str
+    started_ms: int
+
+
+class EndpointChecked(msgspec.Struct, frozen=True, tag="endpoint_checked"):
+    """What became of the connection; None if the peer cannot tell."""
+
+    reachability: Reachability | None
+
+
 class CallNotServed(msgspec.Struct, frozen=True, tag="not_here"):
     """This daemon could not serve the call; `reason` is for logs."""
 
@@ -305,6 +319,8 @@
     | StreamBegan
     | FindStream
     | StreamFound
+    | CheckEndpoint
+    | EndpointChecked
     | CallNotServed
 )
 
--- /dev/null
+++ b/apricotquay/serving/peerchecks.py
@@ -0,0 +1,125 @@
+"""Asks other daemons whether they reach an endpoint that this one does not reach."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from ..errors import PeerUnavailableError
+from ..ids import EndpointId
+from .endpoints import Endpoint
+from .engine import DirectEngineClient, Reachability
+from .messages import CheckEndpoint, EndpointChecked, Message
+from .peers import Feature, Peers
+from .shards import Shards
+from .view import View
+
+# A peer that probes may notice a refused connection late.
+CHECK_TIMEOUT_S = 0.6
+MAX_PEERS_ASKED = 8
+
+
+class PeerFindings(msgspec.Struct, frozen=True):
+    """What peers found at an endpoint: those that reached it, and how many were
+    refused or got no answer.
+    """
+
+    reached_by: list[str] = []
+    refused_count: int = 0
+    silent_count: int = 0
+
+
+class PeerChecks:
+    """Asks peers for their findings, and answers such questions. One per daemon.
+
+    A peer that is out of reach of an endpoint itself, as `is_lost` tells, has no
+    finding.
+    """
+
+    def __init__(
+        self, direct: DirectEngineClient, view: View, shards: Shards, peers: Peers
+    ) -> None:
+        self.is_lost: Callable[[EndpointId], bool] = lambda endpoint: False
+        self._direct: DirectEngineClient = direct
+        self._view: View = view
+        self._shards: Shards = shards
+        self._peers: Peers = peers
+        # Probes that run, which all who ask meanwhile share.
+        self._probes: dict[EndpointId, asyncio.Task] = {}
+
+    async def ask(self, endpoint: Endpoint) -> PeerFindings:
+        """Ask several peers; return once one reached the endpoint, or all answered."""
+        addresses = self._shards.addresses()
+        asked = random.sample(addresses, min(MAX_PEERS_ASKED, len(addresses)))
+        calls = {
+            asyncio.ensure_future(self._ask_peer(address, endpoint)): address
+            for address in asked
+        }
+        pending = set(calls)
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                while pending and not _reached_by(calls):
+                    _, pending = await asyncio.wait(
+                        pending, return_when=asyncio.FIRST_COMPLETED
+                    )
+        except TimeoutError:
+            # Silent peers have no finding; the others' are used.
+            pass
+        finally:
+            for call in pending:
+                call.cancel()
+        return _summarize(calls)
+
+    async def handle_check_endpoint(self, message: CheckEndpoint) -> Message:
+        """Return what this daemon finds at an endpoint for a peer."""
+        endpoint = self._view.endpoints.get(EndpointId(message.endpoint))
+        if endpoint is None or endpoint.started_ms != message.started_ms:
+            return EndpointChecked(None)
+        if self.is_lost(endpoint.id):
+            return EndpointChecked(None)
+        return EndpointChecked(await self.probe(endpoint))
+
+    async def probe(self, endpoint: Endpoint) -> Reachability:
+        """Try a connection to an endpoint; probes at the same time are one."""
+        task = self._probes.get(endpoint.id)
+        if task is None:
+            task = asyncio.ensure_future(self._direct.probe(endpoint))
+            self._probes[endpoint.id] = task
+            task.add_done_callback(lambda _: self._probes.pop(endpoint.id, None))
+        return await asyncio.shield(task)
+
+    async def _ask_peer(self, address: str, endpoint: Endpoint) -> Reachability | None:
+        question = CheckEndpoint(endpoint.id, endpoint.started_ms)
+        try:
+            connection = await self._peers.connect(address)
+            if not connection.supports(Feature.RELAY):
+                return None
+            reply = await connection.call(question, CHECK_TIMEOUT_S)
+        except PeerUnavailableError:
+            # Peers logs the failure; others are asked too.
+            return None
+        return reply.reachability if isinstance(reply, EndpointChecked) else None
+
+
+def _finding(call: asyncio.Task) -> Reachability | None:
+    if not call.done() or call.cancelled() or call.exception() is not None:
+        return None
+    return call.result()
+
+
+def _reached_by(calls: dict[asyncio.Task, str]) -> list[str]:
+    return [
+        address
+        for call, address in calls.items()
+        if _finding(call) is Reachability.REACHED
+    ]
+
+
+def _summarize(calls: dict[asyncio.Task, str]) -> PeerFindings:
+    findings = [_finding(call) for call in calls]
+    return PeerFindings(
+        _reached_by(calls),
+        findings.count(Reachability.REFUSED),
+        findings.count(Reachability.SILENT),
+    )
--- a/apricotquay/serving/peers.py
+++ b/apricotquay/serving/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 import itertools
 from collections.abc import Awaitable, Callable
 
@@ -21,13 +22,29 @@
 SILENCE_TIMEOUT_S = 1.0
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 
+# Lists in the opening handshake what a daemon understands besides the messages that
+# all versions know.
+FEATURES_HEADER = "X-Apricotquay-Features"
+
 Handler = Callable[["PeerConnection", Message], Awaitable[Message | None]]
 
 
+class Feature(enum.Enum):
+    """What daemons of an older version don't understand."""
+
+    RELAY = "relay"
+
+
+OWN_FEATURES = ",".join(feature.value for feature in Feature)
+
+
 class PeerConnection:
     """One connection between two event-loop daemons, opened by either side."""
 
-    def __init__(self, socket, handler: Handler, reporter: Reporter) -> None:
+    def __init__(
+        self, socket, handler: Handler, reporter: Reporter, features: str = ""
+    ) -> None:
+        self._features: frozenset[str] = frozenset(features.split(","))
         self.on_close: list[Callable[[], None]] = []
         self.is_open: bool = True
         self._socket = socket
@@ -40,6 +57,10 @@
         self._outgoing: asyncio.Queue[bytes] = asyncio.Queue()
         self._tasks: set[asyncio.Task] = set()
 
+    def supports(self, feature: Feature) -> bool:
+        """Whether the peer understands a feature."""
+        return feature.value in self._features
+
     def send(self, message: Message) -> None:
         """Queue a message that has no reply."""
         self._outgoing.put_nowait(encode_frame(0, message))
@@ -165,6 +186,7 @@
             compression=None,
             ping_interval=None,
             max_size=MAX_FRAME_BYTES,
+            process_response=_add_features,
         )
         return self._server.sockets[0].getsockname()[1]
 
@@ -216,6 +238,7 @@
                 open_timeout=CONNECT_TIMEOUT_S,
                 max_size=MAX_FRAME_BYTES,
                 proxy=None,
+                additional_headers={FEATURES_HEADER: OWN_FEATURES},
             )
         except (OSError, TimeoutError, WebSocketException) as exc:
             self._delay_reconnect(address)
@@ -223,7 +246,12 @@
             refused = isinstance(exc, ConnectionRefusedError)
             raise PeerUnavailableError(str(exc), refused=refused) from exc
         self._reporter.report_recovered("peer", address=address)
-        connection = PeerConnection(socket, self._handler, self._reporter)
+        connection = PeerConnection(
+            socket,
+            self._handler,
+            self._reporter,
+            socket.response.headers.get(FEATURES_HEADER, ""),
+        )
         self._connections[address] = connection
         task = asyncio.create_task(connection.run())
         self._tasks.add(task)
@@ -231,9 +259,20 @@
         return connection
 
     async def _accept(self, socket) -> None:
-        connection = PeerConnection(socket, self._handler, self._reporter)
+        connection = PeerConnection(
+            socket,
+            self._handler,
+            self._reporter,
+            socket.request.headers.get(FEATURES_HEADER, ""),
+        )
         self._accepted.add(connection)
         try:
             await connection.run()
         finally:
             self._accepted.discard(connection)
+
+
+def _add_features(_connection, _request, response):
+    """Tell a peer that connects which features this daemon has."""
+    response.headers[FEATURES_HEADER] = OWN_FEATURES
+    return response
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -24,7 +24,9 @@
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
 from apricotquay.serving.partquarantine import PartQuarantine
+from apricotquay.serving.peerchecks import PeerFindings
 from apricotquay.serving.reporting import Reporter
+from apricotquay.serving.routedclient import RoutedEngineClient
 from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
@@ -359,12 +361,29 @@
 HONEST, RESET, SILENT = "honest", "reset", "silent"
 
 
+class NoPeerChecks:
+    """Has no peers to ask."""
+
+    async def ask(self, _endpoint) -> PeerFindings:
+        """Return that no peer answered."""
+        return PeerFindings()
+
+
+def lone_client() -> RoutedEngineClient:
+    """Return the client of a daemon without peers."""
+    clock = SystemClock()
+    reporter = Reporter("vm", clock, RecordingLines())
+    return RoutedEngineClient(
+        ServerClient(), NoPeerChecks(), ServingMetrics(), clock, reporter
+    )
+
+
 class ServerAnswerTest(CallerApiTest):
     """What callers get of answers that a real connection delivers or cuts off."""
 
     def setUp(self):
         super().setUp()
-        self.engines = ServerClient()
+        self.engines = lone_client()
 
     async def start_server(self, script: bytes, ending: str) -> None:
         """Start an endpoint that sends a script and ends its connection."""
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -19,6 +19,7 @@
 from apricotquay.serving.engine import (
     AttemptFailedError,
     EngineCall,
+    Reachability,
     RequestNotRunError,
 )
 
@@ -239,7 +240,8 @@
                 self.assertTrue(exc.unreachable)
             else:
                 self.fail("a refused connection must raise")
-            self.assertTrue(await ServerClient().refuses_connections(endpoint))
+            reachability = await ServerClient().probe(endpoint)
+            self.assertIs(Reachability.REFUSED, reachability)
 
         asyncio.run(run())
 
@@ -256,7 +258,8 @@
             endpoint = Endpoint(
                 EndpointId("i-1"), ServiceName("llm"), *listener.getsockname()
             )
-            self.assertFalse(asyncio.run(ServerClient().refuses_connections(endpoint)))
+            reachability = asyncio.run(ServerClient().probe(endpoint))
+            self.assertIs(Reachability.SILENT, reachability)
 
     def test_crash_is_seen_by_a_daemon_that_notices_the_refusal_late(self):
         """Sending a request there would have timed out."""
@@ -272,7 +275,8 @@
             endpoint = Endpoint(
                 EndpointId("i-1"), ServiceName("llm"), *unused.getsockname()
             )
-            self.assertTrue(asyncio.run(ServerClient().refuses_connections(endpoint)))
+            reachability = asyncio.run(ServerClient().probe(endpoint))
+            self.assertIs(Reachability.REFUSED, reachability)
 
     @parameterized.expand(
         [
@@ -289,7 +293,8 @@
 
         self.patch(asyncio, "open_connection", fail)
         endpoint = Endpoint(EndpointId("i-1"), ServiceName("llm"), "127.0.0.1", 9)
-        self.assertFalse(asyncio.run(ServerClient().refuses_connections(endpoint)))
+        reachability = asyncio.run(ServerClient().probe(endpoint))
+        self.assertIs(Reachability.SILENT, reachability)
 
 
 STREAM_HEAD = response(extra=b"Transfer-Encoding: chunked\r\n", body=b"")
--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -102,6 +102,10 @@
         """Return that the endpoint is gone."""
         return True
 
+    async def has_lost_path(self, endpoint) -> bool:
+        """The VM reaches all endpoints."""
+        return False
+
 
 def started(name: str, started_ms: int = 1) -> Endpoint:
     """Return one start of an endpoint."""
--- a/tests/test_serving_handover.py
+++ b/tests/test_serving_handover.py
@@ -157,6 +157,10 @@
         """No endpoint crashes in these tests."""
         return False
 
+    async def has_lost_path(self, endpoint) -> bool:
+        """The VM reaches all endpoints."""
+        return False
+
 
 class RandomResponse:
     """A stream of EVENTS events, from the one after the last received."""
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -111,6 +111,10 @@
         """No endpoint crashes in these tests."""
         return False
 
+    async def has_lost_path(self, endpoint) -> bool:
+        """The VM reaches all endpoints."""
+        return False
+
 
 class FakeSlots:
     """Grants a slot at the first endpoint that the request does not avoid.
--- a/tests/test_serving_partcrashes.py
+++ b/tests/test_serving_partcrashes.py
@@ -82,6 +82,10 @@
         """Return that the endpoint is gone."""
         return True
 
+    async def has_lost_path(self, endpoint) -> bool:
+        """The VM reaches all endpoints."""
+        return False
+
 
 class EndedResponse:
     """A complete response without a body, with no sign of its end if so framed."""
@@ -117,6 +121,10 @@
         """Return whether the endpoint is gone."""
         return self._has_crashed
 
+    async def has_lost_path(self, endpoint) -> bool:
+        """The VM reaches all endpoints."""
+        return False
+
 
 class PartCrashesTest(SharedLogTest):
     """Several daemons with one log."""
