--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -20,6 +20,7 @@
 from apricotquay.serving.httpclient import open_client
 from apricotquay.serving.keyedlog import KeyedRecord, Topic
 from standins.addresses import ADMIN_PORT, PEER_PORT, SERVER_PORT, AddressAllocator
+from standins.links import Link
 from standins.platform import (
     ModelServer,
     StoreServer,
@@ -43,6 +44,8 @@
     def __init__(self) -> None:
         self.runs: list[dict] = []
         self.daemons: list[Daemon] = []
+        # The links of each daemon to the servers.
+        self.links: dict[Daemon, Link] = {}
         self.servers: list[ModelServer] = []
         self.store = StoreServer()
 
@@ -100,17 +103,19 @@
             True,
             8.0,
         )
+        link = Link()
         daemon = Daemon(
             settings,
             StoreClient(host, int(port)),
             PlatformDirectory(),
-            ServerClient(),
+            ServerClient(link.open),
             lambda *args: CallerApi(*args).handle,
             clock=SystemClock(),
             reporter=quiet_reporter(),
         )
         await daemon.start()
         self.daemons.append(daemon)
+        self.links[daemon] = link
         return daemon
 
     async def unlist(self, server: ModelServer) -> None:
