Let a peer that reaches an endpoint make the attempt for a daemon that does not

Callers of VMs that had lost their links to all endpoints got 503 (RECOVER): 13 of 118 first tries served at the cut VMs, all at the others.

Cause: a VM that is ready, admits and holds a slot had one way to an endpoint, its own connection, and could hand the work on to nobody. Besides, it ejected sound endpoints, told the slots' owner that they failed, and took a refused connection for proof of a crash. Ruled out: endpoints that are really gone (each was reached by a peer at that moment, 1511).

Change: when a connection fails, peers are asked whether they reach the endpoint. If one does, it makes this attempt and those that follow, over the connection between the two daemons, until a probe finds that the link is back; with two endpoints lost and none reached since, all count as out of reach. Admission, slot and the caller's connection stay where they are; keys don't travel; a relay uses only its own links, so there are no chains. A relay that is lost may have run the request, unless it said that it has not. Failures of the way say nothing of the endpoint: no ejection, no outcome for the owner, no crash check; and a crash needs peers that find the same.

--- a/apricotquay/events.py
+++ b/apricotquay/events.py
@@ -64,6 +64,8 @@
     CONNECTION_FAILED = (1607, "connection closed within a request")
     PARTS_QUARANTINED = (1608, "parts of prompts quarantined")
     STREAM_TAKEN_UP = (1609, "stream taken up")
+    ATTEMPT_RELAYED = (1610, "attempt given to a peer that reaches the endpoint")
+    RELAY_SERVED = (1611, "attempt made for a peer ended")
     JOB_ACCEPTED = (1701, "job accepted")
     JOB_FINISHED = (1702, "job finished")
     JOB_CANCELLED = (1703, "job cancelled")
--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -126,6 +126,7 @@
             )
             raise
         except AttemptFailedError as exc:
+            await self._check_path(endpoint, exc)
             self._record_leaving(endpoint, exc.is_leaving)
             self._record_failure(
                 call,
@@ -134,8 +135,9 @@
                 exc,
                 reset=exc.reset,
                 timed_out=exc.timed_out,
+                is_failure=exc.is_failure,
             )
-            if exc.reset or exc.timed_out:
+            if exc.is_failure and (exc.reset or exc.timed_out):
                 self._crash_detector.check_endpoint(endpoint, fingerprint)
             raise
         finally:
@@ -148,10 +150,21 @@
             self._record_completion(call, endpoint, fingerprint, response)
         return result
 
+    async def _check_path(self, endpoint: Endpoint, error: AttemptFailedError) -> None:
+        """Find out whether the way to the endpoint broke, rather than the endpoint."""
+        if error.was_relayed or not (error.reset or error.timed_out):
+            return
+        if await self._engines.has_lost_path(endpoint):
+            error.is_path_failure = True
+
     def record_silence(
         self, call: EngineCall, endpoint: Endpoint, silence_s: float
-    ) -> None:
-        """Record a failure of an endpoint that was silent until its attempt ended."""
+    ) -> bool:
+        """Record a failure of an endpoint that was silent until its attempt ended;
+        return whether it counts, which it doesn't if the way to it is lost.
+        """
+        if self._engines.is_out_of_reach(endpoint):
+            return False
         self._record_failure(
             call,
             endpoint,
@@ -159,6 +172,7 @@
             AttemptFailedError(f"silent for the last {silence_s:.2f} s"),
             timed_out=True,
         )
+        return True
 
     def _record_completion(
         self,
--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -481,7 +481,7 @@
             return AttemptResult(
                 Outcome.RETRY,
                 str(exc),
-                SlotOutcome.FAILED,
+                SlotOutcome.FAILED if exc.is_failure else SlotOutcome.UNKNOWN,
                 was_fruitless=exc.reset and progress.last_id == last_id,
             )
 
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
+import inspect
 import secrets
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -25,6 +26,7 @@
     AskSlot,
     CallNotServed,
     CancelJob,
+    CancelRelay,
     CheckEndpoint,
     CrashSeen,
     FindStream,
@@ -36,6 +38,12 @@
     PullView,
     ReadBody,
     ReadJob,
+    RelayCall,
+    RelayCredit,
+    RelayedData,
+    RelayedEnd,
+    RelayedFailure,
+    RelayedHead,
     ReleaseSlot,
     SlotGranted,
     SlotQueued,
@@ -52,6 +60,8 @@
 from .peerchecks import PeerChecks
 from .peers import PeerConnection, Peers
 from .ratelimiter import RateLimiter
+from .relayclient import RelayClient
+from .relayserver import RelayServer
 from .reporting import Reporter
 from .routedclient import RoutedEngineClient
 from .shards import Shards
@@ -84,8 +94,14 @@
     SlotRefused,
     SlotRevoked,
 )
+RELAY_MESSAGES = (RelayCall, RelayCredit, CancelRelay)
+RELAYED_MESSAGES = (RelayedHead, RelayedData, RelayedEnd, RelayedFailure)
 JOB_MESSAGES = (SubmitJob, ReadJob, ReadBody, CancelJob)
 
+PeerHandler = Callable[
+    [PeerConnection, Message], Message | None | Awaitable[Message | None]
+]
+
 
 class Address(msgspec.Struct, frozen=True):
     """An IP address and a port."""
@@ -182,8 +198,18 @@
             self.view, self.shards, self.peers, self.clock, settings.starts_full
         )
         self.checks = PeerChecks(direct, self.view, self.shards, self.peers)
-        engines = RoutedEngineClient(
-            direct, self.checks, self.metrics, self.clock, self.reporter
+        self.relay_client = RelayClient(self.peers, direct.forwarded_headers)
+        self.engines = engines = RoutedEngineClient(
+            direct,
+            self.checks,
+            self.relay_client,
+            self.view,
+            self.metrics,
+            self.clock,
+            self.reporter,
+        )
+        self.relay_server = RelayServer(
+            engines, self.view, self.metrics, self.clock, self.reporter
         )
         self.crashes = CrashDetector(
             Quarantine(),
@@ -213,6 +239,7 @@
             self.clock,
             self.reporter,
         )
+        self._peer_handlers = self._create_peer_handlers()
         handler = interface(
             self.online, self.jobs, self.metrics, self.clock, self.reporter
         )
@@ -237,6 +264,7 @@
         self.view.start()
         self.shards.start()
         self.crash_log.start()
+        self.engines.start()
         self.crashes.start()
         self.exchange.start()
         self.slots.start()
@@ -269,8 +297,9 @@
         started_s = self.clock.now_s()
         self._is_draining = True
         self.callers.drain()
+        self.relay_server.drain()
         self.reporter.write(
-            Event.DAEMON_DRAINING, busy=self.callers.busy_count, reason="signal"
+            Event.DAEMON_DRAINING, busy=self._busy_count, reason="signal"
         )
         grace_s = self.settings.grace_s - SHUTDOWN_MARGIN_S
         asyncio.get_running_loop().call_later(
@@ -284,12 +313,12 @@
         deadline_s = started_s + grace_s
         while self.clock.now_s() < deadline_s:
             is_removed_by_balancer = self.clock.now_s() - started_s > BALANCER_REMOVAL_S
-            if is_removed_by_balancer and not self.callers.busy_count:
+            if is_removed_by_balancer and not self._busy_count:
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         self.reporter.write(
             Event.DAEMON_STOPPED,
-            cut=self.callers.busy_count,
+            cut=self._busy_count,
             took_ms=int((self.clock.now_s() - started_s) * 1000),
         )
 
@@ -303,6 +332,8 @@
         self.slots.close()
         await self.streams.close()
         await self.exchange.close()
+        self.relay_server.close()
+        await self.engines.close()
         await self.crashes.close()
         await self.crash_log.close()
         await self.shards.close()
@@ -312,6 +343,11 @@
             task.cancel()
         self.reporter.flush()
 
+    @property
+    def _busy_count(self) -> int:
+        """Number of requests that would be cut: of callers, and of peers."""
+        return self.callers.busy_count + self.relay_server.busy_count
+
     def _server_limits(self) -> ServerLimits:
         configuration = self.view.configuration
         limits = configuration.limits if configuration else Limits()
@@ -364,6 +400,9 @@
         self.metrics.set_gauge("store_calls", self._log.call_count)
         self.metrics.set_gauge("shards_owned", len(self.shards.owned))
         self.metrics.set_gauge("callers_busy", self.callers.busy_count)
+        self.metrics.set_gauge("relays_busy", self.relay_server.busy_count)
+        lost_count = self.engines.paths.lost_count
+        self.metrics.set_gauge("endpoints_out_of_reach", lost_count)
         self.metrics.set_gauge("streams_kept", self.streams.kept_count)
         self.metrics.set_gauge("endpoints_limited", self.slots.tables.limited_count)
         leaving_count = len(self.view.endpoints.leaving_notices())
@@ -372,29 +411,34 @@
         body = self.metrics.render().encode()
         await exchange.respond(HttpResponse(200, headers, body))
 
+    def _create_peer_handlers(self) -> dict[type, PeerHandler]:
+        """Return what handles each message of a peer; calls return their reply."""
+        handlers: dict[type, PeerHandler] = {
+            TakeToken: lambda _, message: self.rates.handle_take_token(message),
+            CrashSeen: lambda _, message: self.crashes.handle_crash_seen(message),
+            StreamBegan: lambda _, message: self.streams.handle_stream_began(message),
+            FindStream: lambda _, message: self.streams.handle_find_stream(message),
+            PullView: lambda _, message: self.exchange.handle_pull_view(message),
+            CheckEndpoint: lambda _, message: self.checks.handle_check_endpoint(
+                message
+            ),
+        }
+        handlers |= dict.fromkeys(SLOT_MESSAGES, self.slots.handle_message)
+        handlers |= dict.fromkeys(RELAY_MESSAGES, self.relay_server.handle_message)
+        handlers |= dict.fromkeys(RELAYED_MESSAGES, self.relay_client.handle_message)
+        handlers |= dict.fromkeys(
+            JOB_MESSAGES, lambda _, message: self.jobs.handle_message(message)
+        )
+        return handlers
+
     async def _handle_peer_message(
         self, connection: PeerConnection, message: Message
     ) -> Message | None:
-        if isinstance(message, SLOT_MESSAGES):
-            self.slots.handle_message(connection, message)
-            return None
-        if isinstance(message, TakeToken):
-            return self.rates.handle_take_token(message)
-        if isinstance(message, JOB_MESSAGES):
-            return await self.jobs.handle_message(message)
-        if isinstance(message, CrashSeen):
-            self.crashes.handle_crash_seen(message)
-            return None
-        if isinstance(message, StreamBegan):
-            self.streams.handle_stream_began(message)
-            return None
-        if isinstance(message, FindStream):
-            return self.streams.handle_find_stream(message)
-        if isinstance(message, CheckEndpoint):
-            return await self.checks.handle_check_endpoint(message)
-        if isinstance(message, PullView):
-            return self.exchange.handle_pull_view(message)
-        return CallNotServed("not a call")
+        handle = self._peer_handlers.get(type(message))
+        if handle is None:
+            return CallNotServed("not a call")
+        reply = handle(connection, message)
+        return await reply if inspect.isawaitable(reply) else reply
 
     async def _flush_loop(self) -> None:
         while True:
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -175,5 +175,8 @@
     async def refuses_connections(self, endpoint: Endpoint) -> bool:
         """Whether the endpoint's port refuses connections, as far as can be told."""
 
+    def is_out_of_reach(self, endpoint: Endpoint) -> bool:
+        """Whether this VM is known not to reach an endpoint that a peer reaches."""
+
     async def has_lost_path(self, endpoint: Endpoint) -> bool:
-        """Whether a peer reaches an endpoint that this VM does not reach."""
+        """Find out whether a peer reaches an endpoint that this VM does not reach."""
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -286,6 +286,80 @@
     reachability: Reachability | None
 
 
+class RelayCall(msgspec.Struct, frozen=True, tag="relay_call"):
+    """Asks a peer to make an attempt at a start of an endpoint, for a request that the
+    sender has admitted and holds a slot for; see `EngineCall`. The sender chooses the
+    `number`, which all messages about the attempt hold.
+    """
+
+    number: int
+    endpoint: str
+    started_ms: int
+    request_id: str
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    team: TeamId | None
+    timeout_ms: int
+    resume_after: int | None
+
+
+class RelayedHead(msgspec.Struct, frozen=True, tag="relayed_head"):
+    """The head of the endpoint's response; see `EngineResponse`."""
+
+    number: int
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    ends_with_connection: bool
+    rate_per_s: float | None
+    malformed_limit: str
+    is_leaving: bool
+
+
+class RelayedData(msgspec.Struct, frozen=True, tag="relayed_data"):
+    """A part of the response's body."""
+
+    number: int
+    data: bytes
+
+
+class RelayedEnd(msgspec.Struct, frozen=True, tag="relayed_end"):
+    """The response is complete."""
+
+    number: int
+
+
+class RelayedFailure(msgspec.Struct, frozen=True, tag="relayed_failure"):
+    """The attempt failed; see `RequestNotRunError` for one that has not run, else
+    `AttemptFailedError`.
+    """
+
+    number: int
+    reason: str
+    may_have_run: bool
+    unreachable: bool = False
+    reset: bool = False
+    timed_out: bool = False
+    is_leaving: bool = False
+    rate_per_s: float | None = None
+    malformed_limit: str = ""
+    is_path_failure: bool = False
+
+
+class RelayCredit(msgspec.Struct, frozen=True, tag="relay_credit"):
+    """The sender of the call has consumed so much of the body."""
+
+    number: int
+    size_bytes: int
+
+
+class CancelRelay(msgspec.Struct, frozen=True, tag="cancel_relay"):
+    """The sender of the call does not need the attempt any more."""
+
+    number: int
+
+
 class CallNotServed(msgspec.Struct, frozen=True, tag="not_here"):
     """This daemon could not serve the call; `reason` is for logs."""
 
@@ -321,6 +395,13 @@
     | StreamFound
     | CheckEndpoint
     | EndpointChecked
+    | RelayCall
+    | RelayedHead
+    | RelayedData
+    | RelayedEnd
+    | RelayedFailure
+    | RelayCredit
+    | CancelRelay
     | CallNotServed
 )
 
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -460,6 +460,8 @@
             return SlotOutcome.FAILED if exc.is_failure else SlotOutcome.UNKNOWN
         except AttemptFailedError as exc:
             progress.record_failure(endpoint.id, str(exc), may_have_run=True)
+            if not exc.is_failure:
+                return SlotOutcome.UNKNOWN
             if exc.timed_out:
                 had_event = progress.last_event_s is not None
                 self._timeouts.record_timeout(lease.service, silence_limits, had_event)
@@ -480,8 +482,8 @@
         last_sign_s = max(started_s, progress.last_event_s or started_s)
         silence_s = self._clock.now_s() - last_sign_s
         if route.is_idempotent and silence_s >= MAX_FIRST_EVENT_TIMEOUT_S:
-            self._attempts.record_silence(call, endpoint, silence_s)
-            lease.outcome = SlotOutcome.FAILED
+            if self._attempts.record_silence(call, endpoint, silence_s):
+                lease.outcome = SlotOutcome.FAILED
 
     def _record_stream_timing(
         self,
--- a/apricotquay/serving/peerchecks.py
+++ b/apricotquay/serving/peerchecks.py
@@ -41,10 +41,13 @@
         self, direct: DirectEngineClient, view: View, shards: Shards, peers: Peers
     ) -> None:
         self.is_lost: Callable[[EndpointId], bool] = lambda endpoint: False
+        # Called with each peer that reached an endpoint, also those that answer late.
+        self.on_reached: Callable[[str], None] = lambda address: None
         self._direct: DirectEngineClient = direct
         self._view: View = view
         self._shards: Shards = shards
         self._peers: Peers = peers
+        self._running: set[asyncio.Task] = set()
         # Probes that run, which all who ask meanwhile share.
         self._probes: dict[EndpointId, asyncio.Task] = {}
 
@@ -57,18 +60,14 @@
             for address in asked
         }
         pending = set(calls)
-        try:
-            async with asyncio.timeout(CHECK_TIMEOUT_S):
-                while pending and not _reached_by(calls):
-                    _, pending = await asyncio.wait(
-                        pending, return_when=asyncio.FIRST_COMPLETED
-                    )
-        except TimeoutError:
-            # Silent peers have no finding; the others' are used.
-            pass
-        finally:
-            for call in pending:
-                call.cancel()
+        # Calls end by themselves within their own time limit.
+        while pending and not _reached_by(calls):
+            _, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+        self._running.update(pending)
+        for call in pending:
+            call.add_done_callback(self._running.discard)
         return _summarize(calls)
 
     async def handle_check_endpoint(self, message: CheckEndpoint) -> Message:
@@ -99,7 +98,11 @@
         except PeerUnavailableError:
             # Peers logs the failure; others are asked too.
             return None
-        return reply.reachability if isinstance(reply, EndpointChecked) else None
+        if not isinstance(reply, EndpointChecked):
+            return None
+        if reply.reachability is Reachability.REACHED:
+            self.on_reached(address)
+        return reply.reachability
 
 
 def _finding(call: asyncio.Task) -> Reachability | None:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -265,6 +265,7 @@
                 "tenant": request.header(b"tenant"),
                 "key": request.header(b"key"),
                 "parts": prompt_parts(request),
+                "deadline_ms": int(request.header(b"deadline-ms") or 0),
                 "at": time.time(),
             }
         )
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -18,6 +18,7 @@
 from apricotquay.serving.catalog import Configuration, Limits, Route, RouteKind, Team
 from apricotquay.serving.crashes import CrashDetector
 from apricotquay.serving.crashlog import CrashLog
+from apricotquay.serving.engine import Reachability
 from apricotquay.serving.http1 import HttpError, HttpRequest, HttpResponse
 from apricotquay.serving.httpclient import open_client
 from apricotquay.serving.httpserver import HttpServer, ServerLimits
@@ -368,13 +369,17 @@
         """Return that no peer answered."""
         return PeerFindings()
 
+    async def probe(self, endpoint) -> Reachability:
+        """Try a connection to an endpoint."""
+        return await ServerClient().probe(endpoint)
+
 
 def lone_client() -> RoutedEngineClient:
     """Return the client of a daemon without peers."""
     clock = SystemClock()
     reporter = Reporter("vm", clock, RecordingLines())
     return RoutedEngineClient(
-        ServerClient(), NoPeerChecks(), ServingMetrics(), clock, reporter
+        ServerClient(), NoPeerChecks(), None, None, ServingMetrics(), clock, reporter
     )
 
 
--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -102,7 +102,11 @@
         """Return that the endpoint is gone."""
         return True
 
-    async def has_lost_path(self, endpoint) -> bool:
+    def is_out_of_reach(self, _endpoint) -> bool:
+        """The VM reaches all endpoints."""
+        return False
+
+    async def has_lost_path(self, _endpoint) -> bool:
         """The VM reaches all endpoints."""
         return False
 
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -111,7 +111,11 @@
         """No endpoint crashes in these tests."""
         return False
 
-    async def has_lost_path(self, endpoint) -> bool:
+    def is_out_of_reach(self, _endpoint) -> bool:
+        """The VM reaches all endpoints."""
+        return False
+
+    async def has_lost_path(self, _endpoint) -> bool:
         """The VM reaches all endpoints."""
         return False
 
--- a/tests/test_serving_partcrashes.py
+++ b/tests/test_serving_partcrashes.py
@@ -82,7 +82,11 @@
         """Return that the endpoint is gone."""
         return True
 
-    async def has_lost_path(self, endpoint) -> bool:
+    def is_out_of_reach(self, _endpoint) -> bool:
+        """The VM reaches all endpoints."""
+        return False
+
+    async def has_lost_path(self, _endpoint) -> bool:
         """The VM reaches all endpoints."""
         return False
 
@@ -121,7 +125,11 @@
         """Return whether the endpoint is gone."""
         return self._has_crashed
 
-    async def has_lost_path(self, endpoint) -> bool:
+    def is_out_of_reach(self, _endpoint) -> bool:
+        """The VM reaches all endpoints."""
+        return False
+
+    async def has_lost_path(self, _endpoint) -> bool:
         """The VM reaches all endpoints."""
         return False
 
