Ask the store before a stream goes on at the only known version

It can happen here: a daemon whose view was up to 2.5 s old answered 'the only version' without asking anyone.

A stream that this daemon doesn't know goes on at the only listed version only once the store has confirmed, by a read that began after the request, that no other is listed. Else all peers are asked, and one that is silent may know another version. Versions that were listed and left within one read count too, and a list whose history was lost starts the observation anew.

A frozen process is not tested by itself: it reads the store first like one whose links have returned.

--- a/apricotquay/serving/streamkeeper.py
+++ b/apricotquay/serving/streamkeeper.py
@@ -16,6 +16,7 @@
 from ..errors import PeerUnavailableError
 from ..ids import TeamId, stable_hash
 from .catalog import ServiceName
+from .endpoints import Endpoint
 from .messages import FindStream, Message, StreamBegan, StreamFound
 from .peers import Peers
 from .reporting import Reporter
@@ -34,8 +35,8 @@
 OBSERVE_INTERVAL_S = 0.25
 # How often the store gets a note of a service's versions that do not change.
 NOTE_INTERVAL_S = 5.0
-# With an older view, versions that only other daemons know may serve.
-MAX_VIEW_AGE_S = 2.5
+# How long the store may take to confirm that no other version is listed.
+CONFIRM_TIMEOUT_S = 0.25
 # The key of a stream that its caller does not name.
 NO_STREAM = b""
 
@@ -83,6 +84,8 @@
 
     def start(self) -> None:
         """Start to observe which versions are listed."""
+        self._view.on_listed = self._observe_entry
+        self._view.on_gap = self._observe_gap
         self._observer = start_task("versions", self._observe_loop, self._reporter)
 
     async def close(self) -> None:
@@ -109,16 +112,13 @@
         self, service: ServiceName, team: TeamId | None, attempt: str
     ) -> KnownVersion:
         """Return the version of a stream that a caller takes up."""
-        self._observe()
-        now_s = self._clock.now_s()
-        versions = self._history.versions(service, now_s)
-        is_current = self._view.age_s() < MAX_VIEW_AGE_S
-        if len(versions) == 1 and is_current and self._history.is_complete(now_s):
-            return KnownVersion(next(iter(versions)), "the only version")
         key = stream_key(team, attempt) if attempt else NO_STREAM
         own = self._find_here(key)
         if own:
             return _only(own, "this daemon")
+        known = await self._find_only_listed(service)
+        if known.version:
+            return known
         replies = await self._ask(service, key)
         told = [frozenset(r.versions) for r in replies if r is not None and r.versions]
         if told:
@@ -126,6 +126,25 @@
         known = self._find_only_version(service, replies)
         return known if known.version else await self._find_in_store(service, key)
 
+    async def _find_only_listed(self, service: ServiceName) -> KnownVersion:
+        """Return the only version that was listed for as long as a stream may last, up
+        to this moment: another may have joined since the view was read.
+        """
+        if not self._has_only_version(service):
+            return KnownVersion()
+        if not await self._view.confirm_endpoints(CONFIRM_TIMEOUT_S):
+            return KnownVersion()
+        if not self._has_only_version(service):
+            return KnownVersion()
+        versions = self._history.versions(service, self._clock.now_s())
+        return _only(versions, "the only version")
+
+    def _has_only_version(self, service: ServiceName) -> bool:
+        self._observe()
+        now_s = self._clock.now_s()
+        is_complete = self._history.is_complete(now_s)
+        return is_complete and len(self._history.versions(service, now_s)) == 1
+
     def handle_stream_began(self, message: StreamBegan) -> None:
         """Keep the versions that a peer tells."""
         now_s = self._clock.now_s()
@@ -182,17 +201,20 @@
         lifetime_ms = int(STREAM_LIFETIME_S * 1000)
         now_ms = self._clock.wall_ms()
         noted = stored.listed(service, now_ms - 2 * lifetime_ms, now_ms - lifetime_ms)
-        if noted is None or self._view.age_s() >= MAX_VIEW_AGE_S:
+        if noted is None or not await self._view.confirm_endpoints(CONFIRM_TIMEOUT_S):
             return KnownVersion()
+        self._observe()
         listed = self._history.versions(service, self._clock.now_s())
         return _only(noted | listed, "the only version")
 
     def _find_only_version(
         self, service: ServiceName, replies: list[StreamFound | None]
     ) -> KnownVersion:
-        """Return the only version that this daemon and all that answered have seen, if
-        one of them has observed for long enough.
+        """Return the only version that this daemon and all others have seen, if one of
+        them has observed for long enough. One that is silent may know another.
         """
+        if None in replies:
+            return KnownVersion()
         answers = [reply for reply in replies if reply is not None]
         listed = self._history.versions(service, self._clock.now_s())
         listed = listed.union(*(answer.listed for answer in answers))
@@ -245,6 +267,12 @@
     def _observe(self) -> None:
         self._history.observe(self._view.endpoints.all(), self._clock.now_s())
 
+    def _observe_entry(self, endpoint: Endpoint) -> None:
+        self._history.observe([endpoint], self._clock.now_s())
+
+    def _observe_gap(self) -> None:
+        self._history.begin_anew(self._clock.now_s())
+
     async def _observe_loop(self) -> None:
         while True:
             self._observe()
--- a/apricotquay/serving/streamversions.py
+++ b/apricotquay/serving/streamversions.py
@@ -88,6 +88,11 @@
             listed_s = self._listed_s.setdefault(endpoint.service, {})
             listed_s[endpoint.version] = now_s
 
+    def begin_anew(self, now_s: float) -> None:
+        """Record that versions may have been listed that were not observed."""
+        if self._since_s is not None:
+            self._since_s = now_s
+
     def versions(self, service: ServiceName, now_s: float) -> frozenset[str]:
         """Return the versions that streams of a service may have begun at."""
         listed_s = self._listed_s.get(service, {})
--- a/apricotquay/serving/topicfollower.py
+++ b/apricotquay/serving/topicfollower.py
@@ -42,6 +42,7 @@
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
         self._end: int = -1
+        self._confirming = asyncio.Lock()
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -59,6 +60,26 @@
         """Return the time since the store confirmed that all records are known."""
         return self._clock.now_s() - self.confirmed_s
 
+    async def confirm(self, since_s: float, timeout_s: float) -> bool:
+        """Return whether all records appended before a time have been applied, after
+        a read of the store if that is not known yet.
+        """
+        with contextlib.suppress(TimeoutError, LogError):
+            async with asyncio.timeout(timeout_s), self._confirming:
+                if self.confirmed_s < since_s and self._end >= 0:
+                    await self._read_rest()
+        return self.confirmed_s >= since_s
+
+    async def _read_rest(self) -> None:
+        """Apply what has been appended lately, without waiting for more."""
+        sent_s = self._clock.now_s()
+        page = await self._log.read(self._topic, 0, self._end, 0)
+        self._apply(page.records)
+        offsets = [record.offset + 1 for record in page.records]
+        self._end = max(self._end, *offsets, 0)
+        if self._end >= page.end:
+            self.confirmed_s = max(self.confirmed_s, sent_s)
+
     async def _follow(self) -> None:
         backoff = Backoff(RETRY_DELAY_S, MAX_RETRY_DELAY_S, random.Random())
         while True:
@@ -86,4 +107,4 @@
             self._apply(page.records)
             last = max((r.offset + 1 for r in page.records), default=0)
             self._end = max(self._end, last)
-        self.confirmed_s = sent_s
+        self.confirmed_s = max(self.confirmed_s, sent_s)
--- a/apricotquay/serving/view.py
+++ b/apricotquay/serving/view.py
@@ -54,6 +54,10 @@
         self.on_leaving: Callable[[list[LeavingNotice], bool], None] = (
             lambda notices, is_answer: None
         )
+        # Called with each entry that lists an endpoint, also with those that a later
+        # one of the same read replaces; and when entries may have been missed.
+        self.on_listed: Callable[[Endpoint], None] = lambda endpoint: None
+        self.on_gap: Callable[[], None] = lambda: None
         self.configuration_record: KeyedRecord | None = None
         self.endpoint_records: dict[bytes, KeyedRecord] = {}
         self._directory: Directory = directory
@@ -71,9 +75,9 @@
             )
             for topic in topics
         ]
-        endpoint_follower = self._followers[-1]
-        endpoint_follower.on_lost = self._record_list_unavailable
-        endpoint_follower.on_recovered = self._record_list_available
+        self._endpoint_follower: TopicFollower = self._followers[-1]
+        self._endpoint_follower.on_lost = self._record_list_unavailable
+        self._endpoint_follower.on_recovered = self._record_list_available
         self._expiry: asyncio.Task | None = None
         self._has_removals = asyncio.Event()
 
@@ -96,6 +100,12 @@
         """Return the time since the less recently confirmed topic was confirmed."""
         return max(follower.age_s() for follower in self._followers)
 
+    async def confirm_endpoints(self, timeout_s: float) -> bool:
+        """Return whether all endpoints that are listed by now are known, after a read
+        of the store.
+        """
+        return await self._endpoint_follower.confirm(self._clock.now_s(), timeout_s)
+
     def newest_endpoint_offset(self) -> int:
         """Return the newest known offset of the endpoint topic, -1 for none."""
         return max((r.offset for r in self.endpoint_records.values()), default=-1)
@@ -137,6 +147,7 @@
         self._apply(topic, page.records)
         if topic != self._directory.endpoint_topic:
             return
+        self.on_gap()
         present = {record.key for record in page.records}
         missing = [
             KeyedRecord(key, None, page.end - 1)
@@ -203,6 +214,7 @@
         except RecordUnreadableError:
             self.endpoints.apply(endpoint_id, None, record.offset, now_s)
             raise
+        self.on_listed(entry)
         before = self.endpoints.get(endpoint_id)
         changed = self.endpoints.apply(endpoint_id, entry, record.offset, now_s)
         if changed:
--- a/standins/links.py
+++ b/standins/links.py
@@ -7,8 +7,12 @@
 import asyncio
 import enum
 
-from apricotquay.serving.http1 import HttpError
+from apricotquay.platform.store import CALL_TIMEOUT_S, StoreClient
+from apricotquay.serving.http1 import HttpError, HttpResponse
 from apricotquay.serving.httpclient import ClientConnection
+from apricotquay.serving.keyedlog import LogOutcomeUnknownError
+
+POLL_INTERVAL_S = 0.01
 
 
 class Cut(enum.Enum):
@@ -82,3 +86,23 @@
 
     def _is_cut(self, port: int) -> bool:
         return self._cut is not None and (not self._ports or port in self._ports)
+
+
+class CuttableStore(StoreClient):
+    """A store whose answers don't arrive while `is_cut` is set."""
+
+    def __init__(self, host: str, port: int) -> None:
+        super().__init__(host, port)
+        self.is_cut: bool = False
+
+    async def _call(
+        self, *args, timeout_s: float = CALL_TIMEOUT_S, **options
+    ) -> HttpResponse:
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await super()._call(*args, timeout_s=timeout_s, **options)
+                while self.is_cut:
+                    await asyncio.sleep(POLL_INTERVAL_S)
+                return response
+        except TimeoutError as exc:
+            raise LogOutcomeUnknownError("cut") from exc
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -12,7 +12,6 @@
 from apricotquay.clocks import SystemClock
 from apricotquay.platform.callers import CallerApi
 from apricotquay.platform.engines import ServerClient
-from apricotquay.platform.store import StoreClient
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving import shards as shards_module
 from apricotquay.serving.daemon import Address, Daemon, ServingSettings
@@ -20,7 +19,7 @@
 from apricotquay.serving.httpclient import open_client
 from apricotquay.serving.keyedlog import KeyedRecord, Topic
 from standins.addresses import ADMIN_PORT, PEER_PORT, SERVER_PORT, AddressAllocator
-from standins.links import Link
+from standins.links import CuttableStore, Link
 from standins.platform import (
     ModelServer,
     StoreServer,
@@ -46,6 +45,7 @@
         self.daemons: list[Daemon] = []
         # The links of each daemon to the servers.
         self.links: dict[Daemon, Link] = {}
+        self.store_links: dict[Daemon, CuttableStore] = {}
         self.servers: list[ModelServer] = []
         self.store = StoreServer()
 
@@ -104,9 +104,10 @@
             8.0,
         )
         link = Link()
+        store = CuttableStore(host, int(port))
         daemon = Daemon(
             settings,
-            StoreClient(host, int(port)),
+            store,
             PlatformDirectory(),
             ServerClient(link.open),
             lambda *args: CallerApi(*args).handle,
@@ -116,6 +117,7 @@
         await daemon.start()
         self.daemons.append(daemon)
         self.links[daemon] = link
+        self.store_links[daemon] = store
         return daemon
 
     async def unlist(self, server: ModelServer) -> None:
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -25,7 +25,8 @@
 
     all: list["RecordingClient"] = []
 
-    def __init__(self) -> None:
+    def __init__(self, connect) -> None:
+        super().__init__(connect)
         self.told_s: dict[str, float] = {}
         self.sent: list[tuple[str, float]] = []
         RecordingClient.all.append(self)
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -6,14 +6,22 @@
 from parameterized import parameterized
 
 from apricotquay.clocks import SystemClock
+from apricotquay.errors import PeerUnavailableError
+from apricotquay.serving import streamkeeper
 from apricotquay.serving.daemon import Daemon
 from apricotquay.serving.http1 import HttpError, HttpRequest
 from apricotquay.serving.httpclient import open_client
+from apricotquay.serving.keyedlog import KeyedRecord, Topic
+from apricotquay.serving.shards import shard_number
 from apricotquay.serving.streamlog import StreamLog
 from apricotquay.serving.streamversions import stream_key
-from standins.platform import make_configuration, write_configuration
+from standins.platform import (
+    ModelServer,
+    make_configuration,
+    write_configuration,
+)
 
-from .test_platform_fleet import TIMEOUT_S, PlatformFleet, PlatformTest
+from .test_platform_fleet import HOST, TIMEOUT_S, PlatformFleet, PlatformTest
 from .test_serving_jobs import quiet_reporter
 
 VERSIONS = ("v1", "v1.1")
@@ -271,6 +279,63 @@
 
         self.run_scenario(scenario, versions=VERSIONS, step_s=0.01)
 
+    @parameterized.expand(
+        [
+            (
+                f"{name}, {when} the gap, after {joined_s} s",
+                peers,
+                when,
+                joined_s,
+            )
+            for name, peers in (("cut from the store", True), ("from all", False))
+            for when in ("during", "right after")
+            for joined_s in (0.1, 1.0)
+        ]
+    )
+    def test_daemon_that_missed_a_new_version_joins_no_streams_of_it(
+        self, _name, has_peers, when, joined_s
+    ):
+        """It still knows one version only, which it takes for the stream's."""
+        self.patch(streamkeeper, "STREAM_LIFETIME_S", 1.0)
+
+        async def scenario(fleet):
+            number = shard_number("llm", fleet.daemons[0].shards.count)
+            behind, other, _ = sorted(
+                fleet.daemons, key=lambda d: number in d.shards.owned
+            )
+            await asyncio.sleep(1.5)
+            fleet.store_links[behind].is_cut = True
+            if not has_peers:
+                self.patch(behind.peers, "connect", fail_to_connect)
+                self.patch(behind.peers, "call", fail_to_connect)
+            await asyncio.sleep(joined_s)
+            for server in list(fleet.servers):
+                await self.replace(fleet, server, "v2")
+            await fleet.wait_until(lambda: knows_version(other, "v2"))
+            streams = {f"s{n}": 0 for n in range(6)}
+            for stream in streams:
+                streams[stream] = await self.begin(fleet, other, stream)
+                self.assertEqual({"v2"}, self.versions_of(fleet, stream))
+            if when == "right after":
+                fleet.store_links[behind].is_cut = False
+            for stream, last_id in streams.items():
+                status = await self.take_up(fleet, behind, stream, last_id)
+                self.assertIn(status, (200, 503))
+                self.assertEqual({"v2"}, self.versions_of(fleet, stream))
+
+        self.run_scenario(scenario, daemons=3, step_s=0.01)
+
+    async def replace(
+        self, fleet: PlatformFleet, server: ModelServer, version: str
+    ) -> None:
+        """Add a server of a version; the one that it replaces goes on for a while."""
+        newer = ModelServer(f"{server.name}-{version}", 0.01, fleet.runs.append)
+        newer.version = version
+        await newer.start(HOST, 0, fleet.store_address)
+        fleet.servers.append(newer)
+        entry = KeyedRecord(server.name.encode(), None)
+        await fleet.store.log.append(Topic("keyed.servers"), 0, [entry], None)
+
     def test_items_go_on_at_the_version_that_began_them(self):
         """Their texts are those of one version."""
 
@@ -289,3 +354,13 @@
                 self.assertEqual(1, len(versions))
 
         self.run_scenario(scenario, servers=6, versions=VERSIONS)
+
+
+async def fail_to_connect(*_args) -> None:
+    """Fail as the connection to a peer that is out of reach."""
+    raise PeerUnavailableError("cut")
+
+
+def knows_version(daemon: Daemon, version: str) -> bool:
+    """Whether a daemon's list has endpoints of a version and of no other."""
+    return {e.version for e in daemon.view.endpoints.serving("llm")} == {version}
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -142,6 +142,9 @@
     def __init__(self, versions: list[str]) -> None:
         self.endpoints = EndpointTable()
         self.at_s: float = 0.0
+        # Versions whose endpoints are listed and were not read yet.
+        self.joining: list[str] = []
+        self.is_store_available: bool = True
         for number, version in enumerate(versions):
             entry = endpoint(f"e{number}", version)
             self.endpoints.apply(entry.id, entry, number, 0.0)
@@ -150,6 +153,14 @@
         """Return the view's age."""
         return self.at_s
 
+    async def confirm_endpoints(self, timeout_s: float) -> bool:
+        """Return whether the store answers; apply what it lists by then."""
+        await asyncio.sleep(0)
+        for number, version in enumerate(self.joining):
+            entry = endpoint(f"joining{number}", version)
+            self.endpoints.apply(entry.id, entry, 100 + number, 0.0)
+        return self.is_store_available
+
 
 UNKNOWN = StreamFound([], ["v1"], True)
 UNKNOWN_OF_TWO = StreamFound([], ["v1", "v2"], True)
@@ -203,15 +214,59 @@
         """This daemon has just started and sees one version."""
         self.assertEqual(expected, self.find(self.keeper(["v1"], replies)))
 
-    @parameterized.expand([("fresh", 0.0, "v1"), ("old", 60.0, "")])
-    def test_only_version_is_certain_with_a_fresh_view(self, _name, age_s, expected):
-        """Another version may serve that only others know."""
-        keeper = self.keeper(["v1"], {})
+    def keeper_of_one_version(self, replies: dict) -> StreamKeeper:
+        """Return a keeper that has seen one version for long."""
+        keeper = self.keeper(["v1"], replies)
         self.find(keeper)
         self.clock.at_s += streamkeeper.STREAM_LIFETIME_S + 1
+        return keeper
+
+    @parameterized.expand(
+        [
+            ("store answers", True, 0.0, "v1"),
+            ("store answers, old view", True, 60.0, "v1"),
+            ("store is away, fresh view", False, 0.1, ""),
+            ("store is away, old view", False, 60.0, ""),
+        ]
+    )
+    def test_only_version_is_certain_once_the_store_confirms_it(
+        self, _name, is_store_available, age_s, expected
+    ):
+        """Another version may serve that only others know."""
+        keeper = self.keeper_of_one_version({})
         self.view.at_s = age_s
+        self.view.is_store_available = is_store_available
         self.assertEqual(expected, self.find(keeper, ""))
 
+    @parameterized.expand(
+        [
+            (
+                f"{name}, view of {age_s} s",
+                is_available,
+                joining,
+                reply,
+                age_s,
+                expected,
+            )
+            for age_s in (0.1, 1.0, 2.4, 3.0)
+            for name, is_available, joining, reply, expected in (
+                ("told by a peer", False, [], StreamFound(["v2"], [], True), "v2"),
+                ("a peer lists both", False, [], UNKNOWN_OF_TWO, ""),
+                ("the peer is silent", False, [], None, ""),
+                ("listed meanwhile", True, ["v2"], UNKNOWN_OF_TWO, ""),
+            )
+        ]
+    )
+    def test_version_that_joined_unseen_is_not_taken_for_the_only_one(
+        self, _name, is_available, joining, reply, age_s, expected
+    ):
+        """This daemon was cut off or stood still, and the stream began elsewhere."""
+        keeper = self.keeper_of_one_version({"p": reply})
+        self.view.at_s = age_s
+        self.view.is_store_available = is_available
+        self.view.joining = joining
+        self.assertEqual(expected, self.find(keeper))
+
     def test_two_peers_are_told_while_versions_serve_side_by_side(self):
         """They answer when this daemon is gone."""
         keeper = self.keeper(["v1", "v2"], dict.fromkeys("pqrs", UNKNOWN))
