Skip an odd record of another writer, whatever error it causes

Here no process ended, but a nested entry or a port of many digits raised errors that the clause for unreadable records didn't catch: the follower ended, started again after 0.5 s, and the rest of its page waited as long, for each such entry; an exchange of views failed. A port out of range was listed as a sound endpoint and cost each request there an attempt.

Each decoder of what others write now treats any error as an unreadable record: servers, configuration, crash reports (times out of range too), stream versions, jobs, pages of the store, owners told by peers, event ids of endpoints. An entry needs an IPv4 address, a port and slots in range.

--- a/apricotquay/platform/store.py
+++ b/apricotquay/platform/store.py
@@ -5,6 +5,7 @@
 import random
 import struct
 import urllib.parse
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -60,7 +61,7 @@
 
 
 class _NewestResponse(msgspec.Struct):
-    items: list[_NewestItem]
+    items: list[msgspec.Raw]
     more: bool
     end: int
 
@@ -96,6 +97,18 @@
     return KeyedRecord(content[1:key_end], content[key_end:] or None, offset)
 
 
+def decode_newest_items(items: Iterable[bytes]) -> Iterator[KeyedRecord]:
+    """Yield the records of a page of newest records; unreadable ones are left out."""
+    for raw in items:
+        try:
+            item = msgspec.json.decode(raw, type=_NewestItem)
+            value = base64.b64decode(item.value, validate=True) or None
+            yield KeyedRecord(item.key.encode(), value, item.offset)
+        except (msgspec.DecodeError, ValueError):
+            # Other writers may have left it; it names nothing that can be used.
+            continue
+
+
 class StoreClient:
     """Implements `KeyedLog` over HTTP with a small connection pool. One per daemon."""
 
@@ -122,12 +135,11 @@
             page = await self._read_newest_page(query)
             if first_page_end is None:
                 first_page_end = page.end
-            for item in page.items:
-                value = base64.b64decode(item.value) or None
-                records.append(KeyedRecord(item.key.encode(), value, item.offset))
-            if not page.more or not page.items:
+            found = list(decode_newest_items(page.items))
+            records += found
+            if not page.more or not found:
                 return Page(records, first_page_end)
-            after = page.items[-1].key
+            after = found[-1].key.decode()
 
     async def _read_newest_page(self, query: dict) -> _NewestResponse:
         """Return one page; retries any page but the first.
@@ -227,12 +239,15 @@
         response = await self._call("GET", "/-/log-owners", {"group": group})
         if response.status != 200:
             raise LogRefusedError(f"log-owners: status {response.status}")
-        rows = _find_rows(msgspec.json.decode(response.body))
-        return {
-            Shard(Topic(topic), number): MemberName(member)
-            for topic, number, member, *_ in rows
-            if member
-        }
+        try:
+            rows = _find_rows(msgspec.json.decode(response.body))
+            return {
+                Shard(Topic(topic), number): MemberName(member)
+                for topic, number, member, *_ in rows
+                if member
+            }
+        except (msgspec.DecodeError, TypeError, ValueError) as exc:
+            raise LogOutcomeUnknownError(f"store: unreadable answer: {exc}") from exc
 
     async def _call_json(
         self, path: str, message: dict, timeout_s: float
--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -4,6 +4,7 @@
 `RecordUnreadableError` with the reason.
 """
 
+import ipaddress
 import math
 import re
 from typing import Any
@@ -72,6 +73,9 @@
 
 CONFIGURATION_KEY = b"config"
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,20}(\.[0-9]{0,20})?(e[+-]?[0-9]{1,3})?", re.ASCII)
+PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
+MAX_PORT = 65_535
+MAX_SLOTS = 100_000
 MAX_SHOWN_LENGTH = 40
 EMPTY_VALUE = "(empty)"
 
@@ -191,9 +195,9 @@
     def decode_endpoint(self, record: KeyedRecord) -> tuple[EndpointId, Endpoint]:
         """Decode the record of a server."""
         raw = _decode_json(record.value or b"", _Server)
-        host, _, port = raw.address.rpartition(":")
-        if not host or not port.isdigit():
-            raise RecordUnreadableError(f"address {raw.address!r} is not IP:PORT")
+        host, port = _convert_address(raw.address)
+        if not 0 <= raw.slots <= MAX_SLOTS:
+            raise RecordUnreadableError(f"{raw.slots} slots are out of range")
         if raw.state not in ("ready", "draining"):
             raise RecordUnreadableError(f"state {raw.state!r} is unknown")
         endpoint_id = self.endpoint_id(record)
@@ -201,7 +205,7 @@
             endpoint_id,
             ServiceName(raw.service),
             host,
-            int(port),
+            port,
             raw.zone,
             raw.slots,
             raw.state == "draining",
@@ -212,6 +216,18 @@
         return endpoint_id, endpoint
 
 
+def _convert_address(text: str) -> tuple[str, int]:
+    host, _, port_text = text.rpartition(":")
+    if not PORT.fullmatch(port_text) or not 0 < int(port_text) <= MAX_PORT:
+        shown = text[:MAX_SHOWN_LENGTH]
+        raise RecordUnreadableError(f"address {shown!r} has no port in range")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as exc:
+        raise RecordUnreadableError(f"address without an IP: {exc}") from exc
+    return host, int(port_text)
+
+
 def _decode_json(data: bytes, to: type):
     try:
         return msgspec.json.decode(data, type=to)
--- a/apricotquay/serving/crashlog.py
+++ b/apricotquay/serving/crashlog.py
@@ -40,6 +40,9 @@
 # A peer may have received a report somewhat before it was appended.
 PEER_MARGIN_S = 3.0
 ALL_RECORDS = -1
+# Unix times in milliseconds have no more digits for the next 280,000 years.
+MAX_TIME_MS = 10**16
+MAX_REASON_CHARS = 200
 
 
 class CrashReport(msgspec.Struct, frozen=True, tag="crash"):
@@ -109,8 +112,21 @@
     """Decode the value of a record; raise ValueError if it is malformed."""
     try:
         return msgspec.convert(cbor2.loads(value), CrashRecord)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, TypeError) as exc:
-        raise ValueError(f"malformed crash record: {exc}") from exc
+    except Exception as exc:
+        # Another writer's bytes may cause errors of any kind.
+        message = f"malformed crash record: {exc!r}"[:MAX_REASON_CHARS]
+        raise ValueError(message) from exc
+
+
+def _check_times(record: CrashRecord) -> None:
+    """Raise ValueError for a record with a time that no clock shows."""
+    times_ms = [record.at_ms]
+    if isinstance(record, QuarantineMark | PartsMark):
+        times_ms.append(record.until_ms)
+    if isinstance(record, PartsCompletion):
+        times_ms += record.completed_ms.values()
+    if any(not 0 <= time_ms <= MAX_TIME_MS for time_ms in times_ms):
+        raise ValueError("malformed crash record: a time is out of range")
 
 
 class _KnownRecord(msgspec.Struct, frozen=True):
@@ -285,8 +301,9 @@
             return
         try:
             record = decode_crash_record(keyed.value)
+            _check_times(record)
         except ValueError as exc:
-            self._reporter.write(
+            self._reporter.write_limited(
                 Event.RECORD_SKIPPED,
                 topic=CRASHES,
                 offset=keyed.offset,
--- a/apricotquay/serving/jobtable.py
+++ b/apricotquay/serving/jobtable.py
@@ -1,11 +1,7 @@
 """The batch jobs of one partition, built from its records. Does no I/O."""
 
-import zlib
 from collections.abc import Iterator
 
-import cbor2
-import msgspec
-
 from ..ids import JobId, TeamId
 from .jobrecords import (
     JobHeader,
@@ -21,17 +17,6 @@
 )
 from .keyedlog import KeyedRecord
 
-# Raised when decoding a malformed record or one of another release.
-DECODE_ERRORS = (
-    ValueError,
-    TypeError,
-    IndexError,
-    KeyError,
-    zlib.error,
-    msgspec.ValidationError,
-    cbor2.CBORDecodeError,
-)
-
 
 class Job:
     """An accepted job in a `JobTable`, with the results and progress of its items.
@@ -143,7 +128,8 @@
         """Apply one record; count and skip it if it cannot be decoded."""
         try:
             self._apply(record)
-        except DECODE_ERRORS:
+        except Exception:
+            # Another writer's bytes may cause errors of any kind.
             self.skipped_records += 1
 
     def _apply(self, record: KeyedRecord) -> None:
--- a/apricotquay/serving/shards.py
+++ b/apricotquay/serving/shards.py
@@ -122,7 +122,8 @@
         if read_s <= self._owners_read_s:
             return
         self._owners_read_s = read_s
-        current = {int(n): o for n, o in owners.items() if n.isdigit()}
+        names = {str(number): number for number in range(self.count)}
+        current = {names[n]: owner for n, owner in owners.items() if n in names}
         if read_s > self._last_join_s:
             lost = {
                 n for n in self.owned if current.get(n, self.address) != self.address
--- a/apricotquay/serving/sse.py
+++ b/apricotquay/serving/sse.py
@@ -1,9 +1,12 @@
 """Splits a byte stream into server-sent events. Does no I/O."""
 
+import re
 from collections.abc import Iterator
 
 import msgspec
 
+EVENT_ID = re.compile(r"[0-9]{1,18}", re.ASCII)
+
 
 class StreamEvent(msgspec.Struct, frozen=True):
     """A complete event: its bytes, its id (-1 if it has none) and its data."""
@@ -47,7 +50,7 @@
     for line in raw.decode("utf-8", "surrogateescape").splitlines():
         field, _, value = line.partition(":")
         value = value.removeprefix(" ")
-        if field == "id" and value.isdigit():
+        if field == "id" and EVENT_ID.fullmatch(value):
             event_id = int(value)
         elif field == "data":
             data.append(value)
--- a/apricotquay/serving/streamlog.py
+++ b/apricotquay/serving/streamlog.py
@@ -56,7 +56,8 @@
     try:
         value = cbor2.loads(record.value or b"")
         return msgspec.convert(value, StreamRecord, builtin_types=(bytes,))
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError):
+    except Exception:
+        # Another writer's bytes may cause errors of any kind.
         return StreamRecord([], [])
 
 
--- a/apricotquay/serving/view.py
+++ b/apricotquay/serving/view.py
@@ -4,7 +4,7 @@
 import contextlib
 from collections.abc import Callable
 from functools import partial
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from ..clocks import Clock
 from ..errors import ApricotquayError
@@ -17,7 +17,10 @@
 from .tasks import start_task
 from .topicfollower import TopicFollower
 
+T = TypeVar("T")
+
 EXPIRE_INTERVAL_S = 0.1
+MAX_REASON_CHARS = 200
 
 
 class RecordUnreadableError(ApricotquayError):
@@ -167,11 +170,11 @@
             try:
                 changed |= apply(record)
             except RecordUnreadableError as exc:
-                self._reporter.write(
+                self._reporter.write_limited(
                     Event.RECORD_SKIPPED,
                     topic=topic,
                     offset=record.offset,
-                    reason=str(exc),
+                    reason=str(exc)[:MAX_REASON_CHARS],
                 )
         if self.endpoints.has_pending_removals:
             self._has_removals.set()
@@ -179,7 +182,7 @@
             self.on_change()
 
     def _apply_configuration(self, record: KeyedRecord) -> bool:
-        configuration = self._directory.decode_configuration(record)
+        configuration = _decode(self._directory.decode_configuration, record)
         known = self.configuration.version if self.configuration else -1
         if configuration is None or configuration.version <= known:
             return False
@@ -210,7 +213,7 @@
             )
             return changed
         try:
-            _, entry = self._directory.decode_endpoint(record)
+            _, entry = _decode(self._directory.decode_endpoint, record)
         except RecordUnreadableError:
             self.endpoints.apply(endpoint_id, None, record.offset, now_s)
             raise
@@ -242,3 +245,14 @@
                 self.on_change()
             if not self.endpoints.has_pending_removals:
                 self._has_removals.clear()
+
+
+def _decode(decode: Callable[[KeyedRecord], T], record: KeyedRecord) -> T:
+    """Decode a record; raise RecordUnreadableError whatever is wrong with it."""
+    try:
+        return decode(record)
+    except RecordUnreadableError:
+        raise
+    except Exception as exc:
+        # Another writer's bytes may cause errors of any kind.
+        raise RecordUnreadableError(repr(exc)) from exc
