Believe a refusal only of an answer that names the request

An operator's report: a server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that had run (REFUSED) or ran again (TWICE). The exact report cannot occur here, since each call has a connection of its own; but a refusal was believed before the look whose answer it was. An answer with another request's id, or with two ids, counts as a failure after which the request may have run, also with 421.

On kept connections: peers' replies have numbers of one connection, relayed attempts numbers that only the peer that makes them may use; a refusal after the head of a relayed response is no longer taken for 'not run'.

--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -168,6 +168,9 @@
 def _check_head(call: EngineCall, head: h11.Response) -> None:
     """Raise unless the expected server sent this response to this call."""
     headers = list(head.headers)
+    answered_ids = {value for name, value in headers if name == wire.REQUEST_ID}
+    if answered_ids - {call.request_id.encode("latin-1")}:
+        raise AttemptFailedError("the answer belongs to another request")
     is_leaving = wire.decode_leaving(headers)
     if head.status_code == MISDIRECTED_REQUEST:
         raise RequestNotRunError("another endpoint has the address", unreachable=True)
@@ -177,8 +180,8 @@
             limit=wire.decode_limit(headers),
             is_leaving=is_leaving,
         )
-    if find_header(headers, wire.REQUEST_ID) != call.request_id:
-        raise AttemptFailedError("the answer belongs to another request")
+    if not answered_ids:
+        raise AttemptFailedError("the answer names no request")
     if find_header(headers, b"content-encoding") is not None:
         raise AttemptFailedError("the answer is encoded", is_leaving=is_leaving)
     if is_success(head.status_code) and find_header(headers, wire.SIGNATURE) is None:
--- a/apricotquay/serving/relayclient.py
+++ b/apricotquay/serving/relayclient.py
@@ -49,6 +49,7 @@
         self.address: str = address
         self.connection: PeerConnection = connection
         self.messages: asyncio.Queue[RelayedMessage | None] = asyncio.Queue()
+        self.has_begun: bool = False
         self.has_ended: bool = False
 
     def end_with_connection(self) -> None:
@@ -65,7 +66,8 @@
             )
         if isinstance(message, RelayedFailure):
             self.has_ended = True
-            raise _error_of(message)
+            raise _error_of(message, has_begun=self.has_begun)
+        self.has_begun = True
         return message
 
 
@@ -201,9 +203,11 @@
             connection.send(CancelRelay(attempt.number))
 
 
-def _error_of(failure: RelayedFailure) -> Exception:
-    """Return the error that the peer's attempt ended with."""
-    if failure.may_have_run:
+def _error_of(failure: RelayedFailure, *, has_begun: bool) -> Exception:
+    """Return the error that the peer's attempt ended with. A response that has begun
+    shows that the request has run, whatever the peer says later.
+    """
+    if failure.may_have_run or has_begun:
         return AttemptFailedError(
             failure.reason,
             reset=failure.reset,
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -164,6 +164,33 @@
                 b"HTTP/1.1 421 No\r\nInstance: i-2\r\nContent-Length: 0\r\n\r\n",
                 NOT_RUN,
             ),
+            (
+                "refused, with the call's id",
+                b"HTTP/1.1 503 No\r\nNot-Run: 1\r\nAttempt-Id: a1\r\n\r\n",
+                NOT_RUN,
+            ),
+            (
+                "refusal of another request",
+                b"HTTP/1.1 503 No\r\nNot-Run: 1\r\nAttempt-Id: b2\r\n\r\n",
+                FAILED,
+            ),
+            (
+                "refusal of another request before the response",
+                b"HTTP/1.1 429 No\r\nNot-Run: 1\r\nAttempt-Id: b2\r\n"
+                b"Content-Length: 0\r\n\r\n" + response(),
+                FAILED,
+            ),
+            (
+                "refusal with two ids",
+                b"HTTP/1.1 503 No\r\nNot-Run: 1\r\nAttempt-Id: a1\r\n"
+                b"Attempt-Id: b2\r\n\r\n",
+                FAILED,
+            ),
+            (
+                "another server, to another request",
+                b"HTTP/1.1 421 No\r\nInstance: i-2\r\nAttempt-Id: b2\r\n\r\n",
+                FAILED,
+            ),
             (
                 "failed without a not-run header",
                 b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
