Blame an endpoint only once peers were asked, without keeping its request waiting

A request whose connection to an endpoint failed waited for all peers' answers (0.6 s at an endpoint that is silent for all) before it went elsewhere, and a stream that timed out waited for a check of the path (up to 0.75 s).

A request now waits 80 ms at most for a peer that reaches the endpoint; the verdict on the endpoint (local ejection, the outcome for the slots' owner) follows when all peers have answered.

A relay that was silent for 0.1 s when its attempt was given up is chosen last, not left out: the endpoint may have been silent.

--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -7,6 +7,7 @@
 import asyncio
 import hashlib
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from functools import partial
 from typing import TypeVar
 
 from ..clocks import Clock
@@ -22,6 +23,7 @@
     EngineClient,
     EngineResponse,
     RequestNotRunError,
+    found_path_failure,
 )
 from .handover import Handover
 from .http1 import HeaderList, is_success
@@ -116,27 +118,11 @@
             if exc.limit != NO_LIMIT:
                 on_limit(exc.limit)
             self._record_leaving(endpoint, exc.is_leaving)
-            self._record_failure(
-                call,
-                endpoint,
-                fingerprint,
-                exc,
-                unreachable=exc.unreachable,
-                is_failure=exc.is_failure,
-            )
+            self._record_not_run(call, endpoint, fingerprint, exc)
             raise
         except AttemptFailedError as exc:
-            await self._check_path(endpoint, exc)
             self._record_leaving(endpoint, exc.is_leaving)
-            self._record_failure(
-                call,
-                endpoint,
-                fingerprint,
-                exc,
-                reset=exc.reset,
-                timed_out=exc.timed_out,
-                is_failure=exc.is_failure,
-            )
+            await self._judge_failure(call, endpoint, fingerprint, exc)
             if exc.is_failure and (exc.reset or exc.timed_out):
                 self._crash_detector.check_endpoint(endpoint, fingerprint)
             raise
@@ -150,12 +136,70 @@
             self._record_completion(call, endpoint, fingerprint, response)
         return result
 
-    async def _check_path(self, endpoint: Endpoint, error: AttemptFailedError) -> None:
-        """Find out whether the way to the endpoint broke, rather than the endpoint."""
-        if error.was_relayed or not (error.reset or error.timed_out):
+    def _record_not_run(
+        self,
+        call: EngineCall,
+        endpoint: Endpoint,
+        fingerprint: str | None,
+        error: RequestNotRunError,
+    ) -> None:
+        """Record that an endpoint did not run a request, once it is known whether it
+        failed or the way to it.
+        """
+        check = error.path_check
+        if check is not None and not check.done():
+            check.add_done_callback(
+                lambda _: self._record_not_run(call, endpoint, fingerprint, error)
+            )
             return
-        if await self._engines.has_lost_path(endpoint):
+        if check is not None and found_path_failure(check):
+            error.is_path_failure = True
+        self._record_failure(
+            call,
+            endpoint,
+            fingerprint,
+            error,
+            unreachable=error.unreachable,
+            is_failure=error.is_failure,
+        )
+
+    async def _judge_failure(
+        self,
+        call: EngineCall,
+        endpoint: Endpoint,
+        fingerprint: str | None,
+        error: AttemptFailedError,
+    ) -> None:
+        """Record whether the endpoint failed or the way to it. A silent endpoint's
+        request goes on elsewhere meanwhile.
+        """
+        judge = partial(self._judge_path, call, endpoint, fingerprint, error)
+        if error.timed_out and not self._engines.is_out_of_reach(endpoint):
+            error.path_check = asyncio.ensure_future(judge())
+        else:
+            await judge()
+
+    async def _judge_path(
+        self,
+        call: EngineCall,
+        endpoint: Endpoint,
+        fingerprint: str | None,
+        error: AttemptFailedError,
+    ) -> bool:
+        """Return whether the way to the endpoint failed, after recording it."""
+        may_be_path = (error.reset or error.timed_out) and not error.was_relayed
+        if may_be_path and await self._engines.has_lost_path(endpoint):
             error.is_path_failure = True
+        self._record_failure(
+            call,
+            endpoint,
+            fingerprint,
+            error,
+            reset=error.reset,
+            timed_out=error.timed_out,
+            is_failure=error.is_failure,
+        )
+        return error.is_path_failure
 
     def record_silence(
         self, call: EngineCall, endpoint: Endpoint, silence_s: float
--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -475,9 +475,11 @@
                 on_limit=partial(self._slots.record_limit, lease),
             )
         except RequestNotRunError as exc:
+            lease.path_check = exc.path_check
             slot_outcome = SlotOutcome.FAILED if exc.is_failure else SlotOutcome.UNKNOWN
             return AttemptResult(Outcome.RETRY, str(exc), slot_outcome)
         except AttemptFailedError as exc:
+            lease.path_check = exc.path_check
             return AttemptResult(
                 Outcome.RETRY,
                 str(exc),
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -1,5 +1,6 @@
 """The interface to endpoints: calls, responses, and errors of an attempt."""
 
+import asyncio
 import enum
 from collections.abc import AsyncIterator
 from typing import Protocol
@@ -52,12 +53,22 @@
     SILENT = "silent"
 
 
+def found_path_failure(check: "asyncio.Task[bool]") -> bool:
+    """Whether a check that has ended found the way to an endpoint at fault, or could
+    not find that out.
+    """
+    if check.cancelled() or check.exception() is not None:
+        return True
+    return check.result()
+
+
 class RequestNotRunError(ApricotquayError):
     """The endpoint certainly did not run the request.
 
     `unreachable` means that no connection could be opened. `limit` and `is_leaving`
     are what the endpoint's refusal says. A failure of the path says nothing of the
-    endpoint, which other daemons may reach.
+    endpoint, which other daemons may reach. `path_check`, if set, is still finding
+    out whether it is one.
     """
 
     def __init__(
@@ -74,6 +85,7 @@
         self.limit: EndpointLimit = limit
         self.is_leaving: bool = is_leaving
         self.is_path_failure: bool = is_path_failure
+        self.path_check: asyncio.Task[bool] | None = None
 
     @property
     def is_failure(self) -> bool:
@@ -95,7 +107,8 @@
     `reset` means that the connection ended, `timed_out` that no data came in time,
     `is_leaving` that the endpoint's response says so. `is_path_failure` means that
     the way to the endpoint failed, which says nothing of the endpoint, and
-    `was_relayed` that a peer made the attempt.
+    `was_relayed` that a peer made the attempt. `path_check`, if set, is still finding
+    out whether the way failed.
     """
 
     def __init__(
@@ -114,6 +127,7 @@
         self.is_leaving: bool = is_leaving
         self.is_path_failure: bool = is_path_failure
         self.was_relayed: bool = was_relayed
+        self.path_check: asyncio.Task[bool] | None = None
 
     @property
     def is_failure(self) -> bool:
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -457,9 +457,11 @@
             raise
         except RequestNotRunError as exc:
             progress.record_failure(endpoint.id, str(exc), may_have_run=False)
+            lease.path_check = exc.path_check
             return SlotOutcome.FAILED if exc.is_failure else SlotOutcome.UNKNOWN
         except AttemptFailedError as exc:
             progress.record_failure(endpoint.id, str(exc), may_have_run=True)
+            lease.path_check = exc.path_check
             if not exc.is_failure:
                 return SlotOutcome.UNKNOWN
             if exc.timed_out:
--- a/apricotquay/serving/paths.py
+++ b/apricotquay/serving/paths.py
@@ -59,14 +59,10 @@
         """Record that a connection to some endpoint was opened."""
         self._reached_s = now_s
 
-    def record_lost(self, endpoint: EndpointId, now_s: float) -> bool:
-        """Record that a peer reaches an endpoint and this daemon does not; return
-        whether this was not known.
-        """
-        if endpoint in self._lost:
-            return False
-        self._lost[endpoint] = _LostPath(now_s)
-        return True
+    def record_lost(self, endpoint: EndpointId, now_s: float) -> None:
+        """Record that a peer reaches an endpoint and this daemon does not."""
+        if endpoint not in self._lost:
+            self._lost[endpoint] = _LostPath(now_s)
 
     def next_probes(self, listed: Iterable[EndpointId]) -> list[EndpointId]:
         """Return the lost endpoints to probe now, the least recently probed first;
--- a/apricotquay/serving/peerchecks.py
+++ b/apricotquay/serving/peerchecks.py
@@ -42,7 +42,9 @@
     ) -> None:
         self.is_lost: Callable[[EndpointId], bool] = lambda endpoint: False
         # Called with each peer that reached an endpoint, also those that answer late.
-        self.on_reached: Callable[[str], None] = lambda address: None
+        self.on_reached: Callable[[str, Endpoint], None] = lambda address, endpoint: (
+            None
+        )
         self._direct: DirectEngineClient = direct
         self._view: View = view
         self._shards: Shards = shards
@@ -101,7 +103,7 @@
         if not isinstance(reply, EndpointChecked):
             return None
         if reply.reachability is Reachability.REACHED:
-            self.on_reached(address)
+            self.on_reached(address, endpoint)
         return reply.reachability
 
 
--- a/apricotquay/serving/relayclient.py
+++ b/apricotquay/serving/relayclient.py
@@ -51,6 +51,9 @@
         self.messages: asyncio.Queue[RelayedMessage | None] = asyncio.Queue()
         self.has_begun: bool = False
         self.has_ended: bool = False
+        self.received_s: float = asyncio.get_running_loop().time()
+        # Called with the seconds since the last message if the attempt is given up.
+        self.on_abandoned: Callable[[float], None] = lambda silence_s: None
 
     def end_with_connection(self) -> None:
         """Record that the connection to the peer has ended."""
@@ -59,6 +62,7 @@
     async def receive(self) -> RelayedMessage:
         """Return the next message; raise the error that ended the attempt."""
         message = await self.messages.get()
+        self.received_s = asyncio.get_running_loop().time()
         if message is None:
             self.has_ended = True
             raise AttemptFailedError(
@@ -129,14 +133,21 @@
         self._attempts: dict[int, _RelayedAttempt] = {}
 
     async def send(
-        self, address: str, call: EngineCall, endpoint: Endpoint
+        self,
+        address: str,
+        call: EngineCall,
+        endpoint: Endpoint,
+        on_abandoned: Callable[[float], None] = lambda silence_s: None,
     ) -> RelayedResponse:
         """Send a call by way of a peer and wait for the head of its response.
 
-        Raises RequestNotRunError if the peer says so or never got the call.
+        `on_abandoned` gets the seconds since the peer's last message if the attempt
+        is given up before its end. Raises RequestNotRunError if the peer says so or
+        never got the call.
         """
         connection = await self._connect(address, call)
         attempt = _RelayedAttempt(next(self._numbers), address, connection)
+        attempt.on_abandoned = on_abandoned
         self.running[address] += 1
         self._attempts[attempt.number] = attempt
         connection.on_close.append(attempt.end_with_connection)
@@ -199,8 +210,11 @@
         connection = attempt.connection
         if attempt.end_with_connection in connection.on_close:
             connection.on_close.remove(attempt.end_with_connection)
-        if not attempt.has_ended and connection.is_open:
+        if attempt.has_ended:
+            return
+        if connection.is_open:
             connection.send(CancelRelay(attempt.number))
+        attempt.on_abandoned(asyncio.get_running_loop().time() - attempt.received_s)
 
 
 def _error_of(failure: RelayedFailure, *, has_begun: bool) -> Exception:
--- a/apricotquay/serving/relayserver.py
+++ b/apricotquay/serving/relayserver.py
@@ -170,7 +170,7 @@
             outcome = "answered"
         except EndpointUnreachableError as exc:
             outcome = str(exc)
-            exc.is_path_failure = await self._engines.is_reached_by_peers(
+            exc.is_path_failure = await self._engines.is_known_to_be_reached(
                 endpoint, outcome
             )
             connection.send(_not_run_failure(call.number, exc))
--- a/apricotquay/serving/routedclient.py
+++ b/apricotquay/serving/routedclient.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from functools import partial
 
 import msgspec
 
@@ -33,8 +34,10 @@
 MAX_RELAYS_PER_SEND = 3
 # A sound endpoint accepts a connection within this time.
 PATH_CHECK_S = 0.15
-# A relay that sent nothing for so long is not chosen again at once.
-SILENT_RELAY_S = 0.3
+# A peer that reaches the endpoint answers within this time; a request waits for it.
+QUICK_ANSWER_S = 0.08
+# A relay that sent nothing for so long is chosen last for a while.
+SILENT_RELAY_S = 0.1
 
 
 class RoutedEngineClient:
@@ -65,11 +68,11 @@
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
         # Questions to peers that run, which all who need the answer share.
-        self._questions: dict[EndpointId, asyncio.Task] = {}
+        self._questions: dict[EndpointId, asyncio.Task[PeerFindings]] = {}
         self._has_lost_paths = asyncio.Event()
         self._prober: asyncio.Task | None = None
         checks.is_lost = self.paths.is_lost
-        checks.on_reached = self._record_relay
+        checks.on_reached = self._handle_reached
 
     def start(self) -> None:
         """Start to probe endpoints that are out of reach."""
@@ -89,7 +92,12 @@
             try:
                 return await self.send_directly(call, endpoint)
             except EndpointUnreachableError as exc:
-                if not await self.is_reached_by_peers(endpoint, str(exc)):
+                question = self._ask_peers(endpoint, str(exc))
+                await asyncio.wait([question], timeout=QUICK_ANSWER_S)
+                if not question.done():
+                    exc.path_check = asyncio.ensure_future(_is_reached(question))
+                    raise
+                if not question.result().reached_by:
                     raise
         return await self._relay(call, endpoint, started_s)
 
@@ -123,12 +131,15 @@
             self.paths.record_reached(self._clock.now_s())
             return False
         probe.cancel()
-        return await self.is_reached_by_peers(endpoint, "an attempt broke off")
+        return await _is_reached(self._ask_peers(endpoint, "an attempt broke off"))
 
-    async def is_reached_by_peers(self, endpoint: Endpoint, reason: str) -> bool:
-        """Whether a peer reaches an endpoint that this VM failed to reach."""
-        findings = await self._ask_peers(endpoint, reason)
-        return bool(findings.reached_by)
+    async def is_known_to_be_reached(self, endpoint: Endpoint, reason: str) -> bool:
+        """Whether a peer says at once that it reaches an endpoint that this VM failed
+        to reach.
+        """
+        question = self._ask_peers(endpoint, reason)
+        await asyncio.wait([question], timeout=QUICK_ANSWER_S)
+        return question.done() and bool(question.result().reached_by)
 
     async def refuses_connections(self, endpoint: Endpoint) -> bool:
         """Whether nothing listens at the endpoint's address.
@@ -139,7 +150,7 @@
         if not self.is_out_of_reach(endpoint):
             if await self._checks.probe(endpoint) is not Reachability.REFUSED:
                 return False
-        findings = await self._ask_peers(endpoint, "refused")
+        findings = await asyncio.shield(self._ask_peers(endpoint, "refused"))
         if findings.reached_by or findings.refused_count:
             return not findings.reached_by
         return not self.is_out_of_reach(endpoint)
@@ -178,7 +189,7 @@
     async def _choose_relay(self, endpoint: Endpoint, tried: set[str]) -> str | None:
         address = self._choose_known_relay(tried)
         if address is None:
-            await self._ask_peers(endpoint, "no relay is known")
+            await self.is_known_to_be_reached(endpoint, "no relay is known")
             address = self._choose_known_relay(tried)
         return address
 
@@ -189,7 +200,6 @@
     async def _send_by(
         self, address: str, call: EngineCall, endpoint: Endpoint
     ) -> RelayedResponse:
-        now_s = self._clock.now_s()
         self._metrics.count("attempts_relayed")
         self._reporter.write(
             Event.ATTEMPT_RELAYED,
@@ -198,35 +208,37 @@
             relay=address,
             resumed_after=call.resume_after,
         )
-        try:
-            response = await self._relays.send(address, call, endpoint)
-        except asyncio.CancelledError:
-            if self._clock.now_s() - now_s > SILENT_RELAY_S:
-                self._pool.record_failed(address, self._clock.now_s())
-            raise
-        self._record_relay(address)
+        response = await self._relays.send(
+            address, call, endpoint, partial(self._handle_abandoned, address)
+        )
+        self._pool.record_reached(address, self._clock.now_s())
         self._record_lost(endpoint)
         return response
 
+    def _handle_abandoned(self, address: str, silence_s: float) -> None:
+        """Handle the end of an attempt that this daemon gave up."""
+        if silence_s > SILENT_RELAY_S:
+            self._pool.record_silent(address, self._clock.now_s())
+
     def _with_time_left(self, call: EngineCall, started_s: float) -> EngineCall:
         spent_ms = int((self._clock.now_s() - started_s) * 1000)
         timeout_ms = max(1, call.timeout_ms - spent_ms)
         return msgspec.structs.replace(call, timeout_ms=timeout_ms)
 
-    async def _ask_peers(self, endpoint: Endpoint, reason: str) -> PeerFindings:
+    def _ask_peers(self, endpoint: Endpoint, reason: str) -> asyncio.Task[PeerFindings]:
         """Ask peers about an endpoint that this VM does not reach."""
         question = self._questions.get(endpoint.id)
         if question is None:
             question = asyncio.ensure_future(self._find_out(endpoint, reason))
             self._questions[endpoint.id] = question
             question.add_done_callback(lambda _: self._questions.pop(endpoint.id, None))
-        return await asyncio.shield(question)
+        return question
 
     async def _find_out(self, endpoint: Endpoint, reason: str) -> PeerFindings:
+        was_lost = self.paths.is_lost(endpoint.id)
         findings = await self._checks.ask(endpoint)
         is_reached = bool(findings.reached_by)
-        is_news = is_reached and self._record_lost(endpoint)
-        if is_news or not is_reached:
+        if not is_reached or not was_lost:
             self._reporter.write_limited(
                 Event.PATH_LOST if is_reached else Event.ENDPOINT_OUT_OF_REACH,
                 endpoint=endpoint.id,
@@ -237,12 +249,14 @@
             )
         return findings
 
-    def _record_relay(self, address: str) -> None:
+    def _handle_reached(self, address: str, endpoint: Endpoint) -> None:
+        """Handle a peer's finding that it reaches what this VM did not reach."""
         self._pool.record_reached(address, self._clock.now_s())
+        self._record_lost(endpoint)
 
-    def _record_lost(self, endpoint: Endpoint) -> bool:
+    def _record_lost(self, endpoint: Endpoint) -> None:
         self._has_lost_paths.set()
-        return self.paths.record_lost(endpoint.id, self._clock.now_s())
+        self.paths.record_lost(endpoint.id, self._clock.now_s())
 
     async def _probe_loop(self) -> None:
         """Find out without callers' requests when links have returned."""
@@ -263,3 +277,8 @@
         now_s = self._clock.now_s()
         if self.paths.record_probe(endpoint.id, is_reached, now_s):
             self._reporter.write(Event.PATH_RETURNED, endpoint=endpoint.id)
+
+
+async def _is_reached(question: asyncio.Task[PeerFindings]) -> bool:
+    """Wait for the answers of peers; return whether one reaches the endpoint."""
+    return bool((await asyncio.shield(question)).reached_by)
--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -13,7 +13,7 @@
 from .catalog import ServiceName
 from .dispatch import Decision, Granted, Refused, Revoked, Ticket, TicketId, Work
 from .endpoints import LeavingNotice
-from .engine import EndpointLimit
+from .engine import EndpointLimit, found_path_failure
 from .messages import (
     AskSlot,
     HeldSlot,
@@ -73,7 +73,8 @@
     `owner` is the peer whose table also records the slot, None if only the table of
     this daemon does.
     The holder sets `outcome` before it releases the slot. `granted_by` is the owner
-    that granted the slot, at `granted_s`.
+    that granted the slot, at `granted_s`. The `outcome` counts only once `path_check`,
+    if set, has found that the way to the endpoint did not fail.
     """
 
     service: ServiceName
@@ -83,6 +84,7 @@
     outcome: SlotOutcome = SlotOutcome.UNKNOWN
     on_revoke: Callable[[], None] = lambda: None
     granted_by: str | None = None
+    path_check: asyncio.Task[bool] | None = None
     granted_s: float = float("-inf")
 
 
@@ -196,7 +198,13 @@
         return lease
 
     def release(self, lease: SlotLease) -> None:
-        """Release a slot."""
+        """Release a slot, once it is known whether its endpoint failed."""
+        check = lease.path_check
+        if check is not None and not check.done():
+            check.add_done_callback(lambda _: self.release(lease))
+            return
+        if check is not None and found_path_failure(check):
+            lease.outcome = SlotOutcome.UNKNOWN
         self._leases.pop(lease.ticket.id, None)
         if lease.owner is None:
             self.tables.record_outcome(lease.endpoint, lease.outcome)
--- a/tests/test_serving_paths.py
+++ b/tests/test_serving_paths.py
@@ -118,3 +118,15 @@
         pool.record_reached("a", 0.1)
         self.assertIsNone(pool.choose((), {}, FAILURE_PAUSE_S / 2))
         self.assertEqual("a", pool.choose((), {}, FAILURE_PAUSE_S))
+
+    @parameterized.expand(
+        [("another is there", ["a", "b"], "b"), ("alone", ["a"], "a")]
+    )
+    def test_silent_peer_is_chosen_last(self, _name, reached, expected):
+        """The endpoint may have been silent instead."""
+        pool = RelayPool(seed=1)
+        for address in reached:
+            pool.record_reached(address, 0)
+        pool.record_silent("a", 0)
+        self.assertEqual(expected, pool.choose((), {"b": 9}, FAILURE_PAUSE_S / 2))
+        self.assertEqual("a", pool.choose((), {"b": 9}, FAILURE_PAUSE_S))
