Let owners of shards name further daemons that may relay

Only owners of shards, twelve at most, were known as relays.

A daemon tells in the handshake where it listens, and an answer about an endpoint names eight of the daemons that are connected to the peer. A daemon with lost links and fewer than eight relays asks those too, half a second later and eight at a time. Test: 16 daemons, the owners of all twelve shards cut; callers of a cut one are served by way of those that own none.

--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -281,9 +281,12 @@
 
 
 class EndpointChecked(msgspec.Struct, frozen=True, tag="endpoint_checked"):
-    """What became of the connection; None if the peer cannot tell."""
+    """What became of the connection; None if the peer cannot tell. `peers` are some
+    of the daemons that the peer is connected to.
+    """
 
     reachability: Reachability | None
+    peers: list[str] = []
 
 
 class RelayCall(msgspec.Struct, frozen=True, tag="relay_call"):
--- a/apricotquay/serving/peerchecks.py
+++ b/apricotquay/serving/peerchecks.py
@@ -17,7 +17,10 @@
 
 # A peer that probes may notice a refused connection late.
 CHECK_TIMEOUT_S = 0.6
+# Of the owners of shards, and as many of the daemons that peers named.
 MAX_PEERS_ASKED = 8
+MAX_PEERS_NAMED = 8
+MAX_NAMED_KNOWN = 64
 
 
 class PeerFindings(msgspec.Struct, frozen=True):
@@ -50,13 +53,19 @@
         self._shards: Shards = shards
         self._peers: Peers = peers
         self._running: set[asyncio.Task] = set()
+        # Daemons that peers have named and that were not asked yet.
+        self._named: set[str] = set()
         # Probes that run, which all who ask meanwhile share.
         self._probes: dict[EndpointId, asyncio.Task] = {}
 
+    @property
+    def has_unasked(self) -> bool:
+        """Whether peers have named daemons that were not asked yet."""
+        return bool(self._named)
+
     async def ask(self, endpoint: Endpoint) -> PeerFindings:
         """Ask several peers; return once one reached the endpoint, or all answered."""
-        addresses = self._shards.addresses()
-        asked = random.sample(addresses, min(MAX_PEERS_ASKED, len(addresses)))
+        asked = self._choose_peers()
         calls = {
             asyncio.ensure_future(self._ask_peer(address, endpoint)): address
             for address in asked
@@ -72,14 +81,25 @@
             call.add_done_callback(self._running.discard)
         return _summarize(calls)
 
+    def _choose_peers(self) -> list[str]:
+        """Return owners of shards, which every daemon knows, and daemons they named."""
+        owners = self._shards.addresses()
+        chosen = random.sample(owners, min(MAX_PEERS_ASKED, len(owners)))
+        named = sorted(self._named)
+        chosen_named = random.sample(named, min(MAX_PEERS_ASKED, len(named)))
+        self._named.difference_update(chosen_named)
+        return chosen + chosen_named
+
     async def handle_check_endpoint(self, message: CheckEndpoint) -> Message:
         """Return what this daemon finds at an endpoint for a peer."""
+        connected = self._peers.accepted_addresses()
+        named = random.sample(connected, min(MAX_PEERS_NAMED, len(connected)))
         endpoint = self._view.endpoints.get(EndpointId(message.endpoint))
         if endpoint is None or endpoint.started_ms != message.started_ms:
-            return EndpointChecked(None)
+            return EndpointChecked(None, named)
         if self.is_lost(endpoint.id):
-            return EndpointChecked(None)
-        return EndpointChecked(await self.probe(endpoint))
+            return EndpointChecked(None, named)
+        return EndpointChecked(await self.probe(endpoint), named)
 
     async def probe(self, endpoint: Endpoint) -> Reachability:
         """Try a connection to an endpoint; probes at the same time are one."""
@@ -102,10 +122,16 @@
             return None
         if not isinstance(reply, EndpointChecked):
             return None
+        self._remember_named(reply.peers)
         if reply.reachability is Reachability.REACHED:
             self.on_reached(address, endpoint)
         return reply.reachability
 
+    def _remember_named(self, addresses: list[str]) -> None:
+        known = {*self._shards.addresses(), self._shards.address}
+        room = MAX_NAMED_KNOWN - len(self._named)
+        self._named.update([a for a in addresses if a not in known][:room])
+
 
 def _finding(call: asyncio.Task) -> Reachability | None:
     if not call.done() or call.cancelled() or call.exception() is not None:
--- a/apricotquay/serving/peers.py
+++ b/apricotquay/serving/peers.py
@@ -25,6 +25,8 @@
 # Lists in the opening handshake what a daemon understands besides the messages that
 # all versions know.
 FEATURES_HEADER = "X-Apricotquay-Features"
+# Where the daemon that connects listens for peers itself.
+ADDRESS_HEADER = "X-Apricotquay-Address"
 
 Handler = Callable[["PeerConnection", Message], Awaitable[Message | None]]
 
@@ -42,8 +44,14 @@
     """One connection between two event-loop daemons, opened by either side."""
 
     def __init__(
-        self, socket, handler: Handler, reporter: Reporter, features: str = ""
+        self,
+        socket,
+        handler: Handler,
+        reporter: Reporter,
+        features: str = "",
+        address: str = "",
     ) -> None:
+        self.address: str = address
         self._features: frozenset[str] = frozenset(features.split(","))
         self.on_close: list[Callable[[], None]] = []
         self.is_open: bool = True
@@ -168,6 +176,7 @@
         self._connections: dict[str, PeerConnection] = {}
         self._connect_locks: dict[str, asyncio.Lock] = {}
         self._reconnect_after_s: dict[str, float] = {}
+        self._address: str = ""
         self._accepted: set[PeerConnection] = set()
         self._tasks: set[asyncio.Task] = set()
         self._server = None
@@ -177,6 +186,10 @@
         """The number of open connections that peers made to this daemon."""
         return len(self._accepted)
 
+    def accepted_addresses(self) -> list[str]:
+        """Return where the daemons that are connected to this one listen."""
+        return sorted({c.address for c in self._accepted if c.address})
+
     async def start(self, host: str, port: int) -> int:
         """Listen for peers; return the port."""
         self._server = await serve(
@@ -188,7 +201,9 @@
             max_size=MAX_FRAME_BYTES,
             process_response=_add_features,
         )
-        return self._server.sockets[0].getsockname()[1]
+        bound_port = self._server.sockets[0].getsockname()[1]
+        self._address = f"{host}:{bound_port}"
+        return bound_port
 
     async def close(self) -> None:
         """Close all connections."""
@@ -238,7 +253,10 @@
                 open_timeout=CONNECT_TIMEOUT_S,
                 max_size=MAX_FRAME_BYTES,
                 proxy=None,
-                additional_headers={FEATURES_HEADER: OWN_FEATURES},
+                additional_headers={
+                    FEATURES_HEADER: OWN_FEATURES,
+                    ADDRESS_HEADER: self._address,
+                },
             )
         except (OSError, TimeoutError, WebSocketException) as exc:
             self._delay_reconnect(address)
@@ -251,6 +269,7 @@
             self._handler,
             self._reporter,
             socket.response.headers.get(FEATURES_HEADER, ""),
+            address,
         )
         self._connections[address] = connection
         task = asyncio.create_task(connection.run())
@@ -264,6 +283,7 @@
             self._handler,
             self._reporter,
             socket.request.headers.get(FEATURES_HEADER, ""),
+            socket.request.headers.get(ADDRESS_HEADER, ""),
         )
         self._accepted.add(connection)
         try:
--- a/apricotquay/serving/relaypool.py
+++ b/apricotquay/serving/relaypool.py
@@ -18,6 +18,11 @@
         self._silent_until_s: dict[str, float] = {}
         self._random = random.Random(seed)
 
+    def usable_count(self, now_s: float) -> int:
+        """Return how many peers may be chosen."""
+        self._expire(now_s)
+        return len(self._reached_s)
+
     def record_reached(self, address: str, now_s: float) -> None:
         """Record that a peer reached an endpoint."""
         self._reached_s[address] = now_s
--- a/apricotquay/serving/relayserver.py
+++ b/apricotquay/serving/relayserver.py
@@ -91,6 +91,7 @@
         self._reporter: Reporter = reporter
         self._attempts: dict[PeerConnection, dict[int, _Attempt]] = {}
         self._is_draining: bool = False
+        self.served_count: int = 0
 
     @property
     def busy_count(self) -> int:
@@ -162,6 +163,7 @@
         window: _Window,
     ) -> None:
         started_s = self._clock.now_s()
+        self.served_count += 1
         self._metrics.count("relays_served")
         outcome = "cancelled"
         try:
--- a/apricotquay/serving/routedclient.py
+++ b/apricotquay/serving/routedclient.py
@@ -32,6 +32,8 @@
 
 PROBE_INTERVAL_S = 0.5
 MAX_RELAYS_PER_SEND = 3
+# With fewer relays known, daemons that peers named are asked too.
+MIN_RELAYS = 8
 # A sound endpoint accepts a connection within this time.
 PATH_CHECK_S = 0.15
 # A peer that reaches the endpoint answers within this time; a request waits for it.
@@ -268,10 +270,17 @@
                 self._view.endpoints.get(endpoint_id)
                 for endpoint_id in self.paths.next_probes(listed)
             ]
+            self._look_for_relays(probed)
             await asyncio.gather(*(self._probe(endpoint) for endpoint in probed))
             if not self.paths.lost_count:
                 self._has_lost_paths.clear()
 
+    def _look_for_relays(self, lost: list[Endpoint]) -> None:
+        """Ask further daemons, so that few peers don't carry all relayed requests."""
+        few = self._pool.usable_count(self._clock.now_s()) < MIN_RELAYS
+        if lost and few and self._checks.has_unasked:
+            self._ask_peers(lost[0], "few relays are known")
+
     async def _probe(self, endpoint: Endpoint) -> None:
         is_reached = await self._checks.probe(endpoint) is Reachability.REACHED
         now_s = self._clock.now_s()
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -365,6 +365,8 @@
 class NoPeerChecks:
     """Has no peers to ask."""
 
+    has_unasked = False
+
     async def ask(self, _endpoint) -> PeerFindings:
         """Return that no peer answered."""
         return PeerFindings()
--- a/tests/test_platform_relays.py
+++ b/tests/test_platform_relays.py
@@ -10,7 +10,7 @@
 from apricotquay.serving.messages import RelayCall
 from standins.links import Cut
 
-from .test_platform_fleet import PlatformFleet, PlatformTest
+from .test_platform_fleet import TIMEOUT_S, PlatformFleet, PlatformTest
 
 STEP_S = 0.01
 SECRET_KEY = "sk-known-to-the-caller-only"
@@ -218,6 +218,35 @@
         self.run_scenario(scenario, daemons=3, step_s=STEP_S)
 
 
+class ManyDaemonsTest(RelayTest):
+    """Daemons that own no shard relay too."""
+
+    def test_daemons_that_own_no_shard_relay_if_all_owners_are_cut(self):
+        """Owners name the daemons that are connected to them."""
+
+        async def scenario(fleet):
+            # Ownership has settled once the last daemon's join is known to all.
+            await asyncio.sleep(1.0)
+            others = [d for d in fleet.daemons[1:] if not d.shards.owned]
+            self.assertTrue(others)
+            for daemon in fleet.daemons:
+                response = await fleet.call(
+                    daemon, "POST", "/s/1", b"", attempt_id=daemon.settings.vm_id
+                )
+                self.assertEqual(200, response.status)
+            for daemon in fleet.daemons:
+                if daemon not in others:
+                    fleet.links[daemon].cut(Cut.RESET_REFUSE)
+            async with asyncio.timeout(TIMEOUT_S):
+                while (await self.stream(fleet, 2, "a")).status != 200:
+                    await asyncio.sleep(0.1)
+            for number in range(8):
+                self.assert_whole(await self.stream(fleet, 2, f"b{number}"), 2)
+            self.assertTrue([d for d in others if d.relay_server.served_count])
+
+        self.run_scenario(scenario, daemons=16, step_s=STEP_S)
+
+
 class RelayFailureTest(RelayTest):
     """Peers that cannot relay, or end half-way."""
 
