Free the slots of a VM that is gone

Cause: a ticket ended only when its holder said so or the connection closed. A VM without power says nothing and its connections stay.

Change: peers' tickets are held under a lease that the list of each second renews. The list is a call now, whose reply names what the owner does not know: those slots are reported again, and waits end that no owner will decide on. So a VM that comes back, a broken connection and a replaced owner neither leak slots nor grant them twice.

--- a/apricotquay/events.py
+++ b/apricotquay/events.py
@@ -55,6 +55,7 @@
     PATH_LOST = (1511, "endpoint out of reach of this VM, though a peer reaches it")
     PATH_RETURNED = (1512, "endpoint within reach of this VM again")
     ENDPOINT_OUT_OF_REACH = (1513, "neither this VM nor a peer reaches the endpoint")
+    SLOT_LEASES_EXPIRED = (1514, "slots of a silent VM are free again")
     REQUEST_ENDED = (1601, "request ended")
     REQUEST_RETRIED = (1602, "request retried")
     REQUEST_QUARANTINED = (1603, "request fingerprint quarantined")
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -403,6 +403,7 @@
         self.metrics.set_gauge("relays_busy", self.relay_server.busy_count)
         lost_count = self.engines.paths.lost_count
         self.metrics.set_gauge("endpoints_out_of_reach", lost_count)
+        self.metrics.set_gauge("peer_tickets", self.slots.tables.peer_ticket_count)
         self.metrics.set_gauge("streams_kept", self.streams.kept_count)
         self.metrics.set_gauge("endpoints_limited", self.slots.tables.limited_count)
         leaving_count = len(self.view.endpoints.leaving_notices())
--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -253,7 +253,9 @@
         return list(self._serve_queues(now_s))
 
     def record_grant(self, ticket: Ticket, endpoint: EndpointId, now_s: float) -> None:
-        """Record a slot that another daemon's table granted."""
+        """Record a slot that another daemon's table granted, unless it is known."""
+        if ticket.id in self._endpoint_of:
+            return
         slots = self._slots.setdefault(endpoint, _EndpointSlots(endpoint, 0))
         self._assign(ticket, slots, now_s)
 
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -116,12 +116,27 @@
 
 
 class TicketList(msgspec.Struct, frozen=True, tag="ticket_list"):
-    """All tickets of the sender that hold slots of the owner or wait for them."""
+    """All tickets of the sender that hold slots of the owner or wait for them.
+
+    Sent as a call, so that the sender learns of a connection that went silent; earlier
+    releases send it as a message without a reply.
+    """
 
     service: ServiceName
     tickets: list[str]
 
 
+class TicketsKnown(msgspec.Struct, frozen=True, tag="tickets_known"):
+    """The owner has renewed the leases on the tickets of a list, but for those that it
+    does not know.
+
+    Owners of earlier releases reply with `CallNotServed`.
+    """
+
+    service: ServiceName
+    unknown: list[str]
+
+
 class TakeToken(msgspec.Struct, frozen=True, tag="take_token"):
     """Asks a team's owner to admit one request of the team.
 
@@ -378,6 +393,7 @@
     | ReleaseSlot
     | HeldSlot
     | TicketList
+    | TicketsKnown
     | LimitSeen
     | LimitList
     | LeavingList
--- a/apricotquay/serving/slotowner.py
+++ b/apricotquay/serving/slotowner.py
@@ -33,6 +33,7 @@
     SlotRefused,
     SlotRevoked,
     TicketList,
+    TicketsKnown,
 )
 from .outliers import OutlierDetector, SlotOutcome
 from .peers import PeerConnection
@@ -44,6 +45,7 @@
     SendLimit,
     SendLimits,
 )
+from .slotleases import PeerLeases
 from .view import View
 
 DEFAULT_SLOTS = 8
@@ -67,8 +69,9 @@
     """The slot tables of all services, with the tickets of this daemon and of peers.
 
     A peer's ticket ends when the peer releases it, when the connection closes,
-    when the peer's ticket list omits it, or when this daemon is no longer the
-    owner, so a lost message never leaks a slot. Used by `SlotAllocator`.
+    when the peer's ticket list omits it, when the peer has not been heard for the
+    time of a lease, or when this daemon is no longer the owner, so neither a lost
+    message nor a lost VM leaks a slot. Used by `SlotAllocator`.
     """
 
     def __init__(self, view: View, clock: Clock, reporter: Reporter) -> None:
@@ -89,6 +92,7 @@
         self.is_owned: Callable[[ServiceName], bool] = lambda service: True
         self._peer_tickets: dict[TicketId, PeerTicket] = {}
         self._tickets_of_connection: dict[PeerConnection, set[TicketId]] = {}
+        self._peer_leases = PeerLeases()
         self.on_local_decision = lambda decision: None
 
     @property
@@ -236,8 +240,29 @@
         if self.table(service).waiting_count:
             self.needs_tick.set()
 
-    def handle_message(self, connection: PeerConnection, message: Message) -> None:
-        """Handle a message of a peer that considers this daemon the owner."""
+    def expire_silent_peers(self) -> None:
+        """End the tickets of peers that have been silent for the time of a lease.
+
+        The connection is closed, so that a peer that is back opens another one and
+        reports the slots that it still holds.
+        """
+        holders = [c for c, tickets in self._tickets_of_connection.items() if tickets]
+        for connection in self._peer_leases.expire(holders, self._clock.now_s()):
+            self._reporter.write(
+                Event.SLOT_LEASES_EXPIRED,
+                address=connection.address,
+                tickets=len(self._tickets_of_connection[connection]),
+            )
+            connection.close()
+            self._release_tickets_of(connection)
+
+    def handle_message(
+        self, connection: PeerConnection, message: Message
+    ) -> Message | None:
+        """Handle a message of a peer that considers this daemon the owner; return the
+        reply to a ticket list.
+        """
+        self._peer_leases.renew(connection)
         if isinstance(message, AskSlot):
             self._handle_ask_slot(connection, message)
         elif isinstance(message, HeldSlot):
@@ -245,13 +270,14 @@
         elif isinstance(message, ReleaseSlot):
             self._handle_release_slot(message)
         elif isinstance(message, TicketList):
-            self._handle_ticket_list(connection, message)
+            return self._handle_ticket_list(connection, message)
         elif isinstance(message, LimitSeen):
             self._handle_limit_seen(message)
         elif isinstance(message, LimitList):
             self._handle_limit_list(message)
         elif isinstance(message, LeavingList):
             self._view.record_leaving(message.endpoints, is_answer=False)
+        return None
 
     def tell_leaving(self, notices: list[LeavingNotice]) -> None:
         """Tell peers that ask this daemon for slots which endpoints leave."""
@@ -298,7 +324,7 @@
 
     def _handle_ticket_list(
         self, connection: PeerConnection, message: TicketList
-    ) -> None:
+    ) -> TicketsKnown:
         listed = set(message.tickets)
         requested_before_s = self._clock.now_s() - LIST_GRACE_S
         for ticket_id in self._tickets_of_connection.get(connection, set()) - listed:
@@ -308,6 +334,8 @@
                 and peer.requested_s < requested_before_s
             ):
                 self._release_peer_ticket(ticket_id)
+        unknown = [t for t in message.tickets if t not in self._peer_tickets]
+        return TicketsKnown(message.service, unknown)
 
     def _handle_limit_seen(self, message: LimitSeen) -> None:
         endpoint = self._view.endpoints.get(EndpointId(message.endpoint))
@@ -380,6 +408,7 @@
         self._tickets_of_connection[connection].add(ticket)
 
     def _release_tickets_of(self, connection: PeerConnection) -> None:
+        self._peer_leases.end(connection)
         for ticket_id in self._tickets_of_connection.pop(connection, set()):
             self._release_peer_ticket(ticket_id)
 
--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -1,6 +1,7 @@
 """Acquires slots at endpoints, from the service's owner or from the local table."""
 
 import asyncio
+import contextlib
 import itertools
 import weakref
 from collections.abc import Callable
@@ -26,11 +27,13 @@
     SlotRefused,
     SlotRevoked,
     TicketList,
+    TicketsKnown,
 )
 from .outliers import SlotOutcome
 from .peers import PeerConnection, Peers
 from .reporting import Reporter
 from .shards import Shards, shard_number
+from .slotleases import LEASE_S
 from .slotowner import MS_PER_S, SlotTables
 from .tasks import start_task
 from .view import View
@@ -39,6 +42,10 @@
 OWNER_ANSWER_TIMEOUT_S = 0.15
 # An owner that did not answer in time is not asked again for this long.
 OWNER_RETRY_DELAY_S = 1.0
+# How often an owner whose connection closes is asked before the local table decides.
+MAX_OWNER_ASKS = 3
+# As long as the owner's lease on the tickets.
+LIST_ANSWER_TIMEOUT_S = LEASE_S
 TICK_INTERVAL_S = 0.05
 LIST_INTERVAL_S = 1.0
 
@@ -71,7 +78,7 @@
     """A slot that is held until it is released.
 
     `owner` is the peer whose table also records the slot, None if only the table of
-    this daemon does.
+    this daemon does. It records it for as long as the connection `known_over` is open.
     The holder sets `outcome` before it releases the slot. `granted_by` is the owner
     that granted the slot, at `granted_s`. The `outcome` counts only once `path_check`,
     if set, has found that the way to the endpoint did not fail.
@@ -84,6 +91,7 @@
     outcome: SlotOutcome = SlotOutcome.UNKNOWN
     on_revoke: Callable[[], None] = lambda: None
     granted_by: str | None = None
+    known_over: PeerConnection | None = None
     path_check: asyncio.Task[bool] | None = None
     granted_s: float = float("-inf")
 
@@ -95,6 +103,7 @@
         loop = asyncio.get_running_loop()
         self.service: ServiceName = service
         self.owner: str | None = owner
+        self.connection: PeerConnection | None = None
         self.first_reply: asyncio.Future = loop.create_future()
         self.decision: asyncio.Future = loop.create_future()
 
@@ -163,6 +172,7 @@
         self.tables.release_peer_tickets(lost)
         for service in list(self._last_owners):
             self._update_owner(service, self._owner(service))
+        self._leave_former_owners()
 
     def _refuse_without_endpoints(self) -> None:
         """Refuse the waiting tickets of services whose endpoints have all left."""
@@ -170,6 +180,14 @@
             if not any(self._view.endpoints.serving(waiter.service)):
                 waiter.resolve(Refused(ticket_id, 0.0))
 
+    def _leave_former_owners(self) -> None:
+        """End the waits for decisions of daemons that are no longer the owner."""
+        for waiter in self._waiters.values():
+            number = shard_number(waiter.service, self._shards.count)
+            owner = self._shards.owner(number)
+            if waiter.owner is not None and owner not in (None, waiter.owner):
+                waiter.resolve(None)
+
     async def acquire(self, service: ServiceName, request: SlotRequest) -> SlotLease:
         """Wait for a slot; raise SlotUnavailableError when none comes in time."""
         ticket = Ticket(
@@ -184,13 +202,15 @@
             request.holds_slot,
             request.version,
         )
-        owner = self._owner(service)
-        self._update_owner(service, owner)
-        if owner is not None:
+        for _ in range(MAX_OWNER_ASKS):
+            owner = self._owner(service)
+            self._update_owner(service, owner)
+            if owner is None:
+                break
             lease = await self._acquire_from(owner, service, ticket)
             if lease is not None:
                 return lease
-            # A late answer of the owner must not be mistaken for a local decision.
+            # A late answer of the owner must not be mistaken for another decision.
             ticket = msgspec.structs.replace(ticket, id=self._new_id())
         lease = await self._acquire_from(None, service, ticket)
         if lease is None:
@@ -245,12 +265,14 @@
         for owner in owners - {None}:
             self._send_if_connected(owner, LeavingList(notices))
 
-    def handle_message(self, connection: PeerConnection, message: Message) -> None:
+    def handle_message(
+        self, connection: PeerConnection, message: Message
+    ) -> Message | None:
         """Handle a message of an owner, or of a peer that considers this the owner."""
         if isinstance(message, DECISION_MESSAGES):
             self._handle_decision(message)
-        else:
-            self.tables.handle_message(connection, message)
+            return None
+        return self.tables.handle_message(connection, message)
 
     def _is_owned(self, service: ServiceName) -> bool:
         return shard_number(service, self._shards.count) in self._shards.owned
@@ -297,7 +319,7 @@
             if isinstance(decision, Refused):
                 raise SlotUnavailableError(decision.wait_s)
             if isinstance(decision, Granted):
-                lease = self._add_lease(service, ticket, decision.endpoint, owner)
+                lease = self._add_lease(service, ticket, decision.endpoint, waiter)
             return lease
         finally:
             self._waiters.pop(ticket.id, None)
@@ -326,6 +348,7 @@
             async with asyncio.timeout(OWNER_ANSWER_TIMEOUT_S):
                 connection = await self._peers.connect(owner)
                 self._introduce(connection)
+                waiter.connection = connection
                 connection.send(message)
                 await waiter.first_reply
         except (TimeoutError, PeerUnavailableError):
@@ -374,14 +397,16 @@
         service: ServiceName,
         ticket: Ticket,
         endpoint: EndpointId,
-        owner: str | None,
+        waiter: _Waiter,
     ) -> SlotLease:
+        owner = waiter.owner
         lease = SlotLease(
             service,
             ticket,
             endpoint,
             owner,
             granted_by=owner,
+            known_over=waiter.connection,
             granted_s=self._clock.now_s(),
         )
         self._leases[ticket.id] = lease
@@ -461,9 +486,11 @@
             return
         now_s = self._clock.now_s()
         for lease in held:
-            if lease.ticket.id not in self._leases:
+            is_known = lease.owner == owner and lease.known_over is connection
+            if is_known or lease.ticket.id not in self._leases:
                 continue
             lease.owner = owner
+            lease.known_over = connection
             due_in_ms = int((lease.ticket.due_s - now_s) * MS_PER_S)
             connection.send(
                 HeldSlot(
@@ -483,21 +510,62 @@
             self.tables.tick()
 
     async def _list_loop(self) -> None:
-        """List live tickets to owners, which release those whose release was lost."""
+        """List live tickets to owners, which release those whose release was lost, and
+        release the tickets of peers that list theirs no more.
+        """
         while True:
             await asyncio.sleep(LIST_INTERVAL_S)
-            tickets: dict[tuple[ServiceName, str], list[str]] = {}
-            for ticket_id, entry in (*self._leases.items(), *self._waiters.items()):
-                if entry.owner is not None:
-                    key = (entry.service, entry.owner)
-                    tickets.setdefault(key, []).append(ticket_id)
-            for key in self._listed_keys - set(tickets):
-                tickets[key] = []
-            self._listed_keys = {
-                key for key, ticket_ids in tickets.items() if ticket_ids
-            }
-            for (service, owner), ticket_ids in tickets.items():
-                self._send_if_connected(owner, TicketList(service, ticket_ids))
+            self._report_unknown()
+            self._list_tickets()
+            self.tables.expire_silent_peers()
+
+    def _report_unknown(self) -> None:
+        """Report the slots that their owner does not know, since the connection over
+        which it learned of them has closed.
+        """
+        unknown: dict[str, list[SlotLease]] = {}
+        for lease in self._leases.values():
+            owner = self._last_owners.get(lease.service)
+            connection = lease.known_over
+            is_known = connection is not None and connection.is_open
+            if owner is not None and not (lease.owner == owner and is_known):
+                unknown.setdefault(owner, []).append(lease)
+        for owner, leases in unknown.items():
+            asyncio.ensure_future(self._report_held(leases, owner))
+
+    def _list_tickets(self) -> None:
+        tickets: dict[tuple[ServiceName, str], list[str]] = {}
+        asked = {t: w for t, w in self._waiters.items() if w.connection is not None}
+        for ticket_id, entry in (*self._leases.items(), *asked.items()):
+            if entry.owner is not None:
+                key = (entry.service, entry.owner)
+                tickets.setdefault(key, []).append(ticket_id)
+        for key in self._listed_keys - set(tickets):
+            tickets[key] = []
+        self._listed_keys = {key for key, ticket_ids in tickets.items() if ticket_ids}
+        for (service, owner), ticket_ids in tickets.items():
+            connection = self._peers.find_connection(owner)
+            if connection is not None:
+                message = TicketList(service, ticket_ids)
+                asyncio.ensure_future(self._renew_leases(connection, message))
+
+    async def _renew_leases(
+        self, connection: PeerConnection, message: TicketList
+    ) -> None:
+        """List tickets to their owner. The connection closes if the owner is silent,
+        and what it does not know is reported or requested again.
+        """
+        with contextlib.suppress(PeerUnavailableError):
+            reply = await connection.call(message, LIST_ANSWER_TIMEOUT_S)
+            if isinstance(reply, TicketsKnown):
+                self._forget_unknown([TicketId(t) for t in reply.unknown])
+
+    def _forget_unknown(self, unknown: list[TicketId]) -> None:
+        for ticket_id in unknown:
+            if ticket_id in self._leases:
+                self._leases[ticket_id].known_over = None
+            if ticket_id in self._waiters:
+                self._waiters[ticket_id].resolve(None)
 
 
 def _has_result(future: asyncio.Future) -> bool:
--- a/tests/test_serving_slots.py
+++ b/tests/test_serving_slots.py
@@ -107,7 +107,7 @@
         await self.peers.close()
 
     async def _handle(self, connection, message):
-        self.slots.handle_message(connection, message)
+        return self.slots.handle_message(connection, message)
 
 
 class QueueingOwner:
