Queue tickets for slots by the endpoints they may use

Sixteen waiting tickets that avoid the endpoints with free slots hid all tickets behind them, and those slots stayed empty.

Cause: a queue passed over at most 16 tickets at a time. Change: a queue for each restriction (version, avoided endpoints, may be repeated); one whose first ticket fits nowhere is left alone, the others go on. No bound is needed, and a blocked queue costs one look instead of sixteen.

The two new cases failed before. The limit's name left the tests with the limit; their number (16) and both checks stay.

--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/dispatch.py
@@ -15,7 +15,7 @@
 import random
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
-from typing import NewType
+from typing import NamedTuple, NewType
 
 import msgspec
 
@@ -31,9 +31,6 @@
 # From the grant of a slot to the first event at the caller.
 FIRST_EVENT_DELAY_S = 0.08
 MAX_PREFIXES = 10_000
-# Limits how many tickets of a queue are skipped because they avoid the endpoints
-# that have free slots.
-MAX_SKIPPED_TICKETS = 16
 
 
 class Work(enum.Enum):
@@ -65,6 +62,17 @@
     EJECTED = "rests"
 
 
+class Restriction(NamedTuple):
+    """Which endpoints a ticket may use; the fields are those of `Ticket`."""
+
+    version: str
+    avoid: frozenset[str]
+    may_repeat: bool
+
+
+UNRESTRICTED = Restriction("", frozenset(), True)
+
+
 class Ticket(msgspec.Struct):
     """A request for a slot in a `Dispatcher`.
 
@@ -89,6 +97,11 @@
     holds_slot: bool = False
     version: str = ""
 
+    @property
+    def restriction(self) -> Restriction:
+        """Which endpoints the ticket may use."""
+        return Restriction(self.version, self.avoid, self.may_repeat)
+
     def is_late(self, now_s: float) -> bool:
         """Whether the ticket would miss `due_s` even with a slot now."""
         start_s = (
@@ -183,9 +196,9 @@
     def __init__(self, seed: int = 0) -> None:
         self._slots: dict[EndpointId, _EndpointSlots] = {}
         self._endpoint_of: dict[TicketId, EndpointId] = {}
-        # A queue for each version that tickets ask for, so that those of a version
-        # without free slots hold no others up.
-        self._queues: dict[Rank, dict[str, list[_QueueEntry]]] = {
+        # A queue for each restriction, so that tickets for endpoints without free
+        # slots hold no others up.
+        self._queues: dict[Rank, dict[Restriction, list[_QueueEntry]]] = {
             rank: {} for rank in Rank
         }
         self._waiting: dict[TicketId, Ticket] = {}
@@ -319,7 +332,8 @@
     def _refuse_missing_versions(self) -> Iterable[Refused]:
         """Refuse waiting tickets that need a version which no endpoint has any more."""
         listed = {s.version for s in self._slots.values() if s.is_open}
-        wanted = {v for queues in self._queues.values() for v in queues if v}
+        wanted = {r.version for queues in self._queues.values() for r in queues}
+        wanted.discard("")
         if not listed or wanted <= listed:
             return
         for ticket in list(self._waiting.values()):
@@ -385,10 +399,10 @@
     def _push(self, ticket: Ticket, now_s: float) -> None:
         self._sequence += 1
         entry = (ticket.due_s, self._sequence, ticket)
-        heapq.heappush(self._queue(self._rank(ticket, now_s), ticket.version), entry)
+        heapq.heappush(self._queue(self._rank(ticket, now_s), ticket), entry)
 
-    def _queue(self, rank: Rank, version: str) -> list[_QueueEntry]:
-        return self._queues[rank].setdefault(version, [])
+    def _queue(self, rank: Rank, ticket: Ticket) -> list[_QueueEntry]:
+        return self._queues[rank].setdefault(ticket.restriction, [])
 
     def _serve_queues(self, now_s: float) -> Iterable[Decision]:
         available = [s for s in self._slots.values() if s.is_available(now_s)]
@@ -403,26 +417,26 @@
         """Grant slots to a rank's queues; move tickets that became late. Endpoints
         that take no more are removed from `available`.
         """
-        skipped = []
-        blocked: set[str] = set()
-        while available and len(skipped) < MAX_SKIPPED_TICKETS:
+        blocked: set[Restriction] = set()
+        while available:
             queue = self._next_queue(rank, blocked)
             if queue is None:
                 break
-            entry = heapq.heappop(queue)
+            entry = queue[0]
             ticket = entry[2]
             if self._waiting.get(ticket.id) is not ticket:
+                heapq.heappop(queue)
                 continue
             current_rank = self._rank(ticket, now_s)
             if current_rank is not rank:
-                heapq.heappush(self._queue(current_rank, ticket.version), entry)
+                heapq.heappop(queue)
+                heapq.heappush(self._queue(current_rank, ticket), entry)
                 continue
             slots = self._choose_endpoint(ticket, available, now_s)
             if slots is None:
-                skipped.append(entry)
-                if not ticket.avoid:
-                    blocked.add(ticket.version)
+                blocked.add(ticket.restriction)
                 continue
+            heapq.heappop(queue)
             self._stop_waiting(ticket.id)
             self._assign(ticket, slots, now_s)
             if slots.limit is not None:
@@ -430,18 +444,18 @@
             if not slots.is_available(now_s):
                 available.remove(slots)
             yield Granted(ticket.id, slots.endpoint)
-        for entry in skipped:
-            heapq.heappush(self._queue(rank, entry[2].version), entry)
 
-    def _next_queue(self, rank: Rank, blocked: set[str]) -> list[_QueueEntry] | None:
+    def _next_queue(
+        self, rank: Rank, blocked: set[Restriction]
+    ) -> list[_QueueEntry] | None:
         """Return the queue whose first ticket comes next, of those not blocked."""
-        if "" in blocked:
-            # Not even a ticket for any version has an endpoint.
+        if UNRESTRICTED in blocked:
+            # Not even a ticket for any endpoint has one.
             return None
         queues = self._queues[rank]
-        for version in [v for v, queue in queues.items() if v and not queue]:
-            del queues[version]
-        open_queues = [q for v, q in queues.items() if q and v not in blocked]
+        for restriction in [r for r, queue in queues.items() if not queue]:
+            del queues[restriction]
+        open_queues = [q for r, q in queues.items() if r not in blocked]
         return min(open_queues, key=lambda queue: queue[0][:2], default=None)
 
     def _choose_endpoint(
--- a/tests/test_serving_dispatch.py
+++ b/tests/test_serving_dispatch.py
@@ -6,7 +6,6 @@
 
 from apricotquay.ids import EndpointId
 from apricotquay.serving.dispatch import (
-    MAX_SKIPPED_TICKETS,
     Dispatcher,
     EndpointStatus,
     Granted,
@@ -21,6 +20,8 @@
 
 from .base import ApricotTest
 
+MANY_TICKETS = 16
+
 
 def online(
     name: str, due_s: float = 0.3, slot_deadline_s: float = 5.0, **fields
@@ -253,7 +254,28 @@
         before = dispatcher.rank_calls
         decisions = dispatcher.request_slot(online("o"), 0.1)
         self.assertEqual([Granted(TicketId("o"), EndpointId("a"))], decisions)
-        self.assertLess(dispatcher.rank_calls - before, 2 * MAX_SKIPPED_TICKETS)
+        self.assertLess(dispatcher.rank_calls - before, 2 * MANY_TICKETS)
+
+    @parameterized.expand(
+        [
+            ("one endpoint", [{"a"}] * 40),
+            ("many sets", [{"a", f"x{n}"} for n in range(40)]),
+        ]
+    )
+    def test_items_that_avoid_the_free_endpoint_hold_up_none_behind_them(
+        self, _name, avoided
+    ):
+        """They are due first, and the other endpoint takes no items."""
+        dispatcher = Dispatcher(seed=1)
+        counts = {EndpointId("a"): 1, EndpointId("b"): 1}
+        statuses = {EndpointId("b"): EndpointStatus.EJECTED}
+        dispatcher.set_endpoints(counts, 0.0, statuses)
+        for number, avoid in enumerate(avoided):
+            item = batch(f"b{number}", 50.0)
+            item.avoid = frozenset(avoid)
+            self.assertEqual([], dispatcher.request_slot(item, 0.0))
+        decisions = dispatcher.request_slot(batch("last", 60.0), 0.0)
+        self.assertEqual([Granted(TicketId("last"), EndpointId("a"))], decisions)
 
     @parameterized.expand([(EndpointStatus.PROBATION,), (EndpointStatus.EJECTED,)])
     def test_endpoint_ejected_or_on_probation_gets_online_requests_last(self, status):
@@ -391,7 +413,7 @@
         for name in ("t1", "t2"):
             decisions = table.request_slot(online(name, version="v1"), 0.0)
             self.assertEqual([Granted(TicketId(name), EndpointId("a"))], decisions)
-        for number in range(2 * MAX_SKIPPED_TICKETS):
+        for number in range(2 * MANY_TICKETS):
             ticket = online(f"w{number}", version="v1", holds_slot=True)
             self.assertEqual([], table.request_slot(ticket, 0.0))
         for name in ("u1", "u2"):
