Bound started batch items for each service, not for all together

Cause: a daemon started at most 48 items, those that wait for a slot included. Ruled out: refusal (1701 is there, no 1708, 1204 or 1307) and the list of endpoints (hanging, refusing and failing endpoints do the same).

Items of a service without listed endpoints don't start; an item between two attempts doesn't count; one that keeps failing without output is postponed, so that hanging items leave slots for later ones; the wait for an event grows when attempts time out without one, since 3 s at each attempt cut slow but sound endpoints for ever. Deleting expired jobs is a task of its own: a slow store held up the scheduling.

--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -1,8 +1,10 @@
 """Batch runner of the event-loop daemon: runs the items of its own partitions."""
 
 import asyncio
+import collections
 import contextlib
 import enum
+import functools
 import random
 from collections.abc import Iterator
 from functools import partial
@@ -12,7 +14,7 @@
 from ..clocks import Clock
 from ..events import Event
 from .attempts import MAX_BODY_BYTES, AttemptRunner, read_events
-from .catalog import Route, ServiceName
+from .catalog import Configuration, Route, ServiceName
 from .dispatch import Work
 from .engine import (
     AttemptFailedError,
@@ -20,6 +22,7 @@
     EngineResponse,
     RequestNotRunError,
 )
+from .itemschedule import ItemKey, WaitingItem, choose_items, postponement_s
 from .jobrecords import ProgressRecord
 from .jobs import Jobs
 from .jobtable import Job
@@ -32,10 +35,10 @@
 from .tasks import start_task
 from .view import View
 
-# Items that request a slot or run; the owner of the service's slots decides which
-# of them run.
-MAX_CONCURRENT_ITEMS = 48
+# Without an event. Doubled after each further attempt that timed out without output.
 EVENT_TIMEOUT_S = 3.0
+TIMEOUTS_BEFORE_DOUBLING = 2
+MAX_EVENT_TIMEOUT_S = 48.0
 RETRY_DELAY_S = 0.25
 FRUITLESS_BEFORE_BACKOFF = 3
 MAX_RETRY_DELAY_S = 4.0
@@ -46,6 +49,7 @@
 # The items of a missing route fail only if the configuration is newer than this.
 MAX_VIEW_AGE_S = 2.5
 ITEM_TIMEOUT_MS = 60_000
+MAX_CACHED_ROUTES = 20_000
 MAX_SLOT_WAIT_S = 3_600.0
 INITIAL_RUN_TIME_S = 3.0
 RUN_TIME_SMOOTHING = 0.1
@@ -54,8 +58,6 @@
 UNPROCESSABLE = 422
 OK = 200
 
-ItemKey = tuple[str, int]
-
 
 class ItemProgress:
     """The output of an item so far, kept across attempts."""
@@ -67,8 +69,18 @@
         # The software version of the endpoints that made the output.
         self.version: str = known.version if known else ""
         self.ran_s: float = 0.0
+        self.fruitless_attempts: int = 0
         self._failed_endpoint: str = ""
         self._fruitless_in_a_row: int = 0
+        self._timeouts_in_a_row: int = 0
+
+    def event_timeout_s(self) -> float:
+        """Return how long the next attempt may wait for an event.
+
+        An endpoint that is slow, but sound, needs more time than a first attempt has.
+        """
+        doublings = max(0, self._timeouts_in_a_row - TIMEOUTS_BEFORE_DOUBLING + 1)
+        return min(MAX_EVENT_TIMEOUT_S, EVENT_TIMEOUT_S * 2**doublings)
 
     def retry_delay_s(self, was_fruitless: bool) -> float:
         """Return how long to wait before the next attempt.
@@ -88,10 +100,18 @@
             else frozenset()
         )
 
-    def record_attempt(self, endpoint: str, failed: bool, ran_s: float) -> None:
-        """Record where and how long an attempt ran."""
+    def record_attempt(
+        self, endpoint: str, result: "AttemptResult", had_output: bool, ran_s: float
+    ) -> None:
+        """Record where and how long an attempt ran, and how it ended."""
+        failed = result.outcome in (Outcome.RETRY, Outcome.FAILED)
         self.ran_s += ran_s
         self._failed_endpoint = endpoint if failed else ""
+        if had_output:
+            self.fruitless_attempts = self._timeouts_in_a_row = 0
+        elif failed:
+            self.fruitless_attempts += 1
+            self._timeouts_in_a_row += result.timed_out
 
     def append_event(self, event: StreamEvent, version: str) -> None:
         """Append an event of a version; raise AttemptFailedError if ids are missing."""
@@ -115,13 +135,29 @@
         )
 
 
+class ItemState(enum.Enum):
+    """Whether an item runs or requests a slot, waits for its next attempt, or has a
+    result that is being written.
+    """
+
+    STARTED = "started"
+    WAITING = "waiting"
+    ENDED = "ended"
+
+
 class RunningItem(msgspec.Struct):
-    """A batch item that this event-loop daemon runs, and its task."""
+    """A batch item that this event-loop daemon runs, and the task of its attempt.
+
+    An item that waits is not started before `retry_at_s`.
+    """
 
     partition: Partition
     job: Job
     index: int
+    service: ServiceName
     progress: ItemProgress
+    state: ItemState = ItemState.WAITING
+    retry_at_s: float = float("-inf")
     task: asyncio.Task | None = None
 
 
@@ -165,6 +201,31 @@
     reason: str = ""
     slot_outcome: SlotOutcome = SlotOutcome.UNKNOWN
     was_fruitless: bool = False
+    timed_out: bool = False
+
+
+class RouteCache:
+    """The routes of items in the current configuration, each found once."""
+
+    def __init__(self, view: View) -> None:
+        self._view: View = view
+        self._configuration: Configuration | None = None
+        self._routes: dict[tuple[str, str], Route | None] = {}
+
+    def find(self, job: Job, index: int) -> Route | None:
+        """Return the route of an item, None without one or a configuration."""
+        configuration = self._view.configuration
+        if configuration is None:
+            return None
+        if configuration is not self._configuration:
+            self._configuration = configuration
+            self._routes.clear()
+        target = (job.header.host, job.items[index].path)
+        if target not in self._routes:
+            if len(self._routes) >= MAX_CACHED_ROUTES:
+                self._routes.clear()
+            self._routes[target] = configuration.find_route(*target)
+        return self._routes[target]
 
 
 class BatchRunner:
@@ -197,12 +258,14 @@
         self._items: dict[ItemKey, RunningItem] = {}
         self._owned_since_s: dict[int, float] = {}
         self._last_saved_s: float = 0.0
-        self._last_expiry_s: float = 0.0
+        self._routes = RouteCache(view)
         self._scheduler: asyncio.Task | None = None
+        self._expiry: asyncio.Task | None = None
 
     def start(self) -> None:
         """Start scheduling items."""
         self._scheduler = start_task("batch", self._loop, self._reporter)
+        self._expiry = start_task("expire jobs", self._expiry_loop, self._reporter)
 
     def wake(self) -> None:
         """Schedule items now rather than at the next interval."""
@@ -210,8 +273,9 @@
 
     async def stop(self) -> None:
         """Stop all items and write their progress for the next owners."""
-        if self._scheduler is not None:
-            self._scheduler.cancel()
+        for task in (self._scheduler, self._expiry):
+            if task is not None:
+                task.cancel()
         partitions = {item.partition for item in self._items.values()}
         for item_key in list(self._items):
             self._stop_item(item_key)
@@ -220,7 +284,8 @@
 
     async def close(self) -> None:
         """Stop all items and wait until they have ended."""
-        tasks = [self._scheduler, *(item.task for item in self._items.values())]
+        tasks = [self._scheduler, self._expiry]
+        tasks += [item.task for item in self._items.values()]
         for task in tasks:
             if task is not None:
                 task.cancel()
@@ -235,7 +300,6 @@
             self._schedule_items()
             self._save_progress()
             await self._jobs.close_unused()
-            await self._delete_expired()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(SCHEDULE_INTERVAL_S):
                     await self._wake.wait()
@@ -245,31 +309,84 @@
         wanted = {(job.key, i): (part, job, i) for part, job, i in self._open_items()}
         for item_key in [key for key in self._items if key not in wanted]:
             self._stop_item(item_key)
-        running = sum(1 for item in self._items.values() if not item.task.done())
-        waiting = [key for key in wanted if key not in self._items]
-        waiting.sort(key=lambda key: wanted[key][1].header.due_ms)
-        for item_key in waiting[: max(0, MAX_CONCURRENT_ITEMS - running)]:
-            self._start_item(item_key, *wanted[item_key])
+        waiting = list(self._find_waiting(wanted))
+        for item in choose_items(waiting, self._count_started()):
+            self._start_item(item, *wanted[item.key])
+
+    def _count_started(self) -> collections.Counter[ServiceName]:
+        """Return how many items of each service request a slot or run."""
+        return collections.Counter(
+            item.service
+            for item in self._items.values()
+            if item.state is ItemState.STARTED
+        )
+
+    def _find_waiting(
+        self, wanted: dict[ItemKey, tuple[Partition, Job, int]]
+    ) -> Iterator[WaitingItem]:
+        """Yield the items that could start now; end those that cannot be done."""
+        now_s = self._clock.now_s()
+        is_served = functools.cache(self._is_served)
+        for key, (partition, job, index) in wanted.items():
+            item = self._items.get(key)
+            if item is not None and not self._may_start(item, now_s):
+                continue
+            route = self._routes.find(job, index)
+            if self._must_give_up(job, route):
+                self._give_up(key, partition, job, index)
+                continue
+            service = route.service_for(random.random()) if route else None
+            if service is not None and is_served(service):
+                fruitless = item.progress.fruitless_attempts if item else 0
+                due_s = job.header.due_ms / 1000
+                yield WaitingItem(key, service, due_s, fruitless)
+
+    def _may_start(self, item: RunningItem, now_s: float) -> bool:
+        return item.state is ItemState.WAITING and item.retry_at_s <= now_s
+
+    def _is_served(self, service: ServiceName) -> bool:
+        """Whether a service has endpoints that take new work."""
+        return any(True for _ in self._view.endpoints.serving(service))
+
+    def _must_give_up(self, job: Job, route: Route | None) -> bool:
+        if route is None:
+            return self._is_configuration_current()
+        return self._clock.wall_ms() >= job.header.give_up_ms
+
+    def _give_up(
+        self, key: ItemKey, partition: Partition, job: Job, index: int
+    ) -> None:
+        item = self._items.get(key)
+        if item is None:
+            progress = ItemProgress(job.progress.get(index))
+            item = RunningItem(partition, job, index, ServiceName(""), progress)
+            self._items[key] = item
+        self._finish_item(item, is_done=False)
 
     def _start_item(
-        self, item_key: ItemKey, partition: Partition, job: Job, index: int
+        self, waiting: WaitingItem, partition: Partition, job: Job, index: int
     ) -> None:
-        progress = ItemProgress(job.progress.get(index))
-        item = RunningItem(partition, job, index, progress)
+        item = self._items.get(waiting.key)
+        if item is None:
+            progress = ItemProgress(job.progress.get(index))
+            item = RunningItem(partition, job, index, waiting.service, progress)
+            self._items[waiting.key] = item
+        item.service = waiting.service
+        item.state = ItemState.STARTED
         item.task = start_task("item", partial(self._run, item), self._reporter)
-        self._items[item_key] = item
 
     def _stop_item(self, item_key: ItemKey) -> None:
         """Stop an item; if it has not ended, save its progress for the next owner."""
         item = self._items.pop(item_key)
-        item.task.cancel()
+        if item.task is not None:
+            item.task.cancel()
         self._enqueue_progress(item)
 
     def _enqueue_progress(self, item: RunningItem) -> None:
         record = item.progress.to_record()
         if (
             record.is_newer_than(item.job.progress.get(item.index))
-            and not item.task.done()
+            and item.state is not ItemState.ENDED
         ):
             item.partition.enqueue_progress(item.job, item.index, record)
 
@@ -283,13 +400,11 @@
         for item in self._items.values():
             self._enqueue_progress(item)
 
-    async def _delete_expired(self) -> None:
-        now_s = self._clock.now_s()
-        if now_s - self._last_expiry_s < EXPIRY_INTERVAL_S:
-            return
-        self._last_expiry_s = now_s
-        for partition in self._jobs.owned_partitions():
-            await partition.delete_expired_jobs(self._retention_ms)
+    async def _expiry_loop(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            for partition in self._jobs.owned_partitions():
+                await partition.delete_expired_jobs(self._retention_ms)
 
     def _open_items(self) -> Iterator[tuple[Partition, Job, int]]:
         """Yield the items to run, after a delay in which a shard's previous owner
@@ -306,39 +421,36 @@
                     yield partition, job, index
 
     async def _run(self, item: RunningItem) -> None:
-        """Run one item until it is done or has failed for good. Its entry stays in
-        `_items` until the result is in the log."""
-        job, index, progress = item.job, item.index, item.progress
-        while True:
-            route = self._find_route(job, index)
-            if route is None:
-                if self._is_configuration_current():
-                    self._finish_item(item, is_done=False)
-                    return
-                await asyncio.sleep(RETRY_DELAY_S)
-                continue
-            if self._clock.wall_ms() >= job.header.give_up_ms:
-                self._finish_item(item, is_done=False)
-                return
-            result = await self._run_attempt(job, index, route, progress)
-            if result.outcome is Outcome.DONE:
-                self._finish_item(item, is_done=True)
-                return
-            if result.outcome is Outcome.FAILED:
-                progress.failures += 1
-            impossible = result.outcome is Outcome.IMPOSSIBLE
-            if impossible or progress.failures >= route.max_attempts:
-                self._finish_item(item, is_done=False)
+        """Run an item until it has ended or has to wait; one that was only revoked
+        requests another slot. An entry of an item that has ended stays in `_items`
+        until the result is in the log.
+        """
+        result = AttemptResult(Outcome.REVOKED)
+        while result.outcome is Outcome.REVOKED:
+            route = self._routes.find(item.job, item.index)
+            if route is None or self._must_give_up(item.job, route):
+                self._delay(item, RETRY_DELAY_S)
                 return
-            if result.outcome is not Outcome.REVOKED:
-                delay_s = progress.retry_delay_s(result.was_fruitless)
-                await asyncio.sleep(delay_s * random.uniform(0.5, 1.5))
+            result = await self._run_attempt(item)
+        if result.outcome is Outcome.DONE:
+            self._finish_item(item, is_done=True)
+            return
+        progress = item.progress
+        if result.outcome is Outcome.FAILED:
+            progress.failures += 1
+        impossible = result.outcome is Outcome.IMPOSSIBLE
+        if impossible or progress.failures >= route.max_attempts:
+            self._finish_item(item, is_done=False)
+            return
+        delay_s = progress.retry_delay_s(result.was_fruitless)
+        self._delay(item, delay_s * random.uniform(0.5, 1.5))
 
-    def _find_route(self, job: Job, index: int) -> Route | None:
-        configuration = self._view.configuration
-        if configuration is None:
-            return None
-        return configuration.find_route(job.header.host, job.items[index].path)
+    def _delay(self, item: RunningItem, delay_s: float) -> None:
+        """Let an item wait for its next attempt; others of its service may start."""
+        item.state = ItemState.WAITING
+        item.retry_at_s = self._clock.now_s() + delay_s
+        self.wake()
+        asyncio.get_running_loop().call_later(delay_s, self.wake)
 
     def _is_configuration_current(self) -> bool:
         return (
@@ -346,6 +458,7 @@
         )
 
     def _finish_item(self, item: RunningItem, *, is_done: bool) -> None:
+        item.state = ItemState.ENDED
         job, progress = item.job, item.progress
         text = "\n".join(progress.data) if is_done else ""
         item.partition.enqueue_result(PendingResult(job, item.index, is_done, text))
@@ -360,11 +473,11 @@
             late_ms=late_ms,
         )
 
-    async def _run_attempt(
-        self, job: Job, index: int, route: Route, progress: ItemProgress
-    ) -> AttemptResult:
-        service = route.service_for(random.random())
+    async def _run_attempt(self, running: RunningItem) -> AttemptResult:
+        job, index, progress = running.job, running.index, running.progress
+        service = running.service
         due_s = self._clock.now_s() + (job.header.due_ms - self._clock.wall_ms()) / 1000
+        due_s += postponement_s(progress.fruitless_attempts)
         item = job.items[index]
         self._discard_lost_version(service, progress)
         needs_s = self._run_times.remaining_s(progress.ran_s)
@@ -382,6 +495,7 @@
         except SlotUnavailableError as exc:
             return AttemptResult(Outcome.RETRY, str(exc))
         started_s = self._clock.now_s()
+        first_id = progress.last_id
         current = asyncio.current_task()
         revoked = False
 
@@ -390,7 +504,7 @@
             revoked = True
             attempt.cancel()
 
-        attempt = asyncio.ensure_future(self._send(job, index, route, progress, lease))
+        attempt = asyncio.ensure_future(self._send(job, index, progress, lease))
         lease.on_revoke = revoke
         try:
             result = await attempt
@@ -405,8 +519,8 @@
         finally:
             self._slots.release(lease)
         ran_s = self._clock.now_s() - started_s
-        failed = result.outcome in (Outcome.RETRY, Outcome.FAILED)
-        progress.record_attempt(lease.endpoint, failed, ran_s)
+        had_output = progress.last_id > first_id
+        progress.record_attempt(lease.endpoint, result, had_output, ran_s)
         if result.outcome is Outcome.DONE:
             self._run_times.record(progress.ran_s)
         self._reporter.write(
@@ -437,7 +551,6 @@
         self,
         job: Job,
         index: int,
-        route: Route,
         progress: ItemProgress,
         lease: SlotLease,
     ) -> AttemptResult:
@@ -464,12 +577,15 @@
             self._attempts.prompt_parts(headers),
         )
         last_id = progress.last_id
+        timeout_s = progress.event_timeout_s()
         try:
             return await self._attempts.run(
                 call,
                 endpoint,
-                EVENT_TIMEOUT_S,
-                lambda response: _read_output(response, progress, endpoint.version),
+                timeout_s,
+                lambda response: _read_output(
+                    response, progress, endpoint.version, timeout_s
+                ),
                 # An accepted item is owed, whatever ended while it ran.
                 may_crash_endpoints=False,
                 on_limit=partial(self._slots.record_limit, lease),
@@ -485,11 +601,12 @@
                 str(exc),
                 SlotOutcome.FAILED if exc.is_failure else SlotOutcome.UNKNOWN,
                 was_fruitless=exc.reset and progress.last_id == last_id,
+                timed_out=exc.timed_out,
             )
 
 
 async def _read_output(
-    response: EngineResponse, progress: ItemProgress, version: str
+    response: EngineResponse, progress: ItemProgress, version: str, timeout_s: float
 ) -> AttemptResult:
     """Read a response; only a failure of the endpoint's processing counts against
     the item."""
@@ -500,7 +617,7 @@
     if response.status != OK:
         return AttemptResult(Outcome.RETRY, f"status {response.status}")
     size = 0
-    async for events in read_events(response, EVENT_TIMEOUT_S, EVENT_TIMEOUT_S):
+    async for events in read_events(response, timeout_s, timeout_s):
         size += sum(len(event.raw) for event in events)
         if size > MAX_BODY_BYTES:
             progress.discard_output()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -155,12 +155,13 @@
 
 
 class ModelServer:
-    """Server of the service "llm": streams as many events as a request asks for.
+    """Server of a `service`: streams as many events as a request asks for.
 
-    The request's body is `events=N`, `fail=STATUS` for an error response, or
-    `crash=1` to end the server without an answer. A request whose prompt has one of
-    the `crashing_parts`, not as its last part, ends the server `crash_delay_s` after
-    it begins, in a stream of `events_before_crash` events if there are any.
+    The request's body is `events=N`, `fail=STATUS` for an error response, `hang=1` for
+    an answer without events, or `crash=1` to end the server without an answer. A
+    request whose prompt has one of the `crashing_parts`, not as its last part, ends
+    the server `crash_delay_s` after it begins, in a stream of `events_before_crash`
+    events if there are any.
     Answers name `limit` if it is set, and hold each value of `leaving_values` in a
     header of its own; `arrived_s` lists when requests arrived. With
     `first_run_events` a stream that is not resumed breaks off after so many events.
@@ -181,6 +182,7 @@
         self.leaving_values: list[str] = []
         self.refuses_all: bool = False
         self.version: str = "v1"
+        self.service: str = "llm"
         self.first_run_events: int = 0
         self.arrived_s: list[float] = []
         self._step_s: float = step_s
@@ -198,7 +200,7 @@
         port = await self._server.start(host, port)
         client = StoreClient(*_parse_address(store))
         entry = {
-            "service": "llm",
+            "service": self.service,
             "address": shown or f"{host}:{port}",
             "zone": "z",
             "version": self.version,
@@ -280,6 +282,8 @@
         chunked = (b"transfer-encoding", b"chunked")
         await self._wait_while_holding()
         await exchange.start(200, [*head, chunked])
+        if options.get("hang"):
+            await asyncio.Event().wait()
         for number in range(after + 1, int(options.get("events", 5))):
             await asyncio.sleep(self._step_s * random.uniform(0.5, 1.5))
             await self._wait_while_holding()
