Check at the endpoint's answer that an item's output is text

Cause: events were decoded with surrogateescape, and the first code that minded (JSON for callers, CBOR for peers) came after the result was durable. Ruled out: a daemon's state (daemons that start later refuse as well).

Change: an event that is no UTF-8 fails its attempt, and the item runs again. Lines of events end at CR and LF only (U+2028 and others cut the text). Progress with a NUL, its separator, is not stored. Pages are measured as JSON. An item or a reply that causes an unexpected error keeps no place and is logged.

Previous release: records are the same bytes; spoiled results that it stored are read with the bytes replaced, spoiled progress is not continued.

--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -114,7 +114,11 @@
             self._timeouts_in_a_row += result.timed_out
 
     def append_event(self, event: StreamEvent, version: str) -> None:
-        """Append an event of a version; raise AttemptFailedError if ids are missing."""
+        """Append an event of a version; raise AttemptFailedError if ids are missing or
+        it is no text, which results could not hold.
+        """
+        if not event.is_text:
+            raise AttemptFailedError(f"event {event.id} is no UTF-8")
         expected = self.last_id + 1
         if self.last_id >= 0 and event.id != expected:
             raise AttemptFailedError(f"event {event.id} came instead of {expected}")
@@ -431,7 +435,7 @@
             if route is None or self._must_give_up(item.job, route):
                 self._delay(item, RETRY_DELAY_S)
                 return
-            result = await self._run_attempt(item)
+            result = await self._run_attempt_safely(item)
         if result.outcome is Outcome.DONE:
             self._finish_item(item, is_done=True)
             return
@@ -445,6 +449,17 @@
         delay_s = progress.retry_delay_s(result.was_fruitless)
         self._delay(item, delay_s * random.uniform(0.5, 1.5))
 
+    async def _run_attempt_safely(self, item: RunningItem) -> AttemptResult:
+        """Run an attempt; an item that causes an unexpected error keeps no place."""
+        try:
+            return await self._run_attempt(item)
+        except Exception as exc:
+            self._reporter.write(
+                Event.THREAD_FAILED, task="item", error=repr(exc)[:200]
+            )
+            item.progress.fruitless_attempts += 1
+            return AttemptResult(Outcome.RETRY, repr(exc), was_fruitless=True)
+
     def _delay(self, item: RunningItem, delay_s: float) -> None:
         """Let an item wait for its next attempt; others of its service may start."""
         item.state = ItemState.WAITING
--- a/apricotquay/serving/jobrecords.py
+++ b/apricotquay/serving/jobrecords.py
@@ -25,6 +25,8 @@
 # Below the store's limit of 262,144 bytes per record, leaving room for the key and
 # the length fields.
 MAX_PART_BYTES = 250_000
+# Between the events of an item's stored output.
+SEPARATOR = "\x00"
 
 
 class JobItem(msgspec.Struct, frozen=True):
@@ -147,22 +149,30 @@
             result.position,
             result.item_id,
             result.is_done,
-            zlib.compress(result.text.encode("utf-8", "surrogateescape"), 1),
+            zlib.compress(result.text.encode("utf-8", "replace"), 1),
         ]
     )
     return KeyedRecord(f"r/{key}/{item}".encode(), value)
 
 
 def decode_result(value: bytes) -> ResultRecord:
-    """Decode a result record."""
+    """Decode a result record.
+
+    Earlier releases stored bytes that are no UTF-8, which no page of results can hold;
+    they are replaced.
+    """
     position, item_id, is_done, packed = cbor2.loads(value)
-    text = zlib.decompress(packed).decode("utf-8", "surrogateescape")
+    text = zlib.decompress(packed).decode("utf-8", "replace")
     return ResultRecord(position, item_id, is_done, text)
 
 
 def encode_progress(key: str, item: int, progress: ProgressRecord) -> KeyedRecord:
-    """Return the record of an item's progress."""
-    text = "\x00".join(progress.data).encode("utf-8", "surrogateescape")
+    """Return the record of an item's progress; it has no output if the separator
+    occurs in it, so that the item runs from its start after a loss.
+    """
+    if any(SEPARATOR in data for data in progress.data):
+        progress = ProgressRecord(-1, [], progress.failures)
+    text = SEPARATOR.join(progress.data).encode("utf-8", "replace")
     fields = [progress.last_id, zlib.compress(text, 1), progress.failures]
     value = cbor2.dumps([*fields, progress.version])
     return KeyedRecord(_progress_key(key, item), value)
@@ -172,8 +182,12 @@
     """Decode a progress record."""
     # Earlier releases wrote no version.
     last_id, packed, failures, *version = cbor2.loads(value)
-    text = zlib.decompress(packed).decode("utf-8", "surrogateescape")
-    data = text.split("\x00") if last_id >= 0 else []
+    try:
+        text = zlib.decompress(packed).decode()
+    except UnicodeDecodeError:
+        # Spoiled output that an earlier release kept; the item runs from its start.
+        return ProgressRecord(-1, [], failures)
+    data = text.split(SEPARATOR) if last_id >= 0 else []
     return ProgressRecord(last_id, data, failures, *version)
 
 
--- a/apricotquay/serving/jobs.py
+++ b/apricotquay/serving/jobs.py
@@ -6,6 +6,8 @@
 import asyncio
 from collections.abc import Callable, Iterator
 
+import msgspec
+
 from ..clocks import Clock
 from ..errors import ApricotquayError, PeerUnavailableError
 from ..events import Event
@@ -278,10 +280,11 @@
 
 
 def _page_results(job: Job, after: int) -> Iterator[ResultItem]:
-    """Yield results from a position up to MAX_PAGE_BYTES, at least one."""
+    """Yield results from a position up to MAX_PAGE_BYTES of JSON, at least one."""
     size = 0
     for result in job.results[after:]:
-        size += len(result.text) + len(result.item_id) + 64
-        if size > MAX_PAGE_BYTES and size > len(result.text) + 128:
+        entry_bytes = len(msgspec.json.encode([result.text, result.item_id])) + 64
+        size += entry_bytes
+        if size > MAX_PAGE_BYTES and size > entry_bytes:
             return
         yield ResultItem(result.item_id, result.is_done, result.text)
--- a/apricotquay/serving/peers.py
+++ b/apricotquay/serving/peers.py
@@ -139,15 +139,14 @@
     async def _handle_message(self, number: int, message: Message) -> None:
         try:
             reply = await self._handler(self, message)
+            if number > 0:
+                frame = encode_frame(-number, reply or CallNotServed("no reply"))
+                self._outgoing.put_nowait(frame)
         except Exception as exc:
             # No reply: the call may have had effects, so it is not said to be refused.
             self._reporter.write(
                 Event.THREAD_FAILED, task="peer message", error=repr(exc)[:200]
             )
-            return
-        if number > 0:
-            frame = encode_frame(-number, reply or CallNotServed("no reply"))
-            self._outgoing.put_nowait(frame)
 
     async def _write(self) -> None:
         with contextlib.suppress(ConnectionClosed):
--- a/apricotquay/serving/sse.py
+++ b/apricotquay/serving/sse.py
@@ -5,15 +5,20 @@
 
 import msgspec
 
-EVENT_ID = re.compile(r"[0-9]{1,18}", re.ASCII)
+EVENT_ID = re.compile(rb"[0-9]{1,18}")
+# The only ends of lines in event streams; `splitlines` knows many more.
+LINE_END = re.compile(rb"\r\n|\n|\r")
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
-    """A complete event: its bytes, its id (-1 if it has none) and its data."""
+    """A complete event: its bytes, its id (-1 if it has none) and its data, in which
+    bytes that are no UTF-8 are replaced; `is_text` tells whether there were none.
+    """
 
     raw: bytes
     id: int
     data: str
+    is_text: bool = True
 
 
 class EventSplitter:
@@ -46,15 +51,19 @@
 def parse_event(raw: bytes) -> StreamEvent:
     """Parse the id and data of an event; data lines are joined by line feeds."""
     event_id = -1
-    data: list[str] = []
-    for line in raw.decode("utf-8", "surrogateescape").splitlines():
-        field, _, value = line.partition(":")
-        value = value.removeprefix(" ")
-        if field == "id" and EVENT_ID.fullmatch(value):
+    lines: list[bytes] = []
+    for line in LINE_END.split(raw):
+        field, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if field == b"id" and EVENT_ID.fullmatch(value):
             event_id = int(value)
-        elif field == "data":
-            data.append(value)
-    return StreamEvent(raw, event_id, "\n".join(data))
+        elif field == b"data":
+            lines.append(value)
+    data = b"\n".join(lines)
+    try:
+        return StreamEvent(raw, event_id, data.decode())
+    except UnicodeDecodeError:
+        return StreamEvent(raw, event_id, data.decode("utf-8", "replace"), False)
 
 
 def _find_event_end(data: bytes) -> int:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -163,8 +163,9 @@
     the server `crash_delay_s` after it begins, in a stream of `events_before_crash`
     events if there are any.
     Answers name `limit` if it is set, and hold each value of `leaving_values` in a
-    header of its own; `arrived_s` lists when requests arrived. With
-    `first_run_events` a stream that is not resumed breaks off after so many events.
+    header of its own; `make_data` returns an event's data; `arrived_s` lists when
+    requests arrived. With `first_run_events` a stream that is not resumed breaks off
+    after so many events.
     """
 
     def __init__(self, name: str, step_s: float, record_run=None) -> None:
@@ -183,6 +184,7 @@
         self.refuses_all: bool = False
         self.version: str = "v1"
         self.service: str = "llm"
+        self.make_data: Callable[[str, int], bytes] = _event_data
         self.first_run_events: int = 0
         self.arrived_s: list[float] = []
         self._step_s: float = step_s
@@ -287,7 +289,8 @@
         for number in range(after + 1, int(options.get("events", 5))):
             await asyncio.sleep(self._step_s * random.uniform(0.5, 1.5))
             await self._wait_while_holding()
-            await exchange.send(_encode_event(request_id, number))
+            data = self.make_data(request_id, number)
+            await exchange.send(_encode_event(number, data))
             self.sent_event_count += 1
             if after < 0 and number + 1 == self.first_run_events:
                 exchange.abort()
@@ -304,7 +307,8 @@
         if self.events_before_crash:
             await exchange.start(200, [*head, (b"transfer-encoding", b"chunked")])
         for number in range(after + 1, after + 1 + self.events_before_crash):
-            await exchange.send(_encode_event(request_id, number))
+            data = self.make_data(request_id, number)
+            await exchange.send(_encode_event(number, data))
         await asyncio.sleep(self.crash_delay_s)
         self.on_crash()
         await asyncio.Event().wait()
@@ -316,8 +320,12 @@
     return [entry.partition(":")[0] for entry in header.split(",") if entry]
 
 
-def _encode_event(request_id: str, number: int) -> bytes:
-    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+def _event_data(request_id: str, number: int) -> bytes:
+    return f"{request_id}-{number}".encode()
+
+
+def _encode_event(number: int, data: bytes) -> bytes:
+    return b"id: %d\ndata: %s\n\n" % (number, data)
 
 
 async def write_configuration(store: str, value: dict) -> None:
