Keep a job's results for as long after its end as after its submission

What callers would see: the results of a job that ran for over four minutes were deleted within ten seconds of its end, perhaps before its last page was read. The extended test failed before: the job was gone at once.

--- a/apricotquay/serving/jobtable.py
+++ b/apricotquay/serving/jobtable.py
@@ -29,6 +29,8 @@
         self.header: JobHeader = header
         self.items: list[JobItem] = items
         self.is_cancelled: bool = False
+        # Unix time at which this daemon first saw that no item is to be run.
+        self.seen_ended_ms: int | None = None
         self.results: list[ResultRecord] = []
         self.open_items: set[int] = set(range(len(items)))
         self.progress: dict[int, ProgressRecord] = {}
@@ -113,12 +115,16 @@
         return waiting + submission.tokens <= submission.max_token_backlog
 
     def expired_jobs(self, now_ms: int, retention_ms: int) -> Iterator[Job]:
-        """Yield ended jobs that were submitted longer ago than `retention_ms`."""
-        return (
-            job
-            for job in self.jobs.values()
-            if not job.is_open and now_ms - job.header.submitted_ms > retention_ms
-        )
+        """Yield jobs that were submitted, and seen to have ended, longer ago than
+        `retention_ms`: callers of a job that took long still read its last results.
+        """
+        for job in self.jobs.values():
+            if job.is_open:
+                continue
+            if job.seen_ended_ms is None:
+                job.seen_ended_ms = now_ms
+            if now_ms - max(job.header.submitted_ms, job.seen_ended_ms) > retention_ms:
+                yield job
 
     def open_jobs(self) -> Iterator[Job]:
         """Yield the jobs with items to run."""
--- a/tests/test_serving_jobs.py
+++ b/tests/test_serving_jobs.py
@@ -464,7 +464,11 @@
                 owner.enqueue_progress(ended, item, ProgressRecord(1, ["a"]))
             await owner.flush()
             await owner.cancel(ended, self.deadline_s())
-            await owner.delete_expired_jobs(1_000)
+            await owner.delete_expired_jobs(50)
+            # It has just ended, though it was submitted long ago.
+            self.assertIsNotNone(owner.table.find(TEAM, JobId("ended")))
+            await asyncio.sleep(0.1)
+            await owner.delete_expired_jobs(50)
             page = await log.read_newest(partition_module.JOBS, 0)
             key = job_key(TEAM, JobId("ended")).encode()
             self.assertEqual([], [r.key for r in page.records if key in r.key])
