Remember streams for as long as the configured timeouts let them last

Cause: how long a stream may last was a constant of 15 s; the route's timeout was 30 s. Ruled out: peers that were not asked (nobody knew any more).

Change: the lifetime is the longest timeout of resumable routes and 5 s for callers to come back, 15 s at least; it never shrinks while a daemon runs. All four memories use it. Answers of peers and notes in the store name the lifetime that they mean, and a shorter one proves nothing.

Previous release: it ignores the further field of both; what it sends without is read as 15 s. Its own daemons still forget after 15 s until they are replaced.

--- a/apricotquay/serving/catalog.py
+++ b/apricotquay/serving/catalog.py
@@ -121,6 +121,9 @@
         self._routes_of_host: dict[str, list[Route]] = {}
         for route in routes:
             self._routes_of_host.setdefault(route.host, []).append(route)
+        self.longest_stream_s: float = max(
+            (r.timeout_ms / 1000 for r in routes if r.is_resumable), default=0.0
+        )
         for host_routes in self._routes_of_host.values():
             host_routes.sort(key=lambda route: -len(route.path_prefix))
 
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -17,6 +17,7 @@
 from .keyedlog import KeyedRecord
 from .outliers import SlotOutcome
 from .sendlimits import LimitNotice
+from .streamversions import MIN_LIFETIME_S
 
 MAX_ERROR_CHARS = 200
 
@@ -280,12 +281,14 @@
 
 class StreamFound(msgspec.Struct, frozen=True, tag="stream_found"):
     """A stream's versions, none if it is unknown. `listed` are the service's versions
-    that the sender has observed lately, `is_complete` whether for long enough.
+    that the sender has observed lately, `is_complete` whether for the lifetime of a
+    stream, which the sender takes to be `lifetime_s`.
     """
 
     versions: list[str]
     listed: list[str]
     is_complete: bool
+    lifetime_s: float = MIN_LIFETIME_S
 
 
 class CheckEndpoint(msgspec.Struct, frozen=True, tag="check_endpoint"):
--- a/apricotquay/serving/streamkeeper.py
+++ b/apricotquay/serving/streamkeeper.py
@@ -22,13 +22,17 @@
 from .reporting import Reporter
 from .shards import Shards, shard_number
 from .streamlog import StreamLog, VersionNote
-from .streamversions import StreamVersions, VersionHistory, stream_key
+from .streamversions import (
+    StreamLifetime,
+    StreamVersions,
+    VersionHistory,
+    stream_key,
+)
 from .tasks import start_task
 from .view import View
 
-# How long a stream may last, with its callers' later attempts, and how long endpoints
-# go on after they were listed last.
-STREAM_LIFETIME_S = 15.0
+# How long after its end a stream may be taken up.
+TAKE_UP_S = 5.0
 KEEPERS_PER_STREAM = 2
 QUESTION_TIMEOUT_S = 0.25
 TELL_TIMEOUT_S = 0.5
@@ -68,9 +72,10 @@
         self._peers: Peers = peers
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
-        self._own = StreamVersions(STREAM_LIFETIME_S)
-        self._kept = StreamVersions(STREAM_LIFETIME_S)
-        self._history = VersionHistory(STREAM_LIFETIME_S)
+        self._lifetime = StreamLifetime()
+        self._own = StreamVersions(self._lifetime)
+        self._kept = StreamVersions(self._lifetime)
+        self._history = VersionHistory(self._lifetime)
         self._is_telling: bool = False
         # What was noted last of each service, and when.
         self._noted: dict[ServiceName, tuple[frozenset[str], float]] = {}
@@ -127,8 +132,8 @@
         return known if known.version else await self._find_in_store(service, key)
 
     async def _find_only_listed(self, service: ServiceName) -> KnownVersion:
-        """Return the only version that was listed for as long as a stream may last, up
-        to this moment: another may have joined since the view was read.
+        """Return the only version that was listed for the lifetime of a stream, up to
+        this moment: another may have joined since the view was read.
         """
         if not self._has_only_version(service):
             return KnownVersion()
@@ -161,6 +166,7 @@
             sorted(self._find_here(message.key)),
             sorted(self._history.versions(message.service, now_s)),
             self._history.is_complete(now_s),
+            self._lifetime.s,
         )
 
     def _find_here(self, key: bytes) -> frozenset[str]:
@@ -198,9 +204,7 @@
         versions = stored.find(key)
         if versions:
             return _only(versions, "the store")
-        lifetime_ms = int(STREAM_LIFETIME_S * 1000)
-        now_ms = self._clock.wall_ms()
-        noted = stored.listed(service, now_ms - 2 * lifetime_ms, now_ms - lifetime_ms)
+        noted = stored.listed(service, self._clock.wall_ms(), self._lifetime.s)
         if noted is None or not await self._view.confirm_endpoints(CONFIRM_TIMEOUT_S):
             return KnownVersion()
         self._observe()
@@ -218,7 +222,8 @@
         answers = [reply for reply in replies if reply is not None]
         listed = self._history.versions(service, self._clock.now_s())
         listed = listed.union(*(answer.listed for answer in answers))
-        if not any(answer.is_complete for answer in answers):
+        lifetime_s = self._lifetime.s
+        if not any(a.is_complete and a.lifetime_s >= lifetime_s for a in answers):
             return KnownVersion()
         return _only(listed, "the only version")
 
@@ -265,6 +270,9 @@
         return addresses[:KEEPERS_PER_STREAM]
 
     def _observe(self) -> None:
+        configuration = self._view.configuration
+        if configuration is not None:
+            self._lifetime.extend(configuration.longest_stream_s + TAKE_UP_S)
         self._history.observe(self._view.endpoints.all(), self._clock.now_s())
 
     def _observe_entry(self, endpoint: Endpoint) -> None:
@@ -295,7 +303,11 @@
             is_complete = self._history.is_complete(now_s)
             self._stored.note(
                 VersionNote(
-                    service, sorted(versions), is_complete, self._clock.wall_ms()
+                    service,
+                    sorted(versions),
+                    is_complete,
+                    self._clock.wall_ms(),
+                    self._lifetime.s,
                 )
             )
 
@@ -305,7 +317,7 @@
         services = {endpoint.service for endpoint in self._view.endpoints.all()}
         several = any(len(self._history.versions(s, now_s)) > 1 for s in services)
         if several and not self._is_telling:
-            self._tell(self._own.recent(now_s - STREAM_LIFETIME_S))
+            self._tell(self._own.recent(now_s - self._lifetime.s))
         self._is_telling = several
 
 
--- a/apricotquay/serving/streamlog.py
+++ b/apricotquay/serving/streamlog.py
@@ -15,7 +15,7 @@
 from .catalog import ServiceName
 from .keyedlog import KeyedLog, KeyedRecord, LogError, LogExpiredError, Topic
 from .reporting import Reporter
-from .streamversions import MAX_STREAMS
+from .streamversions import MAX_STREAMS, MIN_LIFETIME_S
 from .tasks import start_task
 
 STREAMS = Topic("streams")
@@ -29,13 +29,14 @@
 
 class VersionNote(msgspec.Struct, frozen=True, array_like=True):
     """The versions of a service that a daemon saw listed until `at_ms`, Unix time;
-    `is_complete` if it observed them for as long as a stream may last.
+    `is_complete` if it observed them for the lifetime of a stream, `lifetime_s`.
     """
 
     service: ServiceName
     versions: list[str]
     is_complete: bool
     at_ms: int
+    lifetime_s: float = MIN_LIFETIME_S
 
 
 class StreamRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -82,14 +83,21 @@
         return self._versions.get(key, frozenset())
 
     def listed(
-        self, service: ServiceName, since_ms: int, complete_since_ms: int
+        self, service: ServiceName, now_ms: int, lifetime_s: float
     ) -> frozenset[str] | None:
-        """Return the versions of a service that were noted since a time; None if it is
-        not sure that they are all.
+        """Return the versions of a service at which streams of a lifetime may have
+        begun; None if it is not sure that they are all.
         """
+        lifetime_ms = int(lifetime_s * 1000)
+        since_ms = now_ms - 2 * lifetime_ms
         self._notes = [note for note in self._notes if note.at_ms >= since_ms]
         notes = [note for note in self._notes if note.service == service]
-        is_complete = any(n.is_complete and n.at_ms >= complete_since_ms for n in notes)
+        is_complete = any(
+            n.is_complete
+            and n.lifetime_s >= lifetime_s
+            and n.at_ms >= now_ms - lifetime_ms
+            for n in notes
+        )
         if not is_complete:
             return None
         return frozenset(version for note in notes for version in note.versions)
--- a/apricotquay/serving/streamversions.py
+++ b/apricotquay/serving/streamversions.py
@@ -16,6 +16,8 @@
 KEY_BYTES = 12
 # Bounds what a daemon keeps; the oldest streams are forgotten first.
 MAX_STREAMS = 60_000
+# The shortest lifetime of a stream, and the only one of earlier releases.
+MIN_LIFETIME_S = 15.0
 
 
 def stream_key(team: TeamId | None, attempt: str) -> bytes:
@@ -27,11 +29,26 @@
     return digest.digest()
 
 
+class StreamLifetime:
+    """How long a stream may last until callers take it up, as the configured timeouts
+    allow. Shared by what `StreamKeeper` remembers.
+
+    It never shrinks: streams that began under an earlier configuration go on.
+    """
+
+    def __init__(self, s: float | None = None) -> None:
+        self.s: float = MIN_LIFETIME_S if s is None else s
+
+    def extend(self, s: float) -> None:
+        """Make it at least so long."""
+        self.s = max(self.s, s)
+
+
 class StreamVersions:
     """The versions of streams that began lately. Used by `StreamKeeper`."""
 
-    def __init__(self, kept_s: float) -> None:
-        self._kept_s: float = kept_s
+    def __init__(self, lifetime: StreamLifetime) -> None:
+        self._lifetime: StreamLifetime = lifetime
         # The least recently recorded first.
         self._streams: collections.OrderedDict[bytes, tuple[frozenset[str], float]] = (
             collections.OrderedDict()
@@ -67,7 +84,7 @@
     def _expire(self, now_s: float) -> None:
         while self._streams:
             key, (_, recorded_s) = next(iter(self._streams.items()))
-            if now_s - recorded_s < self._kept_s:
+            if now_s - recorded_s < self._lifetime.s:
                 return
             del self._streams[key]
 
@@ -75,8 +92,8 @@
 class VersionHistory:
     """The versions of each service that were listed lately. Used by `StreamKeeper`."""
 
-    def __init__(self, kept_s: float) -> None:
-        self._kept_s: float = kept_s
+    def __init__(self, lifetime: StreamLifetime) -> None:
+        self._lifetime: StreamLifetime = lifetime
         self._since_s: float | None = None
         self._listed_s: dict[ServiceName, dict[str, float]] = {}
 
@@ -105,4 +122,4 @@
         return self._since_s is not None and self._is_old(self._since_s, now_s)
 
     def _is_old(self, at_s: float, now_s: float) -> bool:
-        return now_s - at_s > self._kept_s
+        return now_s - at_s > self._lifetime.s
--- a/tests/test_platform_frozen.py
+++ b/tests/test_platform_frozen.py
@@ -7,7 +7,7 @@
 
 from apricotquay.serving.http1 import HttpError, HttpRequest
 from apricotquay.serving.httpclient import open_client
-from apricotquay.serving.streamkeeper import STREAM_LIFETIME_S
+from apricotquay.serving.streamversions import MIN_LIFETIME_S
 from standins.platform import make_configuration, write_configuration
 from standins.processes import PlatformProcesses
 
@@ -50,7 +50,7 @@
             daemon.start()
         for number in range(len(self.processes.daemons)):
             await self.wait_until(lambda n=number: self.serves(n))
-        await asyncio.sleep(STREAM_LIFETIME_S + 1.0)
+        await asyncio.sleep(MIN_LIFETIME_S + 1.0)
 
     async def run_scenario(self) -> None:
         """Freeze a daemon, begin streams elsewhere, and take them up there."""
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -7,7 +7,7 @@
 
 from apricotquay.clocks import SystemClock
 from apricotquay.errors import PeerUnavailableError
-from apricotquay.serving import streamkeeper
+from apricotquay.serving import streamkeeper, streamversions
 from apricotquay.serving.daemon import Daemon
 from apricotquay.serving.http1 import HttpError, HttpRequest
 from apricotquay.serving.httpclient import open_client
@@ -296,7 +296,9 @@
         self, _name, has_peers, when, joined_s
     ):
         """It still knows one version only, which it takes for the stream's."""
-        self.patch(streamkeeper, "STREAM_LIFETIME_S", 1.0)
+        self.patch(streamversions, "MIN_LIFETIME_S", 1.0)
+        # The route's timeout, which lengthens the lifetime, is 5 s.
+        self.patch(streamkeeper, "TAKE_UP_S", -4.0)
 
         async def scenario(fleet):
             number = shard_number("llm", fleet.daemons[0].shards.count)
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -2,12 +2,20 @@
 
 import asyncio
 
+import msgspec
 from parameterized import parameterized
 
 from apricotquay.errors import PeerUnavailableError
-from apricotquay.ids import EndpointId, TeamId
+from apricotquay.ids import EndpointId, RouteName, TeamId
 from apricotquay.serving import streamkeeper, streamversions
-from apricotquay.serving.catalog import ServiceName
+from apricotquay.serving.catalog import (
+    Configuration,
+    Limits,
+    Route,
+    RouteKind,
+    ServiceName,
+    WeightedService,
+)
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
 from apricotquay.serving.keyedlog import KeyedRecord
 from apricotquay.serving.messages import FindStream, StreamBegan, StreamFound
@@ -23,6 +31,8 @@
     encode_stream_record,
 )
 from apricotquay.serving.streamversions import (
+    MIN_LIFETIME_S,
+    StreamLifetime,
     StreamVersions,
     VersionHistory,
     stream_key,
@@ -61,7 +71,7 @@
 
     def test_id_that_is_used_twice_has_both_versions(self):
         """Neither may be taken for the stream's."""
-        records = StreamVersions(KEPT_S)
+        records = StreamVersions(StreamLifetime(KEPT_S))
         records.record(b"k", "v1", 0.0)
         records.record(b"k", "v2", 1.0)
         self.assertEqual({"v1", "v2"}, records.find(b"k", 2.0))
@@ -69,7 +79,7 @@
     def test_records_are_bounded_in_time_and_number(self):
         """The oldest go first; one that is recorded again stays."""
         self.patch(streamversions, "MAX_STREAMS", 3)
-        records = StreamVersions(KEPT_S)
+        records = StreamVersions(StreamLifetime(KEPT_S))
         for number in range(3):
             records.record(b"%d" % number, "v1", float(number))
         records.record(b"0", "v1", 3.0)
@@ -81,7 +91,7 @@
 
     def test_version_that_is_gone_counts_as_long_as_its_streams_may_last(self):
         """A stream may have begun there."""
-        history = VersionHistory(KEPT_S)
+        history = VersionHistory(StreamLifetime(KEPT_S))
         history.observe([endpoint("a", "v1"), endpoint("b", "v2")], 0.0)
         history.observe([endpoint("b", "v2")], 5.0)
         self.assertEqual({"v1", "v2"}, history.versions(SERVICE, 9.0))
@@ -140,6 +150,7 @@
     """A view with endpoints of the given versions."""
 
     def __init__(self, versions: list[str]) -> None:
+        self.configuration: Configuration | None = None
         self.endpoints = EndpointTable()
         self.at_s: float = 0.0
         # Versions whose endpoints are listed and were not read yet.
@@ -218,7 +229,7 @@
         """Return a keeper that has seen one version for long."""
         keeper = self.keeper(["v1"], replies)
         self.find(keeper)
-        self.clock.at_s += streamkeeper.STREAM_LIFETIME_S + 1
+        self.clock.at_s += MIN_LIFETIME_S + 1
         return keeper
 
     @parameterized.expand(
@@ -267,6 +278,93 @@
         self.view.joining = joining
         self.assertEqual(expected, self.find(keeper))
 
+    def configure(self, timeout_s: float) -> None:
+        """Configure a route of streams that may last so long."""
+        services = (WeightedService(SERVICE, 1.0),)
+        route = Route(
+            RouteName("s"), "h", "/", RouteKind.STREAMING, services, is_resumable=True
+        )
+        route = msgspec.structs.replace(route, timeout_ms=int(timeout_s * 1000))
+        self.view.configuration = Configuration(1, [route], [], None, Limits())
+
+    def release(self) -> None:
+        """Replace the endpoints of version v1 by one of v2."""
+        self.view.endpoints = ListedEndpoints(["v2"]).endpoints
+
+    @parameterized.expand(
+        [
+            (f"{timeout_s} s, {who}", timeout_s, who)
+            for timeout_s in (12.0, 30.0, 600.0)
+            for who in ("its daemon", "a keeper", "another daemon")
+        ]
+    )
+    def test_stream_as_long_as_its_route_allows_is_not_taken_for_a_newer_one(
+        self, _name, timeout_s, who
+    ):
+        """Its version left the list right after it began."""
+        keeper = self.keeper(["v1"], {})
+        self.configure(timeout_s)
+        self.find(keeper, "other")
+        self.clock.at_s += timeout_s + 20.0
+        if who == "its daemon":
+            keeper.record(SERVICE, TEAM, "a", "v1")
+        elif who == "a keeper":
+            keeper.handle_stream_began(StreamBegan([(stream_key(TEAM, "a"), "v1")]))
+        self.find(keeper, "other")
+        self.release()
+        self.clock.at_s += timeout_s
+        expected = "" if who == "another daemon" else "v1"
+        self.assertEqual(expected, self.find(keeper))
+
+    @parameterized.expand(
+        [
+            ("previous release", StreamFound([], ["v1"], True), ""),
+            ("shorter timeouts", StreamFound([], ["v1"], True, 34.9), ""),
+            ("same timeouts", StreamFound([], ["v1"], True, 35.0), "v1"),
+        ]
+    )
+    def test_peer_that_remembers_for_a_shorter_time_is_not_relied_on(
+        self, _name, reply, expected
+    ):
+        """This daemon has just started; streams last up to 30 s."""
+        keeper = self.keeper(["v1"], {"p": reply})
+        self.configure(30.0)
+        self.assertEqual(expected, self.find(keeper))
+
+    @parameterized.expand([("previous release", 15.0, ""), ("this one", 35.0, "v1")])
+    def test_note_of_a_shorter_time_is_not_relied_on(self, _name, lifetime_s, expected):
+        """All daemons have just started; streams last up to 30 s."""
+        keeper = self.keeper(["v1"], {})
+        self.configure(30.0)
+        note = VersionNote(SERVICE, ["v1"], True, self.clock.wall_ms(), lifetime_s)
+        record = encode_stream_record(StreamRecord([], [note]))
+        asyncio.run(self.log.append(STREAMS, PARTITION, [record], None))
+        self.assertEqual(expected, self.find(keeper))
+
+    def test_notes_and_answers_are_read_by_the_previous_release(self):
+        """It knows nothing of lifetimes, and writes none."""
+
+        class PreviousNote(msgspec.Struct, array_like=True):
+            service: str
+            versions: list[str]
+            is_complete: bool
+            at_ms: int
+
+        class PreviousAnswer(msgspec.Struct, tag="stream_found"):
+            versions: list[str]
+            listed: list[str]
+            is_complete: bool
+
+        note = VersionNote(SERVICE, ["v1"], True, 7, 35.0)
+        previous = msgspec.convert(msgspec.to_builtins(note), PreviousNote)
+        self.assertEqual(["v1"], previous.versions)
+        read = msgspec.convert(msgspec.to_builtins(previous), VersionNote)
+        self.assertEqual(MIN_LIFETIME_S, read.lifetime_s)
+        answer = StreamFound(["v1"], ["v1"], True, 35.0)
+        old = msgspec.convert(msgspec.to_builtins(answer), PreviousAnswer)
+        read = msgspec.convert(msgspec.to_builtins(old), StreamFound)
+        self.assertEqual(MIN_LIFETIME_S, read.lifetime_s)
+
     def test_two_peers_are_told_while_versions_serve_side_by_side(self):
         """They answer when this daemon is gone."""
         keeper = self.keeper(["v1", "v2"], dict.fromkeys("pqrs", UNKNOWN))
@@ -285,7 +383,7 @@
         """Each daemon can tell by itself."""
         keeper = self.keeper(["v1"], dict.fromkeys("pqrs", UNKNOWN))
         self.find(keeper)
-        self.clock.at_s += streamkeeper.STREAM_LIFETIME_S + 1
+        self.clock.at_s += MIN_LIFETIME_S + 1
         keeper.record(SERVICE, TEAM, "a", "v1")
         self.assertEqual({}, self.peers.sent)
 
@@ -296,7 +394,7 @@
             keeper = self.keeper(["v1"], dict.fromkeys("pqrs", UNKNOWN))
             self.patch(streamkeeper, "OBSERVE_INTERVAL_S", 0.001)
             await keeper.find(SERVICE, TEAM, "a")
-            self.clock.at_s += streamkeeper.STREAM_LIFETIME_S + 1
+            self.clock.at_s += MIN_LIFETIME_S + 1
             keeper.record(SERVICE, TEAM, "a", "v1")
             keeper.start()
             await asyncio.sleep(0.02)
@@ -370,7 +468,7 @@
         """A version that may have served is never left out."""
         stored = StoredStreams()
         stored.apply(StreamRecord([], [VersionNote(*note) for note in notes]))
-        found = stored.listed(SERVICE, NOW_MS - 30_000, NOW_MS - 15_000)
+        found = stored.listed(SERVICE, NOW_MS, MIN_LIFETIME_S)
         self.assertEqual(expected, found)
 
     def run_with_log(self, scenario) -> None:
