List outputs that are larger than a record of the store

Cause: its result is one record, over the store's record_bytes; the store refuses the call, which holds all later results too and was tried for ever.

Change: such a text is kept in parts (x records) in the same conditional append. The result's own record has its beginning: the previous release passes the parts over and agrees on all positions.

Tests: test_platform_oddresults (whole fleet with the store's bound, restart; records in any order; tombstones; growth over attempts).

--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -13,7 +13,7 @@
 
 from ..clocks import Clock
 from ..events import Event
-from .attempts import MAX_BODY_BYTES, AttemptRunner, read_events
+from .attempts import AttemptRunner, read_events
 from .catalog import Configuration, Route, ServiceName
 from .dispatch import Work
 from .engine import (
@@ -39,6 +39,9 @@
 EVENT_TIMEOUT_S = 3.0
 TIMEOUTS_BEFORE_DOUBLING = 2
 MAX_EVENT_TIMEOUT_S = 48.0
+# A page of results must hold an item's whole output. Items keep what they have
+# between attempts, so that this bounds their memory, too.
+MAX_OUTPUT_BYTES = 1_000_000
 RETRY_DELAY_S = 0.25
 FRUITLESS_BEFORE_BACKOFF = 3
 MAX_RETRY_DELAY_S = 4.0
@@ -64,6 +67,7 @@
 
     def __init__(self, known: ProgressRecord | None) -> None:
         self.data: list[str] = list(known.data) if known else []
+        self._size_bytes: int = sum(len(data.encode()) + 1 for data in self.data)
         self.last_id: int = known.last_id if known else -1
         self.failures: int = known.failures if known else 0
         # The software version of the endpoints that made the output.
@@ -122,6 +126,10 @@
         expected = self.last_id + 1
         if self.last_id >= 0 and event.id != expected:
             raise AttemptFailedError(f"event {event.id} came instead of {expected}")
+        self._size_bytes += len(event.data.encode()) + 1
+        if self._size_bytes > MAX_OUTPUT_BYTES:
+            self.discard_output()
+            raise AttemptFailedError(f"output of more than {MAX_OUTPUT_BYTES} bytes")
         self.data.append(event.data)
         self.last_id = event.id
         self.version = version
@@ -129,6 +137,7 @@
     def discard_output(self) -> None:
         """Forget the output so far; the next attempt starts from the beginning."""
         self.data.clear()
+        self._size_bytes = 0
         self.last_id = -1
         self.version = ""
 
@@ -621,7 +630,10 @@
 
 
 async def _read_output(
-    response: EngineResponse, progress: ItemProgress, version: str, timeout_s: float
+    response: EngineResponse,
+    progress: ItemProgress,
+    version: str,
+    timeout_s: float = EVENT_TIMEOUT_S,
 ) -> AttemptResult:
     """Read a response; only a failure of the endpoint's processing counts against
     the item."""
@@ -631,12 +643,7 @@
         return AttemptResult(Outcome.FAILED, f"status {response.status}")
     if response.status != OK:
         return AttemptResult(Outcome.RETRY, f"status {response.status}")
-    size = 0
     async for events in read_events(response, timeout_s, timeout_s):
-        size += sum(len(event.raw) for event in events)
-        if size > MAX_BODY_BYTES:
-            progress.discard_output()
-            raise AttemptFailedError(f"output of more than {MAX_BODY_BYTES} bytes")
         for event in events:
             progress.append_event(event, version)
     return AttemptResult(Outcome.DONE, slot_outcome=SlotOutcome.SUCCEEDED)
--- a/apricotquay/serving/jobrecords.py
+++ b/apricotquay/serving/jobrecords.py
@@ -5,6 +5,7 @@
 | `p/JOB/N` | a part of the encoded items, with their bodies | before the header |
 | `j/JOB` | the header, which makes the job accepted | once, conditional append |
 | `r/JOB/ITEM` | an item's result and its position | once, conditional append |
+| `x/JOB/ITEM/N` | a part of a text that is too large for `r` | in the same append |
 | `w/JOB/ITEM` | the output of an item so far | while the item runs |
 | `c/JOB` | the job was cancelled | any time, idempotent |
 
@@ -25,6 +26,8 @@
 # Below the store's limit of 262,144 bytes per record, leaving room for the key and
 # the length fields.
 MAX_PART_BYTES = 250_000
+# Fits into a record however badly it compresses.
+BEGINNING_CHARS = 50_000
 # Between the events of an item's stored output.
 SEPARATOR = "\x00"
 
@@ -155,6 +158,41 @@
     return KeyedRecord(f"r/{key}/{item}".encode(), value)
 
 
+def encode_result_records(
+    key: str, item: int, result: ResultRecord
+) -> list[KeyedRecord]:
+    """Return the records of an item's result, that of its position last.
+
+    A text that is too large for one record is kept in parts of its own, and that
+    record has its beginning: earlier releases pass the parts over.
+    """
+    record = encode_result(key, item, result)
+    if len(record.value) <= MAX_PART_BYTES:
+        return [record]
+    packed = zlib.compress(result.text.encode("utf-8", "replace"), 1)
+    starts = range(0, len(packed), MAX_PART_BYTES)
+    parts = [
+        KeyedRecord(
+            f"x/{key}/{item}/{number}".encode(),
+            cbor2.dumps([len(starts), packed[start : start + MAX_PART_BYTES]]),
+        )
+        for number, start in enumerate(starts)
+    ]
+    beginning = msgspec.structs.replace(result, text=result.text[:BEGINNING_CHARS])
+    return [*parts, encode_result(key, item, beginning)]
+
+
+def decode_text_part(value: bytes) -> tuple[int, bytes]:
+    """Decode a part of a large text; return the number of parts and its bytes."""
+    count, data = cbor2.loads(value)
+    return count, data
+
+
+def join_text_parts(parts: list[bytes]) -> str:
+    """Return a text from all its parts."""
+    return zlib.decompress(b"".join(parts)).decode("utf-8", "replace")
+
+
 def decode_result(value: bytes) -> ResultRecord:
     """Decode a result record.
 
@@ -196,9 +234,16 @@
     return KeyedRecord(_progress_key(key, item), None)
 
 
-def job_tombstones(header: JobHeader) -> Iterator[KeyedRecord]:
-    """Yield tombstones for all records of a job, its header last."""
+def job_tombstones(
+    header: JobHeader, text_parts: dict[int, int]
+) -> Iterator[KeyedRecord]:
+    """Yield tombstones for all records of a job, its header last; `text_parts` has how
+    many parts the large texts of its items have.
+    """
     key = job_key(header.team, header.id)
+    for item, count in text_parts.items():
+        for number in range(count):
+            yield KeyedRecord(f"x/{key}/{item}/{number}".encode(), None)
     for number in range(header.part_count):
         yield KeyedRecord(f"p/{key}/{number}".encode(), None)
     for item in range(len(header.item_tokens)):
--- a/apricotquay/serving/jobtable.py
+++ b/apricotquay/serving/jobtable.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 
+import msgspec
+
 from ..ids import JobId, TeamId
 from .jobrecords import (
     JobHeader,
@@ -13,7 +15,9 @@
     decode_items,
     decode_progress,
     decode_result,
+    decode_text_part,
     job_key,
+    join_text_parts,
 )
 from .keyedlog import KeyedRecord
 
@@ -34,6 +38,11 @@
         self.results: list[ResultRecord] = []
         self.open_items: set[int] = set(range(len(items)))
         self.progress: dict[int, ProgressRecord] = {}
+        # How many parts the texts have that are too large for one record.
+        self.text_parts: dict[int, int] = {}
+        self._parts_of_text: dict[int, dict[int, bytes]] = {}
+        self._large_texts: dict[int, str] = {}
+        self._positions: dict[int, int] = {}
         self._out_of_order: dict[int, ResultRecord] = {}
 
     @property
@@ -72,10 +81,31 @@
             return
         self.open_items.discard(item)
         self.progress.pop(item, None)
+        self._positions[item] = result.position
+        if item in self._large_texts:
+            text = self._large_texts.pop(item)
+            result = msgspec.structs.replace(result, text=text)
         self._out_of_order[result.position] = result
         while len(self.results) in self._out_of_order:
             self.results.append(self._out_of_order.pop(len(self.results)))
 
+    def apply_text_part(self, item: int, number: int, count: int, data: bytes) -> None:
+        """Apply a part of a text that is too large for the record of its result."""
+        parts = self._parts_of_text.setdefault(item, {})
+        parts[number] = data
+        self.text_parts[item] = count
+        if len(parts) < count:
+            return
+        del self._parts_of_text[item]
+        text = join_text_parts([parts[n] for n in range(count)])
+        position = self._positions.get(item)
+        if position is None:
+            self._large_texts[item] = text
+            return
+        is_listed = position < len(self.results)
+        results = self.results if is_listed else self._out_of_order
+        results[position] = msgspec.structs.replace(results[position], text=text)
+
 
 class JobTable:
     """All jobs of a partition. Used by the partition's replica.
@@ -91,6 +121,7 @@
         self._parts: dict[str, dict[int, bytes]] = {}
         self._early_results: dict[str, dict[int, ResultRecord]] = {}
         self._early_progress: dict[str, dict[int, ProgressRecord]] = {}
+        self._early_text_parts: dict[str, dict[str, bytes]] = {}
         self._cancelled: set[str] = set()
 
     def find(self, team: TeamId, job_id: JobId) -> Job | None:
@@ -151,6 +182,8 @@
             self._assemble_job(key)
         elif kind == "r":
             self._apply_result(key, int(number), decode_result(record.value))
+        elif kind == "x":
+            self._apply_text_part(key, number, record.value)
         elif kind == "w":
             self._apply_progress(key, int(number), decode_progress(record.value))
         elif kind == "c":
@@ -172,6 +205,16 @@
             job.apply_result(item, result)
         for item, progress in self._early_progress.pop(key, {}).items():
             job.apply_progress(item, progress)
+        for number, value in self._early_text_parts.pop(key, {}).items():
+            self._apply_text_part(key, number, value)
+
+    def _apply_text_part(self, key: str, number: str, value: bytes) -> None:
+        job = self.jobs.get(key)
+        if job is None:
+            self._early_text_parts.setdefault(key, {})[number] = value
+            return
+        item, _, part = number.partition("/")
+        job.apply_text_part(int(item), int(part), *decode_text_part(value))
 
     def _apply_result(self, key: str, item: int, result: ResultRecord) -> None:
         job = self.jobs.get(key)
@@ -193,6 +236,7 @@
             self._headers.pop(key, None)
             self._early_results.pop(key, None)
             self._early_progress.pop(key, None)
+            self._early_text_parts.pop(key, None)
             self._cancelled.discard(key)
         elif kind == "p":
             self._parts.get(key, {}).pop(int(number), None)
--- a/apricotquay/serving/partition.py
+++ b/apricotquay/serving/partition.py
@@ -15,7 +15,7 @@
     Submission,
     encode_cancellation,
     encode_progress,
-    encode_result,
+    encode_result_records,
     encode_submission,
     job_tombstones,
     progress_tombstone,
@@ -199,7 +199,9 @@
         now_ms = self._clock.wall_ms()
         for job in list(self.table.expired_jobs(now_ms, retention_ms)):
             try:
-                for call in _split_into_calls(list(job_tombstones(job.header))):
+                for call in _split_into_calls(
+                    list(job_tombstones(job.header, job.text_parts))
+                ):
                     await self._log.append(JOBS, self.number, call, None)
             except LogError as exc:
                 self._reporter.report_lost("partition", str(exc), part=self.number)
@@ -401,22 +403,22 @@
             ):
                 continue
             position = next_positions.get(job.key, len(known.results))
-            record = _encode_result(pending, position)
-            size += len(record.value)
+            records = _encode_result(pending, position)
+            size += sum(len(record.value) for record in records)
             if size > MAX_RESULT_BYTES and seen:
                 del batch[index:]
                 return
             seen.add(item_key)
             next_positions[job.key] = position + 1
-            yield record
+            yield from records
             if pending.item in known.progress:
                 yield progress_tombstone(job.key, pending.item)
 
 
-def _encode_result(pending: PendingResult, position: int) -> KeyedRecord:
+def _encode_result(pending: PendingResult, position: int) -> list[KeyedRecord]:
     item_id = pending.job.items[pending.item].id
     result = ResultRecord(position, item_id, pending.is_done, pending.text)
-    return encode_result(pending.job.key, pending.item, result)
+    return encode_result_records(pending.job.key, pending.item, result)
 
 
 def _split_into_calls(records: list[KeyedRecord]):
--- a/standins/keyedlog.py
+++ b/standins/keyedlog.py
@@ -34,12 +34,14 @@
     `choose_fault` is called before each append and returns the fault: "" for none,
     "refuse", "lose" (appended, no response), "drop" (not appended, no response) or
     "late" (no response; `apply_delayed_appends` appends the records if there is no
-    expected end, or it is the end of the shard then).
+    expected end, or it is the end of the shard then). A call with a record of more
+    than `max_record_bytes` is refused.
     """
 
     def __init__(self) -> None:
         self.choose_fault: Callable[[], str] = lambda: ""
         self.is_down: bool = False
+        self.max_record_bytes: int = 1 << 30
         self.call_count: int = 0
         self._partitions: dict[Shard, list[KeyedRecord]] = {}
         self._first_offsets: dict[Shard, int] = {}
@@ -103,6 +105,9 @@
         fault = self.choose_fault()
         if fault == "refuse":
             raise LogRefusedError("append refused by an injected fault")
+        largest = max((len(r.key) + len(r.value or b"") for r in records), default=0)
+        if largest >= self.max_record_bytes:
+            raise LogRefusedError("a record is too large")
         if fault == "drop":
             raise LogOutcomeUnknownError("append dropped by an injected fault")
         if fault == "late":
--- a/tests/test_platform_oddresults.py
+++ b/tests/test_platform_oddresults.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import json
+import random
 import zlib
 
 import cbor2
+import msgspec
 from parameterized import parameterized
 
 from apricotquay.errors import PeerUnavailableError
 from apricotquay.ids import JobId
 from apricotquay.platform.callers import _encode_page
+from apricotquay.serving.batch import ItemProgress
+from apricotquay.serving.engine import AttemptFailedError
 from apricotquay.serving.jobrecords import (
     ProgressRecord,
     ResultRecord,
@@ -17,19 +21,24 @@
     decode_result,
     encode_progress,
     encode_result,
+    encode_result_records,
+    encode_submission,
+    job_key,
+    job_tombstones,
 )
 from apricotquay.serving.jobs import _page_results
-from apricotquay.serving.jobtable import Job
+from apricotquay.serving.jobtable import Job, JobTable
 from apricotquay.serving.messages import JobPage, ReadJob, ResultItem, encode_frame
 from apricotquay.serving.peers import Peers
-from apricotquay.serving.sse import parse_event
+from apricotquay.serving.sse import StreamEvent, parse_event
 
 from .base import ApricotTest
 from .test_platform_fleet import PlatformTest
-from .test_serving_jobs import TEAM, quiet_reporter
+from .test_serving_jobs import TEAM, quiet_reporter, submission
 
 # What one page of results may hold at most, as JSON.
 PAGE_BYTES = 1_000_000
+STORE_RECORD_BYTES = 262_144
 SPOILED = [b"\xff", b"a\xc3", b"\xed\xa0\x80", b"\xf8\x88\x80\x80\x80", b"\x00\xfe"]
 ODD_TEXTS = [
     "lot-\u2028x",
@@ -212,3 +221,81 @@
         event = parse_event(b"id: 3\ndata: " + data + b"\n\n")
         self.assertEqual((3, False), (event.id, event.is_text))
         self.assertIn(data, event.raw)
+
+
+class LargeOutputTest(PlatformTest):
+    """An output whose record would be larger than the store takes."""
+
+    def test_large_output_is_listed_whole_and_holds_up_no_other(self):
+        """It hardly compresses; the store of the stand-ins refuses such records."""
+        rng = random.Random(1)
+        parts = [rng.randbytes(100_000).hex() for _ in range(4)]
+
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.make_data = lambda request_id, number: (
+                    parts[number].encode() if request_id == "j-2" else b"x"
+                )
+            fleet.store.log.max_record_bytes = STORE_RECORD_BYTES
+            bodies = ["events=4"] * 6
+            self.assertEqual(202, await fleet.submit(fleet.daemons[0], "j", bodies))
+            results = await fleet.wait_for_results(fleet.daemons[0], "j")
+            expected = {f"j-{n}": ("done", "x\nx\nx\nx") for n in range(6)}
+            expected["j-2"] = ("done", "\n".join(parts))
+            self.assertEqual(expected, results)
+            for daemon in fleet.daemons:
+                await daemon.close()
+            fleet.daemons.clear()
+            fleet.store.log._members.clear()
+            daemon = await fleet.add_daemon("new")
+            self.assertEqual(expected, await fleet.wait_for_results(daemon, "j"))
+
+        self.run_scenario(scenario)
+
+    @parameterized.expand([(seed,) for seed in range(6)])
+    def test_records_of_a_large_text_give_it_in_any_order(self, seed):
+        """Loading the newest records mixes them."""
+        rng = random.Random(seed)
+        text = rng.randbytes(400_000).hex()
+        job = submission(items=2)
+        key = job_key(TEAM, job.id)
+        large = ResultRecord(0, "job-1", True, text)
+        records = encode_submission(job)
+        records += encode_result_records(key, 1, large)
+        records += encode_result_records(key, 0, ResultRecord(1, "job-0", True, "b"))
+        self.assertLess(max(len(r.value) for r in records), STORE_RECORD_BYTES)
+        rng.shuffle(records)
+        table = JobTable()
+        for record in records:
+            table.apply(record)
+        self.assertEqual([text, "b"], [r.text for r in table.jobs[key].results])
+        table.jobs[key].is_cancelled = True
+        tombstones = job_tombstones(job_header(table), table.jobs[key].text_parts)
+        deleted = {record.key for record in tombstones}
+        self.assertLessEqual({record.key for record in records}, deleted)
+
+    def test_previous_release_reads_the_beginning_of_a_large_text(self):
+        """It passes the parts over, and counts positions as this release does."""
+        text = random.Random(1).randbytes(400_000).hex()
+        *parts, record = encode_result_records("k", 0, ResultRecord(3, "i", True, text))
+        position, item_id, is_done, packed = cbor2.loads(record.value)
+        self.assertEqual((3, "i", True), (position, item_id, is_done))
+        self.assertTrue(text.startswith(zlib.decompress(packed).decode()))
+        self.assertEqual({b"x"}, {part.key[:1] for part in parts})
+
+    def test_output_larger_than_a_page_is_not_kept(self):
+        """Nor does it grow over several attempts, each of which breaks off."""
+        progress = ItemProgress(None)
+        event = StreamEvent(b"", 0, "x" * 100_000)
+        for number in range(9):
+            progress.append_event(msgspec.structs.replace(event, id=number), "v")
+        with self.assertRaises(AttemptFailedError):
+            for number in range(9, 12):
+                progress.append_event(msgspec.structs.replace(event, id=number), "v")
+        self.assertEqual(([], -1), (progress.data, progress.last_id))
+
+
+def job_header(table: JobTable):
+    """Return the header of a table's only job."""
+    (job,) = table.jobs.values()
+    return job.header
