--- a/tests/test_serving_jobs.py
+++ b/tests/test_serving_jobs.py
@@ -466,6 +466,7 @@
             await owner.cancel(ended, self.deadline_s())
             await owner.delete_expired_jobs(50)
             # It has just ended, though it was submitted long ago.
+            await owner.catch_up()
             self.assertIsNotNone(owner.table.find(TEAM, JobId("ended")))
             await asyncio.sleep(0.1)
             await owner.delete_expired_jobs(50)
