Refuse requests that a planned stop might cut

Cause: requests were taken for two fifths of the grace and sent whenever a slot came free, whatever time they might need.

Change: a request that has not run and may outlast the stop is refused (503, draining): at once if it may not be repeated, later otherwise, and again before each send. Whatever surely ends in time is taken as before.

--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -82,6 +82,17 @@
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
         self._timeouts = AdaptiveTimeouts()
+        # When a stop of this daemon cuts what still runs, and after which moment it
+        # sends no request that could be cut.
+        self._cut_s: float = float("inf")
+        self._last_send_s: float = float("inf")
+
+    def drain(self, last_send_s: float, cut_s: float) -> None:
+        """Refuse requests that may outlast `cut_s`: at once those that may not be
+        repeated, after `last_send_s` the others.
+        """
+        self._last_send_s = last_send_s
+        self._cut_s = cut_s
 
     def authorize(self, host: str, path: str, key: str | None) -> Admission:
         """Return the route and the team; raise RequestError if access is denied."""
@@ -132,9 +143,10 @@
     ) -> str:
         """Serve a request and return its outcome; only the caller's leaving raises."""
         try:
+            deadline_s = request.arrived_s + self._timeout_s(request, admission.route)
+            self._check_drain(admission.route, progress, deadline_s)
             self._check_quarantine(request, admission.team)
             await self._check_rate(admission.team)
-            deadline_s = request.arrived_s + self._timeout_s(request, admission.route)
             async with asyncio.timeout(max(0.0, deadline_s - self._clock.now_s())):
                 await self._run_attempts(
                     request, admission, writer, progress, deadline_s
@@ -184,6 +196,17 @@
                 f"prompts with {' and '.join(causes)} crash endpoints",
             )
 
+    def _check_drain(
+        self, route: Route, progress: RequestProgress, deadline_s: float
+    ) -> None:
+        """Raise RequestError for a request that has not run if the stop of this daemon
+        might cut it.
+        """
+        if progress.may_have_run or deadline_s <= self._cut_s:
+            return
+        if not route.is_idempotent or self._clock.now_s() > self._last_send_s:
+            raise RequestError(ErrorKind.DRAINING, "the daemon is stopping")
+
     async def _check_rate(self, team: Team | None) -> None:
         if team is None:
             return
@@ -423,6 +446,7 @@
                 lease.endpoint, "another version", may_have_run=False
             )
             return SlotOutcome.UNKNOWN
+        self._check_drain(admission.route, progress, deadline_s)
         # Other daemons may have seen it crash endpoints while it waited.
         self._check_quarantine(request, admission.team)
         call = self._build_call(request, admission.team, progress, deadline_s)
--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -178,3 +178,59 @@
             self.assertEqual([], [r for c in callers for r in c.unanswered])
 
         self.run_scenario(scenario)
+
+    @parameterized.expand(
+        [
+            (f"{kind}, {servers} servers, {step_s} s an event", kind, servers, step_s)
+            for kind in ("u", "s")
+            for servers in (1, 3)
+            for step_s in (0.05, 0.25)
+        ]
+    )
+    def test_request_that_may_not_be_repeated_is_served_whole_or_refused_in_a_drain(
+        self, _name, kind, servers, step_s
+    ):
+        """They come all the time, and some wait for slots until late in the grace."""
+        self.patch(daemon_module, "SHUTDOWN_MARGIN_S", LONG_MARGIN_S - 1.0)
+        self.patch(daemon_module, "BALANCER_REMOVAL_S", 60.0)
+
+        async def scenario(fleet):
+            daemon = fleet.daemons[0]
+            drain = None
+            calls = {}
+            for number in range(80):
+                if number == 16:
+                    drain = asyncio.ensure_future(daemon.drain())
+                path, name = f"/{kind}/{number}", f"r{number}"
+                late = number >= 16
+                calls[name] = asyncio.ensure_future(
+                    fleet.call(
+                        daemon,
+                        "POST",
+                        path if late else f"/s/{number}",
+                        b"events=4",
+                        attempt_id=name,
+                    )
+                )
+                await asyncio.sleep(0.02)
+            await drain
+            await daemon.close()
+            ran = {run["ran"] for run in fleet.runs}
+            for name, call in calls.items():
+                if int(name[1:]) < 16:
+                    await asyncio.gather(call, return_exceptions=True)
+                    continue
+                response = await call
+                if name in ran:
+                    self.assertEqual(
+                        (200, 4), (response.status, count_events(response))
+                    )
+                else:
+                    self.assertEqual(503, response.status)
+
+        self.run_scenario(scenario, daemons=1, servers=servers, step_s=step_s)
+
+
+def count_events(response) -> int:
+    """Return how many events a response holds."""
+    return response.body.count(b"data: ")
