Bound the large answers of all requests of a daemon together

What callers would see (report of other operators): faulty servers send without end; a VM that holds many such answers runs out of memory and ends, with all other requests. Here each answer was bounded at 8 MB, but 24 slots of three such servers took 192 MB, and VMs have 180.

--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -13,6 +13,7 @@
 from ..clocks import Clock
 from ..events import Event
 from ..ids import EndpointId, TeamId
+from .bodybudget import MAX_BODY_BYTES, BodyBudget, BodyReservation
 from .crashes import CrashDetector
 from .endpoints import Endpoint, LeavingNotice
 from .engine import (
@@ -35,7 +36,6 @@
 
 T = TypeVar("T")
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -66,6 +66,7 @@
         self._metrics: ServingMetrics = metrics
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
+        self.body_budget = BodyBudget()
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Whether a request must not be sent because it crashes endpoints."""
@@ -299,10 +300,10 @@
             )
 
 
-async def read_body(response: EngineResponse) -> bytes:
+async def read_body(response: EngineResponse, reservation: BodyReservation) -> bytes:
     """Read a response that is not a stream.
 
-    Raises AttemptFailedError when it is longer than MAX_BODY_BYTES: an endpoint in
+    Raises AttemptFailedError when it is too large for its reservation: an endpoint in
     trouble may send bytes without end.
     """
     parts: list[bytes] = []
@@ -311,6 +312,7 @@
         size += len(part)
         if size > MAX_BODY_BYTES:
             raise AttemptFailedError(f"body of more than {MAX_BODY_BYTES} bytes")
+        reservation.grow(len(part))
         parts.append(part)
     return b"".join(parts)
 
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -124,7 +124,7 @@
         self, request: OnlineRequest, admission: Admission, writer: ResponseWriter
     ) -> None:
         """Serve an admitted request; its end is logged, whatever ends it."""
-        progress = RequestProgress(request)
+        progress = RequestProgress(request, self._attempts.body_budget.reserve())
         outcome = "broken off by an error"
         try:
             outcome = await self._serve(request, admission, writer, progress)
@@ -132,6 +132,7 @@
             outcome = f"caller left: {exc!r}"[:80]
             raise
         finally:
+            progress.reservation.release()
             self._report(request, admission, progress, outcome)
 
     async def _serve(
@@ -576,7 +577,7 @@
         """Forward a response that is not a stream, once it is complete."""
         if progress.response_started:
             raise AttemptFailedError(f"status {response.status} within a stream")
-        body = await read_body(response)
+        body = await read_body(response, progress.reservation)
         if response.status >= MIN_FAILURE_STATUS and route.is_idempotent:
             progress.failure_response = (response.status, response.headers, body)
             if progress.failed_attempts + 1 < route.max_attempts:
--- a/apricotquay/serving/requests.py
+++ b/apricotquay/serving/requests.py
@@ -8,6 +8,7 @@
 
 from ..errors import ErrorKind, Ran, RequestError
 from ..ids import EndpointId
+from .bodybudget import BodyReservation
 from .catalog import Route, Team
 from .engine import AttemptFailedError
 from .http1 import HeaderList
@@ -82,7 +83,7 @@
     500 or more, which the caller gets if no other attempt succeeds.
     """
 
-    def __init__(self, request: OnlineRequest) -> None:
+    def __init__(self, request: OnlineRequest, reservation: BodyReservation) -> None:
         self.slot_granted_by: str = ""
         self.slot_wait_ms: int = 0
         self.last_event_id: int | None = request.resume_after
@@ -101,6 +102,8 @@
         self.is_at_endpoint: bool = False
         # The software version of the endpoint that began the stream, if it has begun.
         self.version: str = ""
+        # Of the memory for answers that are read whole; released with the request.
+        self.reservation: BodyReservation = reservation
 
     def record_failure(
         self, endpoint: EndpointId, reason: str, *, may_have_run: bool
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -14,6 +14,7 @@
 from apricotquay.platform.engines import ServerClient
 from apricotquay.serving import attempts as attempts_module
 from apricotquay.serving.batch import ItemProgress, _read_output
+from apricotquay.serving.bodybudget import BodyBudget
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.engine import (
@@ -339,7 +340,7 @@
 
 async def read_whole(answer) -> None:
     """Read a response that is not a stream."""
-    await attempts_module.read_body(answer)
+    await attempts_module.read_body(answer, BodyBudget().reserve())
 
 
 async def read_stream(answer) -> None:
