--- a/standins/processes.py
+++ b/standins/processes.py
@@ -30,6 +30,8 @@
     ) -> None:
         self.name: str = name
         self.output_path: Path = output_path
+        # The source tree of the release that the next start runs; None for this one.
+        self.release_dir: Path | None = None
         self._args: list[str] = args
         self._env: dict = {**os.environ, **env}
         self._popen: subprocess.Popen | None = None
@@ -49,6 +51,7 @@
                 stdout=output,
                 stderr=output,
                 env=self._env,
+                cwd=self.release_dir,
             )
 
     async def is_listening(self) -> bool:
