Split what is known of a batch item from the runner

What a daemon knows of an item between its attempts is a module of its own (itemprogress), without change. A pass of the scheduler looks at an item's route only once and builds candidates only for services that have room, so that thousands of waiting items cost little.

--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -4,7 +4,6 @@
 import collections
 import contextlib
 import enum
-import functools
 import random
 from collections.abc import Iterator
 from functools import partial
@@ -22,8 +21,21 @@
     EngineResponse,
     RequestNotRunError,
 )
-from .itemschedule import ItemKey, WaitingItem, choose_items, postponement_s
-from .jobrecords import ProgressRecord
+from .itemprogress import (
+    EVENT_TIMEOUT_S,
+    RETRY_DELAY_S,
+    AttemptResult,
+    ItemProgress,
+    Outcome,
+    RunTimeEstimate,
+)
+from .itemschedule import (
+    MAX_ITEMS_PER_SERVICE,
+    ItemKey,
+    WaitingItem,
+    choose_items,
+    postponement_s,
+)
 from .jobs import Jobs
 from .jobtable import Job
 from .metrics import ServingMetrics
@@ -31,20 +43,9 @@
 from .partition import Partition, PendingResult
 from .reporting import Reporter
 from .slots import SlotAllocator, SlotLease, SlotRequest, SlotUnavailableError
-from .sse import StreamEvent
 from .tasks import start_task
 from .view import View
 
-# Without an event. Doubled after each further attempt that timed out without output.
-EVENT_TIMEOUT_S = 3.0
-TIMEOUTS_BEFORE_DOUBLING = 2
-MAX_EVENT_TIMEOUT_S = 48.0
-# A page of results must hold an item's whole output. Items keep what they have
-# between attempts, so that this bounds their memory, too.
-MAX_OUTPUT_BYTES = 1_000_000
-RETRY_DELAY_S = 0.25
-FRUITLESS_BEFORE_BACKOFF = 3
-MAX_RETRY_DELAY_S = 4.0
 SCHEDULE_INTERVAL_S = 0.5
 HANDOVER_DELAY_S = 0.6
 PROGRESS_INTERVAL_S = 1.0
@@ -54,100 +55,11 @@
 ITEM_TIMEOUT_MS = 60_000
 MAX_CACHED_ROUTES = 20_000
 MAX_SLOT_WAIT_S = 3_600.0
-INITIAL_RUN_TIME_S = 3.0
-RUN_TIME_SMOOTHING = 0.1
-MIN_REMAINING_SHARE = 0.1
 SERVER_ERROR = 500
 UNPROCESSABLE = 422
 OK = 200
 
 
-class ItemProgress:
-    """The output of an item so far, kept across attempts."""
-
-    def __init__(self, known: ProgressRecord | None) -> None:
-        self.data: list[str] = list(known.data) if known else []
-        self._size_bytes: int = sum(len(data.encode()) + 1 for data in self.data)
-        self.last_id: int = known.last_id if known else -1
-        self.failures: int = known.failures if known else 0
-        # The software version of the endpoints that made the output.
-        self.version: str = known.version if known else ""
-        self.ran_s: float = 0.0
-        self.fruitless_attempts: int = 0
-        self._failed_endpoint: str = ""
-        self._fruitless_in_a_row: int = 0
-        self._timeouts_in_a_row: int = 0
-
-    def event_timeout_s(self) -> float:
-        """Return how long the next attempt may wait for an event.
-
-        An endpoint that is slow, but sound, needs more time than a first attempt has.
-        """
-        doublings = max(0, self._timeouts_in_a_row - TIMEOUTS_BEFORE_DOUBLING + 1)
-        return min(MAX_EVENT_TIMEOUT_S, EVENT_TIMEOUT_S * 2**doublings)
-
-    def retry_delay_s(self, was_fruitless: bool) -> float:
-        """Return how long to wait before the next attempt.
-
-        An item whose connections keep ending before any output may be the cause of
-        it, so it is still run, but ever less often.
-        """
-        self._fruitless_in_a_row = self._fruitless_in_a_row + 1 if was_fruitless else 0
-        doublings = max(0, self._fruitless_in_a_row - FRUITLESS_BEFORE_BACKOFF)
-        return min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2**doublings)
-
-    def endpoints_to_avoid(self) -> frozenset[str]:
-        """Return the endpoint of the last attempt if that failed."""
-        return (
-            frozenset((self._failed_endpoint,))
-            if self._failed_endpoint
-            else frozenset()
-        )
-
-    def record_attempt(
-        self, endpoint: str, result: "AttemptResult", had_output: bool, ran_s: float
-    ) -> None:
-        """Record where and how long an attempt ran, and how it ended."""
-        failed = result.outcome in (Outcome.RETRY, Outcome.FAILED)
-        self.ran_s += ran_s
-        self._failed_endpoint = endpoint if failed else ""
-        if had_output:
-            self.fruitless_attempts = self._timeouts_in_a_row = 0
-        elif failed:
-            self.fruitless_attempts += 1
-            self._timeouts_in_a_row += result.timed_out
-
-    def append_event(self, event: StreamEvent, version: str) -> None:
-        """Append an event of a version; raise AttemptFailedError if ids are missing or
-        it is no text, which results could not hold.
-        """
-        if not event.is_text:
-            raise AttemptFailedError(f"event {event.id} is no UTF-8")
-        expected = self.last_id + 1
-        if self.last_id >= 0 and event.id != expected:
-            raise AttemptFailedError(f"event {event.id} came instead of {expected}")
-        self._size_bytes += len(event.data.encode()) + 1
-        if self._size_bytes > MAX_OUTPUT_BYTES:
-            self.discard_output()
-            raise AttemptFailedError(f"output of more than {MAX_OUTPUT_BYTES} bytes")
-        self.data.append(event.data)
-        self.last_id = event.id
-        self.version = version
-
-    def discard_output(self) -> None:
-        """Forget the output so far; the next attempt starts from the beginning."""
-        self.data.clear()
-        self._size_bytes = 0
-        self.last_id = -1
-        self.version = ""
-
-    def to_record(self) -> ProgressRecord:
-        """Return the record from which another daemon can resume the item."""
-        return ProgressRecord(
-            self.last_id, list(self.data), self.failures, self.version
-        )
-
-
 class ItemState(enum.Enum):
     """Whether an item runs or requests a slot, waits for its next attempt, or has a
     result that is being written.
@@ -174,47 +86,9 @@
     task: asyncio.Task | None = None
 
 
-class RunTimeEstimate:
-    """Moving average of item run times, to estimate the remaining time of an item."""
-
-    def __init__(self) -> None:
-        self._mean_s: float = INITIAL_RUN_TIME_S
-
-    def record(self, ran_s: float) -> None:
-        """Add the run time of a finished item."""
-        self._mean_s += RUN_TIME_SMOOTHING * (ran_s - self._mean_s)
-
-    def remaining_s(self, ran_s: float) -> float:
-        """Return the estimated remaining time of an item that has run for `ran_s`."""
-        return max(MIN_REMAINING_SHARE * self._mean_s, self._mean_s - ran_s)
-
-
-class Outcome(enum.Enum):
-    """How an attempt ended.
-
-    FAILED counts as a failure of the item. RETRY does not, since the endpoint or
-    the connection to it failed. IMPOSSIBLE means that the endpoint reported that
-    the item can never be processed.
-    """
-
-    DONE = "done"
-    FAILED = "failed"
-    IMPOSSIBLE = "impossible"
-    RETRY = "again"
-    REVOKED = "revoked"
-
-
-class AttemptResult(msgspec.Struct, frozen=True):
-    """The result of an attempt; `reason` is written to the log.
-
-    `was_fruitless` means that the connection ended before any new event.
-    """
-
-    outcome: Outcome
-    reason: str = ""
-    slot_outcome: SlotOutcome = SlotOutcome.UNKNOWN
-    was_fruitless: bool = False
-    timed_out: bool = False
+def _may_start(item: RunningItem, now_s: float) -> bool:
+    """Whether an item waits for an attempt that is due."""
+    return item.state is ItemState.WAITING and item.retry_at_s <= now_s
 
 
 class RouteCache:
@@ -338,33 +212,37 @@
         self, wanted: dict[ItemKey, tuple[Partition, Job, int]]
     ) -> Iterator[WaitingItem]:
         """Yield the items that could start now; end those that cannot be done."""
-        now_s = self._clock.now_s()
-        is_served = functools.cache(self._is_served)
+        now_s, now_ms = self._clock.now_s(), self._clock.wall_ms()
+        may_fail_without_route = self._is_configuration_current()
+        open_services = self._find_open_services()
         for key, (partition, job, index) in wanted.items():
             item = self._items.get(key)
-            if item is not None and not self._may_start(item, now_s):
+            if item is not None and not _may_start(item, now_s):
                 continue
             route = self._routes.find(job, index)
-            if self._must_give_up(job, route):
+            if route is None and not may_fail_without_route:
+                continue
+            if route is None or now_ms >= job.header.give_up_ms:
                 self._give_up(key, partition, job, index)
                 continue
-            service = route.service_for(random.random()) if route else None
-            if service is not None and is_served(service):
+            service = route.service_for(random.random())
+            if service in open_services:
                 fruitless = item.progress.fruitless_attempts if item else 0
                 due_s = job.header.due_ms / 1000
                 yield WaitingItem(key, service, due_s, fruitless)
 
-    def _may_start(self, item: RunningItem, now_s: float) -> bool:
-        return item.state is ItemState.WAITING and item.retry_at_s <= now_s
-
-    def _is_served(self, service: ServiceName) -> bool:
-        """Whether a service has endpoints that take new work."""
-        return any(True for _ in self._view.endpoints.serving(service))
-
-    def _must_give_up(self, job: Job, route: Route | None) -> bool:
-        if route is None:
-            return self._is_configuration_current()
-        return self._clock.wall_ms() >= job.header.give_up_ms
+    def _find_open_services(self) -> set[ServiceName]:
+        """Return the services whose endpoints take new work, and of which more items
+        may start.
+        """
+        started = self._count_started()
+        services = {endpoint.service for endpoint in self._view.endpoints.all()}
+        return {
+            service
+            for service in services
+            if started[service] < MAX_ITEMS_PER_SERVICE
+            and any(True for _ in self._view.endpoints.serving(service))
+        }
 
     def _give_up(
         self, key: ItemKey, partition: Partition, job: Job, index: int
@@ -441,7 +319,8 @@
         result = AttemptResult(Outcome.REVOKED)
         while result.outcome is Outcome.REVOKED:
             route = self._routes.find(item.job, item.index)
-            if route is None or self._must_give_up(item.job, route):
+            is_over = self._clock.wall_ms() >= item.job.header.give_up_ms
+            if route is None or is_over:
                 self._delay(item, RETRY_DELAY_S)
                 return
             result = await self._run_attempt_safely(item)
--- a/tests/test_platform_batchbounds.py
+++ b/tests/test_platform_batchbounds.py
@@ -5,9 +5,9 @@
 
 from parameterized import parameterized
 
-from apricotquay.serving import batch as batch_module, itemschedule
-from apricotquay.serving.batch import AttemptResult, ItemProgress, Outcome
+from apricotquay.serving import itemprogress as itemprogress_module, itemschedule
 from apricotquay.serving.catalog import ServiceName
+from apricotquay.serving.itemprogress import AttemptResult, ItemProgress, Outcome
 from apricotquay.serving.itemschedule import (
     MAX_ITEMS_PER_SERVICE,
     WaitingItem,
@@ -123,7 +123,7 @@
             results = await fleet.wait_for_results(fleet.daemons[0], "j")
             self.assertEqual({"done"}, {state for state, _ in results.values()})
 
-        self.patch(batch_module, "EVENT_TIMEOUT_S", 0.2)
+        self.patch(itemprogress_module, "EVENT_TIMEOUT_S", 0.2)
         self.run_scenario(scenario)
 
     def test_item_whose_servers_are_slow_to_begin_is_done(self):
@@ -134,7 +134,7 @@
             results = await fleet.wait_for_results(fleet.daemons[0], "j")
             self.assertEqual({"done"}, {state for state, _ in results.values()})
 
-        self.patch(batch_module, "EVENT_TIMEOUT_S", 0.1)
+        self.patch(itemprogress_module, "EVENT_TIMEOUT_S", 0.1)
         self.run_scenario(scenario, step_s=0.6)
 
 
@@ -181,5 +181,7 @@
         waits_s = []
         for had_output in (False, False, False, True, False):
             progress.record_attempt("e0", silent, had_output, 1.0)
-            waits_s.append(progress.event_timeout_s() / batch_module.EVENT_TIMEOUT_S)
+            waits_s.append(
+                progress.event_timeout_s() / itemprogress_module.EVENT_TIMEOUT_S
+            )
         self.assertEqual([1, 2, 4, 1, 1], waits_s)
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -13,7 +13,7 @@
 from apricotquay.platform import engines as engines_module
 from apricotquay.platform.engines import ServerClient
 from apricotquay.serving import attempts as attempts_module
-from apricotquay.serving.batch import ItemProgress, _read_output
+from apricotquay.serving.batch import _read_output
 from apricotquay.serving.bodybudget import BodyBudget
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.endpoints import Endpoint
@@ -23,6 +23,7 @@
     Reachability,
     RequestNotRunError,
 )
+from apricotquay.serving.itemprogress import ItemProgress
 
 from .base import ApricotTest
 
--- a/tests/test_platform_oddresults.py
+++ b/tests/test_platform_oddresults.py
@@ -12,8 +12,8 @@
 from apricotquay.errors import PeerUnavailableError
 from apricotquay.ids import JobId
 from apricotquay.platform.callers import _encode_page
-from apricotquay.serving.batch import ItemProgress
 from apricotquay.serving.engine import AttemptFailedError
+from apricotquay.serving.itemprogress import ItemProgress
 from apricotquay.serving.jobrecords import (
     ProgressRecord,
     ResultRecord,
