Report slots again to an owner that was silent for a moment

A daemon that gets no answer from a service's owner uses its own table for a second, and releases what it holds at the owner. It reported that again only with its next request; without one the owner went on to grant those slots to others. The list of each second reports it now. A request past its slot deadline asks an owner that did not decide no second time. The new test failed before: the owner never counted the slots again.

--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots.py
@@ -202,10 +202,11 @@
             request.holds_slot,
             request.version,
         )
-        for _ in range(MAX_OWNER_ASKS):
+        for asked_count in range(MAX_OWNER_ASKS):
             owner = self._owner(service)
             self._update_owner(service, owner)
-            if owner is None:
+            is_late = self._clock.now_s() > ticket.slot_deadline_s
+            if owner is None or (asked_count and is_late):
                 break
             lease = await self._acquire_from(owner, service, ticket)
             if lease is not None:
@@ -520,9 +521,11 @@
             self.tables.expire_silent_peers()
 
     def _report_unknown(self) -> None:
-        """Report the slots that their owner does not know, since the connection over
-        which it learned of them has closed.
+        """Report the slots that their owner does not know, since it was silent or the
+        connection over which it learned of them has closed.
         """
+        for service in {lease.service for lease in self._leases.values()}:
+            self._update_owner(service, self._owner(service))
         unknown: dict[str, list[SlotLease]] = {}
         for lease in self._leases.values():
             owner = self._last_owners.get(lease.service)
--- a/tests/test_serving_slotleases.py
+++ b/tests/test_serving_slotleases.py
@@ -159,6 +159,22 @@
 
         self.run_daemons(scenario, SlotDaemon, SlotDaemon)
 
+    def test_slots_held_while_an_owner_was_silent_are_counted_again(self):
+        """Nothing else is requested that would tell this daemon of the owner."""
+
+        async def scenario(owner, holder):
+            leases = await self.take_all(holder, Work.BATCH)
+            holder.slots._retry_owner_at_s[owner.shards.address] = (
+                SystemClock().now_s() + 4 * LIST_INTERVAL_S
+            )
+            holder.slots.refresh()
+            while self.taken(owner):
+                await asyncio.sleep(0.01)
+            while self.taken(owner) < len(leases):
+                await asyncio.sleep(0.01)
+
+        self.run_daemons(scenario, SlotDaemon, SlotDaemon)
+
     def test_item_that_waits_on_a_silent_connection_is_granted_a_slot_over_another(
         self,
     ):
