Give the reservation of an answer to a test that reads one

read_body takes what holds an answer in memory since; three cases of test_serving_partcrashes called it without and failed. They check what they did.

--- a/tests/test_serving_partcrashes.py
+++ b/tests/test_serving_partcrashes.py
@@ -12,6 +12,7 @@
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving import crashlog as crashlog_module
 from apricotquay.serving.attempts import AttemptRunner, read_body
+from apricotquay.serving.bodybudget import BodyBudget
 from apricotquay.serving.crashlog import (
     ALL_RECORDS,
     CrashReport,
@@ -68,6 +69,11 @@
     return [record for record in decoded if isinstance(record, kind)]
 
 
+async def read_whole(response) -> bytes:
+    """Read a response that is not a stream."""
+    return await read_body(response, BodyBudget().reserve())
+
+
 class ScriptedEngines:
     """Endpoints that raise an error; they have crashed if it is a failure."""
 
@@ -387,7 +393,7 @@
                 call = EngineCall(
                     "a1", "POST", f"/{number}", [], b"", None, 9, prompt_parts=[BAD]
                 )
-                await attempts.run(call, started(f"e{number}"), 1.0, read_body)
+                await attempts.run(call, started(f"e{number}"), 1.0, read_whole)
             if is_crash:
                 await self.wait_until(lambda: refuses(daemons[1]))
             else:
