--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -14,11 +14,16 @@
 from ..ids import JobId, TeamId
 from ..serving import jobs as job_outcomes
 from ..serving.catalog import RouteKind
-from ..serving.http1 import HeaderList, HttpRequest, HttpResponse, end_to_end_headers
-from ..serving.httpserver import CallerDisconnectedError, Exchange
+from ..serving.http.http1 import (
+    HeaderList,
+    HttpRequest,
+    HttpResponse,
+    end_to_end_headers,
+)
+from ..serving.http.httpserver import CallerDisconnectedError, Exchange
+from ..serving.http.keysearch import contains_key, holds_key
 from ..serving.jobrecords import JobItem, Submission
 from ..serving.jobs import Jobs, JobsUnavailableError
-from ..serving.keysearch import contains_key, holds_key
 from ..serving.messages import JobPage
 from ..serving.metrics import ServingMetrics
 from ..serving.online import OnlineRequestHandler
--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -14,7 +14,7 @@
     Reachability,
     RequestNotRunError,
 )
-from ..serving.http1 import (
+from ..serving.http.http1 import (
     HeaderList,
     HttpError,
     HttpRequest,
@@ -22,7 +22,7 @@
     find_header,
     is_success,
 )
-from ..serving.httpclient import ClientConnection, open_client
+from ..serving.http.httpclient import ClientConnection, open_client
 from ..serving.promptparts import PartKey
 from . import wire
 
--- a/apricotquay/platform/store.py
+++ b/apricotquay/platform/store.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from ..serving.backoff import Backoff
-from ..serving.http1 import HttpError, HttpRequest, HttpResponse
-from ..serving.httpclient import ClientConnection, open_client
+from ..serving.http.http1 import HttpError, HttpRequest, HttpResponse
+from ..serving.http.httpclient import ClientConnection, open_client
 from ..serving.keyedlog import (
     KeyedRecord,
     LogConflictError,
--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -24,7 +24,7 @@
 )
 from ..serving.endpoints import Endpoint
 from ..serving.engine import NO_LIMIT, EndpointLimit
-from ..serving.http1 import HeaderList, find_header
+from ..serving.http.http1 import HeaderList, find_header
 from ..serving.keyedlog import KeyedRecord, Topic
 from ..serving.promptparts import (
     MAX_PART_ID_LENGTH,
--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -13,7 +13,6 @@
 from ..clocks import Clock
 from ..events import Event
 from ..ids import EndpointId, TeamId
-from .bodybudget import MAX_BODY_BYTES, BodyBudget, BodyReservation
 from .crashes import CrashDetector
 from .endpoints import Endpoint, LeavingNotice
 from .engine import (
@@ -27,11 +26,12 @@
     found_path_failure,
 )
 from .handover import Handover
-from .http1 import HeaderList, is_success
+from .http.bodybudget import MAX_BODY_BYTES, BodyBudget, BodyReservation
+from .http.http1 import HeaderList, is_success
+from .http.sse import EventSplitter, StreamEvent
 from .metrics import ServingMetrics
 from .promptparts import PartKey
 from .reporting import Reporter
-from .sse import EventSplitter, StreamEvent
 from .view import View
 
 T = TypeVar("T")
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -18,8 +18,8 @@
 from .crashes import CrashDetector
 from .crashlog import CrashLog
 from .engine import DirectEngineClient
-from .http1 import HttpResponse
-from .httpserver import Exchange, HttpServer, ServerLimits
+from .http.http1 import HttpResponse
+from .http.httpserver import Exchange, HttpServer, ServerLimits
 from .jobs import Jobs
 from .keyedlog import KeyedLog
 from .messages import (
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -10,7 +10,7 @@
 from ..errors import ApricotquayError
 from ..ids import TeamId
 from .endpoints import Endpoint
-from .http1 import HeaderList
+from .http.http1 import HeaderList
 from .promptparts import PartKey
 
 
--- a/apricotquay/serving/bodybudget.py
+++ b/apricotquay/serving/http/bodybudget.py
@@ -1,6 +1,6 @@
 """Bounds the memory that all answers of a daemon take while they are read whole."""
 
-from .engine import AttemptFailedError
+from ..engine import AttemptFailedError
 
 # A single answer is cut off beyond this.
 MAX_BODY_BYTES = 8 * 1024 * 1024
--- a/apricotquay/serving/itemprogress.py
+++ b/apricotquay/serving/itemprogress.py
@@ -5,9 +5,9 @@
 import msgspec
 
 from .engine import AttemptFailedError
+from .http.sse import StreamEvent
 from .jobrecords import ProgressRecord
 from .outliers import SlotOutcome
-from .sse import StreamEvent
 
 # Without an event. Doubled after each further attempt that timed out without output.
 EVENT_TIMEOUT_S = 3.0
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -22,8 +22,8 @@
     RequestNotRunError,
 )
 from .handover import Handover
-from .http1 import HeaderList
-from .httpserver import CallerDisconnectedError
+from .http.http1 import HeaderList
+from .http.httpserver import CallerDisconnectedError
 from .metrics import ServingMetrics
 from .outliers import SlotOutcome
 from .ratelimiter import RateLimiter
--- a/apricotquay/serving/relayclient.py
+++ b/apricotquay/serving/relayclient.py
@@ -18,7 +18,7 @@
     EngineCall,
     RequestNotRunError,
 )
-from .http1 import HeaderList
+from .http.http1 import HeaderList
 from .messages import (
     CancelRelay,
     Message,
--- a/apricotquay/serving/requests.py
+++ b/apricotquay/serving/requests.py
@@ -8,12 +8,12 @@
 
 from ..errors import ErrorKind, Ran, RequestError
 from ..ids import EndpointId
-from .bodybudget import BodyReservation
 from .catalog import Route, Team
 from .engine import AttemptFailedError
-from .http1 import HeaderList
+from .http.bodybudget import BodyReservation
+from .http.http1 import HeaderList
+from .http.sse import StreamEvent
 from .promptparts import PartKey
-from .sse import StreamEvent
 
 INTERRUPTION_RETRY_AFTER_MS = 300
 
--- a/apricotquay/serving/routedclient.py
+++ b/apricotquay/serving/routedclient.py
@@ -19,7 +19,7 @@
     Reachability,
     RequestNotRunError,
 )
-from .http1 import HeaderList
+from .http.http1 import HeaderList
 from .metrics import ServingMetrics
 from .paths import PathTable
 from .peerchecks import PeerChecks, PeerFindings
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from apricotquay.serving.http1 import HttpError, HttpRequest, HttpResponse
-from apricotquay.serving.httpclient import open_client
+from apricotquay.serving.http.http1 import HttpError, HttpRequest, HttpResponse
+from apricotquay.serving.http.httpclient import open_client
 from standins.addresses import Address
 from standins.platform import make_configuration, write_configuration
 from standins.processes import PlatformProcesses
--- a/standins/links.py
+++ b/standins/links.py
@@ -8,8 +8,8 @@
 import enum
 
 from apricotquay.platform.store import CALL_TIMEOUT_S, StoreClient
-from apricotquay.serving.http1 import HttpError, HttpResponse
-from apricotquay.serving.httpclient import ClientConnection
+from apricotquay.serving.http.http1 import HttpError, HttpResponse
+from apricotquay.serving.http.httpclient import ClientConnection
 from apricotquay.serving.keyedlog import LogOutcomeUnknownError
 
 POLL_INTERVAL_S = 0.01
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,8 +23,8 @@
 import fire
 
 from apricotquay.platform.store import StoreClient, encode_record
-from apricotquay.serving.http1 import HttpError, HttpRequest, HttpResponse
-from apricotquay.serving.httpserver import Exchange, HttpServer, ServerLimits
+from apricotquay.serving.http.http1 import HttpError, HttpRequest, HttpResponse
+from apricotquay.serving.http.httpserver import Exchange, HttpServer, ServerLimits
 from apricotquay.serving.keyedlog import (
     KeyedRecord,
     LogConflictError,
--- a/standins/platformdemo.py
+++ b/standins/platformdemo.py
@@ -8,8 +8,8 @@
 import base64
 import json
 
-from apricotquay.serving.http1 import HttpError, HttpRequest, HttpResponse
-from apricotquay.serving.httpclient import open_client
+from apricotquay.serving.http.http1 import HttpError, HttpRequest, HttpResponse
+from apricotquay.serving.http.httpclient import open_client
 
 from .platform import make_configuration, write_configuration
 from .processes import PlatformProcesses
--- a/standins/rolling.py
+++ b/standins/rolling.py
@@ -19,8 +19,8 @@
 
 import fire
 
-from apricotquay.serving.http1 import HttpError, HttpRequest, HttpResponse
-from apricotquay.serving.httpclient import ClientConnection, open_client
+from apricotquay.serving.http.http1 import HttpError, HttpRequest, HttpResponse
+from apricotquay.serving.http.httpclient import ClientConnection, open_client
 
 from .platform import make_configuration, write_configuration
 from .processes import SHUTDOWN_GRACE_S, PlatformProcesses
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -25,8 +25,13 @@
 import fire
 import msgspec
 
-from apricotquay.serving.http1 import HttpError, HttpRequest, HttpResponse, find_header
-from apricotquay.serving.httpclient import open_client
+from apricotquay.serving.http.http1 import (
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    find_header,
+)
+from apricotquay.serving.http.httpclient import open_client
 
 from .platform import make_configuration, write_configuration
 from .processes import SHUTDOWN_GRACE_S, PlatformProcesses
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -11,11 +11,11 @@
 from apricotquay.platform.store import decode_newest_items
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving.crashlog import CompletionReport, CrashLog
+from apricotquay.serving.http.sse import parse_event
 from apricotquay.serving.jobtable import JobTable
 from apricotquay.serving.keyedlog import KeyedRecord, Topic
 from apricotquay.serving.reporting import Reporter
 from apricotquay.serving.shards import Shards
-from apricotquay.serving.sse import parse_event
 from apricotquay.serving.streamlog import PARTITION, STREAMS, StreamLog
 from apricotquay.serving.view import View
 from standins.keyedlog import MemoryLog
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -19,9 +19,9 @@
 from apricotquay.serving.crashes import CrashDetector
 from apricotquay.serving.crashlog import CrashLog
 from apricotquay.serving.engine import Reachability
-from apricotquay.serving.http1 import HttpError, HttpRequest, HttpResponse
-from apricotquay.serving.httpclient import open_client
-from apricotquay.serving.httpserver import HttpServer, ServerLimits
+from apricotquay.serving.http.http1 import HttpError, HttpRequest, HttpResponse
+from apricotquay.serving.http.httpclient import open_client
+from apricotquay.serving.http.httpserver import HttpServer, ServerLimits
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
 from apricotquay.serving.partquarantine import PartQuarantine
--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -6,8 +6,8 @@
 
 from apricotquay.serving import daemon as daemon_module
 from apricotquay.serving.batch import BatchRunner
-from apricotquay.serving.http1 import HttpError, HttpRequest
-from apricotquay.serving.httpclient import open_client
+from apricotquay.serving.http.http1 import HttpError, HttpRequest
+from apricotquay.serving.http.httpclient import open_client
 from apricotquay.serving.shards import Shards
 from standins.platform import SLOTS_PER_SERVER
 
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -14,7 +14,6 @@
 from apricotquay.platform.engines import ServerClient
 from apricotquay.serving import attempts as attempts_module
 from apricotquay.serving.batch import _read_output
-from apricotquay.serving.bodybudget import BodyBudget
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.engine import (
@@ -23,6 +22,7 @@
     Reachability,
     RequestNotRunError,
 )
+from apricotquay.serving.http.bodybudget import BodyBudget
 from apricotquay.serving.itemprogress import ItemProgress
 
 from .base import ApricotTest
--- a/tests/test_platform_faultyanswers.py
+++ b/tests/test_platform_faultyanswers.py
@@ -8,15 +8,15 @@
 
 from parameterized import parameterized
 
-from apricotquay.serving import bodybudget
-from apricotquay.serving.bodybudget import (
+from apricotquay.serving.engine import AttemptFailedError
+from apricotquay.serving.http import bodybudget
+from apricotquay.serving.http.bodybudget import (
     MAX_LARGE_BYTES,
     SMALL_BODY_BYTES,
     BodyBudget,
 )
-from apricotquay.serving.engine import AttemptFailedError
-from apricotquay.serving.http1 import HttpError, HttpRequest
-from apricotquay.serving.httpclient import open_client
+from apricotquay.serving.http.http1 import HttpError, HttpRequest
+from apricotquay.serving.http.httpclient import open_client
 from apricotquay.serving.keyedlog import KeyedRecord, Topic
 
 from .base import ApricotTest
--- a/tests/test_platform_fields.py
+++ b/tests/test_platform_fields.py
@@ -6,8 +6,8 @@
 from parameterized import parameterized
 
 from apricotquay.platform import engines, wire
-from apricotquay.serving import http1
 from apricotquay.serving.catalog import Limits, RouteKind
+from apricotquay.serving.http import http1
 
 from .base import ApricotTest
 
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -15,8 +15,8 @@
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving import shards as shards_module
 from apricotquay.serving.daemon import Address, Daemon, ServingSettings
-from apricotquay.serving.http1 import HttpError, HttpRequest, HttpResponse
-from apricotquay.serving.httpclient import open_client
+from apricotquay.serving.http.http1 import HttpError, HttpRequest, HttpResponse
+from apricotquay.serving.http.httpclient import open_client
 from apricotquay.serving.keyedlog import KeyedRecord, Topic
 from standins.addresses import ADMIN_PORT, PEER_PORT, SERVER_PORT, AddressAllocator
 from standins.links import CuttableStore, Link
--- a/tests/test_platform_frozen.py
+++ b/tests/test_platform_frozen.py
@@ -5,8 +5,8 @@
 import signal
 import time
 
-from apricotquay.serving.http1 import HttpError, HttpRequest
-from apricotquay.serving.httpclient import open_client
+from apricotquay.serving.http.http1 import HttpError, HttpRequest
+from apricotquay.serving.http.httpclient import open_client
 from apricotquay.serving.streamversions import MIN_LIFETIME_S
 from standins.platform import make_configuration, write_configuration
 from standins.processes import PlatformProcesses
--- a/tests/test_platform_keys.py
+++ b/tests/test_platform_keys.py
@@ -6,8 +6,8 @@
 from parameterized import parameterized
 
 from apricotquay.platform import store as store_module
-from apricotquay.serving.http1 import HttpRequest
-from apricotquay.serving.httpclient import open_client
+from apricotquay.serving.http.http1 import HttpRequest
+from apricotquay.serving.http.httpclient import open_client
 from apricotquay.serving.reporting import Reporter
 from standins.platform import make_configuration, write_configuration
 
--- a/tests/test_platform_oddresults.py
+++ b/tests/test_platform_oddresults.py
@@ -13,6 +13,7 @@
 from apricotquay.ids import JobId
 from apricotquay.platform.callers import _encode_page
 from apricotquay.serving.engine import AttemptFailedError
+from apricotquay.serving.http.sse import StreamEvent, parse_event
 from apricotquay.serving.itemprogress import ItemProgress
 from apricotquay.serving.jobrecords import (
     ProgressRecord,
@@ -30,7 +31,6 @@
 from apricotquay.serving.jobtable import Job, JobTable
 from apricotquay.serving.messages import JobPage, ReadJob, ResultItem, encode_frame
 from apricotquay.serving.peers import Peers
-from apricotquay.serving.sse import StreamEvent, parse_event
 
 from .base import ApricotTest
 from .test_platform_fleet import PlatformTest
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -9,8 +9,8 @@
 from apricotquay.errors import PeerUnavailableError
 from apricotquay.serving import streamkeeper, streamversions
 from apricotquay.serving.daemon import Daemon
-from apricotquay.serving.http1 import HttpError, HttpRequest
-from apricotquay.serving.httpclient import open_client
+from apricotquay.serving.http.http1 import HttpError, HttpRequest
+from apricotquay.serving.http.httpclient import open_client
 from apricotquay.serving.keyedlog import KeyedRecord, Topic
 from apricotquay.serving.shards import shard_number
 from apricotquay.serving.streamlog import StreamLog
--- a/tests/test_serving_connections.py
+++ b/tests/test_serving_connections.py
@@ -5,9 +5,9 @@
 
 from parameterized import parameterized
 
-from apricotquay.serving import httpserver as httpserver_module
-from apricotquay.serving.http1 import HttpResponse
-from apricotquay.serving.httpserver import (
+from apricotquay.serving.http import httpserver as httpserver_module
+from apricotquay.serving.http.http1 import HttpResponse
+from apricotquay.serving.http.httpserver import (
     CallerDisconnectedError,
     Exchange,
     HttpServer,
--- a/tests/test_serving_http.py
+++ b/tests/test_serving_http.py
@@ -4,10 +4,10 @@
 
 from parameterized import parameterized
 
-from apricotquay.serving import httpserver as httpserver_module
-from apricotquay.serving.http1 import HttpRequest, HttpResponse
-from apricotquay.serving.httpclient import open_client
-from apricotquay.serving.httpserver import Exchange, HttpServer, ServerLimits
+from apricotquay.serving.http import httpserver as httpserver_module
+from apricotquay.serving.http.http1 import HttpRequest, HttpResponse
+from apricotquay.serving.http.httpclient import open_client
+from apricotquay.serving.http.httpserver import Exchange, HttpServer, ServerLimits
 
 from .base import ApricotTest
 
--- a/tests/test_serving_partcrashes.py
+++ b/tests/test_serving_partcrashes.py
@@ -12,7 +12,6 @@
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving import crashlog as crashlog_module
 from apricotquay.serving.attempts import AttemptRunner, read_body
-from apricotquay.serving.bodybudget import BodyBudget
 from apricotquay.serving.crashlog import (
     ALL_RECORDS,
     CrashReport,
@@ -27,6 +26,7 @@
     EngineCall,
     RequestNotRunError,
 )
+from apricotquay.serving.http.bodybudget import BodyBudget
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.partjudgement import FIRST_QUARANTINE_S
 from apricotquay.serving.partquarantine import (
