--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from ..serving.crashes.promptparts import PartKey
 from ..serving.endpoints import Endpoint
 from ..serving.engine import (
     AttemptFailedError,
@@ -23,7 +24,6 @@
     is_success,
 )
 from ..serving.http.httpclient import ClientConnection, open_client
-from ..serving.promptparts import PartKey
 from . import wire
 
 # Connecting takes one round trip of a few milliseconds. After a timeout the request
--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -22,16 +22,16 @@
     Team,
     WeightedService,
 )
-from ..serving.endpoints import Endpoint
-from ..serving.engine import NO_LIMIT, EndpointLimit
-from ..serving.http.http1 import HeaderList, find_header
-from ..serving.keyedlog import KeyedRecord, Topic
-from ..serving.promptparts import (
+from ..serving.crashes.promptparts import (
     MAX_PART_ID_LENGTH,
     MAX_PARTS_PER_REQUEST,
     PartKey,
     part_key,
 )
+from ..serving.endpoints import Endpoint
+from ..serving.engine import NO_LIMIT, EndpointLimit
+from ..serving.http.http1 import HeaderList, find_header
+from ..serving.keyedlog import KeyedRecord, Topic
 from ..serving.view import RecordUnreadableError
 
 # Headers that a daemon reads or sets, in lower case as h11 returns them.
--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -13,7 +13,8 @@
 from ..clocks import Clock
 from ..events import Event
 from ..ids import EndpointId, TeamId
-from .crashes import CrashDetector
+from .crashes.detector import CrashDetector
+from .crashes.promptparts import PartKey
 from .endpoints import Endpoint, LeavingNotice
 from .engine import (
     NO_LIMIT,
@@ -30,7 +31,6 @@
 from .http.http1 import HeaderList, is_success
 from .http.sse import EventSplitter, StreamEvent
 from .metrics import ServingMetrics
-from .promptparts import PartKey
 from .reporting import Reporter
 from .view import View
 
--- /dev/null
+++ b/apricotquay/serving/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests and parts of prompts that crash endpoints: detection and quarantine."""
--- a/apricotquay/serving/crashlog.py
+++ b/apricotquay/serving/crashes/crashlog.py
@@ -16,17 +16,17 @@
 import cbor2
 import msgspec
 
-from ..clocks import Clock
-from ..events import Event
-from ..ids import EndpointId
-from ..quarantine import SUSPECT_RETENTION_S
-from .backoff import Backoff
-from .keyedlog import KeyedLog, KeyedRecord, LogError, Page, Topic
+from ...clocks import Clock
+from ...events import Event
+from ...ids import EndpointId
+from ...quarantine import SUSPECT_RETENTION_S
+from ..backoff import Backoff
+from ..keyedlog import KeyedLog, KeyedRecord, LogError, Page, Topic
+from ..reporting import Reporter
+from ..tasks import start_task
+from ..topicfollower import RETRY_DELAY_S, TopicFollower
 from .partquarantine import PROBATION_S
 from .promptparts import PartKey, PartsAtCrash
-from .reporting import Reporter
-from .tasks import start_task
-from .topicfollower import RETRY_DELAY_S, TopicFollower
 
 CRASHES = Topic("keyed.crashes")
 MAX_APPEND_RETRY_DELAY_S = 0.8
--- a/apricotquay/serving/crashes.py
+++ b/apricotquay/serving/crashes/detector.py
@@ -5,16 +5,24 @@
 from collections import Counter
 from collections.abc import Coroutine, Iterable, Sequence
 
-from ..clocks import Clock
-from ..errors import PeerUnavailableError
-from ..events import Event
-from ..ids import EndpointId
-from ..quarantine import (
+from ...clocks import Clock
+from ...errors import PeerUnavailableError
+from ...events import Event
+from ...ids import EndpointId
+from ...quarantine import (
     COMPLETION_VALID_S,
     QUARANTINE_S,
     Quarantine,
     QuarantineStatus,
 )
+from ..endpoints import Endpoint
+from ..engine import EngineClient
+from ..keyedlog import KeyedRecord
+from ..messages import CrashSeen
+from ..peers import Peers
+from ..reporting import Reporter
+from ..shards import Shards, shard_number
+from ..tasks import start_task
 from .crashlog import (
     CRASHES,
     CompletionReport,
@@ -25,17 +33,9 @@
     PartsMark,
     QuarantineMark,
 )
-from .endpoints import Endpoint
-from .engine import EngineClient
-from .keyedlog import KeyedRecord
-from .messages import CrashSeen
 from .partcrashes import PartCrashes
 from .partquarantine import PartQuarantine
-from .peers import Peers
 from .promptparts import PartKey
-from .reporting import Reporter
-from .shards import Shards, shard_number
-from .tasks import start_task
 
 RECHECK_DELAY_S = 0.1
 UPKEEP_INTERVAL_S = 10.0
--- a/apricotquay/serving/partcrashes.py
+++ b/apricotquay/serving/crashes/partcrashes.py
@@ -8,12 +8,12 @@
 import random
 from collections.abc import Iterable, Mapping, Sequence
 
-from ..clocks import Clock
-from ..events import Event
+from ...clocks import Clock
+from ...events import Event
+from ..reporting import Reporter
 from .crashlog import CrashLog, CrashRecord, CrashReport, PartsCompletion, PartsMark
 from .partquarantine import COMPLETION_VALID_S, CRASHES_TO_STOP_RETRIES, PartQuarantine
 from .promptparts import PartKey, PartsAtCrash
-from .reporting import Reporter
 
 # Bounds the size of a report; requests with the most parts are left out first.
 MAX_PARTS_PER_REPORT = 400
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -15,8 +15,9 @@
 from .attempts import AttemptRunner
 from .batch import BatchRunner
 from .catalog import Limits
-from .crashes import CrashDetector
-from .crashlog import CrashLog
+from .crashes.crashlog import CrashLog
+from .crashes.detector import CrashDetector
+from .crashes.partquarantine import PartQuarantine
 from .engine import DirectEngineClient
 from .http.http1 import HttpResponse
 from .http.httpserver import Exchange, HttpServer, ServerLimits
@@ -56,7 +57,6 @@
 )
 from .metrics import ServingMetrics
 from .online import OnlineRequestHandler
-from .partquarantine import PartQuarantine
 from .peerchecks import PeerChecks
 from .peers import PeerConnection, Peers
 from .ratelimiter import RateLimiter
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -9,9 +9,9 @@
 
 from ..errors import ApricotquayError
 from ..ids import TeamId
+from .crashes.promptparts import PartKey
 from .endpoints import Endpoint
 from .http.http1 import HeaderList
-from .promptparts import PartKey
 
 
 class EngineCall(msgspec.Struct, frozen=True):
--- a/apricotquay/serving/requests.py
+++ b/apricotquay/serving/requests.py
@@ -9,11 +9,11 @@
 from ..errors import ErrorKind, Ran, RequestError
 from ..ids import EndpointId
 from .catalog import Route, Team
+from .crashes.promptparts import PartKey
 from .engine import AttemptFailedError
 from .http.bodybudget import BodyReservation
 from .http.http1 import HeaderList
 from .http.sse import StreamEvent
-from .promptparts import PartKey
 
 INTERRUPTION_RETRY_AFTER_MS = 300
 
--- a/apricotquay/serving/routedclient.py
+++ b/apricotquay/serving/routedclient.py
@@ -10,6 +10,7 @@
 from ..clocks import Clock
 from ..events import Event
 from ..ids import EndpointId
+from .crashes.promptparts import PartKey
 from .endpoints import Endpoint
 from .engine import (
     DirectEngineClient,
@@ -23,7 +24,6 @@
 from .metrics import ServingMetrics
 from .paths import PathTable
 from .peerchecks import PeerChecks, PeerFindings
-from .promptparts import PartKey
 from .relayclient import RelayClient, RelayedResponse
 from .relaypool import RelayPool
 from .reporting import Reporter
--- a/apricotquay/serving/viewexchange.py
+++ b/apricotquay/serving/viewexchange.py
@@ -6,7 +6,7 @@
 import random
 
 from ..errors import PeerUnavailableError
-from .crashlog import CrashLog
+from .crashes.crashlog import CrashLog
 from .messages import Message, PullView, ViewRecords
 from .peers import Peers
 from .reporting import Reporter
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -16,15 +16,15 @@
 from apricotquay.quarantine import Quarantine
 from apricotquay.serving.attempts import AttemptRunner
 from apricotquay.serving.catalog import Configuration, Limits, Route, RouteKind, Team
-from apricotquay.serving.crashes import CrashDetector
-from apricotquay.serving.crashlog import CrashLog
+from apricotquay.serving.crashes.crashlog import CrashLog
+from apricotquay.serving.crashes.detector import CrashDetector
+from apricotquay.serving.crashes.partquarantine import PartQuarantine
 from apricotquay.serving.engine import Reachability
 from apricotquay.serving.http.http1 import HttpError, HttpRequest, HttpResponse
 from apricotquay.serving.http.httpclient import open_client
 from apricotquay.serving.http.httpserver import HttpServer, ServerLimits
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
-from apricotquay.serving.partquarantine import PartQuarantine
 from apricotquay.serving.peerchecks import PeerFindings
 from apricotquay.serving.reporting import Reporter
 from apricotquay.serving.routedclient import RoutedEngineClient
--- a/tests/test_platform_crashing_parts.py
+++ b/tests/test_platform_crashing_parts.py
@@ -7,7 +7,7 @@
 
 from parameterized import parameterized
 
-from apricotquay.serving.crashlog import CRASHES
+from apricotquay.serving.crashes.crashlog import CRASHES
 from apricotquay.serving.keyedlog import Shard
 
 from .test_platform_crashes import CrashingFleet
--- a/tests/test_platform_relays.py
+++ b/tests/test_platform_relays.py
@@ -5,7 +5,7 @@
 from parameterized import parameterized
 
 from apricotquay.serving import endpoints as endpoints_module, peers as peers_module
-from apricotquay.serving.crashlog import CRASHES
+from apricotquay.serving.crashes.crashlog import CRASHES
 from apricotquay.serving.daemon import Daemon
 from apricotquay.serving.messages import RelayCall
 from standins.links import Cut
--- a/tests/test_platform_stranded.py
+++ b/tests/test_platform_stranded.py
@@ -8,7 +8,11 @@
 
 from apricotquay.ids import EndpointId
 from apricotquay.serving.catalog import ServiceName
-from apricotquay.serving.crashlog import CRASHES, CrashReport, decode_crash_record
+from apricotquay.serving.crashes.crashlog import (
+    CRASHES,
+    CrashReport,
+    decode_crash_record,
+)
 from apricotquay.serving.daemon import Daemon
 from standins.links import Cut
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -11,9 +11,9 @@
     decode_prompt_parts,
 )
 from apricotquay.serving.catalog import RouteKind
+from apricotquay.serving.crashes.promptparts import MAX_PARTS_PER_REQUEST
 from apricotquay.serving.engine import NO_LIMIT, EndpointLimit
 from apricotquay.serving.keyedlog import KeyedRecord
-from apricotquay.serving.promptparts import MAX_PARTS_PER_REQUEST
 from apricotquay.serving.view import RecordUnreadableError
 
 from .base import ApricotTest
--- a/tests/test_promptparts.py
+++ b/tests/test_promptparts.py
@@ -7,13 +7,13 @@
 
 from parameterized import parameterized
 
-from apricotquay.serving.partjudgement import (
+from apricotquay.serving.crashes.partjudgement import (
     CRASHES_DESPITE_TIE,
     FIRST_QUARANTINE_S,
     MAX_QUARANTINE_S,
     MAX_REQUESTS_PER_CRASH,
 )
-from apricotquay.serving.partquarantine import (
+from apricotquay.serving.crashes.partquarantine import (
     COMPLETION_VALID_S,
     CRASH_RETENTION_S,
     CRASHES_TO_STOP_RETRIES,
@@ -24,7 +24,7 @@
     PROBATION_S,
     PartQuarantine,
 )
-from apricotquay.serving.promptparts import (
+from apricotquay.serving.crashes.promptparts import (
     MAX_PARTS_PER_REQUEST,
     PartKey,
     PartsAtCrash,
--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -13,11 +13,10 @@
     SUSPECT_RETENTION_S,
     Quarantine,
 )
-from apricotquay.serving import crashes as crashes_module
 from apricotquay.serving.attempts import AttemptRunner, fingerprint_of
 from apricotquay.serving.catalog import ServiceName
-from apricotquay.serving.crashes import CrashDetector
-from apricotquay.serving.crashlog import (
+from apricotquay.serving.crashes import detector as crashes_module
+from apricotquay.serving.crashes.crashlog import (
     ALL_RECORDS,
     CRASHES,
     CompletionReport,
@@ -25,11 +24,12 @@
     CrashReport,
     decode_crash_record,
 )
+from apricotquay.serving.crashes.detector import CrashDetector
+from apricotquay.serving.crashes.partquarantine import PartQuarantine
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.engine import AttemptFailedError, EngineCall
 from apricotquay.serving.keyedlog import KeyedRecord, LogRefusedError, Shard
 from apricotquay.serving.metrics import ServingMetrics
-from apricotquay.serving.partquarantine import PartQuarantine
 from apricotquay.serving.view import View
 from standins.keyedlog import MemoryLog
 
--- a/tests/test_serving_handover.py
+++ b/tests/test_serving_handover.py
@@ -12,8 +12,9 @@
 from apricotquay.serving import timeouts
 from apricotquay.serving.attempts import AttemptRunner
 from apricotquay.serving.catalog import ServiceName
-from apricotquay.serving.crashes import CrashDetector
-from apricotquay.serving.crashlog import CrashLog
+from apricotquay.serving.crashes.crashlog import CrashLog
+from apricotquay.serving.crashes.detector import CrashDetector
+from apricotquay.serving.crashes.partquarantine import PartQuarantine
 from apricotquay.serving.dispatch import Ticket, TicketId, Work
 from apricotquay.serving.engine import (
     NO_LIMIT,
@@ -23,7 +24,6 @@
 from apricotquay.serving.handover import Handover
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
-from apricotquay.serving.partquarantine import PartQuarantine
 from apricotquay.serving.requests import OnlineRequest
 from apricotquay.serving.slots import SlotLease
 from standins.keyedlog import MemoryLog
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -20,8 +20,10 @@
     Team,
     WeightedService,
 )
-from apricotquay.serving.crashes import CrashDetector
-from apricotquay.serving.crashlog import CrashLog
+from apricotquay.serving.crashes.crashlog import CrashLog
+from apricotquay.serving.crashes.detector import CrashDetector
+from apricotquay.serving.crashes.partcrashes import PartCrashes
+from apricotquay.serving.crashes.partquarantine import PartQuarantine
 from apricotquay.serving.dispatch import Ticket, TicketId, Work
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
 from apricotquay.serving.engine import (
@@ -33,8 +35,6 @@
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
 from apricotquay.serving.outliers import SlotOutcome
-from apricotquay.serving.partcrashes import PartCrashes
-from apricotquay.serving.partquarantine import PartQuarantine
 from apricotquay.serving.ratelimiter import RateDecision
 from apricotquay.serving.requests import OnlineRequest
 from apricotquay.serving.slots import SlotLease, SlotUnavailableError
--- a/tests/test_serving_partcrashes.py
+++ b/tests/test_serving_partcrashes.py
@@ -10,9 +10,9 @@
 from apricotquay.clocks import SystemClock
 from apricotquay.ids import EndpointId
 from apricotquay.platform.wire import PlatformDirectory
-from apricotquay.serving import crashlog as crashlog_module
 from apricotquay.serving.attempts import AttemptRunner, read_body
-from apricotquay.serving.crashlog import (
+from apricotquay.serving.crashes import crashlog as crashlog_module
+from apricotquay.serving.crashes.crashlog import (
     ALL_RECORDS,
     CrashReport,
     PartsCompletion,
@@ -20,6 +20,13 @@
     decode_crash_record,
     encode_crash_record,
 )
+from apricotquay.serving.crashes.partjudgement import FIRST_QUARANTINE_S
+from apricotquay.serving.crashes.partquarantine import (
+    CRASH_RETENTION_S,
+    PROBATION_S,
+    PartQuarantine,
+)
+from apricotquay.serving.crashes.promptparts import PartsAtCrash, part_key
 from apricotquay.serving.engine import (
     NO_LIMIT,
     AttemptFailedError,
@@ -28,13 +35,6 @@
 )
 from apricotquay.serving.http.bodybudget import BodyBudget
 from apricotquay.serving.metrics import ServingMetrics
-from apricotquay.serving.partjudgement import FIRST_QUARANTINE_S
-from apricotquay.serving.partquarantine import (
-    CRASH_RETENTION_S,
-    PROBATION_S,
-    PartQuarantine,
-)
-from apricotquay.serving.promptparts import PartsAtCrash, part_key
 from apricotquay.serving.view import View
 from standins.keyedlog import MemoryLog
 
--- a/tests/test_serving_viewexchange.py
+++ b/tests/test_serving_viewexchange.py
@@ -6,7 +6,7 @@
 from apricotquay.ids import EndpointId
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving import viewexchange
-from apricotquay.serving.crashlog import ALL_RECORDS, CrashLog, CrashReport
+from apricotquay.serving.crashes.crashlog import ALL_RECORDS, CrashLog, CrashReport
 from apricotquay.serving.keyedlog import KeyedRecord, Shard
 from apricotquay.serving.messages import PullView
 from apricotquay.serving.partition import JOBS
