--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch.py
@@ -14,7 +14,6 @@
 from ..events import Event
 from .attempts import AttemptRunner, read_events
 from .catalog import Configuration, Route, ServiceName
-from .dispatch import Work
 from .engine import (
     AttemptFailedError,
     EngineCall,
@@ -39,10 +38,11 @@
 from .jobs import Jobs
 from .jobtable import Job
 from .metrics import ServingMetrics
-from .outliers import SlotOutcome
 from .partition import Partition, PendingResult
 from .reporting import Reporter
-from .slots import SlotAllocator, SlotLease, SlotRequest, SlotUnavailableError
+from .slots.allocator import SlotAllocator, SlotLease, SlotRequest, SlotUnavailableError
+from .slots.dispatch import Work
+from .slots.outliers import SlotOutcome
 from .tasks import start_task
 from .view import View
 
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -65,7 +65,7 @@
 from .reporting import Reporter
 from .routedclient import RoutedEngineClient
 from .shards import Shards
-from .slots import SlotAllocator
+from .slots.allocator import SlotAllocator
 from .streamkeeper import StreamKeeper
 from .streamlog import StreamLog
 from .tasks import start_task
--- a/apricotquay/serving/itemprogress.py
+++ b/apricotquay/serving/itemprogress.py
@@ -7,7 +7,7 @@
 from .engine import AttemptFailedError
 from .http.sse import StreamEvent
 from .jobrecords import ProgressRecord
-from .outliers import SlotOutcome
+from .slots.outliers import SlotOutcome
 
 # Without an event. Doubled after each further attempt that timed out without output.
 EVENT_TIMEOUT_S = 3.0
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -10,13 +10,13 @@
 
 from ..ids import JobId, TeamId
 from .catalog import ServiceName
-from .dispatch import Work
 from .endpoints import LeavingNotice
 from .engine import Reachability
 from .jobrecords import JobItem
 from .keyedlog import KeyedRecord
-from .outliers import SlotOutcome
-from .sendlimits import LimitNotice
+from .slots.dispatch import Work
+from .slots.outliers import SlotOutcome
+from .slots.sendlimits import LimitNotice
 from .streamversions import MIN_LIFETIME_S
 
 MAX_ERROR_CHARS = 200
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -13,7 +13,6 @@
 from ..ids import TeamId
 from .attempts import AttemptRunner, fingerprint_of, read_body, read_events
 from .catalog import Configuration, Route, RouteKind, ServiceName, Team
-from .dispatch import Work
 from .endpoints import Endpoint
 from .engine import (
     AttemptFailedError,
@@ -25,7 +24,6 @@
 from .http.http1 import HeaderList
 from .http.httpserver import CallerDisconnectedError
 from .metrics import ServingMetrics
-from .outliers import SlotOutcome
 from .ratelimiter import RateLimiter
 from .reporting import Reporter
 from .requests import (
@@ -36,7 +34,9 @@
     acknowledge_cancellation,
     interruption_error,
 )
-from .slots import SlotAllocator, SlotLease, SlotRequest, SlotUnavailableError
+from .slots.allocator import SlotAllocator, SlotLease, SlotRequest, SlotUnavailableError
+from .slots.dispatch import Work
+from .slots.outliers import SlotOutcome
 from .streamkeeper import StreamKeeper
 from .timeouts import MAX_FIRST_EVENT_TIMEOUT_S, AdaptiveTimeouts, SilenceLimits
 from .view import View
--- a/apricotquay/serving/slots.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -8,14 +8,13 @@
 
 import msgspec
 
-from ..clocks import Clock
-from ..errors import ApricotquayError, PeerUnavailableError
-from ..ids import EndpointId
-from .catalog import ServiceName
-from .dispatch import Decision, Granted, Refused, Revoked, Ticket, TicketId, Work
-from .endpoints import LeavingNotice
-from .engine import EndpointLimit, found_path_failure
-from .messages import (
+from ...clocks import Clock
+from ...errors import ApricotquayError, PeerUnavailableError
+from ...ids import EndpointId
+from ..catalog import ServiceName
+from ..endpoints import LeavingNotice
+from ..engine import EndpointLimit, found_path_failure
+from ..messages import (
     AskSlot,
     HeldSlot,
     LeavingList,
@@ -29,14 +28,15 @@
     TicketList,
     TicketsKnown,
 )
+from ..peers import PeerConnection, Peers
+from ..reporting import Reporter
+from ..shards import Shards, shard_number
+from ..tasks import start_task
+from ..view import View
+from .dispatch import Decision, Granted, Refused, Revoked, Ticket, TicketId, Work
 from .outliers import SlotOutcome
-from .peers import PeerConnection, Peers
-from .reporting import Reporter
-from .shards import Shards, shard_number
 from .slotleases import LEASE_S
 from .slotowner import MS_PER_S, SlotTables
-from .tasks import start_task
-from .view import View
 
 # The owner answers within two network round trips unless it is overloaded or gone.
 OWNER_ANSWER_TIMEOUT_S = 0.15
--- a/apricotquay/serving/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -19,7 +19,7 @@
 
 import msgspec
 
-from ..ids import EndpointId
+from ...ids import EndpointId
 from .sendlimits import SendLimit
 
 TicketId = NewType("TicketId", str)
--- a/apricotquay/serving/outliers.py
+++ b/apricotquay/serving/slots/outliers.py
@@ -12,8 +12,8 @@
 import enum
 from collections.abc import Iterable
 
-from ..ids import EndpointId
-from .endpoints import Endpoint
+from ...ids import EndpointId
+from ..endpoints import Endpoint
 
 WINDOW_ATTEMPTS = 12
 WINDOW_S = 8.0
--- a/apricotquay/serving/sendlimits.py
+++ b/apricotquay/serving/slots/sendlimits.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from ..ids import EndpointId
-from .endpoints import Endpoint
-from .rates import Bucket
+from ...ids import EndpointId
+from ..endpoints import Endpoint
+from ..rates import Bucket
 
 # An endpoint with a lower limit, which may be 0, is still asked this often.
 MIN_RATE_PER_S = 0.25
--- a/apricotquay/serving/slotowner.py
+++ b/apricotquay/serving/slots/slotowner.py
@@ -5,22 +5,13 @@
 
 import msgspec
 
-from ..clocks import Clock
-from ..events import Event
-from ..ids import EndpointId
-from .catalog import ServiceName
-from .dispatch import (
-    Decision,
-    Dispatcher,
-    EndpointStatus,
-    Granted,
-    Refused,
-    Ticket,
-    TicketId,
-)
-from .endpoints import Endpoint, LeavingNotice
-from .engine import EndpointLimit
-from .messages import (
+from ...clocks import Clock
+from ...events import Event
+from ...ids import EndpointId
+from ..catalog import ServiceName
+from ..endpoints import Endpoint, LeavingNotice
+from ..engine import EndpointLimit
+from ..messages import (
     AskSlot,
     HeldSlot,
     LeavingList,
@@ -35,9 +26,19 @@
     TicketList,
     TicketsKnown,
 )
+from ..peers import PeerConnection
+from ..reporting import Reporter
+from ..view import View
+from .dispatch import (
+    Decision,
+    Dispatcher,
+    EndpointStatus,
+    Granted,
+    Refused,
+    Ticket,
+    TicketId,
+)
 from .outliers import OutlierDetector, SlotOutcome
-from .peers import PeerConnection
-from .reporting import Reporter
 from .sendlimits import (
     DEFAULT_DAEMONS,
     MAX_LIMITS,
@@ -46,7 +47,6 @@
     SendLimits,
 )
 from .slotleases import PeerLeases
-from .view import View
 
 DEFAULT_SLOTS = 8
 MS_PER_S = 1000
--- a/bench/queueing.py
+++ b/bench/queueing.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from apricotquay.ids import EndpointId
-from apricotquay.serving.dispatch import (
+from apricotquay.serving.slots.dispatch import (
     Decision,
     Dispatcher,
     Granted,
--- a/bench/slottable.py
+++ b/bench/slottable.py
@@ -5,7 +5,13 @@
 from collections.abc import Iterator
 
 from apricotquay.ids import EndpointId
-from apricotquay.serving.dispatch import Dispatcher, Granted, Ticket, TicketId, Work
+from apricotquay.serving.slots.dispatch import (
+    Dispatcher,
+    Granted,
+    Ticket,
+    TicketId,
+    Work,
+)
 
 from .results import Row
 
--- a/bench/splittables.py
+++ b/bench/splittables.py
@@ -7,7 +7,7 @@
 import random
 
 from apricotquay.ids import EndpointId
-from apricotquay.serving.dispatch import (
+from apricotquay.serving.slots.dispatch import (
     Decision,
     Dispatcher,
     Granted,
--- a/tests/test_serving_dispatch.py
+++ b/tests/test_serving_dispatch.py
@@ -5,7 +5,7 @@
 from parameterized import parameterized
 
 from apricotquay.ids import EndpointId
-from apricotquay.serving.dispatch import (
+from apricotquay.serving.slots.dispatch import (
     Dispatcher,
     EndpointStatus,
     Granted,
--- a/tests/test_serving_handover.py
+++ b/tests/test_serving_handover.py
@@ -15,7 +15,6 @@
 from apricotquay.serving.crashes.crashlog import CrashLog
 from apricotquay.serving.crashes.detector import CrashDetector
 from apricotquay.serving.crashes.partquarantine import PartQuarantine
-from apricotquay.serving.dispatch import Ticket, TicketId, Work
 from apricotquay.serving.engine import (
     NO_LIMIT,
     AttemptFailedError,
@@ -25,7 +24,8 @@
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
 from apricotquay.serving.requests import OnlineRequest
-from apricotquay.serving.slots import SlotLease
+from apricotquay.serving.slots.allocator import SlotLease
+from apricotquay.serving.slots.dispatch import Ticket, TicketId, Work
 from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -24,7 +24,6 @@
 from apricotquay.serving.crashes.detector import CrashDetector
 from apricotquay.serving.crashes.partcrashes import PartCrashes
 from apricotquay.serving.crashes.partquarantine import PartQuarantine
-from apricotquay.serving.dispatch import Ticket, TicketId, Work
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
 from apricotquay.serving.engine import (
     NO_LIMIT,
@@ -34,10 +33,11 @@
 )
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
-from apricotquay.serving.outliers import SlotOutcome
 from apricotquay.serving.ratelimiter import RateDecision
 from apricotquay.serving.requests import OnlineRequest
-from apricotquay.serving.slots import SlotLease, SlotUnavailableError
+from apricotquay.serving.slots.allocator import SlotLease, SlotUnavailableError
+from apricotquay.serving.slots.dispatch import Ticket, TicketId, Work
+from apricotquay.serving.slots.outliers import SlotOutcome
 from apricotquay.serving.streamkeeper import KnownVersion
 from apricotquay.serving.timeouts import AdaptiveTimeout
 from standins.keyedlog import MemoryLog
--- a/tests/test_serving_outliers.py
+++ b/tests/test_serving_outliers.py
@@ -7,7 +7,7 @@
 from apricotquay.ids import EndpointId
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.endpoints import Endpoint
-from apricotquay.serving.outliers import (
+from apricotquay.serving.slots.outliers import (
     EJECTION_BASE_S,
     EJECTION_MAX_S,
     MAX_EJECTED_SHARE,
--- a/tests/test_serving_sendlimits.py
+++ b/tests/test_serving_sendlimits.py
@@ -5,16 +5,16 @@
 from parameterized import parameterized
 
 from apricotquay.ids import EndpointId
-from apricotquay.serving import sendlimits
-from apricotquay.serving.dispatch import (
+from apricotquay.serving.endpoints import Endpoint
+from apricotquay.serving.slots import sendlimits
+from apricotquay.serving.slots.dispatch import (
     Dispatcher,
     Granted,
     Refused,
     Revoked,
     TicketId,
 )
-from apricotquay.serving.endpoints import Endpoint
-from apricotquay.serving.sendlimits import LimitNotice, SendLimit, SendLimits
+from apricotquay.serving.slots.sendlimits import LimitNotice, SendLimit, SendLimits
 
 from .base import ApricotTest
 from .test_serving_dispatch import batch, online
--- a/tests/test_serving_slotleases.py
+++ b/tests/test_serving_slotleases.py
@@ -6,12 +6,13 @@
 
 from apricotquay.clocks import SystemClock
 from apricotquay.ids import EndpointId
-from apricotquay.serving import peers as peers_module, slotleases, slots as slots_module
+from apricotquay.serving import peers as peers_module
 from apricotquay.serving.batch import MAX_SLOT_WAIT_S
-from apricotquay.serving.dispatch import Dispatcher, Ticket, TicketId, Work
 from apricotquay.serving.messages import AskSlot, HeldSlot, SlotQueued, TicketList
-from apricotquay.serving.slotleases import LEASE_S, MAX_STEP_S, PeerLeases
-from apricotquay.serving.slots import SlotLease, SlotRequest
+from apricotquay.serving.slots import allocator as slots_module, slotleases
+from apricotquay.serving.slots.allocator import SlotLease, SlotRequest
+from apricotquay.serving.slots.dispatch import Dispatcher, Ticket, TicketId, Work
+from apricotquay.serving.slots.slotleases import LEASE_S, MAX_STEP_S, PeerLeases
 
 from .base import ApricotTest
 from .test_serving_slots import ENDPOINTS, SERVICE, SLOTS, SlotDaemon
--- a/tests/test_serving_slots.py
+++ b/tests/test_serving_slots.py
@@ -8,22 +8,26 @@
 
 from apricotquay.clocks import SystemClock
 from apricotquay.ids import EndpointId
-from apricotquay.serving import outliers, slots as slots_module
 from apricotquay.serving.catalog import ServiceName
-from apricotquay.serving.dispatch import (
+from apricotquay.serving.endpoints import Endpoint, EndpointTable
+from apricotquay.serving.engine import EndpointLimit
+from apricotquay.serving.messages import AskSlot, SlotGranted, SlotQueued
+from apricotquay.serving.peers import Peers
+from apricotquay.serving.slots import allocator as slots_module, outliers
+from apricotquay.serving.slots.allocator import (
+    SlotAllocator,
+    SlotRequest,
+    SlotUnavailableError,
+)
+from apricotquay.serving.slots.dispatch import (
     EndpointStatus,
     Granted,
     Ticket,
     TicketId,
     Work,
 )
-from apricotquay.serving.endpoints import Endpoint, EndpointTable
-from apricotquay.serving.engine import EndpointLimit
-from apricotquay.serving.messages import AskSlot, SlotGranted, SlotQueued
-from apricotquay.serving.outliers import SlotOutcome
-from apricotquay.serving.peers import Peers
-from apricotquay.serving.slotowner import SlotTables
-from apricotquay.serving.slots import SlotAllocator, SlotRequest, SlotUnavailableError
+from apricotquay.serving.slots.outliers import SlotOutcome
+from apricotquay.serving.slots.slotowner import SlotTables
 
 from .base import ApricotTest
 from .test_serving_jobs import quiet_reporter
