--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -66,8 +66,8 @@
 from .routedclient import RoutedEngineClient
 from .shards import Shards
 from .slots.allocator import SlotAllocator
-from .streamkeeper import StreamKeeper
-from .streamlog import StreamLog
+from .streams.streamkeeper import StreamKeeper
+from .streams.streamlog import StreamLog
 from .tasks import start_task
 from .view import Directory, View
 from .viewexchange import ViewExchange
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -17,7 +17,7 @@
 from .slots.dispatch import Work
 from .slots.outliers import SlotOutcome
 from .slots.sendlimits import LimitNotice
-from .streamversions import MIN_LIFETIME_S
+from .streams.streamversions import MIN_LIFETIME_S
 
 MAX_ERROR_CHARS = 200
 
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -37,7 +37,7 @@
 from .slots.allocator import SlotAllocator, SlotLease, SlotRequest, SlotUnavailableError
 from .slots.dispatch import Work
 from .slots.outliers import SlotOutcome
-from .streamkeeper import StreamKeeper
+from .streams.streamkeeper import StreamKeeper
 from .timeouts import MAX_FIRST_EVENT_TIMEOUT_S, AdaptiveTimeouts, SilenceLimits
 from .view import View
 
--- /dev/null
+++ b/apricotquay/serving/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Which software version began a stream, and who remembers it."""
--- a/apricotquay/serving/streamkeeper.py
+++ b/apricotquay/serving/streams/streamkeeper.py
@@ -12,15 +12,17 @@
 
 import msgspec
 
-from ..clocks import Clock
-from ..errors import PeerUnavailableError
-from ..ids import TeamId, stable_hash
-from .catalog import ServiceName
-from .endpoints import Endpoint
-from .messages import FindStream, Message, StreamBegan, StreamFound
-from .peers import Peers
-from .reporting import Reporter
-from .shards import Shards, shard_number
+from ...clocks import Clock
+from ...errors import PeerUnavailableError
+from ...ids import TeamId, stable_hash
+from ..catalog import ServiceName
+from ..endpoints import Endpoint
+from ..messages import FindStream, Message, StreamBegan, StreamFound
+from ..peers import Peers
+from ..reporting import Reporter
+from ..shards import Shards, shard_number
+from ..tasks import start_task
+from ..view import View
 from .streamlog import StreamLog, VersionNote
 from .streamversions import (
     StreamLifetime,
@@ -28,8 +30,6 @@
     VersionHistory,
     stream_key,
 )
-from .tasks import start_task
-from .view import View
 
 # How long after its end a stream may be taken up.
 TAKE_UP_S = 5.0
--- a/apricotquay/serving/streamlog.py
+++ b/apricotquay/serving/streams/streamlog.py
@@ -11,12 +11,12 @@
 import cbor2
 import msgspec
 
-from ..clocks import Clock
-from .catalog import ServiceName
-from .keyedlog import KeyedLog, KeyedRecord, LogError, LogExpiredError, Topic
-from .reporting import Reporter
+from ...clocks import Clock
+from ..catalog import ServiceName
+from ..keyedlog import KeyedLog, KeyedRecord, LogError, LogExpiredError, Topic
+from ..reporting import Reporter
+from ..tasks import start_task
 from .streamversions import MAX_STREAMS, MIN_LIFETIME_S
-from .tasks import start_task
 
 STREAMS = Topic("streams")
 PARTITION = 0
--- a/apricotquay/serving/streamversions.py
+++ b/apricotquay/serving/streams/streamversions.py
@@ -9,9 +9,9 @@
 import hashlib
 from collections.abc import Iterable
 
-from ..ids import TeamId
-from .catalog import ServiceName
-from .endpoints import Endpoint
+from ...ids import TeamId
+from ..catalog import ServiceName
+from ..endpoints import Endpoint
 
 KEY_BYTES = 12
 # Bounds what a daemon keeps; the oldest streams are forgotten first.
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -16,7 +16,7 @@
 from apricotquay.serving.keyedlog import KeyedRecord, Topic
 from apricotquay.serving.reporting import Reporter
 from apricotquay.serving.shards import Shards
-from apricotquay.serving.streamlog import PARTITION, STREAMS, StreamLog
+from apricotquay.serving.streams.streamlog import PARTITION, STREAMS, StreamLog
 from apricotquay.serving.view import View
 from standins.keyedlog import MemoryLog
 
--- a/tests/test_platform_frozen.py
+++ b/tests/test_platform_frozen.py
@@ -7,7 +7,7 @@
 
 from apricotquay.serving.http.http1 import HttpError, HttpRequest
 from apricotquay.serving.http.httpclient import open_client
-from apricotquay.serving.streamversions import MIN_LIFETIME_S
+from apricotquay.serving.streams.streamversions import MIN_LIFETIME_S
 from standins.platform import make_configuration, write_configuration
 from standins.processes import PlatformProcesses
 
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -38,7 +38,7 @@
 from apricotquay.serving.slots.allocator import SlotLease, SlotUnavailableError
 from apricotquay.serving.slots.dispatch import Ticket, TicketId, Work
 from apricotquay.serving.slots.outliers import SlotOutcome
-from apricotquay.serving.streamkeeper import KnownVersion
+from apricotquay.serving.streams.streamkeeper import KnownVersion
 from apricotquay.serving.timeouts import AdaptiveTimeout
 from standins.keyedlog import MemoryLog
 
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -7,7 +7,6 @@
 
 from apricotquay.errors import PeerUnavailableError
 from apricotquay.ids import EndpointId, RouteName, TeamId
-from apricotquay.serving import streamkeeper, streamversions
 from apricotquay.serving.catalog import (
     Configuration,
     Limits,
@@ -19,8 +18,9 @@
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
 from apricotquay.serving.keyedlog import KeyedRecord
 from apricotquay.serving.messages import FindStream, StreamBegan, StreamFound
-from apricotquay.serving.streamkeeper import StreamKeeper
-from apricotquay.serving.streamlog import (
+from apricotquay.serving.streams import streamkeeper, streamversions
+from apricotquay.serving.streams.streamkeeper import StreamKeeper
+from apricotquay.serving.streams.streamlog import (
     PARTITION,
     RECORD_KEY,
     STREAMS,
@@ -30,7 +30,7 @@
     VersionNote,
     encode_stream_record,
 )
-from apricotquay.serving.streamversions import (
+from apricotquay.serving.streams.streamversions import (
     MIN_LIFETIME_S,
     StreamLifetime,
     StreamVersions,
