--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -12,7 +12,9 @@
 from ..errors import ErrorKind, Ran, RequestError
 from ..events import Event
 from ..ids import JobId, TeamId
-from ..serving import jobs as job_outcomes
+from ..serving.batch import jobs as job_outcomes
+from ..serving.batch.jobrecords import JobItem, Submission
+from ..serving.batch.jobs import Jobs, JobsUnavailableError
 from ..serving.catalog import RouteKind
 from ..serving.http.http1 import (
     HeaderList,
@@ -22,8 +24,6 @@
 )
 from ..serving.http.httpserver import CallerDisconnectedError, Exchange
 from ..serving.http.keysearch import contains_key, holds_key
-from ..serving.jobrecords import JobItem, Submission
-from ..serving.jobs import Jobs, JobsUnavailableError
 from ..serving.messages import JobPage
 from ..serving.metrics import ServingMetrics
 from ..serving.online import OnlineRequestHandler
--- a/apricotquay/serving/itemprogress.py
+++ b/apricotquay/serving/batch/itemprogress.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from .engine import AttemptFailedError
-from .http.sse import StreamEvent
+from ..engine import AttemptFailedError
+from ..http.sse import StreamEvent
+from ..slots.outliers import SlotOutcome
 from .jobrecords import ProgressRecord
-from .slots.outliers import SlotOutcome
 
 # Without an event. Doubled after each further attempt that timed out without output.
 EVENT_TIMEOUT_S = 3.0
--- a/apricotquay/serving/itemschedule.py
+++ b/apricotquay/serving/batch/itemschedule.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from .catalog import ServiceName
+from ..catalog import ServiceName
 
 # Items of a service that request a slot or run; the owner of the service's slots
 # decides which of them run.
--- a/apricotquay/serving/jobs.py
+++ b/apricotquay/serving/batch/jobs.py
@@ -8,14 +8,12 @@
 
 import msgspec
 
-from ..clocks import Clock
-from ..errors import ApricotquayError, PeerUnavailableError
-from ..events import Event
-from ..ids import JobId, TeamId
-from .jobrecords import Submission
-from .jobtable import Job
-from .keyedlog import KeyedLog, LogError
-from .messages import (
+from ...clocks import Clock
+from ...errors import ApricotquayError, PeerUnavailableError
+from ...events import Event
+from ...ids import JobId, TeamId
+from ..keyedlog import KeyedLog, LogError
+from ..messages import (
     CallNotServed,
     CancelJob,
     ItemBody,
@@ -27,10 +25,12 @@
     ResultItem,
     SubmitJob,
 )
+from ..peers import Peers
+from ..reporting import Reporter
+from ..shards import Shards, shard_number
+from .jobrecords import Submission
+from .jobtable import Job
 from .partition import JobOutcomeUnknownError, JobRefusedError, Partition
-from .peers import Peers
-from .reporting import Reporter
-from .shards import Shards, shard_number
 
 # Maximum staleness of a replica for the reply that a job or results are missing.
 MAX_STALENESS_S = 0.7
--- a/apricotquay/serving/jobtable.py
+++ b/apricotquay/serving/batch/jobtable.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from ..ids import JobId, TeamId
+from ...ids import JobId, TeamId
+from ..keyedlog import KeyedRecord
 from .jobrecords import (
     JobHeader,
     JobItem,
@@ -19,7 +20,6 @@
     job_key,
     join_text_parts,
 )
-from .keyedlog import KeyedRecord
 
 
 class Job:
--- a/apricotquay/serving/partition.py
+++ b/apricotquay/serving/batch/partition.py
@@ -6,8 +6,19 @@
 
 import msgspec
 
-from ..clocks import Clock
-from ..events import Event
+from ...clocks import Clock
+from ...events import Event
+from ..keyedlog import (
+    KeyedLog,
+    KeyedRecord,
+    LogConflictError,
+    LogError,
+    LogExpiredError,
+    LogOutcomeUnknownError,
+    Topic,
+)
+from ..reporting import Reporter
+from ..tasks import start_task
 from .jobrecords import (
     MAX_PART_BYTES,
     ProgressRecord,
@@ -21,17 +32,6 @@
     progress_tombstone,
 )
 from .jobtable import Job, JobTable
-from .keyedlog import (
-    KeyedLog,
-    KeyedRecord,
-    LogConflictError,
-    LogError,
-    LogExpiredError,
-    LogOutcomeUnknownError,
-    Topic,
-)
-from .reporting import Reporter
-from .tasks import start_task
 
 JOBS = Topic("keyed.jobs")
 FOLLOW_WAIT_MS = 1_000
--- a/apricotquay/serving/batch.py
+++ b/apricotquay/serving/batch/runner.py
@@ -10,16 +10,28 @@
 
 import msgspec
 
-from ..clocks import Clock
-from ..events import Event
-from .attempts import AttemptRunner, read_events
-from .catalog import Configuration, Route, ServiceName
-from .engine import (
+from ...clocks import Clock
+from ...events import Event
+from ..attempts import AttemptRunner, read_events
+from ..catalog import Configuration, Route, ServiceName
+from ..engine import (
     AttemptFailedError,
     EngineCall,
     EngineResponse,
     RequestNotRunError,
 )
+from ..metrics import ServingMetrics
+from ..reporting import Reporter
+from ..slots.allocator import (
+    SlotAllocator,
+    SlotLease,
+    SlotRequest,
+    SlotUnavailableError,
+)
+from ..slots.dispatch import Work
+from ..slots.outliers import SlotOutcome
+from ..tasks import start_task
+from ..view import View
 from .itemprogress import (
     EVENT_TIMEOUT_S,
     RETRY_DELAY_S,
@@ -37,14 +49,7 @@
 )
 from .jobs import Jobs
 from .jobtable import Job
-from .metrics import ServingMetrics
 from .partition import Partition, PendingResult
-from .reporting import Reporter
-from .slots.allocator import SlotAllocator, SlotLease, SlotRequest, SlotUnavailableError
-from .slots.dispatch import Work
-from .slots.outliers import SlotOutcome
-from .tasks import start_task
-from .view import View
 
 SCHEDULE_INTERVAL_S = 0.5
 HANDOVER_DELAY_S = 0.6
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -13,7 +13,8 @@
 from ..events import Event
 from ..quarantine import Quarantine
 from .attempts import AttemptRunner
-from .batch import BatchRunner
+from .batch.jobs import Jobs
+from .batch.runner import BatchRunner
 from .catalog import Limits
 from .crashes.crashlog import CrashLog
 from .crashes.detector import CrashDetector
@@ -21,7 +22,6 @@
 from .engine import DirectEngineClient
 from .http.http1 import HttpResponse
 from .http.httpserver import Exchange, HttpServer, ServerLimits
-from .jobs import Jobs
 from .keyedlog import KeyedLog
 from .messages import (
     AskSlot,
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -9,10 +9,10 @@
 import msgspec
 
 from ..ids import JobId, TeamId
+from .batch.jobrecords import JobItem
 from .catalog import ServiceName
 from .endpoints import LeavingNotice
 from .engine import Reachability
-from .jobrecords import JobItem
 from .keyedlog import KeyedRecord
 from .slots.dispatch import Work
 from .slots.outliers import SlotOutcome
--- a/apricotquay/serving/shards.py
+++ b/apricotquay/serving/shards.py
@@ -9,8 +9,8 @@
 from ..events import Event
 from ..ids import stable_hash
 from .backoff import Backoff
+from .batch.partition import JOBS
 from .keyedlog import KeyedLog, LogError, MemberName, Shard
-from .partition import JOBS
 from .reporting import Reporter
 from .tasks import start_task
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -10,9 +10,9 @@
 from apricotquay.events import Event
 from apricotquay.platform.store import decode_newest_items
 from apricotquay.platform.wire import PlatformDirectory
+from apricotquay.serving.batch.jobtable import JobTable
 from apricotquay.serving.crashes.crashlog import CompletionReport, CrashLog
 from apricotquay.serving.http.sse import parse_event
-from apricotquay.serving.jobtable import JobTable
 from apricotquay.serving.keyedlog import KeyedRecord, Topic
 from apricotquay.serving.reporting import Reporter
 from apricotquay.serving.shards import Shards
--- a/tests/test_platform_batchbounds.py
+++ b/tests/test_platform_batchbounds.py
@@ -5,14 +5,14 @@
 
 from parameterized import parameterized
 
-from apricotquay.serving import itemprogress as itemprogress_module, itemschedule
-from apricotquay.serving.catalog import ServiceName
-from apricotquay.serving.itemprogress import AttemptResult, ItemProgress, Outcome
-from apricotquay.serving.itemschedule import (
+from apricotquay.serving.batch import itemprogress as itemprogress_module, itemschedule
+from apricotquay.serving.batch.itemprogress import AttemptResult, ItemProgress, Outcome
+from apricotquay.serving.batch.itemschedule import (
     MAX_ITEMS_PER_SERVICE,
     WaitingItem,
     choose_items,
 )
+from apricotquay.serving.catalog import ServiceName
 from standins.platform import ModelServer, make_configuration, write_configuration
 
 from .base import ApricotTest
--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -5,7 +5,7 @@
 from parameterized import parameterized
 
 from apricotquay.serving import daemon as daemon_module
-from apricotquay.serving.batch import BatchRunner
+from apricotquay.serving.batch.runner import BatchRunner
 from apricotquay.serving.http.http1 import HttpError, HttpRequest
 from apricotquay.serving.http.httpclient import open_client
 from apricotquay.serving.shards import Shards
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -13,7 +13,8 @@
 from apricotquay.platform import engines as engines_module
 from apricotquay.platform.engines import ServerClient
 from apricotquay.serving import attempts as attempts_module
-from apricotquay.serving.batch import _read_output
+from apricotquay.serving.batch.itemprogress import ItemProgress
+from apricotquay.serving.batch.runner import _read_output
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.engine import (
@@ -23,7 +24,6 @@
     RequestNotRunError,
 )
 from apricotquay.serving.http.bodybudget import BodyBudget
-from apricotquay.serving.itemprogress import ItemProgress
 
 from .base import ApricotTest
 
--- a/tests/test_platform_oddresults.py
+++ b/tests/test_platform_oddresults.py
@@ -12,10 +12,8 @@
 from apricotquay.errors import PeerUnavailableError
 from apricotquay.ids import JobId
 from apricotquay.platform.callers import _encode_page
-from apricotquay.serving.engine import AttemptFailedError
-from apricotquay.serving.http.sse import StreamEvent, parse_event
-from apricotquay.serving.itemprogress import ItemProgress
-from apricotquay.serving.jobrecords import (
+from apricotquay.serving.batch.itemprogress import ItemProgress
+from apricotquay.serving.batch.jobrecords import (
     ProgressRecord,
     ResultRecord,
     decode_progress,
@@ -27,8 +25,10 @@
     job_key,
     job_tombstones,
 )
-from apricotquay.serving.jobs import _page_results
-from apricotquay.serving.jobtable import Job, JobTable
+from apricotquay.serving.batch.jobs import _page_results
+from apricotquay.serving.batch.jobtable import Job, JobTable
+from apricotquay.serving.engine import AttemptFailedError
+from apricotquay.serving.http.sse import StreamEvent, parse_event
 from apricotquay.serving.messages import JobPage, ReadJob, ResultItem, encode_frame
 from apricotquay.serving.peers import Peers
 
--- a/tests/test_serving_jobs.py
+++ b/tests/test_serving_jobs.py
@@ -8,8 +8,8 @@
 from apricotquay.clocks import SystemClock
 from apricotquay.errors import PeerUnavailableError
 from apricotquay.ids import JobId, TeamId
-from apricotquay.serving import partition as partition_module
-from apricotquay.serving.jobrecords import (
+from apricotquay.serving.batch import partition as partition_module
+from apricotquay.serving.batch.jobrecords import (
     MAX_PART_BYTES,
     JobItem,
     ProgressRecord,
@@ -19,15 +19,15 @@
     encode_submission,
     job_key,
 )
-from apricotquay.serving.jobs import OUTCOME_UNKNOWN, OVER_CAP, REFUSED, Jobs
-from apricotquay.serving.jobtable import JobTable
-from apricotquay.serving.keyedlog import KeyedRecord
-from apricotquay.serving.partition import (
+from apricotquay.serving.batch.jobs import OUTCOME_UNKNOWN, OVER_CAP, REFUSED, Jobs
+from apricotquay.serving.batch.jobtable import JobTable
+from apricotquay.serving.batch.partition import (
     JobOutcomeUnknownError,
     JobRefusedError,
     Partition,
     PendingResult,
 )
+from apricotquay.serving.keyedlog import KeyedRecord
 from apricotquay.serving.reporting import Reporter
 from standins.keyedlog import MemoryLog
 
--- a/tests/test_serving_shards.py
+++ b/tests/test_serving_shards.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from apricotquay.serving.batch.partition import JOBS
 from apricotquay.serving.keyedlog import LogRefusedError, Shard
-from apricotquay.serving.partition import JOBS
 from apricotquay.serving.shards import Shards
 
 from .base import ApricotTest
--- a/tests/test_serving_viewexchange.py
+++ b/tests/test_serving_viewexchange.py
@@ -6,10 +6,10 @@
 from apricotquay.ids import EndpointId
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving import viewexchange
+from apricotquay.serving.batch.partition import JOBS
 from apricotquay.serving.crashes.crashlog import ALL_RECORDS, CrashLog, CrashReport
 from apricotquay.serving.keyedlog import KeyedRecord, Shard
 from apricotquay.serving.messages import PullView
-from apricotquay.serving.partition import JOBS
 from apricotquay.serving.shards import Shards
 from apricotquay.serving.view import View
 from apricotquay.serving.viewexchange import ViewExchange
