--- a/apricotquay/platform/store.py
+++ b/apricotquay/platform/store.py
@@ -10,9 +10,7 @@
 import msgspec
 
 from ..serving.backoff import Backoff
-from ..serving.http.http1 import HttpError, HttpRequest, HttpResponse
-from ..serving.http.httpclient import ClientConnection, open_client
-from ..serving.keyedlog import (
+from ..serving.fleet.keyedlog import (
     KeyedRecord,
     LogConflictError,
     LogError,
@@ -25,6 +23,8 @@
     ShardAssignment,
     Topic,
 )
+from ..serving.http.http1 import HttpError, HttpRequest, HttpResponse
+from ..serving.http.httpclient import ClientConnection, open_client
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -30,9 +30,9 @@
 )
 from ..serving.endpoints import Endpoint
 from ..serving.engine import NO_LIMIT, EndpointLimit
+from ..serving.fleet.keyedlog import KeyedRecord, Topic
+from ..serving.fleet.view import RecordUnreadableError
 from ..serving.http.http1 import HeaderList, find_header
-from ..serving.keyedlog import KeyedRecord, Topic
-from ..serving.view import RecordUnreadableError
 
 # Headers that a daemon reads or sets, in lower case as h11 returns them.
 REQUEST_ID = b"attempt-id"
--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/attempts.py
@@ -26,13 +26,13 @@
     RequestNotRunError,
     found_path_failure,
 )
+from .fleet.view import View
 from .handover import Handover
 from .http.bodybudget import MAX_BODY_BYTES, BodyBudget, BodyReservation
 from .http.http1 import HeaderList, is_success
 from .http.sse import EventSplitter, StreamEvent
 from .metrics import ServingMetrics
 from .reporting import Reporter
-from .view import View
 
 T = TypeVar("T")
 
--- a/apricotquay/serving/batch/jobrecords.py
+++ b/apricotquay/serving/batch/jobrecords.py
@@ -21,7 +21,7 @@
 import msgspec
 
 from ...ids import JobId, TeamId
-from ..keyedlog import KeyedRecord
+from ..fleet.keyedlog import KeyedRecord
 
 # Below the store's limit of 262,144 bytes per record, leaving room for the key and
 # the length fields.
--- a/apricotquay/serving/batch/jobs.py
+++ b/apricotquay/serving/batch/jobs.py
@@ -12,7 +12,9 @@
 from ...errors import ApricotquayError, PeerUnavailableError
 from ...events import Event
 from ...ids import JobId, TeamId
-from ..keyedlog import KeyedLog, LogError
+from ..fleet.keyedlog import KeyedLog, LogError
+from ..fleet.peers import Peers
+from ..fleet.shards import Shards, shard_number
 from ..messages import (
     CallNotServed,
     CancelJob,
@@ -25,9 +27,7 @@
     ResultItem,
     SubmitJob,
 )
-from ..peers import Peers
 from ..reporting import Reporter
-from ..shards import Shards, shard_number
 from .jobrecords import Submission
 from .jobtable import Job
 from .partition import JobOutcomeUnknownError, JobRefusedError, Partition
--- a/apricotquay/serving/batch/jobtable.py
+++ b/apricotquay/serving/batch/jobtable.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ...ids import JobId, TeamId
-from ..keyedlog import KeyedRecord
+from ..fleet.keyedlog import KeyedRecord
 from .jobrecords import (
     JobHeader,
     JobItem,
--- a/apricotquay/serving/batch/partition.py
+++ b/apricotquay/serving/batch/partition.py
@@ -8,7 +8,7 @@
 
 from ...clocks import Clock
 from ...events import Event
-from ..keyedlog import (
+from ..fleet.keyedlog import (
     KeyedLog,
     KeyedRecord,
     LogConflictError,
--- a/apricotquay/serving/batch/runner.py
+++ b/apricotquay/serving/batch/runner.py
@@ -20,6 +20,7 @@
     EngineResponse,
     RequestNotRunError,
 )
+from ..fleet.view import View
 from ..metrics import ServingMetrics
 from ..reporting import Reporter
 from ..slots.allocator import (
@@ -31,7 +32,6 @@
 from ..slots.dispatch import Work
 from ..slots.outliers import SlotOutcome
 from ..tasks import start_task
-from ..view import View
 from .itemprogress import (
     EVENT_TIMEOUT_S,
     RETRY_DELAY_S,
--- a/apricotquay/serving/crashes/crashlog.py
+++ b/apricotquay/serving/crashes/crashlog.py
@@ -21,10 +21,10 @@
 from ...ids import EndpointId
 from ...quarantine import SUSPECT_RETENTION_S
 from ..backoff import Backoff
-from ..keyedlog import KeyedLog, KeyedRecord, LogError, Page, Topic
+from ..fleet.keyedlog import KeyedLog, KeyedRecord, LogError, Page, Topic
+from ..fleet.topicfollower import RETRY_DELAY_S, TopicFollower
 from ..reporting import Reporter
 from ..tasks import start_task
-from ..topicfollower import RETRY_DELAY_S, TopicFollower
 from .partquarantine import PROBATION_S
 from .promptparts import PartKey, PartsAtCrash
 
--- a/apricotquay/serving/crashes/detector.py
+++ b/apricotquay/serving/crashes/detector.py
@@ -17,11 +17,11 @@
 )
 from ..endpoints import Endpoint
 from ..engine import EngineClient
-from ..keyedlog import KeyedRecord
+from ..fleet.keyedlog import KeyedRecord
+from ..fleet.peers import Peers
+from ..fleet.shards import Shards, shard_number
 from ..messages import CrashSeen
-from ..peers import Peers
 from ..reporting import Reporter
-from ..shards import Shards, shard_number
 from ..tasks import start_task
 from .crashlog import (
     CRASHES,
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -20,9 +20,17 @@
 from .crashes.detector import CrashDetector
 from .crashes.partquarantine import PartQuarantine
 from .engine import DirectEngineClient
+from .fleet.keyedlog import KeyedLog
+from .fleet.peerchecks import PeerChecks
+from .fleet.peers import PeerConnection, Peers
+from .fleet.relayclient import RelayClient
+from .fleet.relayserver import RelayServer
+from .fleet.routedclient import RoutedEngineClient
+from .fleet.shards import Shards
+from .fleet.view import Directory, View
+from .fleet.viewexchange import ViewExchange
 from .http.http1 import HttpResponse
 from .http.httpserver import Exchange, HttpServer, ServerLimits
-from .keyedlog import KeyedLog
 from .messages import (
     AskSlot,
     CallNotServed,
@@ -57,20 +65,12 @@
 )
 from .metrics import ServingMetrics
 from .online import OnlineRequestHandler
-from .peerchecks import PeerChecks
-from .peers import PeerConnection, Peers
 from .ratelimiter import RateLimiter
-from .relayclient import RelayClient
-from .relayserver import RelayServer
 from .reporting import Reporter
-from .routedclient import RoutedEngineClient
-from .shards import Shards
 from .slots.allocator import SlotAllocator
 from .streams.streamkeeper import StreamKeeper
 from .streams.streamlog import StreamLog
 from .tasks import start_task
-from .view import Directory, View
-from .viewexchange import ViewExchange
 
 LOG_FLUSH_INTERVAL_S = 0.1
 # The load balancer stops opening connections after two failed checks, 1 s apart.
--- /dev/null
+++ b/apricotquay/serving/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet: peers, owners of shards, the view of the platform, relays."""
--- a/apricotquay/serving/keyedlog.py
+++ b/apricotquay/serving/fleet/keyedlog.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..errors import ApricotquayError
+from ...errors import ApricotquayError
 
 Topic = NewType("Topic", str)
 MemberName = NewType("MemberName", str)
--- a/apricotquay/serving/paths.py
+++ b/apricotquay/serving/fleet/paths.py
@@ -8,7 +8,7 @@
 import itertools
 from collections.abc import Iterable
 
-from ..ids import EndpointId
+from ...ids import EndpointId
 
 # With this many endpoints out of reach, and none reached since, all count as such.
 MIN_LOST_ENDPOINTS = 2
--- a/apricotquay/serving/peerchecks.py
+++ b/apricotquay/serving/fleet/peerchecks.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from ..errors import PeerUnavailableError
-from ..ids import EndpointId
-from .endpoints import Endpoint
-from .engine import DirectEngineClient, Reachability
-from .messages import CheckEndpoint, EndpointChecked, Message
+from ...errors import PeerUnavailableError
+from ...ids import EndpointId
+from ..endpoints import Endpoint
+from ..engine import DirectEngineClient, Reachability
+from ..messages import CheckEndpoint, EndpointChecked, Message
 from .peers import Feature, Peers
 from .shards import Shards
 from .view import View
--- a/apricotquay/serving/peers.py
+++ b/apricotquay/serving/fleet/peers.py
@@ -10,10 +10,10 @@
 from websockets.asyncio.server import serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
-from ..errors import PeerUnavailableError
-from ..events import Event
-from .messages import CallNotServed, Message, decode_frame, encode_frame
-from .reporting import Reporter
+from ...errors import PeerUnavailableError
+from ...events import Event
+from ..messages import CallNotServed, Message, decode_frame, encode_frame
+from ..reporting import Reporter
 
 CONNECT_TIMEOUT_S = 0.4
 # After a failure no connection to the peer is opened for this long.
--- a/apricotquay/serving/relayclient.py
+++ b/apricotquay/serving/fleet/relayclient.py
@@ -10,16 +10,16 @@
 import itertools
 from collections.abc import AsyncIterator, Callable
 
-from ..errors import PeerUnavailableError
-from .endpoints import Endpoint
-from .engine import (
+from ...errors import PeerUnavailableError
+from ..endpoints import Endpoint
+from ..engine import (
     AttemptFailedError,
     EndpointLimit,
     EngineCall,
     RequestNotRunError,
 )
-from .http.http1 import HeaderList
-from .messages import (
+from ..http.http1 import HeaderList
+from ..messages import (
     CancelRelay,
     Message,
     RelayCall,
--- a/apricotquay/serving/relayserver.py
+++ b/apricotquay/serving/fleet/relayserver.py
@@ -8,18 +8,18 @@
 import asyncio
 from collections.abc import Iterator
 
-from ..clocks import Clock
-from ..events import Event
-from ..ids import EndpointId
-from .endpoints import Endpoint, LeavingNotice
-from .engine import (
+from ...clocks import Clock
+from ...events import Event
+from ...ids import EndpointId
+from ..endpoints import Endpoint, LeavingNotice
+from ..engine import (
     AttemptFailedError,
     EndpointUnreachableError,
     EngineCall,
     EngineResponse,
     RequestNotRunError,
 )
-from .messages import (
+from ..messages import (
     CancelRelay,
     Message,
     RelayCall,
@@ -29,10 +29,10 @@
     RelayedFailure,
     RelayedHead,
 )
-from .metrics import ServingMetrics
+from ..metrics import ServingMetrics
+from ..reporting import Reporter
 from .peers import PeerConnection
 from .relayclient import WINDOW_BYTES
-from .reporting import Reporter
 from .routedclient import RoutedEngineClient
 from .view import View
 
--- a/apricotquay/serving/routedclient.py
+++ b/apricotquay/serving/fleet/routedclient.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
-from ..clocks import Clock
-from ..events import Event
-from ..ids import EndpointId
-from .crashes.promptparts import PartKey
-from .endpoints import Endpoint
-from .engine import (
+from ...clocks import Clock
+from ...events import Event
+from ...ids import EndpointId
+from ..crashes.promptparts import PartKey
+from ..endpoints import Endpoint
+from ..engine import (
     DirectEngineClient,
     EndpointUnreachableError,
     EngineCall,
@@ -20,14 +20,14 @@
     Reachability,
     RequestNotRunError,
 )
-from .http.http1 import HeaderList
-from .metrics import ServingMetrics
+from ..http.http1 import HeaderList
+from ..metrics import ServingMetrics
+from ..reporting import Reporter
+from ..tasks import start_task
 from .paths import PathTable
 from .peerchecks import PeerChecks, PeerFindings
 from .relayclient import RelayClient, RelayedResponse
 from .relaypool import RelayPool
-from .reporting import Reporter
-from .tasks import start_task
 from .view import View
 
 PROBE_INTERVAL_S = 0.5
--- a/apricotquay/serving/shards.py
+++ b/apricotquay/serving/fleet/shards.py
@@ -5,14 +5,14 @@
 import random
 from collections.abc import Callable
 
-from ..clocks import Clock
-from ..events import Event
-from ..ids import stable_hash
-from .backoff import Backoff
-from .batch.partition import JOBS
+from ...clocks import Clock
+from ...events import Event
+from ...ids import stable_hash
+from ..backoff import Backoff
+from ..batch.partition import JOBS
+from ..reporting import Reporter
+from ..tasks import start_task
 from .keyedlog import KeyedLog, LogError, MemberName, Shard
-from .reporting import Reporter
-from .tasks import start_task
 
 GROUP = "daemons"
 MEMBER_TTL_MS = 1_500
--- a/apricotquay/serving/topicfollower.py
+++ b/apricotquay/serving/fleet/topicfollower.py
@@ -5,11 +5,11 @@
 import random
 from collections.abc import Callable
 
-from ..clocks import Clock
-from .backoff import Backoff
+from ...clocks import Clock
+from ..backoff import Backoff
+from ..reporting import Reporter
+from ..tasks import start_task
 from .keyedlog import KeyedLog, KeyedRecord, LogError, LogExpiredError, Page, Topic
-from .reporting import Reporter
-from .tasks import start_task
 
 READ_WAIT_MS = 1_000
 RETRY_DELAY_S = 0.2
--- a/apricotquay/serving/view.py
+++ b/apricotquay/serving/fleet/view.py
@@ -6,15 +6,15 @@
 from functools import partial
 from typing import Protocol, TypeVar
 
-from ..clocks import Clock
-from ..errors import ApricotquayError
-from ..events import Event
-from ..ids import EndpointId
-from .catalog import Configuration
-from .endpoints import Endpoint, EndpointTable, LeavingNotice
+from ...clocks import Clock
+from ...errors import ApricotquayError
+from ...events import Event
+from ...ids import EndpointId
+from ..catalog import Configuration
+from ..endpoints import Endpoint, EndpointTable, LeavingNotice
+from ..reporting import Reporter
+from ..tasks import start_task
 from .keyedlog import KeyedLog, KeyedRecord, Page, Topic
-from .reporting import Reporter
-from .tasks import start_task
 from .topicfollower import TopicFollower
 
 T = TypeVar("T")
--- a/apricotquay/serving/viewexchange.py
+++ b/apricotquay/serving/fleet/viewexchange.py
@@ -5,13 +5,13 @@
 import math
 import random
 
-from ..errors import PeerUnavailableError
-from .crashes.crashlog import CrashLog
-from .messages import Message, PullView, ViewRecords
+from ...errors import PeerUnavailableError
+from ..crashes.crashlog import CrashLog
+from ..messages import Message, PullView, ViewRecords
+from ..reporting import Reporter
+from ..tasks import start_task
 from .peers import Peers
-from .reporting import Reporter
 from .shards import Shards
-from .tasks import start_task
 from .view import View
 
 PULL_INTERVAL_S = 0.4
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -13,7 +13,7 @@
 from .catalog import ServiceName
 from .endpoints import LeavingNotice
 from .engine import Reachability
-from .keyedlog import KeyedRecord
+from .fleet.keyedlog import KeyedRecord
 from .slots.dispatch import Work
 from .slots.outliers import SlotOutcome
 from .slots.sendlimits import LimitNotice
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online.py
@@ -20,6 +20,7 @@
     EngineResponse,
     RequestNotRunError,
 )
+from .fleet.view import View
 from .handover import Handover
 from .http.http1 import HeaderList
 from .http.httpserver import CallerDisconnectedError
@@ -39,7 +40,6 @@
 from .slots.outliers import SlotOutcome
 from .streams.streamkeeper import StreamKeeper
 from .timeouts import MAX_FIRST_EVENT_TIMEOUT_S, AdaptiveTimeouts, SilenceLimits
-from .view import View
 
 # Counted from the arrival of a request that no endpoint may have run yet.
 SLOT_TIMEOUT_S = 1.8
--- a/apricotquay/serving/ratelimiter.py
+++ b/apricotquay/serving/ratelimiter.py
@@ -6,11 +6,11 @@
 from ..errors import PeerUnavailableError
 from ..ids import TeamId
 from .catalog import Team
+from .fleet.peers import Peers
+from .fleet.shards import Shards, shard_number
+from .fleet.view import View
 from .messages import CallNotServed, Message, TakeToken, TokenAnswer
-from .peers import Peers
 from .rates import Allowance, DaemonRates, OwnerRates
-from .shards import Shards, shard_number
-from .view import View
 
 OWNER_ANSWER_TIMEOUT_S = 0.12
 # An owner that did not answer in time is not asked again for this long.
--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -14,6 +14,9 @@
 from ..catalog import ServiceName
 from ..endpoints import LeavingNotice
 from ..engine import EndpointLimit, found_path_failure
+from ..fleet.peers import PeerConnection, Peers
+from ..fleet.shards import Shards, shard_number
+from ..fleet.view import View
 from ..messages import (
     AskSlot,
     HeldSlot,
@@ -28,11 +31,8 @@
     TicketList,
     TicketsKnown,
 )
-from ..peers import PeerConnection, Peers
 from ..reporting import Reporter
-from ..shards import Shards, shard_number
 from ..tasks import start_task
-from ..view import View
 from .dispatch import Decision, Granted, Refused, Revoked, Ticket, TicketId, Work
 from .outliers import SlotOutcome
 from .slotleases import LEASE_S
--- a/apricotquay/serving/slots/slotowner.py
+++ b/apricotquay/serving/slots/slotowner.py
@@ -11,6 +11,8 @@
 from ..catalog import ServiceName
 from ..endpoints import Endpoint, LeavingNotice
 from ..engine import EndpointLimit
+from ..fleet.peers import PeerConnection
+from ..fleet.view import View
 from ..messages import (
     AskSlot,
     HeldSlot,
@@ -26,9 +28,7 @@
     TicketList,
     TicketsKnown,
 )
-from ..peers import PeerConnection
 from ..reporting import Reporter
-from ..view import View
 from .dispatch import (
     Decision,
     Dispatcher,
--- a/apricotquay/serving/streams/streamkeeper.py
+++ b/apricotquay/serving/streams/streamkeeper.py
@@ -17,12 +17,12 @@
 from ...ids import TeamId, stable_hash
 from ..catalog import ServiceName
 from ..endpoints import Endpoint
+from ..fleet.peers import Peers
+from ..fleet.shards import Shards, shard_number
+from ..fleet.view import View
 from ..messages import FindStream, Message, StreamBegan, StreamFound
-from ..peers import Peers
 from ..reporting import Reporter
-from ..shards import Shards, shard_number
 from ..tasks import start_task
-from ..view import View
 from .streamlog import StreamLog, VersionNote
 from .streamversions import (
     StreamLifetime,
--- a/apricotquay/serving/streams/streamlog.py
+++ b/apricotquay/serving/streams/streamlog.py
@@ -13,7 +13,7 @@
 
 from ...clocks import Clock
 from ..catalog import ServiceName
-from ..keyedlog import KeyedLog, KeyedRecord, LogError, LogExpiredError, Topic
+from ..fleet.keyedlog import KeyedLog, KeyedRecord, LogError, LogExpiredError, Topic
 from ..reporting import Reporter
 from ..tasks import start_task
 from .streamversions import MAX_STREAMS, MIN_LIFETIME_S
--- a/standins/keyedlog.py
+++ b/standins/keyedlog.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from apricotquay.serving.keyedlog import (
+from apricotquay.serving.fleet.keyedlog import (
     KeyedRecord,
     LogConflictError,
     LogExpiredError,
--- a/standins/links.py
+++ b/standins/links.py
@@ -8,9 +8,9 @@
 import enum
 
 from apricotquay.platform.store import CALL_TIMEOUT_S, StoreClient
+from apricotquay.serving.fleet.keyedlog import LogOutcomeUnknownError
 from apricotquay.serving.http.http1 import HttpError, HttpResponse
 from apricotquay.serving.http.httpclient import ClientConnection
-from apricotquay.serving.keyedlog import LogOutcomeUnknownError
 
 POLL_INTERVAL_S = 0.01
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,9 +23,7 @@
 import fire
 
 from apricotquay.platform.store import StoreClient, encode_record
-from apricotquay.serving.http.http1 import HttpError, HttpRequest, HttpResponse
-from apricotquay.serving.http.httpserver import Exchange, HttpServer, ServerLimits
-from apricotquay.serving.keyedlog import (
+from apricotquay.serving.fleet.keyedlog import (
     KeyedRecord,
     LogConflictError,
     LogError,
@@ -33,6 +31,8 @@
     MemberName,
     Topic,
 )
+from apricotquay.serving.http.http1 import HttpError, HttpRequest, HttpResponse
+from apricotquay.serving.http.httpserver import Exchange, HttpServer, ServerLimits
 
 from .keyedlog import MemoryLog
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -12,12 +12,12 @@
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving.batch.jobtable import JobTable
 from apricotquay.serving.crashes.crashlog import CompletionReport, CrashLog
+from apricotquay.serving.fleet.keyedlog import KeyedRecord, Topic
+from apricotquay.serving.fleet.shards import Shards
+from apricotquay.serving.fleet.view import View
 from apricotquay.serving.http.sse import parse_event
-from apricotquay.serving.keyedlog import KeyedRecord, Topic
 from apricotquay.serving.reporting import Reporter
-from apricotquay.serving.shards import Shards
 from apricotquay.serving.streams.streamlog import PARTITION, STREAMS, StreamLog
-from apricotquay.serving.view import View
 from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -20,14 +20,14 @@
 from apricotquay.serving.crashes.detector import CrashDetector
 from apricotquay.serving.crashes.partquarantine import PartQuarantine
 from apricotquay.serving.engine import Reachability
+from apricotquay.serving.fleet.peerchecks import PeerFindings
+from apricotquay.serving.fleet.routedclient import RoutedEngineClient
 from apricotquay.serving.http.http1 import HttpError, HttpRequest, HttpResponse
 from apricotquay.serving.http.httpclient import open_client
 from apricotquay.serving.http.httpserver import HttpServer, ServerLimits
 from apricotquay.serving.metrics import ServingMetrics
 from apricotquay.serving.online import OnlineRequestHandler
-from apricotquay.serving.peerchecks import PeerFindings
 from apricotquay.serving.reporting import Reporter
-from apricotquay.serving.routedclient import RoutedEngineClient
 from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
--- a/tests/test_platform_config_changes.py
+++ b/tests/test_platform_config_changes.py
@@ -4,7 +4,7 @@
 
 from parameterized import parameterized
 
-from apricotquay.serving.keyedlog import KeyedRecord, Topic
+from apricotquay.serving.fleet.keyedlog import KeyedRecord, Topic
 from standins.platform import SLOTS_PER_SERVER, make_configuration, write_configuration
 
 from .test_platform_fleet import PlatformTest
--- a/tests/test_platform_crashing_parts.py
+++ b/tests/test_platform_crashing_parts.py
@@ -8,7 +8,7 @@
 from parameterized import parameterized
 
 from apricotquay.serving.crashes.crashlog import CRASHES
-from apricotquay.serving.keyedlog import Shard
+from apricotquay.serving.fleet.keyedlog import Shard
 
 from .test_platform_crashes import CrashingFleet
 from .test_platform_fleet import PlatformFleet, PlatformTest
--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -6,9 +6,9 @@
 
 from apricotquay.serving import daemon as daemon_module
 from apricotquay.serving.batch.runner import BatchRunner
+from apricotquay.serving.fleet.shards import Shards
 from apricotquay.serving.http.http1 import HttpError, HttpRequest
 from apricotquay.serving.http.httpclient import open_client
-from apricotquay.serving.shards import Shards
 from standins.platform import SLOTS_PER_SERVER
 
 from .test_platform_fleet import PlatformTest
--- a/tests/test_platform_faultyanswers.py
+++ b/tests/test_platform_faultyanswers.py
@@ -9,6 +9,7 @@
 from parameterized import parameterized
 
 from apricotquay.serving.engine import AttemptFailedError
+from apricotquay.serving.fleet.keyedlog import KeyedRecord, Topic
 from apricotquay.serving.http import bodybudget
 from apricotquay.serving.http.bodybudget import (
     MAX_LARGE_BYTES,
@@ -17,7 +18,6 @@
 )
 from apricotquay.serving.http.http1 import HttpError, HttpRequest
 from apricotquay.serving.http.httpclient import open_client
-from apricotquay.serving.keyedlog import KeyedRecord, Topic
 
 from .base import ApricotTest
 from .test_platform_fleet import HOST, PlatformFleet, PlatformTest
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -13,11 +13,11 @@
 from apricotquay.platform.callers import CallerApi
 from apricotquay.platform.engines import ServerClient
 from apricotquay.platform.wire import PlatformDirectory
-from apricotquay.serving import shards as shards_module
 from apricotquay.serving.daemon import Address, Daemon, ServingSettings
+from apricotquay.serving.fleet import shards as shards_module
+from apricotquay.serving.fleet.keyedlog import KeyedRecord, Topic
 from apricotquay.serving.http.http1 import HttpError, HttpRequest, HttpResponse
 from apricotquay.serving.http.httpclient import open_client
-from apricotquay.serving.keyedlog import KeyedRecord, Topic
 from standins.addresses import ADMIN_PORT, PEER_PORT, SERVER_PORT, AddressAllocator
 from standins.links import CuttableStore, Link
 from standins.platform import (
--- a/tests/test_platform_oddresults.py
+++ b/tests/test_platform_oddresults.py
@@ -28,9 +28,9 @@
 from apricotquay.serving.batch.jobs import _page_results
 from apricotquay.serving.batch.jobtable import Job, JobTable
 from apricotquay.serving.engine import AttemptFailedError
+from apricotquay.serving.fleet.peers import Peers
 from apricotquay.serving.http.sse import StreamEvent, parse_event
 from apricotquay.serving.messages import JobPage, ReadJob, ResultItem, encode_frame
-from apricotquay.serving.peers import Peers
 
 from .base import ApricotTest
 from .test_platform_fleet import PlatformTest
--- a/tests/test_platform_relays.py
+++ b/tests/test_platform_relays.py
@@ -4,9 +4,10 @@
 
 from parameterized import parameterized
 
-from apricotquay.serving import endpoints as endpoints_module, peers as peers_module
+from apricotquay.serving import endpoints as endpoints_module
 from apricotquay.serving.crashes.crashlog import CRASHES
 from apricotquay.serving.daemon import Daemon
+from apricotquay.serving.fleet import peers as peers_module
 from apricotquay.serving.messages import RelayCall
 from standins.links import Cut
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,8 +8,8 @@
 from parameterized import parameterized
 
 from apricotquay.platform.store import StoreClient
+from apricotquay.serving.fleet.keyedlog import LogError, LogOutcomeUnknownError, Topic
 from apricotquay.serving.http.http1 import HttpResponse
-from apricotquay.serving.keyedlog import LogError, LogOutcomeUnknownError, Topic
 
 from .base import ApricotTest
 
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -8,10 +8,10 @@
 from apricotquay.clocks import SystemClock
 from apricotquay.errors import PeerUnavailableError
 from apricotquay.serving.daemon import Daemon
+from apricotquay.serving.fleet.keyedlog import KeyedRecord, Topic
+from apricotquay.serving.fleet.shards import shard_number
 from apricotquay.serving.http.http1 import HttpError, HttpRequest
 from apricotquay.serving.http.httpclient import open_client
-from apricotquay.serving.keyedlog import KeyedRecord, Topic
-from apricotquay.serving.shards import shard_number
 from apricotquay.serving.streams import streamkeeper, streamversions
 from apricotquay.serving.streams.streamlog import StreamLog
 from apricotquay.serving.streams.streamversions import stream_key
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -13,8 +13,8 @@
 from apricotquay.serving.catalog import RouteKind
 from apricotquay.serving.crashes.promptparts import MAX_PARTS_PER_REQUEST
 from apricotquay.serving.engine import NO_LIMIT, EndpointLimit
-from apricotquay.serving.keyedlog import KeyedRecord
-from apricotquay.serving.view import RecordUnreadableError
+from apricotquay.serving.fleet.keyedlog import KeyedRecord
+from apricotquay.serving.fleet.view import RecordUnreadableError
 
 from .base import ApricotTest
 
--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -28,9 +28,9 @@
 from apricotquay.serving.crashes.partquarantine import PartQuarantine
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.engine import AttemptFailedError, EngineCall
-from apricotquay.serving.keyedlog import KeyedRecord, LogRefusedError, Shard
+from apricotquay.serving.fleet.keyedlog import KeyedRecord, LogRefusedError, Shard
+from apricotquay.serving.fleet.view import View
 from apricotquay.serving.metrics import ServingMetrics
-from apricotquay.serving.view import View
 from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
--- a/tests/test_serving_jobs.py
+++ b/tests/test_serving_jobs.py
@@ -27,7 +27,7 @@
     Partition,
     PendingResult,
 )
-from apricotquay.serving.keyedlog import KeyedRecord
+from apricotquay.serving.fleet.keyedlog import KeyedRecord
 from apricotquay.serving.reporting import Reporter
 from standins.keyedlog import MemoryLog
 
--- a/tests/test_serving_partcrashes.py
+++ b/tests/test_serving_partcrashes.py
@@ -33,9 +33,9 @@
     EngineCall,
     RequestNotRunError,
 )
+from apricotquay.serving.fleet.view import View
 from apricotquay.serving.http.bodybudget import BodyBudget
 from apricotquay.serving.metrics import ServingMetrics
-from apricotquay.serving.view import View
 from standins.keyedlog import MemoryLog
 
 from .test_serving_crashlog import (
--- a/tests/test_serving_paths.py
+++ b/tests/test_serving_paths.py
@@ -3,8 +3,12 @@
 from parameterized import parameterized
 
 from apricotquay.ids import EndpointId
-from apricotquay.serving.paths import MAX_PROBE_SUCCESSES, MAX_PROBES_AT_ONCE, PathTable
-from apricotquay.serving.relaypool import (
+from apricotquay.serving.fleet.paths import (
+    MAX_PROBE_SUCCESSES,
+    MAX_PROBES_AT_ONCE,
+    PathTable,
+)
+from apricotquay.serving.fleet.relaypool import (
     FAILURE_PAUSE_S,
     REACHED_VALID_S,
     RelayPool,
--- a/tests/test_serving_peers.py
+++ b/tests/test_serving_peers.py
@@ -10,9 +10,9 @@
 
 from apricotquay.errors import PeerUnavailableError
 from apricotquay.ids import JobId, TeamId
-from apricotquay.serving import peers as peers_module
+from apricotquay.serving.fleet import peers as peers_module
+from apricotquay.serving.fleet.peers import PeerConnection, Peers
 from apricotquay.serving.messages import ItemBody, ReadBody, encode_frame
-from apricotquay.serving.peers import PeerConnection, Peers
 
 from .base import ApricotTest
 from .test_serving_jobs import quiet_reporter
--- a/tests/test_serving_relayclient.py
+++ b/tests/test_serving_relayclient.py
@@ -6,13 +6,13 @@
 
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.engine import AttemptFailedError, EngineCall
+from apricotquay.serving.fleet.relayclient import RelayClient
 from apricotquay.serving.messages import (
     RelayedData,
     RelayedEnd,
     RelayedFailure,
     RelayedHead,
 )
-from apricotquay.serving.relayclient import RelayClient
 
 from .base import ApricotTest
 from .test_serving_relayserver import RecordingConnection, settle
--- a/tests/test_serving_relayserver.py
+++ b/tests/test_serving_relayserver.py
@@ -5,6 +5,8 @@
 from apricotquay.clocks import SystemClock
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.engine import NO_LIMIT
+from apricotquay.serving.fleet.relayclient import WINDOW_BYTES
+from apricotquay.serving.fleet.relayserver import MAX_CHUNK_BYTES, RelayServer
 from apricotquay.serving.messages import (
     CancelRelay,
     RelayCall,
@@ -14,8 +16,6 @@
     RelayedFailure,
 )
 from apricotquay.serving.metrics import ServingMetrics
-from apricotquay.serving.relayclient import WINDOW_BYTES
-from apricotquay.serving.relayserver import MAX_CHUNK_BYTES, RelayServer
 
 from .base import ApricotTest
 from .test_serving_jobs import quiet_reporter
--- a/tests/test_serving_shards.py
+++ b/tests/test_serving_shards.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from apricotquay.serving.batch.partition import JOBS
-from apricotquay.serving.keyedlog import LogRefusedError, Shard
-from apricotquay.serving.shards import Shards
+from apricotquay.serving.fleet.keyedlog import LogRefusedError, Shard
+from apricotquay.serving.fleet.shards import Shards
 
 from .base import ApricotTest
 from .test_serving_jobs import quiet_reporter
--- a/tests/test_serving_slotleases.py
+++ b/tests/test_serving_slotleases.py
@@ -6,8 +6,8 @@
 
 from apricotquay.clocks import SystemClock
 from apricotquay.ids import EndpointId
-from apricotquay.serving import peers as peers_module
 from apricotquay.serving.batch.runner import MAX_SLOT_WAIT_S
+from apricotquay.serving.fleet import peers as peers_module
 from apricotquay.serving.messages import AskSlot, HeldSlot, SlotQueued, TicketList
 from apricotquay.serving.slots import allocator as slots_module, slotleases
 from apricotquay.serving.slots.allocator import SlotLease, SlotRequest
--- a/tests/test_serving_slots.py
+++ b/tests/test_serving_slots.py
@@ -11,8 +11,8 @@
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
 from apricotquay.serving.engine import EndpointLimit
+from apricotquay.serving.fleet.peers import Peers
 from apricotquay.serving.messages import AskSlot, SlotGranted, SlotQueued
-from apricotquay.serving.peers import Peers
 from apricotquay.serving.slots import allocator as slots_module, outliers
 from apricotquay.serving.slots.allocator import (
     SlotAllocator,
--- a/tests/test_serving_view.py
+++ b/tests/test_serving_view.py
@@ -13,8 +13,8 @@
     Endpoint,
     EndpointTable,
 )
-from apricotquay.serving.keyedlog import KeyedRecord, Page
-from apricotquay.serving.view import View
+from apricotquay.serving.fleet.keyedlog import KeyedRecord, Page
+from apricotquay.serving.fleet.view import View
 
 from .base import ApricotTest
 from .test_platform_wire import SERVER, config
--- a/tests/test_serving_viewexchange.py
+++ b/tests/test_serving_viewexchange.py
@@ -5,14 +5,14 @@
 
 from apricotquay.ids import EndpointId
 from apricotquay.platform.wire import PlatformDirectory
-from apricotquay.serving import viewexchange
 from apricotquay.serving.batch.partition import JOBS
 from apricotquay.serving.crashes.crashlog import ALL_RECORDS, CrashLog, CrashReport
-from apricotquay.serving.keyedlog import KeyedRecord, Shard
+from apricotquay.serving.fleet import viewexchange
+from apricotquay.serving.fleet.keyedlog import KeyedRecord, Shard
+from apricotquay.serving.fleet.shards import Shards
+from apricotquay.serving.fleet.view import View
+from apricotquay.serving.fleet.viewexchange import ViewExchange
 from apricotquay.serving.messages import PullView
-from apricotquay.serving.shards import Shards
-from apricotquay.serving.view import View
-from apricotquay.serving.viewexchange import ViewExchange
 from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -16,7 +16,7 @@
     WeightedService,
 )
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
-from apricotquay.serving.keyedlog import KeyedRecord
+from apricotquay.serving.fleet.keyedlog import KeyedRecord
 from apricotquay.serving.messages import FindStream, StreamBegan, StreamFound
 from apricotquay.serving.streams import streamkeeper, streamversions
 from apricotquay.serving.streams.streamkeeper import StreamKeeper
