--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -26,14 +26,14 @@
 from ..serving.http.keysearch import contains_key, holds_key
 from ..serving.messages import JobPage
 from ..serving.metrics import ServingMetrics
-from ..serving.online import OnlineRequestHandler
-from ..serving.reporting import Reporter
-from ..serving.requests import (
+from ..serving.online.handler import OnlineRequestHandler
+from ..serving.online.requests import (
     Admission,
     OnlineRequest,
     acknowledge_cancellation,
     interruption_error,
 )
+from ..serving.reporting import Reporter
 from . import wire
 
 JOB_RESULTS_PATH = "/-/lots/"
--- a/apricotquay/serving/batch/runner.py
+++ b/apricotquay/serving/batch/runner.py
@@ -12,7 +12,6 @@
 
 from ...clocks import Clock
 from ...events import Event
-from ..attempts import AttemptRunner, read_events
 from ..catalog import Configuration, Route, ServiceName
 from ..engine import (
     AttemptFailedError,
@@ -22,6 +21,7 @@
 )
 from ..fleet.view import View
 from ..metrics import ServingMetrics
+from ..online.attempts import AttemptRunner, read_events
 from ..reporting import Reporter
 from ..slots.allocator import (
     SlotAllocator,
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -12,7 +12,6 @@
 from ..clocks import Clock, SystemClock
 from ..events import Event
 from ..quarantine import Quarantine
-from .attempts import AttemptRunner
 from .batch.jobs import Jobs
 from .batch.runner import BatchRunner
 from .catalog import Limits
@@ -64,8 +63,9 @@
     TicketList,
 )
 from .metrics import ServingMetrics
-from .online import OnlineRequestHandler
-from .ratelimiter import RateLimiter
+from .online.attempts import AttemptRunner
+from .online.handler import OnlineRequestHandler
+from .online.ratelimiter import RateLimiter
 from .reporting import Reporter
 from .slots.allocator import SlotAllocator
 from .streams.streamkeeper import StreamKeeper
--- /dev/null
+++ b/apricotquay/serving/online/__init__.py
@@ -0,0 +1,1 @@
+"""Online requests: admission, attempts, time limits and handover."""
--- a/apricotquay/serving/attempts.py
+++ b/apricotquay/serving/online/attempts.py
@@ -10,13 +10,13 @@
 from functools import partial
 from typing import TypeVar
 
-from ..clocks import Clock
-from ..events import Event
-from ..ids import EndpointId, TeamId
-from .crashes.detector import CrashDetector
-from .crashes.promptparts import PartKey
-from .endpoints import Endpoint, LeavingNotice
-from .engine import (
+from ...clocks import Clock
+from ...events import Event
+from ...ids import EndpointId, TeamId
+from ..crashes.detector import CrashDetector
+from ..crashes.promptparts import PartKey
+from ..endpoints import Endpoint, LeavingNotice
+from ..engine import (
     NO_LIMIT,
     AttemptFailedError,
     EndpointLimit,
@@ -26,13 +26,13 @@
     RequestNotRunError,
     found_path_failure,
 )
-from .fleet.view import View
+from ..fleet.view import View
+from ..http.bodybudget import MAX_BODY_BYTES, BodyBudget, BodyReservation
+from ..http.http1 import HeaderList, is_success
+from ..http.sse import EventSplitter, StreamEvent
+from ..metrics import ServingMetrics
+from ..reporting import Reporter
 from .handover import Handover
-from .http.bodybudget import MAX_BODY_BYTES, BodyBudget, BodyReservation
-from .http.http1 import HeaderList, is_success
-from .http.sse import EventSplitter, StreamEvent
-from .metrics import ServingMetrics
-from .reporting import Reporter
 
 T = TypeVar("T")
 
--- a/apricotquay/serving/online.py
+++ b/apricotquay/serving/online/handler.py
@@ -7,26 +7,35 @@
 
 import msgspec
 
-from ..clocks import Clock
-from ..errors import ErrorKind, Ran, RequestError
-from ..events import Event
-from ..ids import TeamId
-from .attempts import AttemptRunner, fingerprint_of, read_body, read_events
-from .catalog import Configuration, Route, RouteKind, ServiceName, Team
-from .endpoints import Endpoint
-from .engine import (
+from ...clocks import Clock
+from ...errors import ErrorKind, Ran, RequestError
+from ...events import Event
+from ...ids import TeamId
+from ..catalog import Configuration, Route, RouteKind, ServiceName, Team
+from ..endpoints import Endpoint
+from ..engine import (
     AttemptFailedError,
     EngineCall,
     EngineResponse,
     RequestNotRunError,
 )
-from .fleet.view import View
+from ..fleet.view import View
+from ..http.http1 import HeaderList
+from ..http.httpserver import CallerDisconnectedError
+from ..metrics import ServingMetrics
+from ..reporting import Reporter
+from ..slots.allocator import (
+    SlotAllocator,
+    SlotLease,
+    SlotRequest,
+    SlotUnavailableError,
+)
+from ..slots.dispatch import Work
+from ..slots.outliers import SlotOutcome
+from ..streams.streamkeeper import StreamKeeper
+from .attempts import AttemptRunner, fingerprint_of, read_body, read_events
 from .handover import Handover
-from .http.http1 import HeaderList
-from .http.httpserver import CallerDisconnectedError
-from .metrics import ServingMetrics
 from .ratelimiter import RateLimiter
-from .reporting import Reporter
 from .requests import (
     Admission,
     OnlineRequest,
@@ -35,10 +44,6 @@
     acknowledge_cancellation,
     interruption_error,
 )
-from .slots.allocator import SlotAllocator, SlotLease, SlotRequest, SlotUnavailableError
-from .slots.dispatch import Work
-from .slots.outliers import SlotOutcome
-from .streams.streamkeeper import StreamKeeper
 from .timeouts import MAX_FIRST_EVENT_TIMEOUT_S, AdaptiveTimeouts, SilenceLimits
 
 # Counted from the arrival of a request that no endpoint may have run yet.
--- a/apricotquay/serving/handover.py
+++ b/apricotquay/serving/online/handover.py
@@ -5,9 +5,9 @@
 from functools import partial
 from typing import TypeVar
 
-from .reporting import Reporter
-from .slots.allocator import SlotLease
-from .tasks import start_task
+from ..reporting import Reporter
+from ..slots.allocator import SlotLease
+from ..tasks import start_task
 
 T = TypeVar("T")
 
--- a/apricotquay/serving/ratelimiter.py
+++ b/apricotquay/serving/online/ratelimiter.py
@@ -2,14 +2,14 @@
 
 import msgspec
 
-from ..clocks import Clock
-from ..errors import PeerUnavailableError
-from ..ids import TeamId
-from .catalog import Team
-from .fleet.peers import Peers
-from .fleet.shards import Shards, shard_number
-from .fleet.view import View
-from .messages import CallNotServed, Message, TakeToken, TokenAnswer
+from ...clocks import Clock
+from ...errors import PeerUnavailableError
+from ...ids import TeamId
+from ..catalog import Team
+from ..fleet.peers import Peers
+from ..fleet.shards import Shards, shard_number
+from ..fleet.view import View
+from ..messages import CallNotServed, Message, TakeToken, TokenAnswer
 from .rates import Allowance, DaemonRates, OwnerRates
 
 OWNER_ANSWER_TIMEOUT_S = 0.12
--- a/apricotquay/serving/rates.py
+++ b/apricotquay/serving/online/rates.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ..ids import TeamId
+from ...ids import TeamId
 
 # Level of a team's bucket over the whole fleet, in requests, as assumed by a daemon
 # that has not been told it yet. A restart must not allow a burst twice, and a few
--- a/apricotquay/serving/requests.py
+++ b/apricotquay/serving/online/requests.py
@@ -6,14 +6,14 @@
 
 import msgspec
 
-from ..errors import ErrorKind, Ran, RequestError
-from ..ids import EndpointId
-from .catalog import Route, Team
-from .crashes.promptparts import PartKey
-from .engine import AttemptFailedError
-from .http.bodybudget import BodyReservation
-from .http.http1 import HeaderList
-from .http.sse import StreamEvent
+from ...errors import ErrorKind, Ran, RequestError
+from ...ids import EndpointId
+from ..catalog import Route, Team
+from ..crashes.promptparts import PartKey
+from ..engine import AttemptFailedError
+from ..http.bodybudget import BodyReservation
+from ..http.http1 import HeaderList
+from ..http.sse import StreamEvent
 
 INTERRUPTION_RETRY_AFTER_MS = 300
 
--- a/apricotquay/serving/timeouts.py
+++ b/apricotquay/serving/online/timeouts.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from .catalog import Route, RouteKind, ServiceName
+from ..catalog import Route, RouteKind, ServiceName
 
 # Callers abandon a stream after two seconds without an event, so another endpoint
 # has to be tried well before that.
--- a/apricotquay/serving/slots/sendlimits.py
+++ b/apricotquay/serving/slots/sendlimits.py
@@ -14,7 +14,7 @@
 
 from ...ids import EndpointId
 from ..endpoints import Endpoint
-from ..rates import Bucket
+from ..online.rates import Bucket
 
 # An endpoint with a lower limit, which may be 0, is still asked this often.
 MIN_RATE_PER_S = 0.25
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -14,7 +14,6 @@
 from apricotquay.platform.callers import CallerApi
 from apricotquay.platform.engines import ServerClient
 from apricotquay.quarantine import Quarantine
-from apricotquay.serving.attempts import AttemptRunner
 from apricotquay.serving.catalog import Configuration, Limits, Route, RouteKind, Team
 from apricotquay.serving.crashes.crashlog import CrashLog
 from apricotquay.serving.crashes.detector import CrashDetector
@@ -26,7 +25,8 @@
 from apricotquay.serving.http.httpclient import open_client
 from apricotquay.serving.http.httpserver import HttpServer, ServerLimits
 from apricotquay.serving.metrics import ServingMetrics
-from apricotquay.serving.online import OnlineRequestHandler
+from apricotquay.serving.online.attempts import AttemptRunner
+from apricotquay.serving.online.handler import OnlineRequestHandler
 from apricotquay.serving.reporting import Reporter
 from standins.keyedlog import MemoryLog
 
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -6,7 +6,7 @@
 
 from apricotquay.ids import TeamId
 from apricotquay.quarantine import CRASHES_TO_QUARANTINE
-from apricotquay.serving.attempts import fingerprint_of
+from apricotquay.serving.online.attempts import fingerprint_of
 from standins.platform import ModelServer
 
 from .test_platform_fleet import HOST, PlatformFleet, PlatformTest
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -12,7 +12,6 @@
 from apricotquay.ids import EndpointId, TeamId
 from apricotquay.platform import engines as engines_module
 from apricotquay.platform.engines import ServerClient
-from apricotquay.serving import attempts as attempts_module
 from apricotquay.serving.batch.itemprogress import ItemProgress
 from apricotquay.serving.batch.runner import _read_output
 from apricotquay.serving.catalog import ServiceName
@@ -24,6 +23,7 @@
     RequestNotRunError,
 )
 from apricotquay.serving.http.bodybudget import BodyBudget
+from apricotquay.serving.online import attempts as attempts_module
 
 from .base import ApricotTest
 
--- a/tests/test_platform_silence.py
+++ b/tests/test_platform_silence.py
@@ -4,7 +4,7 @@
 
 from parameterized import parameterized
 
-from apricotquay.serving import timeouts
+from apricotquay.serving.online import timeouts
 from standins.platform import make_configuration, write_configuration
 
 from .test_platform_fleet import PlatformFleet, PlatformTest
--- a/tests/test_serving_crashlog.py
+++ b/tests/test_serving_crashlog.py
@@ -13,7 +13,6 @@
     SUSPECT_RETENTION_S,
     Quarantine,
 )
-from apricotquay.serving.attempts import AttemptRunner, fingerprint_of
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.crashes import detector as crashes_module
 from apricotquay.serving.crashes.crashlog import (
@@ -31,6 +30,7 @@
 from apricotquay.serving.fleet.keyedlog import KeyedRecord, LogRefusedError, Shard
 from apricotquay.serving.fleet.view import View
 from apricotquay.serving.metrics import ServingMetrics
+from apricotquay.serving.online.attempts import AttemptRunner, fingerprint_of
 from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
--- a/tests/test_serving_handover.py
+++ b/tests/test_serving_handover.py
@@ -9,8 +9,6 @@
 from apricotquay.clocks import SystemClock
 from apricotquay.ids import EndpointId
 from apricotquay.quarantine import Quarantine
-from apricotquay.serving import timeouts
-from apricotquay.serving.attempts import AttemptRunner
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.crashes.crashlog import CrashLog
 from apricotquay.serving.crashes.detector import CrashDetector
@@ -20,10 +18,12 @@
     AttemptFailedError,
     RequestNotRunError,
 )
-from apricotquay.serving.handover import Handover
 from apricotquay.serving.metrics import ServingMetrics
-from apricotquay.serving.online import OnlineRequestHandler
-from apricotquay.serving.requests import OnlineRequest
+from apricotquay.serving.online import timeouts
+from apricotquay.serving.online.attempts import AttemptRunner
+from apricotquay.serving.online.handler import OnlineRequestHandler
+from apricotquay.serving.online.handover import Handover
+from apricotquay.serving.online.requests import OnlineRequest
 from apricotquay.serving.slots.allocator import SlotLease
 from apricotquay.serving.slots.dispatch import Ticket, TicketId, Work
 from standins.keyedlog import MemoryLog
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -9,8 +9,6 @@
 from apricotquay.clocks import SystemClock
 from apricotquay.ids import EndpointId, RouteName, TeamId
 from apricotquay.quarantine import Quarantine
-from apricotquay.serving import online as online_module, timeouts
-from apricotquay.serving.attempts import AttemptRunner
 from apricotquay.serving.catalog import (
     Configuration,
     Limits,
@@ -32,14 +30,16 @@
     RequestNotRunError,
 )
 from apricotquay.serving.metrics import ServingMetrics
-from apricotquay.serving.online import OnlineRequestHandler
-from apricotquay.serving.ratelimiter import RateDecision
-from apricotquay.serving.requests import OnlineRequest
+from apricotquay.serving.online import handler as online_module, timeouts
+from apricotquay.serving.online.attempts import AttemptRunner
+from apricotquay.serving.online.handler import OnlineRequestHandler
+from apricotquay.serving.online.ratelimiter import RateDecision
+from apricotquay.serving.online.requests import OnlineRequest
+from apricotquay.serving.online.timeouts import AdaptiveTimeout
 from apricotquay.serving.slots.allocator import SlotLease, SlotUnavailableError
 from apricotquay.serving.slots.dispatch import Ticket, TicketId, Work
 from apricotquay.serving.slots.outliers import SlotOutcome
 from apricotquay.serving.streams.streamkeeper import KnownVersion
-from apricotquay.serving.timeouts import AdaptiveTimeout
 from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
--- a/tests/test_serving_pace.py
+++ b/tests/test_serving_pace.py
@@ -4,7 +4,7 @@
 
 from apricotquay.ids import RouteName
 from apricotquay.serving.catalog import Route, RouteKind, ServiceName, WeightedService
-from apricotquay.serving.timeouts import (
+from apricotquay.serving.online.timeouts import (
     MAX_FIRST_EVENT_TIMEOUT_S,
     MAX_PAUSE_TIMEOUT_S,
     MIN_SAMPLES,
--- a/tests/test_serving_partcrashes.py
+++ b/tests/test_serving_partcrashes.py
@@ -10,7 +10,6 @@
 from apricotquay.clocks import SystemClock
 from apricotquay.ids import EndpointId
 from apricotquay.platform.wire import PlatformDirectory
-from apricotquay.serving.attempts import AttemptRunner, read_body
 from apricotquay.serving.crashes import crashlog as crashlog_module
 from apricotquay.serving.crashes.crashlog import (
     ALL_RECORDS,
@@ -36,6 +35,7 @@
 from apricotquay.serving.fleet.view import View
 from apricotquay.serving.http.bodybudget import BodyBudget
 from apricotquay.serving.metrics import ServingMetrics
+from apricotquay.serving.online.attempts import AttemptRunner, read_body
 from standins.keyedlog import MemoryLog
 
 from .test_serving_crashlog import (
--- a/tests/test_serving_rates.py
+++ b/tests/test_serving_rates.py
@@ -7,7 +7,7 @@
 from parameterized import parameterized
 
 from apricotquay.ids import TeamId
-from apricotquay.serving.rates import Allowance, DaemonRates, OwnerRates
+from apricotquay.serving.online.rates import Allowance, DaemonRates, OwnerRates
 
 from .base import ApricotTest
 
