--- a/apricotquay/serving/batch/runner.py
+++ b/apricotquay/serving/batch/runner.py
@@ -29,8 +29,8 @@
     SlotRequest,
     SlotUnavailableError,
 )
-from ..slots.dispatch import Work
 from ..slots.outliers import SlotOutcome
+from ..slots.tickets import Work
 from ..tasks import start_task
 from .itemprogress import (
     EVENT_TIMEOUT_S,
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -14,15 +14,15 @@
 from .endpoints import LeavingNotice
 from .engine import Reachability
 from .fleet.keyedlog import KeyedRecord
-from .slots.dispatch import Work
 from .slots.outliers import SlotOutcome
 from .slots.sendlimits import LimitNotice
+from .slots.tickets import Work
 from .streams.streamversions import MIN_LIFETIME_S
 
 MAX_ERROR_CHARS = 200
 
 
-class AskSlot(msgspec.Struct, frozen=True, tag="ask_slot"):
+class AskSlot(msgspec.Struct, frozen=True, omit_defaults=True, tag="ask_slot"):
     """Requests a slot from a service's owner.
 
     Times are relative, since the daemons' clocks differ.
@@ -39,6 +39,12 @@
     may_repeat: bool = True
     holds_slot: bool = False
     version: str = ""
+    team: TeamId = TeamId("")
+    priority: int = 0
+    weight: float = 1.0
+    tokens: int = 0
+    zone: str = ""
+    regions: list[str] = []
 
 
 class SlotQueued(msgspec.Struct, frozen=True, tag="slot_queued"):
@@ -78,7 +84,7 @@
     use: SlotOutcome = SlotOutcome.UNKNOWN
 
 
-class HeldSlot(msgspec.Struct, frozen=True, tag="held_slot"):
+class HeldSlot(msgspec.Struct, frozen=True, omit_defaults=True, tag="held_slot"):
     """Reports to a new owner a slot that another slot table granted."""
 
     service: ServiceName
@@ -87,6 +93,8 @@
     endpoint: str
     due_in_ms: int
     needs_ms: int
+    team: TeamId = TeamId("")
+    tokens: int = 0
 
 
 class LimitSeen(msgspec.Struct, frozen=True, tag="limit_seen"):
--- a/apricotquay/serving/online/handler.py
+++ b/apricotquay/serving/online/handler.py
@@ -30,8 +30,8 @@
     SlotRequest,
     SlotUnavailableError,
 )
-from ..slots.dispatch import Work
 from ..slots.outliers import SlotOutcome
+from ..slots.tickets import Work
 from ..streams.streamkeeper import StreamKeeper
 from .attempts import AttemptRunner, fingerprint_of, read_body, read_events
 from .handover import Handover
--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -10,7 +10,7 @@
 
 from ...clocks import Clock
 from ...errors import ApricotquayError, PeerUnavailableError
-from ...ids import EndpointId
+from ...ids import EndpointId, TeamId
 from ..catalog import ServiceName
 from ..endpoints import LeavingNotice
 from ..engine import EndpointLimit, found_path_failure
@@ -18,8 +18,6 @@
 from ..fleet.shards import Shards, shard_number
 from ..fleet.view import View
 from ..messages import (
-    AskSlot,
-    HeldSlot,
     LeavingList,
     LimitSeen,
     Message,
@@ -33,10 +31,11 @@
 )
 from ..reporting import Reporter
 from ..tasks import start_task
-from .dispatch import Decision, Granted, Refused, Revoked, Ticket, TicketId, Work
 from .outliers import SlotOutcome
 from .slotleases import LEASE_S
-from .slotowner import MS_PER_S, SlotTables
+from .slotowner import SlotTables
+from .ticketmessages import MS_PER_S, ask_slot_message, held_slot_message
+from .tickets import Decision, Granted, Refused, Revoked, Ticket, TicketId, Work
 
 # The owner answers within two network round trips unless it is overloaded or gone.
 OWNER_ANSWER_TIMEOUT_S = 0.15
@@ -72,6 +71,12 @@
     may_repeat: bool = True
     holds_slot: bool = False
     version: str = ""
+    team: TeamId = TeamId("")
+    priority: int = 0
+    weight: float = 1.0
+    tokens: int = 0
+    zone: str = ""
+    regions: frozenset[str] = frozenset()
 
 
 class SlotLease(msgspec.Struct):
@@ -201,6 +206,12 @@
             request.may_repeat,
             request.holds_slot,
             request.version,
+            request.team,
+            request.priority,
+            request.weight,
+            request.tokens,
+            request.zone,
+            request.regions,
         )
         for asked_count in range(MAX_OWNER_ASKS):
             owner = self._owner(service)
@@ -332,19 +343,7 @@
     ) -> Decision | None:
         """Request a slot; None if the owner does not answer or disconnects."""
         now_s = self._clock.now_s()
-        message = AskSlot(
-            service,
-            ticket.id,
-            ticket.work,
-            int((ticket.due_s - now_s) * MS_PER_S),
-            int((ticket.slot_deadline_s - now_s) * MS_PER_S),
-            int(ticket.expected_duration_s * MS_PER_S),
-            ticket.prefix,
-            sorted(ticket.avoid),
-            ticket.may_repeat,
-            ticket.holds_slot,
-            ticket.version,
-        )
+        message = ask_slot_message(service, ticket, now_s)
         try:
             async with asyncio.timeout(OWNER_ANSWER_TIMEOUT_S):
                 connection = await self._peers.connect(owner)
@@ -492,16 +491,8 @@
                 continue
             lease.owner = owner
             lease.known_over = connection
-            due_in_ms = int((lease.ticket.due_s - now_s) * MS_PER_S)
             connection.send(
-                HeldSlot(
-                    lease.service,
-                    lease.ticket.id,
-                    lease.ticket.work,
-                    lease.endpoint,
-                    due_in_ms,
-                    int(lease.ticket.expected_duration_s * MS_PER_S),
-                )
+                held_slot_message(lease.service, lease.ticket, lease.endpoint, now_s)
             )
 
     async def _tick_loop(self) -> None:
--- /dev/null
+++ b/apricotquay/serving/slots/endpointslots.py
@@ -0,0 +1,103 @@
+"""The slots of one endpoint, and what a slot table knows of the endpoint. Pure."""
+
+import enum
+
+import msgspec
+
+from ...ids import EndpointId
+from .sendlimits import SendLimit
+from .tickets import Ticket, TicketId, Work
+
+
+class EndpointStatus(enum.Enum):
+    """Result of outlier detection for an endpoint.
+
+    An EJECTED endpoint gets no batch items and one on PROBATION few. Repeatable
+    online requests use either only if no other endpoint has a free slot and no
+    batch item can be preempted.
+    """
+
+    NORMAL = "usual"
+    PROBATION = "on_trial"
+    EJECTED = "rests"
+
+
+class EndpointProfile(msgspec.Struct, frozen=True):
+    """What the platform says of an endpoint, as far as slot tables use it.
+
+    `version` is that of its software, `memory_tokens` how many tokens its memory
+    holds, 0 if unknown. Empty strings mean unknown.
+    """
+
+    version: str = ""
+    zone: str = ""
+    region: str = ""
+    memory_tokens: int = 0
+
+
+UNKNOWN_PROFILE = EndpointProfile()
+
+
+class EndpointSlots:
+    """The slots of one endpoint."""
+
+    def __init__(self, endpoint: EndpointId, count: int) -> None:
+        self.endpoint: EndpointId = endpoint
+        self.count: int = count
+        self.running: dict[TicketId, Ticket] = {}
+        self.granted_s: dict[TicketId, float] = {}
+        self.online_count: int = 0
+        self.is_open: bool = True
+        self.status: EndpointStatus = EndpointStatus.NORMAL
+        self.limit: SendLimit | None = None
+        self.profile: EndpointProfile = UNKNOWN_PROFILE
+
+    @property
+    def version(self) -> str:
+        """The version of the endpoint's software."""
+        return self.profile.version
+
+    @property
+    def free(self) -> int:
+        """Number of free slots."""
+        return self.count - len(self.running)
+
+    def may_send(self, now_s: float) -> bool:
+        """Whether the endpoint's limit allows a request now."""
+        return self.limit is None or self.limit.may_send(now_s)
+
+    def is_available(self, now_s: float) -> bool:
+        """Whether some ticket could be granted a slot now."""
+        return self.is_open and self.count > len(self.running) and self.may_send(now_s)
+
+    def suits(self, ticket: Ticket, now_s: float) -> bool:
+        """Whether a ticket may use the endpoint, which is available."""
+        if self.endpoint in ticket.avoid:
+            return False
+        if ticket.version and ticket.version != self.version:
+            return False
+        if self.limit is None or ticket.work is Work.ONLINE:
+            return True
+        return self.limit.may_send_batch(now_s)
+
+    def throughput_per_s(self, service_time_s: float, now_s: float) -> float:
+        """Return how many online requests a second the endpoint can begin."""
+        by_slots = self.count / service_time_s
+        if self.limit is None:
+            return by_slots
+        return min(by_slots, self.limit.granted_per_s(now_s))
+
+    def assign(self, ticket: Ticket, now_s: float) -> None:
+        """Give a slot to a ticket."""
+        if ticket.work is Work.ONLINE:
+            self.online_count += 1
+        self.running[ticket.id] = ticket
+        self.granted_s[ticket.id] = now_s
+
+    def release(self, ticket_id: TicketId, now_s: float) -> tuple[Ticket, float]:
+        """Free a ticket's slot; return the ticket and how long it held the slot."""
+        ticket = self.running.pop(ticket_id)
+        held_s = now_s - self.granted_s.pop(ticket_id)
+        if ticket.work is Work.ONLINE:
+            self.online_count -= 1
+        return ticket, held_s
--- /dev/null
+++ b/apricotquay/serving/slots/revocation.py
@@ -0,0 +1,61 @@
+"""Chooses the batch items that give up their slots to online requests. Pure.
+
+An online request without a free slot preempts a batch item: a late item first, then
+the one with the most slack.
+"""
+
+import collections
+from collections.abc import Iterable, Iterator
+
+from .endpointslots import EndpointSlots
+from .tickets import Ticket, TicketId, Work
+
+
+def revocable(
+    slots_of_all: Iterable[EndpointSlots], revoked: set[TicketId], now_s: float
+) -> Iterator[tuple[Ticket, EndpointSlots]]:
+    """Yield the batch items whose slots an online request could use."""
+    for slots in slots_of_all:
+        if not slots.is_open or not slots.may_send(now_s):
+            continue
+        for ticket in slots.running.values():
+            if ticket.work is Work.BATCH and ticket.id not in revoked:
+                yield ticket, slots
+
+
+def choose_revocations(
+    wanted: collections.Counter[str],
+    candidates: Iterable[tuple[Ticket, EndpointSlots]],
+    missing: int,
+    now_s: float,
+) -> Iterator[TicketId]:
+    """Yield the items to revoke: at most `missing`, and for each version that online
+    tickets need as many as `wanted` counts; an empty version stands for any.
+    """
+    wanted = wanted.copy()
+    left = sorted(
+        (_revocation_key(ticket, slots, now_s), ticket.id, slots.version)
+        for ticket, slots in candidates
+    )
+    chosen: set[TicketId] = set()
+    # Tickets that need a version come first: fewer items are of use to them.
+    for version in sorted(wanted, reverse=True):
+        for _, ticket_id, item_version in left:
+            if missing <= 0 or wanted[version] <= 0:
+                break
+            if ticket_id in chosen or version not in ("", item_version):
+                continue
+            missing -= 1
+            wanted[version] -= 1
+            chosen.add(ticket_id)
+            yield ticket_id
+
+
+def _revocation_key(ticket: Ticket, slots: EndpointSlots, now_s: float) -> float:
+    """Return the sort key for revocation, lowest first: the negated slack, or minus
+    infinity for an item that is already late.
+    """
+    ran_s = now_s - slots.granted_s[ticket.id]
+    remaining_s = max(0.0, ticket.expected_duration_s - ran_s)
+    slack_s = ticket.due_s - now_s - remaining_s
+    return float("-inf") if slack_s < 0 else -slack_s
--- a/apricotquay/serving/slots/slotowner.py
+++ b/apricotquay/serving/slots/slotowner.py
@@ -29,15 +29,8 @@
     TicketsKnown,
 )
 from ..reporting import Reporter
-from .dispatch import (
-    Decision,
-    Dispatcher,
-    EndpointStatus,
-    Granted,
-    Refused,
-    Ticket,
-    TicketId,
-)
+from .dispatch import Dispatcher
+from .endpointslots import EndpointProfile, EndpointStatus
 from .outliers import OutlierDetector, SlotOutcome
 from .sendlimits import (
     DEFAULT_DAEMONS,
@@ -47,9 +40,10 @@
     SendLimits,
 )
 from .slotleases import PeerLeases
+from .ticketmessages import MS_PER_S, held_ticket, requested_ticket
+from .tickets import Decision, Granted, Refused, Ticket, TicketId
 
 DEFAULT_SLOTS = 8
-MS_PER_S = 1000
 # A newer ticket may have been requested after its peer compiled its ticket list.
 LIST_GRACE_S = 0.5
 PROBATION_SLOTS = 1
@@ -286,18 +280,7 @@
 
     def _handle_ask_slot(self, connection: PeerConnection, message: AskSlot) -> None:
         now_s = self._clock.now_s()
-        ticket = Ticket(
-            TicketId(message.ticket),
-            message.work,
-            now_s + message.due_in_ms / MS_PER_S,
-            now_s + message.latest_in_ms / MS_PER_S,
-            message.needs_ms / MS_PER_S,
-            message.prefix,
-            frozenset(message.avoid),
-            message.may_repeat,
-            message.holds_slot,
-            message.version,
-        )
+        ticket = requested_ticket(message, now_s)
         self._add_peer_ticket(connection, message.service, ticket.id)
         decisions = self.table(message.service).request_slot(ticket, now_s)
         self._deliver(decisions)
@@ -313,12 +296,7 @@
             self.record_outcome(endpoint_id, message.use)
 
     def _handle_held_slot(self, connection: PeerConnection, message: HeldSlot) -> None:
-        now_s = self._clock.now_s()
-        due_s = now_s + message.due_in_ms / MS_PER_S
-        expected_duration_s = message.needs_ms / MS_PER_S
-        ticket = Ticket(
-            TicketId(message.ticket), message.work, due_s, due_s, expected_duration_s
-        )
+        ticket = held_ticket(message, self._clock.now_s())
         self._add_peer_ticket(connection, message.service, ticket.id)
         self.record_grant(message.service, ticket, EndpointId(message.endpoint))
 
@@ -455,8 +433,11 @@
             for entry in self._view.endpoints.serving(service)
         }
         limits = self._limits_of(service, now_s)
-        versions = {e.id: e.version for e in self._view.endpoints.serving(service)}
-        return table.set_endpoints(slot_counts, now_s, statuses, limits, versions)
+        profiles = {
+            e.id: EndpointProfile(e.version, e.zone)
+            for e in self._view.endpoints.serving(service)
+        }
+        return table.set_endpoints(slot_counts, now_s, statuses, limits, profiles)
 
     def _limits_of(
         self, service: ServiceName, now_s: float
--- /dev/null
+++ b/apricotquay/serving/slots/ticketmessages.py
@@ -0,0 +1,90 @@
+"""Converts tickets to messages between daemons and back.
+
+Messages hold relative times, since the daemons' clocks differ.
+"""
+
+from ...ids import EndpointId
+from ..catalog import ServiceName
+from ..messages import AskSlot, HeldSlot
+from .tickets import Ticket, TicketId
+
+MS_PER_S = 1000
+
+
+def ask_slot_message(service: ServiceName, ticket: Ticket, now_s: float) -> AskSlot:
+    """Return the message that requests a slot for a ticket."""
+    return AskSlot(
+        service,
+        ticket.id,
+        ticket.work,
+        _to_ms(ticket.due_s - now_s),
+        _to_ms(ticket.slot_deadline_s - now_s),
+        _to_ms(ticket.expected_duration_s),
+        ticket.prefix,
+        sorted(ticket.avoid),
+        ticket.may_repeat,
+        ticket.holds_slot,
+        ticket.version,
+        ticket.team,
+        ticket.priority,
+        ticket.weight,
+        ticket.tokens,
+        ticket.zone,
+        sorted(ticket.regions),
+    )
+
+
+def requested_ticket(message: AskSlot, now_s: float) -> Ticket:
+    """Return the ticket for which a peer requests a slot."""
+    return Ticket(
+        TicketId(message.ticket),
+        message.work,
+        now_s + message.due_in_ms / MS_PER_S,
+        now_s + message.latest_in_ms / MS_PER_S,
+        message.needs_ms / MS_PER_S,
+        message.prefix,
+        frozenset(message.avoid),
+        message.may_repeat,
+        message.holds_slot,
+        message.version,
+        message.team,
+        message.priority,
+        message.weight,
+        message.tokens,
+        message.zone,
+        frozenset(message.regions),
+    )
+
+
+def held_slot_message(
+    service: ServiceName, ticket: Ticket, endpoint: EndpointId, now_s: float
+) -> HeldSlot:
+    """Return the message that reports a held slot to a new owner."""
+    return HeldSlot(
+        service,
+        ticket.id,
+        ticket.work,
+        endpoint,
+        _to_ms(ticket.due_s - now_s),
+        _to_ms(ticket.expected_duration_s),
+        ticket.team,
+        ticket.tokens,
+    )
+
+
+def held_ticket(message: HeldSlot, now_s: float) -> Ticket:
+    """Return the ticket whose slot a peer reports."""
+    due_s = now_s + message.due_in_ms / MS_PER_S
+    return Ticket(
+        TicketId(message.ticket),
+        message.work,
+        due_s,
+        due_s,
+        message.needs_ms / MS_PER_S,
+        team=message.team,
+        tokens=message.tokens,
+    )
+
+
+def _to_ms(time_s: float) -> int:
+    return int(time_s * MS_PER_S)
--- /dev/null
+++ b/apricotquay/serving/slots/waits.py
@@ -0,0 +1,89 @@
+"""Estimates how long tickets wait for slots, and when refused callers return. Pure.
+
+Under more load than the endpoints can take, a request that cannot get a slot before
+its deadline is refused at once, and the retries of refused callers are spread over
+what the endpoints can serve.
+"""
+
+from collections.abc import Collection, Iterable
+
+from .endpointslots import EndpointSlots
+from .tickets import Ticket
+
+# Initial estimate of how long an online request holds its slot. The estimate is
+# updated when slots are released.
+DEFAULT_SERVICE_TIME_S = 0.7
+SERVICE_TIME_SMOOTHING = 0.05
+
+
+class WaitEstimator:
+    """What a slot table knows of the pace at which its slots come free.
+
+    Used by `Dispatcher`.
+    """
+
+    def __init__(self) -> None:
+        self._service_time_s: float = DEFAULT_SERVICE_TIME_S
+        self._retry_times_s: list[float] = []
+
+    def record_service_time(self, held_s: float) -> None:
+        """Record how long an online request held its slot."""
+        self._service_time_s += SERVICE_TIME_SMOOTHING * (held_s - self._service_time_s)
+
+    def throughput_per_s(self, slots: Iterable[EndpointSlots], now_s: float) -> float:
+        """Return how many online requests a second the endpoints can begin."""
+        total = sum(
+            s.throughput_per_s(self._service_time_s, now_s) for s in slots if s.is_open
+        )
+        return total or 1 / self._service_time_s
+
+    def expected_wait_s(
+        self,
+        slots: Collection[EndpointSlots],
+        waiting_online: Iterable[Ticket],
+        now_s: float,
+    ) -> float:
+        """Estimate a new online ticket's wait; batch items can be preempted."""
+        free = sum(
+            s.count - s.online_count for s in slots if s.is_open and s.limit is None
+        )
+        free += sum(
+            min(1, s.count - s.online_count)
+            for s in slots
+            if s.is_open and s.limit is not None and s.may_send(now_s)
+        )
+        ahead = sum(1 for t in waiting_online if not t.holds_slot)
+        if ahead < free or not slots:
+            return 0.0
+        return (ahead - free + 1) / self.throughput_per_s(slots, now_s)
+
+    def hopeless(
+        self,
+        slots: Collection[EndpointSlots],
+        in_order: Iterable[Ticket],
+        now_s: float,
+    ) -> list[Ticket]:
+        """Return the waiting online tickets that would be granted a slot too late, of
+        those given in the order of service.
+        """
+        interval_s = 1 / self.throughput_per_s(slots, now_s)
+        hopeless = []
+        ahead = 0
+        for ticket in in_order:
+            if ticket.holds_slot:
+                continue
+            if now_s + ahead * interval_s > ticket.slot_deadline_s:
+                hopeless.append(ticket)
+            else:
+                ahead += 1
+        return hopeless
+
+    def retry_after_s(
+        self, wait_s: float, slots: Collection[EndpointSlots], now_s: float
+    ) -> float:
+        """Return a refused caller's retry delay, spread over what can be served."""
+        self._retry_times_s = [at_s for at_s in self._retry_times_s if at_s > now_s]
+        spread_s = len(self._retry_times_s) / self.throughput_per_s(slots, now_s)
+        after_s = wait_s + spread_s
+        self._retry_times_s.append(now_s + after_s)
+        return after_s
--- a/bench/compare.py
+++ b/bench/compare.py
@@ -11,7 +11,7 @@
 
 from apricotquay.events import Event
 from apricotquay.loglines import read_lines
-from apricotquay.serving.slots.dispatch import Work
+from apricotquay.serving.slots.tickets import Work
 
 from .queueing import Policy, QueueingModel
 from .results import Row, format_table, percentile
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -7,7 +7,7 @@
 import statistics
 from collections.abc import Iterator, Sequence
 
-from apricotquay.serving.slots.dispatch import Work
+from apricotquay.serving.slots.tickets import Work
 
 from .queueing import EarliestDueDispatcher, LocalTables, Policy, QueueingModel
 from .results import Row
--- a/bench/queueing.py
+++ b/bench/queueing.py
@@ -18,9 +18,9 @@
 import msgspec
 
 from apricotquay.ids import EndpointId
-from apricotquay.serving.slots.dispatch import (
+from apricotquay.serving.slots.dispatch import Dispatcher
+from apricotquay.serving.slots.tickets import (
     Decision,
-    Dispatcher,
     Granted,
     Rank,
     Refused,
--- a/bench/slottable.py
+++ b/bench/slottable.py
@@ -5,13 +5,8 @@
 from collections.abc import Iterator
 
 from apricotquay.ids import EndpointId
-from apricotquay.serving.slots.dispatch import (
-    Dispatcher,
-    Granted,
-    Ticket,
-    TicketId,
-    Work,
-)
+from apricotquay.serving.slots.dispatch import Dispatcher
+from apricotquay.serving.slots.tickets import Granted, Ticket, TicketId, Work
 
 from .results import Row
 
--- a/bench/splittables.py
+++ b/bench/splittables.py
@@ -7,9 +7,9 @@
 import random
 
 from apricotquay.ids import EndpointId
-from apricotquay.serving.slots.dispatch import (
+from apricotquay.serving.slots.dispatch import Dispatcher
+from apricotquay.serving.slots.tickets import (
     Decision,
-    Dispatcher,
     Granted,
     Refused,
     Ticket,
--- a/bench/upperbound.py
+++ b/bench/upperbound.py
@@ -10,7 +10,7 @@
 from scipy.optimize import linprog
 from scipy.sparse import coo_array
 
-from apricotquay.serving.slots.dispatch import Work
+from apricotquay.serving.slots.tickets import Work
 
 from .workloads import Deployment, Workload
 
--- a/tests/test_bench_model.py
+++ b/tests/test_bench_model.py
@@ -5,7 +5,7 @@
 from parameterized import parameterized
 
 from apricotquay.events import Event
-from apricotquay.serving.slots.dispatch import Work
+from apricotquay.serving.slots.tickets import Work
 from bench.policies import POLICIES, compute_margin, measure_policies
 from bench.queueing import TICK_INTERVAL_S, LocalTables, Policy, QueueingModel
 from bench.splittables import SplitTables
--- a/tests/test_serving_dispatch.py
+++ b/tests/test_serving_dispatch.py
@@ -5,9 +5,9 @@
 from parameterized import parameterized
 
 from apricotquay.ids import EndpointId
-from apricotquay.serving.slots.dispatch import (
-    Dispatcher,
-    EndpointStatus,
+from apricotquay.serving.slots.dispatch import Dispatcher
+from apricotquay.serving.slots.endpointslots import EndpointProfile, EndpointStatus
+from apricotquay.serving.slots.tickets import (
     Granted,
     Refused,
     Revoked,
@@ -403,8 +403,11 @@
         """Return a table of two endpoints with two slots each."""
         dispatcher = Dispatcher(seed=1)
         counts = {EndpointId("a"): 2, EndpointId("b"): 2}
-        versions = {EndpointId("a"): "v1", EndpointId("b"): "v2"}
-        dispatcher.set_endpoints(counts, 0.0, versions=versions)
+        profiles = {
+            EndpointId("a"): EndpointProfile("v1"),
+            EndpointId("b"): EndpointProfile("v2"),
+        }
+        dispatcher.set_endpoints(counts, 0.0, profiles=profiles)
         return dispatcher
 
     def test_stream_waits_for_its_version_and_holds_no_other_up(self):
--- a/tests/test_serving_handover.py
+++ b/tests/test_serving_handover.py
@@ -25,7 +25,7 @@
 from apricotquay.serving.online.handover import Handover
 from apricotquay.serving.online.requests import OnlineRequest
 from apricotquay.serving.slots.allocator import SlotLease
-from apricotquay.serving.slots.dispatch import Ticket, TicketId, Work
+from apricotquay.serving.slots.tickets import Ticket, TicketId, Work
 from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -37,8 +37,8 @@
 from apricotquay.serving.online.requests import OnlineRequest
 from apricotquay.serving.online.timeouts import AdaptiveTimeout
 from apricotquay.serving.slots.allocator import SlotLease, SlotUnavailableError
-from apricotquay.serving.slots.dispatch import Ticket, TicketId, Work
 from apricotquay.serving.slots.outliers import SlotOutcome
+from apricotquay.serving.slots.tickets import Ticket, TicketId, Work
 from apricotquay.serving.streams.streamkeeper import KnownVersion
 from standins.keyedlog import MemoryLog
 
--- a/tests/test_serving_sendlimits.py
+++ b/tests/test_serving_sendlimits.py
@@ -7,14 +7,9 @@
 from apricotquay.ids import EndpointId
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.slots import sendlimits
-from apricotquay.serving.slots.dispatch import (
-    Dispatcher,
-    Granted,
-    Refused,
-    Revoked,
-    TicketId,
-)
+from apricotquay.serving.slots.dispatch import Dispatcher
 from apricotquay.serving.slots.sendlimits import LimitNotice, SendLimit, SendLimits
+from apricotquay.serving.slots.tickets import Granted, Refused, Revoked, TicketId
 
 from .base import ApricotTest
 from .test_serving_dispatch import batch, online
--- a/tests/test_serving_slotleases.py
+++ b/tests/test_serving_slotleases.py
@@ -2,17 +2,27 @@
 
 import asyncio
 
+import cbor2
+import msgspec
 from parameterized import parameterized
 
 from apricotquay.clocks import SystemClock
-from apricotquay.ids import EndpointId
+from apricotquay.ids import EndpointId, TeamId
 from apricotquay.serving.batch.runner import MAX_SLOT_WAIT_S
+from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.fleet import peers as peers_module
-from apricotquay.serving.messages import AskSlot, HeldSlot, SlotQueued, TicketList
+from apricotquay.serving.messages import (
+    AskSlot,
+    HeldSlot,
+    SlotQueued,
+    TicketList,
+    encode_frame,
+)
 from apricotquay.serving.slots import allocator as slots_module, slotleases
 from apricotquay.serving.slots.allocator import SlotLease, SlotRequest
-from apricotquay.serving.slots.dispatch import Dispatcher, Ticket, TicketId, Work
+from apricotquay.serving.slots.dispatch import Dispatcher
 from apricotquay.serving.slots.slotleases import LEASE_S, MAX_STEP_S, PeerLeases
+from apricotquay.serving.slots.tickets import Ticket, TicketId, Work
 
 from .base import ApricotTest
 from .test_serving_slots import ENDPOINTS, SERVICE, SLOTS, SlotDaemon
@@ -281,4 +291,22 @@
         """A lost slot is reported by messages that all releases read."""
         self.assertEqual(["service", "tickets"], list(TicketList.__struct_fields__))
         fields = ["service", "ticket", "work", "endpoint", "due_in_ms", "needs_ms"]
-        self.assertEqual(fields, list(HeldSlot.__struct_fields__))
+        plain = HeldSlot(SERVICE, "t", Work.ONLINE, "e0", 10, 20)
+        frame = cbor2.loads(encode_frame(0, plain))
+        self.assertEqual(["type", *fields], list(frame[1]))
+        with_team = msgspec.structs.replace(plain, team=TeamId("small"), tokens=9)
+        _, message = cbor2.loads(encode_frame(0, with_team))
+        known = msgspec.convert(message, PreviousHeldSlot)
+        for name in fields:
+            self.assertEqual(getattr(plain, name), getattr(known, name))
+
+
+class PreviousHeldSlot(msgspec.Struct, frozen=True, tag="held_slot"):
+    """The message as the release before teams and tokens defines it."""
+
+    service: ServiceName
+    ticket: str
+    work: Work
+    endpoint: str
+    due_in_ms: int
+    needs_ms: int
--- a/tests/test_serving_slots.py
+++ b/tests/test_serving_slots.py
@@ -19,15 +19,10 @@
     SlotRequest,
     SlotUnavailableError,
 )
-from apricotquay.serving.slots.dispatch import (
-    EndpointStatus,
-    Granted,
-    Ticket,
-    TicketId,
-    Work,
-)
+from apricotquay.serving.slots.endpointslots import EndpointStatus
 from apricotquay.serving.slots.outliers import SlotOutcome
 from apricotquay.serving.slots.slotowner import SlotTables
+from apricotquay.serving.slots.tickets import Granted, Ticket, TicketId, Work
 
 from .base import ApricotTest
 from .test_serving_jobs import quiet_reporter
