--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -186,7 +186,7 @@
             Event.REQUEST_REFUSED,
             request=None,
             path="",
-            version=self._online.version,
+            version=self._online.admission.version,
             kind=error.kind.value,
             reason=error.message,
         )
@@ -225,7 +225,7 @@
             return
         host = _request_host(request)
         key = request.header(wire.CALLER_KEY)
-        admission = self._online.authorize(host, path, key)
+        admission = self._online.admission.authorize(host, path, key)
         if admission.route.kind is RouteKind.BATCH:
             await self._handle_submission(exchange, request, host, path, admission)
             return
@@ -308,7 +308,7 @@
         await exchange.respond(HttpResponse(200, headers, found.body))
 
     def _authenticate(self, request: HttpRequest) -> TeamId:
-        return self._online.team_of(request.header(wire.CALLER_KEY))
+        return self._online.admission.team_of(request.header(wire.CALLER_KEY))
 
     def _report_abandoned(
         self,
@@ -324,7 +324,7 @@
             Event.REQUEST_ABANDONED,
             request=request.header(wire.REQUEST_ID),
             path=path,
-            version=self._online.version,
+            version=self._online.admission.version,
             reason=repr(exc)[:80],
         )
 
@@ -336,7 +336,7 @@
             Event.REQUEST_REFUSED,
             request=request.header(wire.REQUEST_ID),
             path=path,
-            version=self._online.version,
+            version=self._online.admission.version,
             kind=error.kind.value,
             reason=error.message,
         )
--- /dev/null
+++ b/apricotquay/serving/batch/itemattempts.py
@@ -0,0 +1,213 @@
+"""Runs batch items at endpoints: a slot, one call, and what came of it."""
+
+import asyncio
+from functools import partial
+
+from ...clocks import Clock
+from ...events import Event
+from ..catalog import ServiceName
+from ..engine import (
+    AttemptFailedError,
+    EngineCall,
+    EngineResponse,
+    RequestNotRunError,
+)
+from ..fleet.view import View
+from ..metrics import ServingMetrics
+from ..online.attempts import AttemptRunner, read_events
+from ..reporting import Reporter
+from ..slots.allocator import SlotAllocator
+from ..slots.outliers import SlotOutcome
+from ..slots.slotrequests import SlotLease, SlotRequest, SlotUnavailableError
+from ..slots.tickets import Work
+from .itemprogress import (
+    EVENT_TIMEOUT_S,
+    AttemptResult,
+    ItemProgress,
+    Outcome,
+    RunTimeEstimate,
+)
+from .itemschedule import postponement_s
+from .jobtable import Job
+from .runningitems import RunningItem
+
+ITEM_TIMEOUT_MS = 60_000
+MAX_SLOT_WAIT_S = 3_600.0
+SERVER_ERROR = 500
+UNPROCESSABLE = 422
+OK = 200
+
+
+class ItemAttempts:
+    """Makes attempts at batch items, and learns how long items run. Used by
+    `BatchRunner`.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        slots: SlotAllocator,
+        attempts: AttemptRunner,
+        metrics: ServingMetrics,
+        clock: Clock,
+        reporter: Reporter,
+    ) -> None:
+        self._view: View = view
+        self._slots: SlotAllocator = slots
+        self._attempts: AttemptRunner = attempts
+        self._metrics: ServingMetrics = metrics
+        self._clock: Clock = clock
+        self._reporter: Reporter = reporter
+        self._run_times = RunTimeEstimate()
+
+    async def run(self, running: RunningItem) -> AttemptResult:
+        """Wait for a slot and run an item there once."""
+        job, index, progress = running.job, running.index, running.progress
+        service = running.service
+        due_s = self._clock.now_s() + (job.header.due_ms - self._clock.wall_ms()) / 1000
+        due_s += postponement_s(progress.fruitless_attempts)
+        item = job.items[index]
+        self._discard_lost_version(service, progress)
+        needs_s = self._run_times.remaining_s(progress.ran_s)
+        slot_request = SlotRequest(
+            Work.BATCH,
+            due_s,
+            due_s + MAX_SLOT_WAIT_S,
+            needs_s,
+            avoid=progress.endpoints_to_avoid(),
+            version=progress.version,
+        )
+        requested_s = self._clock.now_s()
+        try:
+            lease = await self._slots.acquire(service, slot_request)
+        except SlotUnavailableError as exc:
+            return AttemptResult(Outcome.RETRY, str(exc))
+        started_s = self._clock.now_s()
+        first_id = progress.last_id
+        current = asyncio.current_task()
+        revoked = False
+
+        def revoke() -> None:
+            nonlocal revoked
+            revoked = True
+            attempt.cancel()
+
+        attempt = asyncio.ensure_future(self._send(job, index, progress, lease))
+        lease.on_revoke = revoke
+        try:
+            result = await attempt
+        except asyncio.CancelledError:
+            attempt.cancel()
+            if not revoked or current.cancelling():
+                raise
+            result = AttemptResult(Outcome.REVOKED)
+            self._metrics.count("items_paused")
+        else:
+            lease.outcome = result.slot_outcome
+        finally:
+            self._slots.release(lease)
+        ran_s = self._clock.now_s() - started_s
+        had_output = progress.last_id > first_id
+        progress.record_attempt(lease.endpoint, result, had_output, ran_s)
+        if result.outcome is Outcome.DONE:
+            self._run_times.record(progress.ran_s)
+        self._reporter.write(
+            Event.ITEM_ATTEMPT_ENDED,
+            job=job.header.id,
+            item=item.id,
+            endpoint=lease.endpoint,
+            outcome=result.outcome.value,
+            reason=result.reason,
+            last_event=progress.last_id,
+            slot_wait_ms=int((started_s - requested_s) * 1000),
+            ran_ms=int(ran_s * 1000),
+        )
+        return result
+
+    def _discard_lost_version(
+        self, service: ServiceName, progress: ItemProgress
+    ) -> None:
+        """Discard output that no endpoint can go on with; the item runs anew."""
+        endpoints = self._view.endpoints
+        if progress.last_id < 0 or not any(endpoints.serving(service)):
+            return
+        if progress.version and any(endpoints.serving(service, progress.version)):
+            return
+        progress.discard_output()
+
+    async def _send(
+        self,
+        job: Job,
+        index: int,
+        progress: ItemProgress,
+        lease: SlotLease,
+    ) -> AttemptResult:
+        endpoint = self._view.endpoints.get(lease.endpoint)
+        if endpoint is None or endpoint.is_leaving:
+            return AttemptResult(Outcome.RETRY, "endpoint left")
+        if progress.version and endpoint.version != progress.version:
+            return AttemptResult(Outcome.RETRY, "another version")
+        item = job.items[index]
+        headers = [
+            (b"host", job.header.host.encode()),
+            *((n.lower().encode(), v.encode("latin-1")) for n, v in item.headers),
+        ]
+        remaining_ms = job.header.give_up_ms - self._clock.wall_ms()
+        call = EngineCall(
+            item.id,
+            "POST",
+            item.path,
+            headers,
+            item.body,
+            job.header.team,
+            max(1, min(ITEM_TIMEOUT_MS, remaining_ms)),
+            progress.last_id if progress.last_id >= 0 else None,
+            self._attempts.prompt_parts(headers),
+        )
+        last_id = progress.last_id
+        timeout_s = progress.event_timeout_s()
+        try:
+            return await self._attempts.run(
+                call,
+                endpoint,
+                timeout_s,
+                lambda response: _read_output(
+                    response, progress, endpoint.version, timeout_s
+                ),
+                # An accepted item is owed, whatever ended while it ran.
+                may_crash_endpoints=False,
+                on_limit=partial(self._slots.record_limit, lease),
+            )
+        except RequestNotRunError as exc:
+            lease.path_check = exc.path_check
+            slot_outcome = SlotOutcome.FAILED if exc.is_failure else SlotOutcome.UNKNOWN
+            return AttemptResult(Outcome.RETRY, str(exc), slot_outcome)
+        except AttemptFailedError as exc:
+            lease.path_check = exc.path_check
+            return AttemptResult(
+                Outcome.RETRY,
+                str(exc),
+                SlotOutcome.FAILED if exc.is_failure else SlotOutcome.UNKNOWN,
+                was_fruitless=exc.reset and progress.last_id == last_id,
+                timed_out=exc.timed_out,
+            )
+
+
+async def _read_output(
+    response: EngineResponse,
+    progress: ItemProgress,
+    version: str,
+    timeout_s: float = EVENT_TIMEOUT_S,
+) -> AttemptResult:
+    """Read a response; only a failure of the endpoint's processing counts against
+    the item."""
+    if response.status == UNPROCESSABLE:
+        return AttemptResult(Outcome.IMPOSSIBLE, "the endpoint cannot do it")
+    if response.status == SERVER_ERROR:
+        return AttemptResult(Outcome.FAILED, f"status {response.status}")
+    if response.status != OK:
+        return AttemptResult(Outcome.RETRY, f"status {response.status}")
+    async for events in read_events(response, timeout_s, timeout_s):
+        for event in events:
+            progress.append_event(event, version)
+    return AttemptResult(Outcome.DONE, slot_outcome=SlotOutcome.SUCCEEDED)
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -305,7 +305,9 @@
         asyncio.get_running_loop().call_later(
             grace_s * NEW_REQUESTS_SHARE, self.callers.refuse_requests
         )
-        self.online.drain(started_s + grace_s * NEW_REQUESTS_SHARE, started_s + grace_s)
+        self.online.admission.drain(
+            started_s + grace_s * NEW_REQUESTS_SHARE, started_s + grace_s
+        )
         # The store may be silent, and requests are still refused after the wait.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(grace_s):
--- a/apricotquay/serving/online/handover.py
+++ b/apricotquay/serving/online/handover.py
@@ -6,7 +6,7 @@
 from typing import TypeVar
 
 from ..reporting import Reporter
-from ..slots.allocator import SlotLease
+from ..slots.slotrequests import SlotLease
 from ..tasks import start_task
 
 T = TypeVar("T")
--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from ...clocks import Clock
-from ...errors import ApricotquayError, PeerUnavailableError
-from ...ids import EndpointId, TeamId
+from ...errors import PeerUnavailableError
+from ...ids import EndpointId
 from ..catalog import ServiceName
 from ..endpoints import LeavingNotice
 from ..engine import EndpointLimit, found_path_failure
@@ -34,8 +34,9 @@
 from .outliers import SlotOutcome
 from .slotleases import LEASE_S
 from .slotowner import SlotTables
+from .slotrequests import SlotLease, SlotRequest, SlotUnavailableError, Waiter
 from .ticketmessages import MS_PER_S, ask_slot_message, held_slot_message
-from .tickets import Decision, Granted, Refused, Revoked, Ticket, TicketId, Work
+from .tickets import Decision, Granted, Refused, Revoked, Ticket, TicketId
 
 # The owner answers within two network round trips unless it is overloaded or gone.
 OWNER_ANSWER_TIMEOUT_S = 0.15
@@ -51,74 +52,6 @@
 DECISION_MESSAGES = (SlotQueued, SlotGranted, SlotRefused, SlotRevoked)
 
 
-class SlotUnavailableError(ApricotquayError):
-    """No slot can be had in time; one may be free after `wait_s`."""
-
-    def __init__(self, wait_s: float) -> None:
-        super().__init__("no slot in time")
-        self.wait_s: float = wait_s
-
-
-class SlotRequest(msgspec.Struct, frozen=True):
-    """A request for a slot; the fields are those of `Ticket`."""
-
-    work: Work
-    due_s: float
-    slot_deadline_s: float
-    expected_duration_s: float = 0.0
-    prefix: str = ""
-    avoid: frozenset[str] = frozenset()
-    may_repeat: bool = True
-    holds_slot: bool = False
-    version: str = ""
-    team: TeamId = TeamId("")
-    priority: int = 0
-    weight: float = 1.0
-    tokens: int = 0
-    zone: str = ""
-    regions: frozenset[str] = frozenset()
-
-
-class SlotLease(msgspec.Struct):
-    """A slot that is held until it is released.
-
-    `owner` is the peer whose table also records the slot, None if only the table of
-    this daemon does. It records it for as long as the connection `known_over` is open.
-    The holder sets `outcome` before it releases the slot. `granted_by` is the owner
-    that granted the slot, at `granted_s`. The `outcome` counts only once `path_check`,
-    if set, has found that the way to the endpoint did not fail.
-    """
-
-    service: ServiceName
-    ticket: Ticket
-    endpoint: EndpointId
-    owner: str | None
-    outcome: SlotOutcome = SlotOutcome.UNKNOWN
-    on_revoke: Callable[[], None] = lambda: None
-    granted_by: str | None = None
-    known_over: PeerConnection | None = None
-    path_check: asyncio.Task[bool] | None = None
-    granted_s: float = float("-inf")
-
-
-class _Waiter:
-    """A ticket of this daemon that has no decision yet."""
-
-    def __init__(self, service: ServiceName, owner: str | None) -> None:
-        loop = asyncio.get_running_loop()
-        self.service: ServiceName = service
-        self.owner: str | None = owner
-        self.connection: PeerConnection | None = None
-        self.first_reply: asyncio.Future = loop.create_future()
-        self.decision: asyncio.Future = loop.create_future()
-
-    def resolve(self, decision: Decision | None) -> None:
-        """Set the final decision; None if none will come."""
-        for future in (self.first_reply, self.decision):
-            if not future.done():
-                future.set_result(decision)
-
-
 class SlotAllocator:
     """Acquires and releases slots for this daemon's requests.
 
@@ -144,7 +77,7 @@
         self._clock: Clock = clock
         self._daemon_name: str = name
         self._ticket_numbers = itertools.count(1)
-        self._waiters: dict[TicketId, _Waiter] = {}
+        self._waiters: dict[TicketId, Waiter] = {}
         self._leases: dict[TicketId, SlotLease] = {}
         self._retry_owner_at_s: dict[str, float] = {}
         self._last_owners: dict[ServiceName, str | None] = {}
@@ -320,7 +253,7 @@
         self, owner: str | None, service: ServiceName, ticket: Ticket
     ) -> SlotLease | None:
         """Get a slot from an owner or the local table; None if the owner is silent."""
-        waiter = self._waiters[ticket.id] = _Waiter(service, owner)
+        waiter = self._waiters[ticket.id] = Waiter(service, owner)
         lease = None
         try:
             if owner is None:
@@ -339,7 +272,7 @@
                 self._release_ticket(service, ticket.id, owner)
 
     async def _ask_owner(
-        self, service: ServiceName, ticket: Ticket, owner: str, waiter: _Waiter
+        self, service: ServiceName, ticket: Ticket, owner: str, waiter: Waiter
     ) -> Decision | None:
         """Request a slot; None if the owner does not answer or disconnects."""
         now_s = self._clock.now_s()
@@ -373,7 +306,7 @@
             connection.send(self.tables.limit_list())
 
     async def _wait_for_decision(
-        self, connection: PeerConnection, ticket: Ticket, waiter: _Waiter
+        self, connection: PeerConnection, ticket: Ticket, waiter: Waiter
     ) -> Decision | None:
         """Wait for the owner's decision on a queued ticket; None if none will come."""
         end_wait = _end_wait_of(waiter)
@@ -397,7 +330,7 @@
         service: ServiceName,
         ticket: Ticket,
         endpoint: EndpointId,
-        waiter: _Waiter,
+        waiter: Waiter,
     ) -> SlotLease:
         owner = waiter.owner
         lease = SlotLease(
@@ -566,6 +499,6 @@
     return future.done() and not future.cancelled()
 
 
-def _end_wait_of(waiter: _Waiter) -> Callable[[], None]:
+def _end_wait_of(waiter: Waiter) -> Callable[[], None]:
     """Return a callback that ends the wait when the owner's connection closes."""
     return lambda: waiter.resolve(None)
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -12,8 +12,8 @@
 from apricotquay.ids import EndpointId, TeamId
 from apricotquay.platform import engines as engines_module
 from apricotquay.platform.engines import ServerClient
+from apricotquay.serving.batch.itemattempts import _read_output
 from apricotquay.serving.batch.itemprogress import ItemProgress
-from apricotquay.serving.batch.runner import _read_output
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.engine import (
--- a/tests/test_serving_handover.py
+++ b/tests/test_serving_handover.py
@@ -24,7 +24,7 @@
 from apricotquay.serving.online.handler import OnlineRequestHandler
 from apricotquay.serving.online.handover import Handover
 from apricotquay.serving.online.requests import OnlineRequest
-from apricotquay.serving.slots.allocator import SlotLease
+from apricotquay.serving.slots.slotrequests import SlotLease
 from apricotquay.serving.slots.tickets import Ticket, TicketId, Work
 from standins.keyedlog import MemoryLog
 
@@ -285,7 +285,7 @@
             name, "POST", "/x/1", "/x/1", "h", [], name.encode(), "key", 900, now_s
         )
         writer = RecordingWriter()
-        admission = handler.authorize("h", "/x/1", "key")
+        admission = handler.admission.authorize("h", "/x/1", "key")
         served = asyncio.ensure_future(handler.serve(request, admission, writer))
         if leaves_s is not None:
             await asyncio.sleep(leaves_s)
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -36,8 +36,8 @@
 from apricotquay.serving.online.ratelimiter import RateDecision
 from apricotquay.serving.online.requests import OnlineRequest
 from apricotquay.serving.online.timeouts import AdaptiveTimeout
-from apricotquay.serving.slots.allocator import SlotLease, SlotUnavailableError
 from apricotquay.serving.slots.outliers import SlotOutcome
+from apricotquay.serving.slots.slotrequests import SlotLease, SlotUnavailableError
 from apricotquay.serving.slots.tickets import Ticket, TicketId, Work
 from apricotquay.serving.streams.streamkeeper import KnownVersion
 from standins.keyedlog import MemoryLog
@@ -317,7 +317,7 @@
                 "arrived_s": clock.now_s(),
             }
             online = OnlineRequest(**(fields | request))
-            admission = handler.authorize("h", "/x/1", "key")
+            admission = handler.admission.authorize("h", "/x/1", "key")
             await handler.serve(online, admission, writer)
 
         asyncio.run(run())
--- a/tests/test_serving_slotleases.py
+++ b/tests/test_serving_slotleases.py
@@ -8,7 +8,7 @@
 
 from apricotquay.clocks import SystemClock
 from apricotquay.ids import EndpointId, TeamId
-from apricotquay.serving.batch.runner import MAX_SLOT_WAIT_S
+from apricotquay.serving.batch.itemattempts import MAX_SLOT_WAIT_S
 from apricotquay.serving.catalog import ServiceName
 from apricotquay.serving.fleet import peers as peers_module
 from apricotquay.serving.messages import (
@@ -19,9 +19,9 @@
     encode_frame,
 )
 from apricotquay.serving.slots import allocator as slots_module, slotleases
-from apricotquay.serving.slots.allocator import SlotLease, SlotRequest
 from apricotquay.serving.slots.dispatch import Dispatcher
 from apricotquay.serving.slots.slotleases import LEASE_S, MAX_STEP_S, PeerLeases
+from apricotquay.serving.slots.slotrequests import SlotLease, SlotRequest
 from apricotquay.serving.slots.tickets import Ticket, TicketId, Work
 
 from .base import ApricotTest
--- a/tests/test_serving_slots.py
+++ b/tests/test_serving_slots.py
@@ -14,14 +14,11 @@
 from apricotquay.serving.fleet.peers import Peers
 from apricotquay.serving.messages import AskSlot, SlotGranted, SlotQueued
 from apricotquay.serving.slots import allocator as slots_module, outliers
-from apricotquay.serving.slots.allocator import (
-    SlotAllocator,
-    SlotRequest,
-    SlotUnavailableError,
-)
+from apricotquay.serving.slots.allocator import SlotAllocator
 from apricotquay.serving.slots.endpointslots import EndpointStatus
 from apricotquay.serving.slots.outliers import SlotOutcome
 from apricotquay.serving.slots.slotowner import SlotTables
+from apricotquay.serving.slots.slotrequests import SlotRequest, SlotUnavailableError
 from apricotquay.serving.slots.tickets import Granted, Ticket, TicketId, Work
 
 from .base import ApricotTest
