--- a/standins/soak.py
+++ b/standins/soak.py
@@ -5,7 +5,8 @@
 A store, model servers and daemons run as separate processes. A loopback proxy
 forwards the connections of each daemon to the store and of all daemons to each
 server. Faults start one after the other and overlap; beside them, sound servers
-fall silent and go on. Callers keep their connections. After the run, the responses
+fall silent and go on, and some callers send requests ahead and read nothing. The
+other callers keep their connections. After the run, the responses
 that callers got are compared with the runs that the servers logged. Each violated
 guarantee is printed; the exit code is 1 if there is any. Only processes started here
 are signalled, by process id.
@@ -45,6 +46,9 @@
 # A sound server may be silent this long and go on.
 SILENCE_S = (1.0, 1.6)
 SILENCE_INTERVAL_S = (0.5, 3.0)
+# A caller that reads nothing sends so many requests ahead, and stays for so long.
+UNREAD_REQUESTS = 24
+UNREAD_S = (0.5, 3.0)
 # A daemon may end a request at its time limit; callers wait longer than that.
 TIME_LIMIT_S = 5.0
 TIME_LIMIT_MARGIN_S = 0.1
@@ -102,6 +106,7 @@
         self._rng = random.Random(seed)
         # Separate, so that the other faults of a seed stay as they are.
         self._silence_rng = random.Random(f"silence{seed}")
+        self._unread_rng = random.Random(f"unread{seed}")
         self._seconds: float = seconds
         self._fleet = PlatformProcesses(
             daemons, servers, EVENT_INTERVAL_S, versions=versions
@@ -296,7 +301,10 @@
             self._disturb_connections,
             self._write_new_version,
         ]
-        running = {asyncio.create_task(self._silence_servers(deadline_s))}
+        running = {
+            asyncio.create_task(self._silence_servers(deadline_s)),
+            asyncio.create_task(self._leave_responses_unread(deadline_s)),
+        }
         while time.monotonic() < deadline_s:
             running.add(asyncio.create_task(self._rng.choice(faults)()))
             await asyncio.sleep(self._rng.uniform(0.2, 1.5))
@@ -317,6 +325,23 @@
             for process in servers:
                 process.send_signal(signal.SIGCONT)
 
+    async def _leave_responses_unread(self, deadline_s: float) -> None:
+        """Send requests ahead on a connection and read nothing, time and again."""
+        rng = self._unread_rng
+        while time.monotonic() < deadline_s:
+            number = rng.randrange(len(self._daemons))
+            requests = [
+                self._new_request("stream", "large") for _ in range(UNREAD_REQUESTS)
+            ]
+            address = self._caller_addresses[number]
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection(address.host, address.port)
+                for request in requests:
+                    request.daemon = number
+                    writer.write(_encode_request(request))
+                await asyncio.sleep(rng.uniform(*UNREAD_S))
+                writer.transport.abort()
+
     @contextlib.contextmanager
     def _disturb(self, process: str) -> Iterator[None]:
         """Record a fault that may end what a process serves."""
@@ -544,6 +569,16 @@
         )
 
 
+def _encode_request(request: SentRequest) -> bytes:
+    """Return the bytes of a request."""
+    body = f"events={EVENTS_PER_REQUEST}"
+    return (
+        f"POST {PATHS[request.kind]} HTTP/1.1\r\nHost: a.example\r\n"
+        f"Key: {request.key}\r\nAttempt-Id: {request.id}\r\nDeadline-Ms: 5000\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
 def _has_two_versions(runs: list[dict]) -> bool:
     """Whether a run went on at another version than the run that began before it."""
     began = ""
