--- a/apricotquay/cmdline.py
+++ b/apricotquay/cmdline.py
@@ -5,6 +5,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import NoReturn
 
 import fire
 import urllib3
@@ -18,10 +19,13 @@
 from .logclient import HttpLog
 from .loglines import count_events, find_lines, format_line, read_lines
 from .operations import ConfigClient, diff_lines, promote, withdraw_key
+from .platform.configcommand import CheckOptions, ConfigCommandError, run_check
 from .replay import Replayer, load_trace
 
 HTTP_TIMEOUT_S = 30.0
 FOLLOW_POLL_INTERVAL_S = 0.5
+# As fire exits for wrong arguments.
+MISUSED_EXIT_STATUS = 2
 
 
 class Report:
@@ -62,11 +66,47 @@
             Path(page).write_text(render_burn_page(rows, made_at))
 
 
+class Config:
+    """Checks of the event-loop daemon's configuration."""
+
+    # Fire would run the command before it rejects arguments that are left over.
+    def check(
+        self,
+        file: str,
+        *more: str,
+        against: str = "",
+        format: str = "text",
+        memory_mb: float = 0.0,
+        **unknown: str,
+    ) -> None:
+        """Check a configuration before it is sent; needs no network.
+
+        Exits with 0 if nothing is found, 1 with findings, 2 if a file cannot be read
+        or is invalid.
+
+        Args:
+            file: path of the configuration, as JSON.
+            against: path of another version, to say what differs from it.
+            format: text or json.
+            memory_mb: memory of a VM, to compare limits with.
+        """
+        if more or unknown:
+            _exit_misused(f"not known here: {', '.join(map(str, (*more, *unknown)))}")
+        try:
+            options = CheckOptions.parse(str(file), str(against), format, memory_mb)
+            report = run_check(options)
+        except ConfigCommandError as exc:
+            _exit_misused(str(exc))
+        print(report.text)
+        sys.exit(report.status)
+
+
 class Commands:
     """Commands for operators and callers of an apricotquay fleet."""
 
     def __init__(self) -> None:
         self.report = Report()
+        self.config = Config()
 
     def trace(self, wanted: str, *logs: str) -> None:
         """Show the log lines about an id from all daemons, sorted by time.
@@ -192,6 +232,11 @@
             sys.exit(1)
 
 
+def _exit_misused(message: str) -> NoReturn:
+    print(f"apricotquay: {message}", file=sys.stderr)
+    sys.exit(MISUSED_EXIT_STATUS)
+
+
 def _make_client(log: str, environment: str) -> ConfigClient:
     return ConfigClient(HttpLog(log), environment, SystemClock())
 
