--- a/apricotquay/daemon.py
+++ b/apricotquay/daemon.py
@@ -25,6 +25,7 @@
 from .ids import Incarnation, WriterId
 from .jobstore import JobStore
 from .leasemanager import LeaseManager
+from .librarylogs import LibraryLogs
 from .limiter import RateLimiter
 from .logclient import Appender, HttpLog
 from .messages import (
@@ -322,6 +323,8 @@
         sys.exit(f"apricotquayd: {exc.message}")
     faulthandler.enable()
     events = open_event_log(loaded.vm_id, loaded.trace)
+    library_logs = LibraryLogs(events)
+    library_logs.start()
     daemon = Daemon(loaded, SystemClock(), events)
     stop = threading.Event()
     abort = threading.Event()
@@ -337,6 +340,7 @@
     stop.wait()
     if daemon.drain(abort):
         daemon.close()
+        library_logs.close()
         return
     events.write(Event.DAEMON_STOPPED)
     sys.stderr.flush()
--- a/apricotquay/events.py
+++ b/apricotquay/events.py
@@ -19,6 +19,7 @@
     DAEMON_STOPPED = (1003, "daemon stopped")
     DAEMON_STOP_FORCED = (1004, "daemon stopped before all requests had ended")
     THREAD_FAILED = (1005, "background task failed; it goes on")
+    LIBRARY_MESSAGE = (1006, "library reported a problem")
     CONFIG_IN_FORCE = (1101, "configuration in force")
     CONFIG_REJECTED = (1102, "configuration record rejected")
     CONFIG_CHECKPOINTED = (1103, "configuration checkpoint appended")
--- a/apricotquay/web.py
+++ b/apricotquay/web.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import logging
 import re
 import threading
 from collections.abc import Callable, Iterable, Iterator
@@ -19,6 +20,8 @@
 KEEP_ALIVE_CONNECTION_LIMIT = 1_000
 SHUTDOWN_TIMEOUT_S = 5
 
+_logger = logging.getLogger("cheroot")
+
 Headers = list[tuple[str, str]]
 REASONS = {
     200: "OK",
@@ -204,12 +207,23 @@
                 on_end()
 
 
+class _LoggingServer(wsgi.Server):
+    """A `cheroot` server that logs its errors instead of printing them."""
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Log that an error occurred, without `msg`: it may hold parts of a request."""
+        level = max(level, logging.WARNING)
+        _logger.log(level, "error in the HTTP server", exc_info=traceback)
+
+
 class HttpServer:
     """A `cheroot` server in a background thread."""
 
     def __init__(self, app: Application, host: str, port: int, threads: int) -> None:
         self.port: int = port
-        self._server = wsgi.Server(
+        self._server = _LoggingServer(
             (host, port),
             app,
             numthreads=threads,
--- a/tests/test_fleet_online.py
+++ b/tests/test_fleet_online.py
@@ -256,9 +256,14 @@
         crash_events = {Event.ENDPOINT_CRASHED, Event.REQUEST_QUARANTINED}
         numbers = {event.number for event in crash_events}
         lines = self.fleet.read_logs().splitlines(keepends=True)
-        return "".join(
-            line for line in lines if json.loads(line).get("number") in numbers
-        )
+        return "".join(line for line in lines if self.event_number(line) in numbers)
+
+    def event_number(self, line: str) -> int | None:
+        """Return the event of a log line; a line that is no JSON fails the test."""
+        try:
+            return json.loads(line).get("number")
+        except json.JSONDecodeError as exc:
+            raise AssertionError(f"a log line is no JSON: {line!r}") from exc
 
     def test_poison_request_is_quarantined_and_others_complete(self):
         """It crashes at most three engines, whichever daemons receive it."""
