--- a/apricotquay/platform/configreport.py
+++ b/apricotquay/platform/configreport.py
@@ -5,8 +5,9 @@
 """
 
 import enum
+import re
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -59,14 +60,12 @@
     keys: frozenset[str],
 ) -> Report:
     """Return the report on a check, without any of the keys."""
-    return Report(
-        file,
-        _find_status(result),
-        [_convert_finding(finding, keys) for finding in result.findings],
-        None
-        if differences is None
-        else [_remove_keys(difference.message, keys) for difference in differences],
-    )
+    remove_keys = _key_remover(keys)
+    findings = [_convert_finding(finding, remove_keys) for finding in result.findings]
+    sentences = None
+    if differences is not None:
+        sentences = [remove_keys(difference.message) for difference in differences]
+    return Report(file, _find_status(result), findings, sentences)
 
 
 def render_report(report: Report, to: ReportFormat) -> str:
@@ -82,23 +81,34 @@
     return ExitStatus.FINDINGS if result.findings else ExitStatus.NOTHING_FOUND
 
 
-def _convert_finding(finding: Finding, keys: frozenset[str]) -> ReportedFinding:
+def _convert_finding(
+    finding: Finding, remove_keys: Callable[[str], str]
+) -> ReportedFinding:
     return ReportedFinding(
         finding.severity.value,
         finding.code.value,
-        _remove_keys(show_path(finding.path), keys),
+        remove_keys(show_path(finding.path)),
         finding.line,
-        _remove_keys(finding.message, keys),
+        remove_keys(finding.message),
     )
 
 
-def _remove_keys(text: str, keys: frozenset[str]) -> str:
+def _key_remover(keys: frozenset[str]) -> Callable[[str], str]:
+    """Return a function that replaces the keys in a text."""
+    forms = {form for key in keys for form in _printed_forms(key)}
+    if not forms:
+        return str
     # Longest first: a key may be part of another one.
-    for key in sorted(keys, key=len, reverse=True):
-        if len(key) >= MIN_REMOVED_KEY_LENGTH:
-            for form in (key, show(key)[1:-1], show(key).rstrip("…'")[1:]):
-                text = text.replace(form, KEY_MARK)
-    return text
+    ordered = sorted(forms, key=len, reverse=True)
+    pattern = re.compile("|".join(map(re.escape, ordered)))
+    return lambda text: pattern.sub(KEY_MARK, text)
+
+
+def _printed_forms(key: str) -> Iterator[str]:
+    """Yield a key as it is, and as a name that is escaped and shortened."""
+    if len(key) >= MIN_REMOVED_KEY_LENGTH:
+        yield key
+        yield show(key)[1:-1].removesuffix("…")
 
 
 def _render_lines(report: Report) -> Iterator[str]:
--- a/tests/test_platform_configcheck.py
+++ b/tests/test_platform_configcheck.py
@@ -514,6 +514,20 @@
         """A report is copied into tickets; names in it may be keys by mistake."""
         self.check_report(replace_once(old, new).encode())
 
+    @parameterized.expand(
+        [("long", "k-" + "0123456789" * 9), ("escaped", "k\x07\nx'é")]
+    )
+    def test_key_as_a_name_is_not_shown_in_another_form(self, _name, key):
+        """Names are printed escaped and shortened, which hides a key from a search."""
+        value = json.loads(DOCUMENT)
+        value["tenants"][1] = {"name": key, "api_keys": [key, key]}
+        result = check_configuration(json.dumps(value).encode())
+        (finding,) = build_report("f.json", result, None, result.keys).findings
+        self.assertEqual(
+            "the key belongs to team '(key)' already",
+            finding.message.replace("…", "").replace('"', "'"),
+        )
+
 
 class ConfigCommandTest(ApricotTest):
     """The command, in a process of its own."""
