--- a/apricotquay/platform/configrules.py
+++ b/apricotquay/platform/configrules.py
@@ -58,7 +58,10 @@
 def _find_prefixes_without_slashes(document: Document) -> Iterator[Finding]:
     for entry in document.routes:
         path = (*entry.path, "path_prefix")
-        if not entry.value.path_prefix.startswith("/"):
+        if not entry.value.path_prefix:
+            message = "is empty, so every path matches"
+            yield Finding(Code.PREFIX_WITHOUT_SLASHES, path, message)
+        elif not entry.value.path_prefix.startswith("/"):
             message = "does not begin with a slash, so no path matches"
             yield Finding(Code.PREFIX_WITHOUT_SLASHES, path, message)
         elif not entry.value.path_prefix.endswith("/"):
--- a/tests/test_platform_configcheck.py
+++ b/tests/test_platform_configcheck.py
@@ -404,6 +404,15 @@
         text = text.replace('["key-of-alpha"]', "[]")
         self.assertEqual([], check_configuration(text.encode()).findings)
 
+    @parameterized.expand(
+        [("", "every path"), ("b/", "no path"), ("/b", "longer names")]
+    )
+    def test_prefix_without_slashes_says_what_matches(self, prefix, expected):
+        """The same code stands for a route without requests and one with too many."""
+        text = replace_once('"/b/"', json.dumps(prefix))
+        (finding,) = check_configuration(text.encode()).findings
+        self.assertIn(expected, finding.message)
+
     def test_unknown_field_suggests_the_known_one(self):
         """The operator need not search for the right name."""
         text = replace_once('"priority"', '"prioritiy"')
