--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -76,6 +76,10 @@
 PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
 MAX_PORT = 65_535
 MAX_SLOTS = 100_000
+# No endpoint takes longer to warm up; a longer time is taken for a mistake.
+MAX_COLD_LEFT_MS = 120_000
+MAX_COLD_START_S = MAX_COLD_LEFT_MS / 1000
+MAX_COLD_PER_S = 1_000_000.0
 MAX_SHOWN_LENGTH = 40
 EMPTY_VALUE = "(empty)"
 
@@ -108,11 +112,15 @@
 
 class _Engine(msgspec.Struct):
     slots: int = 0
+    cold_start_s: Any = None
+    cold_per_s: Any = None
 
 
 class _Service(msgspec.Struct):
     name: str
     engine: _Engine | None = None
+    cold_start_s: Any = None
+    cold_per_s: Any = None
 
 
 class _Tenant(msgspec.Struct):
@@ -139,6 +147,7 @@
     slots: int = 0
     born: int = 0
     version: str = ""
+    cold_left_ms: Any = None
 
 
 def decode_prompt_parts(headers: HeaderList) -> list[PartKey]:
@@ -212,6 +221,7 @@
             raw.born,
             # Without a version it may be any, so it counts as one of its own.
             raw.version or f"of {endpoint_id}",
+            _convert_cold_left(raw.cold_left_ms),
         )
         return endpoint_id, endpoint
 
@@ -269,7 +279,30 @@
 
 
 def _convert_service(raw: _Service) -> Service:
-    return Service(ServiceName(raw.name), raw.engine.slots if raw.engine else 0)
+    engine = raw.engine or _Engine()
+    start_s = engine.cold_start_s if raw.cold_start_s is None else raw.cold_start_s
+    per_s = engine.cold_per_s if raw.cold_per_s is None else raw.cold_per_s
+    return Service(
+        ServiceName(raw.name),
+        engine.slots,
+        _number_within(start_s, MAX_COLD_START_S) or 0.0,
+        _number_within(per_s, MAX_COLD_PER_S) or 0.0,
+    )
+
+
+def _convert_cold_left(value: Any) -> float | None:
+    """Return how long a server stays cold in seconds, None if its entry, which is
+    usable nevertheless, does not tell.
+    """
+    left_ms = _number_within(value, MAX_COLD_LEFT_MS)
+    return None if left_ms is None else left_ms / 1000
+
+
+def _number_within(value: Any, maximum: float) -> float | None:
+    """Return a number from 0 to a maximum, None for anything else."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return value if 0 <= value <= maximum else None
 
 
 def _convert_team(raw: _Tenant) -> Team:
--- a/apricotquay/serving/catalog.py
+++ b/apricotquay/serving/catalog.py
@@ -71,10 +71,16 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A service; `slots` is the default of its endpoints, 0 if unset."""
+    """A service; `slots` is the default of its endpoints, 0 if unset.
+
+    An endpoint that is cold takes `cold_per_s` requests a second from all daemons, 0
+    for no limit, and is taken to be cold for `cold_start_s` if its entry does not say.
+    """
 
     name: ServiceName
     slots: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Team(msgspec.Struct, frozen=True):
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -409,6 +409,10 @@
         self.metrics.set_gauge("peer_tickets", self.slots.tables.peer_ticket_count)
         self.metrics.set_gauge("streams_kept", self.streams.kept_count)
         self.metrics.set_gauge("endpoints_limited", self.slots.tables.limited_count)
+        cold_count = len(self.slots.tables.cold_limits)
+        self.metrics.set_gauge("endpoints_cold", cold_count)
+        unused_count = self.slots.unused_grant_count
+        self.metrics.set_gauge("grants_not_used", unused_count)
         leaving_count = len(self.view.endpoints.leaving_notices())
         self.metrics.set_gauge("endpoints_said_leaving", leaving_count)
         headers = [(b"content-type", b"text/plain; charset=utf-8")]
--- a/apricotquay/serving/endpoints.py
+++ b/apricotquay/serving/endpoints.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from ..ids import EndpointId
-from .catalog import ServiceName
+from .catalog import Configuration, ServiceName
+from .coldperiods import ColdPeriods
 
 # After an outage of the platform's list, entries that it dropped are still used for
 # this long: live endpoints are listed again by then. Must be less than the time in
@@ -28,8 +29,9 @@
     """One start of a server, as the platform lists it.
 
     `slots` is 0 if unknown, `version` that of its software. It `is_leaving` if the
-    platform or an answer of the endpoint says so. `EndpointTable` holds the state at
-    this daemon.
+    platform or an answer of the endpoint says so. `cold_left_s` is how long it stays
+    cold as of its entry, None if the entry does not tell; see `ColdPeriods`.
+    `EndpointTable` holds the state at this daemon.
     """
 
     id: EndpointId
@@ -41,6 +43,7 @@
     is_leaving: bool = False
     started_ms: int = 0
     version: str = ""
+    cold_left_s: float | None = None
 
 
 class LeavingNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -68,6 +71,7 @@
     """
 
     def __init__(self) -> None:
+        self.cold = ColdPeriods()
         self._entries: dict[EndpointId, Endpoint] = {}
         self._offsets: dict[EndpointId, int] = {}
         self._removal_due_s: dict[EndpointId, float] = {}
@@ -107,9 +111,16 @@
         self._last_peer_read_s = max(self._last_peer_read_s, read_s)
 
     def apply(
-        self, endpoint_id: EndpointId, entry: Endpoint | None, offset: int, now_s: float
+        self,
+        endpoint_id: EndpointId,
+        entry: Endpoint | None,
+        offset: int,
+        now_s: float,
+        started_ago_s: float = 0.0,
     ) -> bool:
-        """Apply an entry if it is newer; return whether the table changed."""
+        """Apply an entry if it is newer; return whether the table changed. The clocks
+        of VMs tell that its endpoint started `started_ago_s` ago.
+        """
         if offset <= self._offsets.get(endpoint_id, -1):
             return False
         self._offsets[endpoint_id] = offset
@@ -119,9 +130,25 @@
         previous = self._entries.get(endpoint_id)
         if previous is not None and previous.started_ms != entry.started_ms:
             self._health.pop(endpoint_id, None)
+        temperature_changed = self.cold.record(
+            endpoint_id, entry.started_ms, entry.cold_left_s, started_ago_s, now_s
+        )
+        # An entry is written again and again with another rest of its cold time.
+        entry = msgspec.structs.replace(entry, cold_left_s=None)
         entry = self._with_what_answers_said(entry)
         self._entries[endpoint_id] = entry
-        return previous != entry
+        return previous != entry or temperature_changed
+
+    def cold_left_s(
+        self, entry: Endpoint, configuration: Configuration | None, now_s: float
+    ) -> float:
+        """Return how long an endpoint is still slow because it has started a moment
+        ago, 0 if it is warm.
+        """
+        services = configuration.services if configuration else {}
+        service = services.get(entry.service)
+        cold_start_s = service.cold_start_s if service else 0.0
+        return self.cold.left_s(entry.id, entry.started_ms, cold_start_s, now_s)
 
     def record_leaving(self, notice: LeavingNotice) -> bool:
         """Record that an answer of an endpoint said that it leaves; return whether
@@ -167,6 +194,7 @@
         for endpoint_id in expired:
             del self._removal_due_s[endpoint_id]
             self._entries.pop(endpoint_id, None)
+            self.cold.forget(endpoint_id)
         return expired
 
     def serving(self, service: ServiceName, version: str = "") -> Iterator[Endpoint]:
@@ -226,6 +254,7 @@
             self._removal_due_s[endpoint_id] = kept_until_s
             return False
         del self._entries[endpoint_id]
+        self.cold.forget(endpoint_id)
         return True
 
     def _is_local_outage(self, now_s: float) -> bool:
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -107,7 +107,8 @@
     `reset` means that the connection ended, `timed_out` that no data came in time,
     `is_leaving` that the endpoint's response says so. `is_path_failure` means that
     the way to the endpoint failed, which says nothing of the endpoint, and
-    `was_relayed` that a peer made the attempt. `path_check`, if set, is still finding
+    `was_relayed` that a peer made the attempt, `was_cold` that the endpoint is slow
+    because it has started a moment ago. `path_check`, if set, is still finding
     out whether the way failed.
     """
 
@@ -120,6 +121,7 @@
         is_leaving: bool = False,
         is_path_failure: bool = False,
         was_relayed: bool = False,
+        was_cold: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reset: bool = reset
@@ -127,12 +129,15 @@
         self.is_leaving: bool = is_leaving
         self.is_path_failure: bool = is_path_failure
         self.was_relayed: bool = was_relayed
+        self.was_cold: bool = was_cold
         self.path_check: asyncio.Task[bool] | None = None
 
     @property
     def is_failure(self) -> bool:
-        """Whether the endpoint failed, rather than the way to it."""
-        return not self.is_path_failure
+        """Whether the endpoint failed, rather than the way to it, or was only slow
+        because it is cold.
+        """
+        return not self.is_path_failure and not (self.timed_out and self.was_cold)
 
 
 class EngineResponse(Protocol):
--- a/apricotquay/serving/fleet/view.py
+++ b/apricotquay/serving/fleet/view.py
@@ -219,8 +219,10 @@
             raise
         self.on_listed(entry)
         before = self.endpoints.get(endpoint_id)
-        changed = self.endpoints.apply(endpoint_id, entry, record.offset, now_s)
-        if changed:
+        changed = self.endpoints.apply(
+            endpoint_id, entry, record.offset, now_s, self._started_ago_s(entry)
+        )
+        if changed and before != self.endpoints.get(endpoint_id):
             self._reporter.write(
                 Event.ENDPOINT_LEAVING if entry.is_leaving else Event.ENDPOINT_LISTED,
                 endpoint=endpoint_id,
@@ -232,6 +234,11 @@
             )
         return changed
 
+    def _started_ago_s(self, entry: Endpoint) -> float:
+        if not entry.started_ms:
+            return 0.0
+        return max(0.0, (self._clock.wall_ms() - entry.started_ms) / 1000)
+
     async def _expire(self) -> None:
         while True:
             await self._has_removals.wait()
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -53,11 +53,15 @@
     ticket: str
 
 
-class SlotGranted(msgspec.Struct, frozen=True, tag="slot_granted"):
-    """The ticket was granted a slot."""
+class SlotGranted(msgspec.Struct, frozen=True, omit_defaults=True, tag="slot_granted"):
+    """The ticket was granted a slot. If the owner knows that the endpoint `is_cold`,
+    it also tells how long the ticket waited there.
+    """
 
     ticket: str
     endpoint: str
+    is_cold: bool = False
+    waited_ms: int = 0
 
 
 class SlotRefused(msgspec.Struct, frozen=True, tag="slot_refused"):
--- a/apricotquay/serving/online/attempts.py
+++ b/apricotquay/serving/online/attempts.py
@@ -123,6 +123,7 @@
             raise
         except AttemptFailedError as exc:
             self._record_leaving(endpoint, exc.is_leaving)
+            exc.was_cold = self._is_cold(endpoint)
             await self._judge_failure(call, endpoint, fingerprint, exc)
             if exc.is_failure and (exc.reset or exc.timed_out):
                 self._crash_detector.check_endpoint(endpoint, fingerprint)
@@ -208,7 +209,7 @@
         """Record a failure of an endpoint that was silent until its attempt ended;
         return whether it counts, which it doesn't if the way to it is lost.
         """
-        if self._engines.is_out_of_reach(endpoint):
+        if self._engines.is_out_of_reach(endpoint) or self._is_cold(endpoint):
             return False
         self._record_failure(
             call,
@@ -219,6 +220,12 @@
         )
         return True
 
+    def _is_cold(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint is slow because it has started a moment ago."""
+        configuration = self._view.configuration
+        now_s = self._clock.now_s()
+        return self._view.endpoints.cold_left_s(endpoint, configuration, now_s) > 0
+
     def _record_completion(
         self,
         call: EngineCall,
--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -10,6 +10,7 @@
 
 from ...clocks import Clock
 from ...errors import PeerUnavailableError
+from ...events import Event
 from ...ids import EndpointId
 from ..catalog import ServiceName
 from ..endpoints import LeavingNotice
@@ -31,6 +32,8 @@
 )
 from ..reporting import Reporter
 from ..tasks import start_task
+from .coldlimits import MAX_GRANT_AGE_S
+from .eligibility import Ineligible
 from .outliers import SlotOutcome
 from .slotleases import LEASE_S
 from .slotowner import SlotTables
@@ -71,6 +74,7 @@
         self.tables = SlotTables(view, clock, reporter)
         self.tables.on_local_decision = self._handle_local_decision
         self.tables.is_owned = self._is_owned
+        self.tables.is_confirmed = lambda: shards.is_confirmed
         self._view: View = view
         self._shards: Shards = shards
         self._peers: Peers = peers
@@ -83,6 +87,8 @@
         self._last_owners: dict[ServiceName, str | None] = {}
         self._listed_keys: set[tuple[ServiceName, str]] = set()
         self._introduced: weakref.WeakSet[PeerConnection] = weakref.WeakSet()
+        # Grants of owners that did not count for cold endpoints.
+        self.unused_grant_count: int = 0
         self._tasks: list[asyncio.Task] = []
 
     @property
@@ -263,7 +269,7 @@
                 decision = await self._ask_owner(service, ticket, owner, waiter)
             if isinstance(decision, Refused):
                 raise SlotUnavailableError(decision.wait_s)
-            if isinstance(decision, Granted):
+            if isinstance(decision, Granted) and self._may_use(decision, waiter):
                 lease = self._add_lease(service, ticket, decision.endpoint, waiter)
             return lease
         finally:
@@ -271,6 +277,25 @@
             if lease is None:
                 self._release_ticket(service, ticket.id, owner)
 
+    def _may_use(self, granted: Granted, waiter: Waiter) -> bool:
+        """Whether a grant counts now: a cold endpoint gets only what its owner counted
+        as sent to a cold one a moment ago. The local table counts by itself.
+        """
+        if waiter.owner is None or not self.tables.is_cold(granted.endpoint):
+            return True
+        age_s = self._clock.now_s() - waiter.asked_s - waiter.grant_waited_s
+        if waiter.grant_is_cold and age_s <= MAX_GRANT_AGE_S:
+            return True
+        self.unused_grant_count += 1
+        self._reporter.write_limited(
+            Event.GRANT_NOT_USED,
+            endpoint=granted.endpoint,
+            reason=Ineligible.COLD.value,
+            owner=waiter.owner,
+            age_ms=int(age_s * MS_PER_S),
+        )
+        return False
+
     async def _ask_owner(
         self, service: ServiceName, ticket: Ticket, owner: str, waiter: Waiter
     ) -> Decision | None:
@@ -282,6 +307,7 @@
                 connection = await self._peers.connect(owner)
                 self._introduce(connection)
                 waiter.connection = connection
+                waiter.asked_s = self._clock.now_s()
                 connection.send(message)
                 await waiter.first_reply
         except (TimeoutError, PeerUnavailableError):
@@ -384,6 +410,8 @@
             if not waiter.first_reply.done():
                 waiter.first_reply.set_result(None)
         elif isinstance(message, SlotGranted):
+            waiter.grant_is_cold = message.is_cold
+            waiter.grant_waited_s = message.waited_ms / MS_PER_S
             waiter.resolve(Granted(ticket_id, EndpointId(message.endpoint)))
         elif isinstance(message, SlotRefused):
             waiter.resolve(Refused(ticket_id, message.wait_ms / MS_PER_S))
--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -11,6 +11,7 @@
 from types import MappingProxyType
 
 from ...ids import EndpointId
+from .coldlimits import ColdLimit
 from .endpointslots import (
     UNKNOWN_PROFILE,
     EndpointProfile,
@@ -87,6 +88,7 @@
         statuses: Mapping[EndpointId, EndpointStatus] = MappingProxyType({}),
         limits: Mapping[EndpointId, SendLimit] = MappingProxyType({}),
         profiles: Mapping[EndpointId, EndpointProfile] = MappingProxyType({}),
+        cold: Mapping[EndpointId, ColdLimit] = MappingProxyType({}),
     ) -> list[Decision]:
         """Set which endpoints take new work, and what the table knows of them."""
         for endpoint, slots in list(self._slots.items()):
@@ -99,7 +101,8 @@
             slots.status = statuses.get(endpoint, EndpointStatus.NORMAL)
             slots.limit = limits.get(endpoint)
             slots.profile = profiles.get(endpoint, UNKNOWN_PROFILE)
-        self._has_limits = bool(limits)
+            slots.cold = cold.get(endpoint)
+        self._has_limits = bool(limits) or bool(cold)
         return list(self._serve_line(now_s))
 
     def record_grant(self, ticket: Ticket, endpoint: EndpointId, now_s: float) -> None:
@@ -212,8 +215,7 @@
                 continue
             self._line.remove(ticket.id)
             self._assign(ticket, slots, now_s)
-            if slots.limit is not None:
-                slots.limit.take(now_s)
+            slots.count_send(now_s)
             if not slots.is_available(now_s):
                 available.remove(slots)
             yield Granted(ticket.id, slots.endpoint)
--- a/apricotquay/serving/slots/endpointslots.py
+++ b/apricotquay/serving/slots/endpointslots.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ...ids import EndpointId
+from .coldlimits import ColdLimit
 from .sendlimits import SendLimit
 from .tickets import Ticket, TicketId, Work
 
@@ -50,6 +51,8 @@
         self.is_open: bool = True
         self.status: EndpointStatus = EndpointStatus.NORMAL
         self.limit: SendLimit | None = None
+        # Set while the endpoint is cold.
+        self.cold: ColdLimit | None = None
         self.profile: EndpointProfile = UNKNOWN_PROFILE
 
     @property
@@ -62,10 +65,24 @@
         """Number of free slots."""
         return self.count - len(self.running)
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether the endpoint takes fewer requests than it has slots for."""
+        return self.limit is not None or self.cold is not None
+
     def may_send(self, now_s: float) -> bool:
-        """Whether the endpoint's limit allows a request now."""
+        """Whether the endpoint's limits allow a request now."""
+        if self.cold is not None and not self.cold.may_send(now_s):
+            return False
         return self.limit is None or self.limit.may_send(now_s)
 
+    def count_send(self, now_s: float) -> None:
+        """Count a request that the endpoint is sent against its limits."""
+        if self.cold is not None:
+            self.cold.take(now_s)
+        if self.limit is not None:
+            self.limit.take(now_s)
+
     def is_available(self, now_s: float) -> bool:
         """Whether some ticket could be granted a slot now."""
         return self.is_open and self.count > len(self.running) and self.may_send(now_s)
@@ -82,10 +99,11 @@
 
     def throughput_per_s(self, service_time_s: float, now_s: float) -> float:
         """Return how many online requests a second the endpoint can begin."""
-        by_slots = self.count / service_time_s
-        if self.limit is None:
-            return by_slots
-        return min(by_slots, self.limit.granted_per_s(now_s))
+        rate_per_s = self.count / service_time_s
+        for limit in (self.limit, self.cold):
+            if limit is not None:
+                rate_per_s = min(rate_per_s, limit.granted_per_s(now_s))
+        return rate_per_s
 
     def assign(self, ticket: Ticket, now_s: float) -> None:
         """Give a slot to a ticket."""
--- a/apricotquay/serving/slots/sendlimits.py
+++ b/apricotquay/serving/slots/sendlimits.py
@@ -52,21 +52,18 @@
     age_ms: int
 
 
-class SendLimit:
-    """The limit of one start of an endpoint, and the sends that it still allows.
+class SharedPace:
+    """The sends that one start of an endpoint may get: all of them at the daemon that
+    grants for the whole fleet, a share of them at each daemon without such an owner.
 
-    Used by the slot table of the endpoint's service.
+    Base of `SendLimit` and `ColdLimit`, which say at which rate.
     """
 
-    def __init__(
-        self, started_ms: int, rate_per_s: float, stated_s: float, now_s: float
-    ) -> None:
+    shared_portion: float = SHARED_PORTION
+    share_valid_s: float = SHARE_VALID_S
+
+    def __init__(self, started_ms: int, now_s: float) -> None:
         self.started_ms: int = started_ms
-        self.named_per_s: float = rate_per_s
-        self.has_ended: bool = False
-        self.stated_s: float = stated_s
-        # What other daemons were told last.
-        self.told: tuple[float, bool] | None = None
         self._daemons: int = DEFAULT_DAEMONS
         self._is_shared: bool = True
         self._bucket = Bucket(0.0, now_s)
@@ -75,35 +72,16 @@
         self._phase: float = random.random()
         self._used_share: int = -1
 
-    def update(self, rate_per_s: float, stated_s: float, *, has_ended: bool) -> None:
-        """Record what the endpoint says now."""
-        self.named_per_s = rate_per_s
-        self.stated_s = stated_s
-        self.has_ended = has_ended
-        self._no_token_until_s = float("-inf")
-
     def rate_per_s(self, now_s: float) -> float:
         """Return the rate that the endpoint may get from all daemons now."""
-        if not self.has_ended:
-            return max(MIN_RATE_PER_S, self.named_per_s)
-        ended_for_s = min(RECOVERY_S, max(0.0, now_s - self.stated_s))
-        doublings = ended_for_s / RECOVERY_DOUBLING_S
-        return max(RECOVERY_MIN_RATE_PER_S, self.named_per_s) * 2**doublings
+        raise NotImplementedError
 
     def granted_per_s(self, now_s: float) -> float:
         """Return the rate at which this daemon grants sends."""
         rate_per_s = self.rate_per_s(now_s)
         if not self._is_shared:
             return rate_per_s
-        return SHARED_PORTION * rate_per_s / self._daemons
-
-    def needs_check(self, now_s: float) -> bool:
-        """Whether no answer has told for a while whether the limit still holds."""
-        return now_s - self.stated_s >= CHECK_INTERVAL_S
-
-    def is_over(self, now_s: float) -> bool:
-        """Whether the endpoint can get the whole load again."""
-        return self.has_ended and now_s - self.stated_s >= RECOVERY_S
+        return self.shared_portion * rate_per_s / self._daemons
 
     def share_among(self, daemons: int, now_s: float, *, is_shared: bool) -> None:
         """Set whether this daemon grants sends for all daemons or only its share."""
@@ -153,11 +131,52 @@
         elapsed = now_s / interval_s + self._phase
         number = int(elapsed)
         age_s = (elapsed - number) * interval_s
-        if number == self._used_share or age_s >= SHARE_VALID_S:
+        if number == self._used_share or age_s >= self.share_valid_s:
             return None
         return number
 
 
+class SendLimit(SharedPace):
+    """The limit that one start of an endpoint named, and the sends that it still
+    allows.
+
+    Used by the slot table of the endpoint's service.
+    """
+
+    def __init__(
+        self, started_ms: int, rate_per_s: float, stated_s: float, now_s: float
+    ) -> None:
+        super().__init__(started_ms, now_s)
+        self.named_per_s: float = rate_per_s
+        self.has_ended: bool = False
+        self.stated_s: float = stated_s
+        # What other daemons were told last.
+        self.told: tuple[float, bool] | None = None
+
+    def update(self, rate_per_s: float, stated_s: float, *, has_ended: bool) -> None:
+        """Record what the endpoint says now."""
+        self.named_per_s = rate_per_s
+        self.stated_s = stated_s
+        self.has_ended = has_ended
+        self._no_token_until_s = float("-inf")
+
+    def rate_per_s(self, now_s: float) -> float:
+        """Return the rate that the endpoint may get from all daemons now."""
+        if not self.has_ended:
+            return max(MIN_RATE_PER_S, self.named_per_s)
+        ended_for_s = min(RECOVERY_S, max(0.0, now_s - self.stated_s))
+        doublings = ended_for_s / RECOVERY_DOUBLING_S
+        return max(RECOVERY_MIN_RATE_PER_S, self.named_per_s) * 2**doublings
+
+    def needs_check(self, now_s: float) -> bool:
+        """Whether no answer has told for a while whether the limit still holds."""
+        return now_s - self.stated_s >= CHECK_INTERVAL_S
+
+    def is_over(self, now_s: float) -> bool:
+        """Whether the endpoint can get the whole load again."""
+        return self.has_ended and now_s - self.stated_s >= RECOVERY_S
+
+
 class SendLimits:
     """The limits of all endpoints that a daemon knows. Used by `SlotTables`."""
 
--- a/apricotquay/serving/slots/slotowner.py
+++ b/apricotquay/serving/slots/slotowner.py
@@ -8,7 +8,7 @@
 from ...clocks import Clock
 from ...events import Event
 from ...ids import EndpointId
-from ..catalog import ServiceName
+from ..catalog import Service, ServiceName
 from ..endpoints import Endpoint, LeavingNotice
 from ..engine import EndpointLimit
 from ..fleet.peers import PeerConnection
@@ -29,6 +29,7 @@
     TicketsKnown,
 )
 from ..reporting import Reporter
+from .coldlimits import TAKEOVER_S, ColdLimit, ColdLimits, sharing_daemons
 from .dispatch import Dispatcher
 from .endpointslots import EndpointProfile, EndpointStatus
 from .outliers import OutlierDetector, SlotOutcome
@@ -49,6 +50,8 @@
 PROBATION_SLOTS = 1
 # Changes of limits are told to peers together, at most this often.
 LIMITS_INTERVAL_S = 0.5
+# How often it is checked whether cold endpoints have become warm.
+COLD_INTERVAL_S = 0.25
 
 
 class PeerTicket(msgspec.Struct):
@@ -79,11 +82,16 @@
         self._outlier_detector = OutlierDetector()
         self._tables: dict[ServiceName, Dispatcher] = {}
         self.limits = SendLimits()
+        self.cold_limits = ColdLimits()
         self._malformed: dict[EndpointId, str] = {}
         # How many daemons share limits, as owners told; 0 if none has.
         self._known_daemons: int = 0
         self._limits_told_s: float = float("-inf")
         self.is_owned: Callable[[ServiceName], bool] = lambda service: True
+        # Whether the store confirms what this daemon owns.
+        self.is_confirmed: Callable[[], bool] = lambda: True
+        self._owned_since_s: dict[ServiceName, float] = {}
+        self._cold_checked_s: float = float("-inf")
         self._peer_tickets: dict[TicketId, PeerTicket] = {}
         self._tickets_of_connection: dict[PeerConnection, set[TicketId]] = {}
         self._peer_leases = PeerLeases()
@@ -197,6 +205,14 @@
         for service, table in self._tables.items():
             self._deliver(self._set_endpoints(service, table))
 
+    def is_cold(self, endpoint_id: EndpointId) -> bool:
+        """Whether an endpoint is known to be cold and takes a limited rate then."""
+        endpoint = self._view.endpoints.get(endpoint_id)
+        settings = self._settings(endpoint.service) if endpoint else None
+        if settings is None or not settings.cold_per_s:
+            return False
+        return self._cold_left_s(endpoint) > 0
+
     def release_peer_tickets(self, services: set[ServiceName]) -> None:
         """Release the slots that peers hold in services that others own now."""
         for ticket_id, peer in list(self._peer_tickets.items()):
@@ -224,10 +240,15 @@
         if len(self.limits):
             self._forget_limits(now_s)
             self._tell_limits(now_s)
+        if len(self.cold_limits) and now_s - self._cold_checked_s >= COLD_INTERVAL_S:
+            self._cold_checked_s = now_s
+            self._forget_cold(now_s)
+            self.refresh()
         waiting = [table for table in self._tables.values() if table.waiting_count]
         for table in waiting:
             self._deliver(table.tick(now_s))
-        if not waiting and not self.statuses and not len(self.limits):
+        is_limited = len(self.limits) or len(self.cold_limits)
+        if not waiting and not self.statuses and not is_limited:
             self.needs_tick.clear()
 
     def _tick_if_waiting(self, service: ServiceName) -> None:
@@ -407,10 +428,22 @@
             if peer is None:
                 self.on_local_decision(decision)
                 continue
-            peer.connection.send(_message_for(decision))
+            peer.connection.send(self._message_for(decision, peer))
             if isinstance(decision, Refused):
                 self._remove_peer_ticket(decision.ticket)
 
+    def _message_for(self, decision: Decision, peer: PeerTicket) -> Message:
+        if isinstance(decision, Refused):
+            return SlotRefused(decision.ticket, int(decision.wait_s * MS_PER_S))
+        if not isinstance(decision, Granted):
+            return SlotRevoked(decision.ticket)
+        if self.cold_limits.find(decision.endpoint) is None:
+            return SlotGranted(decision.ticket, decision.endpoint)
+        waited_ms = int((self._clock.now_s() - peer.requested_s) * MS_PER_S)
+        return SlotGranted(
+            decision.ticket, decision.endpoint, is_cold=True, waited_ms=waited_ms
+        )
+
     def _statuses_of(
         self, service: ServiceName, now_s: float
     ) -> dict[EndpointId, EndpointStatus]:
@@ -437,7 +470,61 @@
             e.id: EndpointProfile(e.version, e.zone)
             for e in self._view.endpoints.serving(service)
         }
-        return table.set_endpoints(slot_counts, now_s, statuses, limits, profiles)
+        cold = self._cold_limits_of(service, now_s)
+        return table.set_endpoints(slot_counts, now_s, statuses, limits, profiles, cold)
+
+    def _cold_limits_of(
+        self, service: ServiceName, now_s: float
+    ) -> dict[EndpointId, ColdLimit]:
+        """Return the limits of a service's cold endpoints, see `_limits_of`."""
+        is_owned = self.is_owned(service)
+        if is_owned:
+            self._owned_since_s.setdefault(service, now_s)
+        else:
+            self._owned_since_s.pop(service, None)
+        settings = self._settings(service)
+        if settings is None or not settings.cold_per_s:
+            return {}
+        is_new = is_owned and now_s - self._owned_since_s[service] < TAKEOVER_S
+        is_doubtful = is_new or not self.is_confirmed()
+        found = {}
+        for endpoint in self._view.endpoints.serving(service):
+            limit = self._cold_limit(endpoint, settings, now_s)
+            if limit is not None:
+                limit.set_doubtful(is_owned and is_doubtful)
+                daemons = sharing_daemons(self._known_daemons)
+                limit.share_among(daemons, now_s, is_shared=not is_owned)
+                found[endpoint.id] = limit
+        return found
+
+    def _forget_cold(self, now_s: float) -> None:
+        """End the limits of endpoints that are warm, gone or limited no more."""
+        for endpoint_id in list(self.cold_limits.all()):
+            endpoint = self._view.endpoints.get(endpoint_id)
+            settings = self._settings(endpoint.service) if endpoint else None
+            if settings is None or not settings.cold_per_s:
+                self.cold_limits.end(endpoint_id)
+            else:
+                self._cold_limit(endpoint, settings, now_s)
+
+    def _cold_limit(
+        self, endpoint: Endpoint, settings: Service, now_s: float
+    ) -> ColdLimit | None:
+        left_s = self._cold_left_s(endpoint)
+        if not left_s:
+            if self.cold_limits.end(endpoint.id):
+                self._reporter.write(Event.ENDPOINT_WARM, endpoint=endpoint.id)
+            return None
+        limit, begins = self.cold_limits.begin(endpoint, settings.cold_per_s, now_s)
+        if begins:
+            self._reporter.write(
+                Event.ENDPOINT_COLD,
+                endpoint=endpoint.id,
+                started_ms=endpoint.started_ms,
+                left_ms=int(left_s * MS_PER_S),
+                rate_per_s=settings.cold_per_s,
+            )
+        return limit
 
     def _limits_of(
         self, service: ServiceName, now_s: float
@@ -461,15 +548,15 @@
                 found[endpoint.id] = limit
         return found
 
-    def _default_slots(self, service: ServiceName) -> int:
-        configuration = self._view.configuration
-        settings = configuration.services.get(service) if configuration else None
-        return settings.slots if settings and settings.slots else DEFAULT_SLOTS
+    def _cold_left_s(self, endpoint: Endpoint) -> float:
+        return self._view.endpoints.cold_left_s(
+            endpoint, self._view.configuration, self._clock.now_s()
+        )
 
+    def _settings(self, service: ServiceName) -> Service | None:
+        configuration = self._view.configuration
+        return configuration.services.get(service) if configuration else None
 
-def _message_for(decision: Decision) -> Message:
-    if isinstance(decision, Granted):
-        return SlotGranted(decision.ticket, decision.endpoint)
-    if isinstance(decision, Refused):
-        return SlotRefused(decision.ticket, int(decision.wait_s * MS_PER_S))
-    return SlotRevoked(decision.ticket)
+    def _default_slots(self, service: ServiceName) -> int:
+        settings = self._settings(service)
+        return settings.slots if settings and settings.slots else DEFAULT_SLOTS
--- a/apricotquay/serving/slots/slotrequests.py
+++ b/apricotquay/serving/slots/slotrequests.py
@@ -71,6 +71,10 @@
         self.service: ServiceName = service
         self.owner: str | None = owner
         self.connection: PeerConnection | None = None
+        # When the owner was asked, and what it said with its grant.
+        self.asked_s: float = float("-inf")
+        self.grant_is_cold: bool = False
+        self.grant_waited_s: float = 0.0
         self.first_reply: asyncio.Future = loop.create_future()
         self.decision: asyncio.Future = loop.create_future()
 
--- a/apricotquay/serving/slots/waits.py
+++ b/apricotquay/serving/slots/waits.py
@@ -45,12 +45,12 @@
     ) -> float:
         """Estimate a new online ticket's wait; batch items can be preempted."""
         free = sum(
-            s.count - s.online_count for s in slots if s.is_open and s.limit is None
+            s.count - s.online_count for s in slots if s.is_open and not s.is_limited
         )
         free += sum(
             min(1, s.count - s.online_count)
             for s in slots
-            if s.is_open and s.limit is not None and s.may_send(now_s)
+            if s.is_open and s.is_limited and s.may_send(now_s)
         )
         ahead = sum(1 for t in waiting_online if not t.holds_slot)
         if ahead < free or not slots:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -38,6 +38,8 @@
 
 JSON_HEADERS = [(b"content-type", b"application/json")]
 REGISTER_RETRY_DELAY_S = 0.5
+# How often a server that is cold writes its entry again.
+ENTRY_INTERVAL_S = 1.2
 SLOTS_PER_SERVER = 8
 HOLD_INTERVAL_S = 0.01
 SERVER_LIMITS = ServerLimits(65_536, 8 * 1024 * 1024, 10.0, 60.0)
@@ -164,8 +166,10 @@
     events if there are any.
     Answers name `limit` if it is set, and hold each value of `leaving_values` in a
     header of its own; `make_data` returns an event's data; `arrived_s` lists when
-    requests arrived. With `first_run_events` a stream that is not resumed breaks off
-    after so many events.
+    requests arrived, but for those that were meant for another server. With
+    `first_run_events` a stream that is not resumed breaks off after so many events.
+    A server is cold for `cold_s` after its start, and each event takes
+    `cold_step_s` more then.
     """
 
     def __init__(self, name: str, step_s: float, record_run=None) -> None:
@@ -187,6 +191,10 @@
         self.make_data: Callable[[str, int], bytes] = _event_data
         self.first_run_events: int = 0
         self.arrived_s: list[float] = []
+        self.zone: str = "z"
+        self.cold_s: float = 0.0
+        self.cold_step_s: float = 0.0
+        self._cold_until_s: float = float("-inf")
         self._step_s: float = step_s
         self._record_run = record_run or (
             lambda run: print(json.dumps(run), flush=True)
@@ -200,11 +208,12 @@
         Daemons connect to the registered address: a proxy's, in the soak test.
         """
         port = await self._server.start(host, port)
+        self._cold_until_s = time.monotonic() + self.cold_s
         client = StoreClient(*_parse_address(store))
         entry = {
             "service": self.service,
             "address": shown or f"{host}:{port}",
-            "zone": "z",
+            "zone": self.zone,
             "version": self.version,
             "slots": SLOTS_PER_SERVER,
             "state": "ready",
@@ -212,15 +221,30 @@
             "seq": 1,
             "born": time.time_ns() // 1_000_000,
         }
-        self._tasks = [asyncio.create_task(self._register(client, entry))]
+        self._tasks = [asyncio.create_task(self._keep_registered(client, entry))]
         return port
 
+    @property
+    def cold_left_s(self) -> float:
+        """How long the server is still cold."""
+        return max(0.0, self._cold_until_s - time.monotonic())
+
     async def close(self) -> None:
         """Stop the server at once."""
         for task in self._tasks:
             task.cancel()
         await self._server.close()
 
+    async def _keep_registered(self, client: StoreClient, entry: dict) -> None:
+        """Write the entry, again and again while the server is cold."""
+        while True:
+            left_ms = int(self.cold_left_s * 1000)
+            await self._register(client, entry | {"cold_left_ms": left_ms})
+            if not left_ms:
+                return
+            await asyncio.sleep(ENTRY_INTERVAL_S)
+            entry["seq"] += 1
+
     async def _register(self, client: StoreClient, entry: dict) -> None:
         record = KeyedRecord(self.name.encode(), json.dumps(entry).encode())
         while True:
@@ -237,7 +261,6 @@
             (b"attempt-id", request_id.encode()),
             (b"server-load", f"{self.running},0,{SLOTS_PER_SERVER}".encode()),
         ]
-        self.arrived_s.append(time.monotonic())
         if self.limit:
             head.append((b"server-limit", self.limit.encode()))
         for value in self.leaving_values:
@@ -245,6 +268,7 @@
         if request.header(b"expect-instance") not in (None, self.name):
             await exchange.respond(HttpResponse(421, [(b"instance", b"other")]))
             return
+        self.arrived_s.append(time.monotonic())
         if self.refuses_all or self.running >= SLOTS_PER_SERVER:
             await exchange.respond(HttpResponse(503, [*head, (b"not-run", b"1")]))
             return
@@ -288,6 +312,8 @@
             await asyncio.Event().wait()
         for number in range(after + 1, int(options.get("events", 5))):
             await asyncio.sleep(self._step_s * random.uniform(0.5, 1.5))
+            if self.cold_left_s:
+                await asyncio.sleep(self.cold_step_s)
             await self._wait_while_holding()
             data = self.make_data(request_id, number)
             await exchange.send(_encode_event(number, data))
@@ -338,8 +364,12 @@
         client.close()
 
 
-def make_configuration(version: int, keys: dict[str, list[str]], **route) -> dict:
-    """Return a configuration with a streaming, a batch and a non-idempotent route."""
+def make_configuration(
+    version: int, keys: dict[str, list[str]], service: dict | None = None, **route
+) -> dict:
+    """Return a configuration with a streaming, a batch and a non-idempotent route;
+    `service` and `route` are further fields of the service and the streaming route.
+    """
     common = {"host": "a.example", "service": "llm", "timeout_ms": 5000}
     stream = {"kind": "streaming", "resumable": True, "max_attempts": 3}
     batch = {"kind": "batch", "max_attempts": 3, "result_deadline_ms": 20_000}
@@ -350,7 +380,9 @@
             {**common, "name": "b", "path_prefix": "/b/", **batch, "cap": 100_000},
             {**common, "name": "u", "path_prefix": "/u/", "kind": "unsafe"},
         ],
-        "services": [{"name": "llm", "engine": {"slots": SLOTS_PER_SERVER}}],
+        "services": [
+            {"name": "llm", "engine": {"slots": SLOTS_PER_SERVER}, **(service or {})}
+        ],
         "limits": {"max_body_bytes": 4 * 1024 * 1024, "idle_timeout_ms": 15_000},
         "tenants": [{"name": t, "api_keys": k} for t, k in keys.items()],
     }
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -62,10 +62,8 @@
         self.store_address = f"{HOST}:{await self.store.start(HOST, 0)}"
         await self.configure(1, small=["k1"], large=["k2"])
         for number in range(servers):
-            server = ModelServer(f"i-{number}", step_s, self.runs.append)
-            server.version = versions[number % len(versions)]
-            await server.start(HOST, 0, self.store_address)
-            self.servers.append(server)
+            version = versions[number % len(versions)]
+            await self.add_server(f"i-{number}", step_s, version=version)
         for number in range(daemons):
             await self.add_daemon(f"d{number}")
         for daemon in self.daemons:
@@ -85,6 +83,15 @@
         """Write a configuration with the keys of each team."""
         await write_configuration(self.store_address, make_configuration(version, keys))
 
+    async def add_server(self, name: str, step_s: float, **fields) -> ModelServer:
+        """Start a server with the given attributes and add it to the fleet."""
+        server = ModelServer(name, step_s, self.runs.append)
+        for field, value in fields.items():
+            setattr(server, field, value)
+        await server.start(HOST, 0, self.store_address)
+        self.servers.append(server)
+        return server
+
     async def add_daemon(self, name: str) -> Daemon:
         """Start a daemon and add it to the fleet."""
         host, _, port = self.store_address.rpartition(":")
