--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -5,6 +5,7 @@
 """
 
 import ipaddress
+import json
 import math
 import re
 from typing import Any
@@ -30,6 +31,7 @@
 )
 from ..serving.endpoints import Endpoint
 from ..serving.engine import NO_LIMIT, EndpointLimit
+from ..serving.fleet.evacuations import EvacuationRecord
 from ..serving.fleet.keyedlog import KeyedRecord, Topic
 from ..serving.fleet.view import RecordUnreadableError
 from ..serving.http.http1 import HeaderList, find_header
@@ -72,6 +74,8 @@
 )
 
 CONFIGURATION_KEY = b"config"
+EVACUATION_PREFIX = b"evacuate/"
+MAX_ZONE_BYTES = 256
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,20}(\.[0-9]{0,20})?(e[+-]?[0-9]{1,3})?", re.ASCII)
 PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
 MAX_PORT = 65_535
@@ -197,6 +201,18 @@
             _convert_limits(raw.limits),
         )
 
+    def decode_evacuation(self, record: KeyedRecord) -> EvacuationRecord | None:
+        """Decode a record that evacuates a zone or ends that; None for any other."""
+        name = record.key.removeprefix(EVACUATION_PREFIX)
+        if name == record.key or not 0 < len(name) <= MAX_ZONE_BYTES:
+            return None
+        try:
+            zone = name.decode()
+            is_usable = record.value is None or json.loads(record.value) == {}
+        except (ValueError, RecursionError):
+            return None
+        return EvacuationRecord(zone, record.value is not None) if is_usable else None
+
     def endpoint_id(self, record: KeyedRecord) -> EndpointId:
         """Return the id of the record's endpoint, which is the record's key."""
         return EndpointId(record.key.decode("utf-8", "replace"))
--- a/apricotquay/serving/batch/itemattempts.py
+++ b/apricotquay/serving/batch/itemattempts.py
@@ -17,9 +17,10 @@
 from ..online.attempts import AttemptRunner, read_events
 from ..reporting import Reporter
 from ..slots.allocator import SlotAllocator
+from ..slots.eligibility import Ineligible
 from ..slots.outliers import SlotOutcome
 from ..slots.slotrequests import SlotLease, SlotRequest, SlotUnavailableError
-from ..slots.tickets import Work
+from ..slots.tickets import Work, before_send
 from .itemprogress import (
     EVENT_TIMEOUT_S,
     AttemptResult,
@@ -142,12 +143,11 @@
         progress: ItemProgress,
         lease: SlotLease,
     ) -> AttemptResult:
-        endpoint = self._view.endpoints.get(lease.endpoint)
-        if endpoint is None or endpoint.is_leaving:
-            return AttemptResult(Outcome.RETRY, "endpoint left")
-        if progress.version and endpoint.version != progress.version:
-            return AttemptResult(Outcome.RETRY, "another version")
         item = job.items[index]
+        needs = before_send(progress.version, lease.ticket.regions)
+        endpoint = self._attempts.check_eligible(item.id, lease.endpoint, needs)
+        if isinstance(endpoint, Ineligible):
+            return AttemptResult(Outcome.RETRY, f"endpoint: {endpoint.value}")
         headers = [
             (b"host", job.header.host.encode()),
             *((n.lower().encode(), v.encode("latin-1")) for n, v in item.headers),
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -413,6 +413,8 @@
         self.metrics.set_gauge("endpoints_cold", cold_count)
         unused_count = self.slots.unused_grant_count
         self.metrics.set_gauge("grants_not_used", unused_count)
+        zone_count = len(self.view.evacuations.zones)
+        self.metrics.set_gauge("zones_evacuated", zone_count)
         leaving_count = len(self.view.endpoints.leaving_notices())
         self.metrics.set_gauge("endpoints_said_leaving", leaving_count)
         headers = [(b"content-type", b"text/plain; charset=utf-8")]
--- a/apricotquay/serving/endpoints.py
+++ b/apricotquay/serving/endpoints.py
@@ -1,6 +1,6 @@
 """The endpoints that the platform lists, and which of them take new work. Pure."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import msgspec
 
@@ -70,7 +70,13 @@
     Used by `View`, `SlotAllocator` and `AttemptRunner`.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, is_evacuated: Callable[[str], bool] = lambda zone: False
+    ) -> None:
+        # Whether the operator evacuates a zone.
+        self.is_evacuated: Callable[[str], bool] = is_evacuated
+        # The region of a zone, empty if unknown.
+        self.region_of: Callable[[str], str] = lambda zone: ""
         self.cold = ColdPeriods()
         self._entries: dict[EndpointId, Endpoint] = {}
         self._offsets: dict[EndpointId, int] = {}
@@ -206,6 +212,7 @@
             for entry in self._entries.values()
             if entry.service == service
             and not entry.is_leaving
+            and not self.is_evacuated(entry.zone)
             and version in ("", entry.version)
         )
 
--- a/apricotquay/serving/fleet/relayserver.py
+++ b/apricotquay/serving/fleet/relayserver.py
@@ -149,6 +149,8 @@
             reason = "the relaying peer does not know this start of the endpoint"
         elif endpoint.is_leaving:
             reason = "the relaying peer knows that the endpoint leaves"
+        elif self._view.evacuations.is_evacuated(endpoint.zone):
+            reason = "the relaying peer knows that the endpoint is evacuated"
         elif self._engines.is_out_of_reach(endpoint):
             reason = "the relaying peer does not reach the endpoint either"
         else:
--- a/apricotquay/serving/fleet/view.py
+++ b/apricotquay/serving/fleet/view.py
@@ -14,6 +14,7 @@
 from ..endpoints import Endpoint, EndpointTable, LeavingNotice
 from ..reporting import Reporter
 from ..tasks import start_task
+from .evacuations import EvacuationChange, EvacuationRecord, Evacuations
 from .keyedlog import KeyedLog, KeyedRecord, Page, Topic
 from .topicfollower import TopicFollower
 
@@ -36,6 +37,11 @@
     def decode_configuration(self, record: KeyedRecord) -> Configuration | None:
         """Decode a configuration; None for a record of another kind."""
 
+    def decode_evacuation(self, record: KeyedRecord) -> EvacuationRecord | None:
+        """Decode a record of the configuration's topic that evacuates a zone or ends
+        that; None for a record of another kind or without a usable value.
+        """
+
     def decode_endpoint(self, record: KeyedRecord) -> tuple[EndpointId, Endpoint]:
         """Decode an endpoint's entry."""
 
@@ -50,7 +56,8 @@
         self, log: KeyedLog, directory: Directory, clock: Clock, reporter: Reporter
     ) -> None:
         self.configuration: Configuration | None = None
-        self.endpoints: EndpointTable = EndpointTable()
+        self.evacuations = Evacuations()
+        self.endpoints: EndpointTable = EndpointTable(self.evacuations.is_evacuated)
         self.on_change: Callable[[], None] = lambda: None
         # Called with the endpoints that are newly known to leave, and whether an
         # answer to this daemon said so rather than a peer.
@@ -149,6 +156,7 @@
         """Apply the newest record of each key; remove older endpoints that it lacks."""
         self._apply(topic, page.records)
         if topic != self._directory.endpoint_topic:
+            self._end_missing_evacuations(page)
             return
         self.on_gap()
         present = {record.key for record in page.records}
@@ -181,7 +189,33 @@
         if changed:
             self.on_change()
 
+    def _end_missing_evacuations(self, page: Page) -> None:
+        present = (record.key for record in page.records)
+        changes = self.evacuations.end_missing(present, page.end)
+        for change in changes:
+            self._report_evacuation(change)
+        if changes:
+            self.on_change()
+
+    def _apply_evacuation(self, record: KeyedRecord) -> bool:
+        decoded = _decode(self._directory.decode_evacuation, record)
+        if decoded is None:
+            return False
+        change = self.evacuations.apply(decoded, record)
+        if change is not None:
+            self._report_evacuation(change)
+        return change is not None
+
+    def _report_evacuation(self, change: EvacuationChange) -> None:
+        self._reporter.write(
+            Event.ZONE_EVACUATED if change.is_evacuated else Event.EVACUATION_ENDED,
+            zone=change.zone,
+            offset=change.offset,
+        )
+
     def _apply_configuration(self, record: KeyedRecord) -> bool:
+        if self._apply_evacuation(record):
+            return True
         configuration = _decode(self._directory.decode_configuration, record)
         known = self.configuration.version if self.configuration else -1
         if configuration is None or configuration.version <= known:
--- a/apricotquay/serving/fleet/viewexchange.py
+++ b/apricotquay/serving/fleet/viewexchange.py
@@ -64,6 +64,8 @@
         version = view.configuration.version if view.configuration else -1
         if version > message.version and view.configuration_record is not None:
             configuration = [view.configuration_record]
+        # Peers of the previous release skip records with these keys.
+        configuration += view.evacuations.records()
         endpoints = [
             record
             for record in view.endpoint_records.values()
--- a/apricotquay/serving/online/attempts.py
+++ b/apricotquay/serving/online/attempts.py
@@ -32,6 +32,7 @@
 from ..http.sse import EventSplitter, StreamEvent
 from ..metrics import ServingMetrics
 from ..reporting import Reporter
+from ..slots.eligibility import Eligibility, Ineligible, Needs
 from .handover import Handover
 
 T = TypeVar("T")
@@ -86,6 +87,23 @@
         """Return the parts of a request's prompt that other requests may share."""
         return self._engines.prompt_parts(headers)
 
+    def check_eligible(
+        self, request_id: str, endpoint_id: EndpointId, needs: Needs
+    ) -> Endpoint | Ineligible:
+        """Return the endpoint of a slot that was granted, or why it may not be sent the
+        request any more. Asked directly before the send.
+        """
+        checked = Eligibility(self._view.endpoints).check(endpoint_id, needs)
+        if isinstance(checked, Ineligible):
+            self._metrics.count("sends_withheld")
+            self._reporter.write_limited(
+                Event.GRANT_NOT_USED,
+                request=request_id,
+                endpoint=endpoint_id,
+                reason=checked.value,
+            )
+        return checked
+
     async def run(
         self,
         call: EngineCall,
--- a/apricotquay/serving/online/handler.py
+++ b/apricotquay/serving/online/handler.py
@@ -20,9 +20,10 @@
 from ..metrics import ServingMetrics
 from ..reporting import Reporter
 from ..slots.allocator import SlotAllocator
+from ..slots.eligibility import Ineligible
 from ..slots.outliers import SlotOutcome
 from ..slots.slotrequests import SlotLease, SlotRequest
-from ..slots.tickets import Work
+from ..slots.tickets import Work, before_send
 from ..streams.streamkeeper import StreamKeeper
 from .admission import AdmissionControl
 from .attempts import AttemptRunner
@@ -256,13 +257,11 @@
         handover: Handover,
     ) -> SlotOutcome:
         """Send the request to one endpoint and forward a successful response."""
-        endpoint = self._view.endpoints.get(lease.endpoint)
-        if endpoint is None or endpoint.is_leaving:
-            progress.record_failure(lease.endpoint, "endpoint left", may_have_run=False)
-            return SlotOutcome.UNKNOWN
-        if progress.version and endpoint.version != progress.version:
+        needs = before_send(progress.version, lease.ticket.regions)
+        endpoint = self._attempts.check_eligible(request.id, lease.endpoint, needs)
+        if isinstance(endpoint, Ineligible):
             progress.record_failure(
-                lease.endpoint, "another version", may_have_run=False
+                lease.endpoint, f"endpoint: {endpoint.value}", may_have_run=False
             )
             return SlotOutcome.UNKNOWN
         self.admission.check_drain(admission.route, progress, deadline_s)
--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -243,10 +243,13 @@
     def _excluded_endpoints(
         self, service: ServiceName, request: SlotRequest
     ) -> frozenset[str]:
-        """Return the endpoints that answers said to leave, which the owner may not know
-        yet, and the failed and ejected ones, as far as others are left to use.
+        """Return the endpoints that answers said to leave and those in evacuated zones,
+        which the owner may not know yet, and the failed and ejected ones, as far as
+        others are left to use.
         """
-        leaving = {notice.endpoint for notice in self._view.endpoints.leaving_notices()}
+        endpoints = self._view.endpoints
+        leaving = {notice.endpoint for notice in endpoints.leaving_notices()}
+        leaving |= {e.id for e in endpoints.all() if endpoints.is_evacuated(e.zone)}
         failed = request.avoid
         serving = self._view.endpoints.serving(service, request.version)
         listed = {e.id for e in serving}
--- a/apricotquay/serving/slots/endpointslots.py
+++ b/apricotquay/serving/slots/endpointslots.py
@@ -6,6 +6,7 @@
 
 from ...ids import EndpointId
 from .coldlimits import ColdLimit
+from .eligibility import find_mismatch
 from .sendlimits import SendLimit
 from .tickets import Ticket, TicketId, Work
 
@@ -89,9 +90,8 @@
 
     def suits(self, ticket: Ticket, now_s: float) -> bool:
         """Whether a ticket may use the endpoint, which is available."""
-        if self.endpoint in ticket.avoid:
-            return False
-        if ticket.version and ticket.version != self.version:
+        profile = self.profile
+        if find_mismatch(self.endpoint, profile.version, profile.region, ticket):
             return False
         if self.limit is None or ticket.work is Work.ONLINE:
             return True
--- a/apricotquay/serving/slots/tickets.py
+++ b/apricotquay/serving/slots/tickets.py
@@ -38,6 +38,13 @@
     regions: frozenset[str]
 
 
+def before_send(version: str, regions: frozenset[str]) -> Restriction:
+    """Return what still binds work that holds a slot: an endpoint where it failed
+    before was granted since no other was left.
+    """
+    return Restriction(version, frozenset(), True, regions)
+
+
 UNRESTRICTED = Restriction("", frozenset(), True, frozenset())
 
 
--- a/tests/test_serving_relayserver.py
+++ b/tests/test_serving_relayserver.py
@@ -5,6 +5,7 @@
 from apricotquay.clocks import SystemClock
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.engine import NO_LIMIT
+from apricotquay.serving.fleet.evacuations import Evacuations
 from apricotquay.serving.fleet.relayclient import WINDOW_BYTES
 from apricotquay.serving.fleet.relayserver import MAX_CHUNK_BYTES, RelayServer
 from apricotquay.serving.messages import (
@@ -71,6 +72,7 @@
 
     def __init__(self) -> None:
         self.endpoints = {"i-1": ENDPOINT}
+        self.evacuations = Evacuations()
 
 
 class RecordingConnection:
