--- a/apricotquay/platform/settings.py
+++ b/apricotquay/platform/settings.py
@@ -2,6 +2,7 @@
 
 import os
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -37,6 +38,9 @@
     # True only when the whole fleet starts for the first time.
     bootstrap: bool = False
     bounds: _Bounds = _Bounds()
+    # The region of each zone; entries of other types are ignored.
+    zones: Any = None
+    region: Any = None
 
 
 def load_settings(metrics: str | None) -> ServingSettings:
@@ -72,9 +76,21 @@
         file.bounds.grace_s,
         file.bounds.status_s * RETENTION_FACTOR,
         READY_PATH,
+        file.region if isinstance(file.region, str) else "",
+        _convert_zones(file.zones),
     )
 
 
+def _convert_zones(value: Any) -> dict[str, str]:
+    if not isinstance(value, dict):
+        return {}
+    return {
+        zone: region
+        for zone, region in value.items()
+        if isinstance(zone, str) and isinstance(region, str)
+    }
+
+
 def _parse_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return Address(host, int(port))
--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -112,6 +112,9 @@
     retention_s: float = 600.0
     # Maximum tokens that a team may have queued on a batch route.
     cap: int = 0
+    # Of another type they make the record unreadable: without them bodies would reach
+    # regions that they must not.
+    allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -133,6 +136,7 @@
     rate_per_s: float = 0.0
     burst: float = 0.0
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -291,6 +295,7 @@
         int(raw.result_deadline_ms),
         raw.retention_s,
         raw.cap,
+        frozenset(raw.allowed_regions or ()),
     )
 
 
@@ -328,6 +333,7 @@
         raw.rate_per_s,
         raw.burst,
         raw.priority,
+        frozenset(raw.allowed_regions or ()),
     )
 
 
--- a/apricotquay/serving/batch/itemattempts.py
+++ b/apricotquay/serving/batch/itemattempts.py
@@ -5,7 +5,7 @@
 
 from ...clocks import Clock
 from ...events import Event
-from ..catalog import ServiceName
+from ..catalog import ServiceName, allowed_regions
 from ..engine import (
     AttemptFailedError,
     EngineCall,
@@ -68,6 +68,9 @@
         due_s = self._clock.now_s() + (job.header.due_ms - self._clock.wall_ms()) / 1000
         due_s += postponement_s(progress.fruitless_attempts)
         item = job.items[index]
+        regions = self._regions(job, item.path)
+        if regions is None:
+            return AttemptResult(Outcome.RETRY, "route and team have no common region")
         self._discard_lost_version(service, progress)
         needs_s = self._run_times.remaining_s(progress.ran_s)
         slot_request = SlotRequest(
@@ -77,6 +80,7 @@
             needs_s,
             avoid=progress.endpoints_to_avoid(),
             version=progress.version,
+            regions=regions,
         )
         requested_s = self._clock.now_s()
         try:
@@ -125,6 +129,14 @@
         )
         return result
 
+    def _regions(self, job: Job, path: str) -> frozenset[str] | None:
+        """Return the regions that an item may reach, see `allowed_regions`."""
+        configuration = self._view.configuration
+        route = configuration and configuration.find_route(job.header.host, path)
+        if not route:
+            return frozenset()
+        return allowed_regions(route, configuration.teams.get(job.header.team))
+
     def _discard_lost_version(
         self, service: ServiceName, progress: ItemProgress
     ) -> None:
@@ -163,6 +175,7 @@
             max(1, min(ITEM_TIMEOUT_MS, remaining_ms)),
             progress.last_id if progress.last_id >= 0 else None,
             self._attempts.prompt_parts(headers),
+            lease.ticket.regions,
         )
         last_id = progress.last_id
         timeout_s = progress.event_timeout_s()
--- a/apricotquay/serving/catalog.py
+++ b/apricotquay/serving/catalog.py
@@ -36,7 +36,8 @@
     target for the time to the first token. `max_token_backlog` limits the tokens
     that a team may have waiting on a batch route, 0 for no limit. A batch job's
     results are due `due_after_ms` after it was first sent and may be abandoned
-    after `give_up_after_s`.
+    after `give_up_after_s`. Its requests reach endpoints in the `regions` only, empty
+    for all.
     """
 
     name: RouteName
@@ -54,6 +55,7 @@
     due_after_ms: int = 60_000
     give_up_after_s: float = 600.0
     max_token_backlog: int = 0
+    regions: frozenset[str] = frozenset()
 
     @property
     def is_idempotent(self) -> bool:
@@ -84,13 +86,26 @@
 
 
 class Team(msgspec.Struct, frozen=True):
-    """A team with its keys and its rate over the whole fleet, 0 for no limit."""
+    """A team with its keys and its rate over the whole fleet, 0 for no limit. Its
+    requests reach endpoints in the `regions` only, empty for all.
+    """
 
     id: TeamId
     keys: frozenset[str]
     rate_per_s: float = 0.0
     burst: float = 0.0
     priority: int | None = None
+    regions: frozenset[str] = frozenset()
+
+
+def allowed_regions(route: Route, team: Team | None) -> frozenset[str] | None:
+    """Return the regions that a team's requests on a route may reach, empty for all;
+    None if route and team have none in common.
+    """
+    of_team = team.regions if team else frozenset()
+    if not route.regions or not of_team:
+        return route.regions or of_team
+    return (route.regions & of_team) or None
 
 
 class Limits(msgspec.Struct, frozen=True):
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -119,7 +119,8 @@
     `starts_full` means that the whole fleet starts for the first time, so that the
     teams' rate limits start with a full burst. `grace_s` is the time from SIGTERM
     to SIGKILL, and `job_retention_s` how long after its submission a job
-    that has ended can be read.
+    that has ended can be read. `region` is that of this VM, and `zones` has those of
+    availability zones, as far as the settings name them.
     """
 
     vm_id: str
@@ -136,6 +137,14 @@
     grace_s: float
     job_retention_s: float = 240.0
     ready_path: str = "/readyz"
+    region: str = ""
+    zones: dict[str, str] = {}
+
+    def region_of(self, zone: str) -> str:
+        """Return the region of a zone, empty if it is not known."""
+        if zone and zone == self.availability_zone and self.region:
+            return self.region
+        return self.zones.get(zone, "")
 
 
 class Daemon:
@@ -169,7 +178,9 @@
         incarnation = secrets.token_hex(4)
         address = str(settings.peers)
         self.view = View(log, directory, self.clock, self.reporter)
-        self.peers = Peers(self._handle_peer_message, self.reporter)
+        self.view.endpoints.region_of = settings.region_of
+        region = settings.region_of(settings.availability_zone)
+        self.peers = Peers(self._handle_peer_message, self.reporter, region)
         self.shards = Shards(
             log, address, incarnation, settings.shards, self.clock, self.reporter
         )
--- a/apricotquay/serving/endpoints.py
+++ b/apricotquay/serving/endpoints.py
@@ -203,9 +203,14 @@
             self.cold.forget(endpoint_id)
         return expired
 
-    def serving(self, service: ServiceName, version: str = "") -> Iterator[Endpoint]:
-        """Yield the endpoints of a service, and of a version if it is not empty, that
-        may get new work.
+    def serving(
+        self,
+        service: ServiceName,
+        version: str = "",
+        regions: frozenset[str] = frozenset(),
+    ) -> Iterator[Endpoint]:
+        """Yield the endpoints of a service, and of a version and in regions if these
+        are not empty, that may get new work.
         """
         return (
             entry
@@ -214,6 +219,7 @@
             and not entry.is_leaving
             and not self.is_evacuated(entry.zone)
             and version in ("", entry.version)
+            and (not regions or self.region_of(entry.zone) in regions)
         )
 
     def ejected(self, service: ServiceName, now_s: float) -> frozenset[EndpointId]:
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -17,7 +17,8 @@
 class EngineCall(msgspec.Struct, frozen=True):
     """The request of one attempt. `resume_after` is the id of the last event received
     so far, and `timeout_ms` how long the endpoint may work. `prompt_parts` are the
-    parts of its prompt that other requests may share."""
+    parts of its prompt that other requests may share. It may pass through `regions`
+    only, empty for all."""
 
     request_id: str
     method: str
@@ -28,6 +29,7 @@
     timeout_ms: int
     resume_after: int | None = None
     prompt_parts: list[PartKey] = []
+    regions: frozenset[str] = frozenset()
 
 
 class EndpointLimit(msgspec.Struct, frozen=True):
--- a/apricotquay/serving/fleet/peers.py
+++ b/apricotquay/serving/fleet/peers.py
@@ -5,6 +5,7 @@
 import enum
 import itertools
 from collections.abc import Awaitable, Callable
+from urllib.parse import quote, unquote
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import serve
@@ -28,6 +29,9 @@
 # Where the daemon that connects listens for peers itself.
 ADDRESS_HEADER = "X-Apricotquay-Address"
 
+# The region of the daemon, percent-encoded; left out if its settings name none.
+REGION_HEADER = "X-Apricotquay-Region"
+
 Handler = Callable[["PeerConnection", Message], Awaitable[Message | None]]
 
 
@@ -50,8 +54,11 @@
         reporter: Reporter,
         features: str = "",
         address: str = "",
+        region: str = "",
     ) -> None:
         self.address: str = address
+        # The peer's region, empty if it is not known.
+        self.region: str = region
         self._features: frozenset[str] = frozenset(features.split(","))
         self.on_close: list[Callable[[], None]] = []
         self.is_open: bool = True
@@ -169,7 +176,9 @@
 class Peers:
     """All peer connections of a daemon: accepted ones, and those opened on demand."""
 
-    def __init__(self, handler: Handler, reporter: Reporter) -> None:
+    def __init__(self, handler: Handler, reporter: Reporter, region: str = "") -> None:
+        # The region of this daemon, empty if it is not known.
+        self.region: str = region
         self._handler: Handler = handler
         self._reporter: Reporter = reporter
         self._connections: dict[str, PeerConnection] = {}
@@ -198,7 +207,7 @@
             compression=None,
             ping_interval=None,
             max_size=MAX_FRAME_BYTES,
-            process_response=_add_features,
+            process_response=self._add_features,
         )
         bound_port = self._server.sockets[0].getsockname()[1]
         self._address = f"{host}:{bound_port}"
@@ -255,6 +264,7 @@
                 additional_headers={
                     FEATURES_HEADER: OWN_FEATURES,
                     ADDRESS_HEADER: self._address,
+                    **self._region_headers(),
                 },
             )
         except (OSError, TimeoutError, WebSocketException) as exc:
@@ -269,6 +279,7 @@
             self._reporter,
             socket.response.headers.get(FEATURES_HEADER, ""),
             address,
+            unquote(socket.response.headers.get(REGION_HEADER, "")),
         )
         self._connections[address] = connection
         task = asyncio.create_task(connection.run())
@@ -283,6 +294,7 @@
             self._reporter,
             socket.request.headers.get(FEATURES_HEADER, ""),
             socket.request.headers.get(ADDRESS_HEADER, ""),
+            unquote(socket.request.headers.get(REGION_HEADER, "")),
         )
         self._accepted.add(connection)
         try:
@@ -290,8 +302,12 @@
         finally:
             self._accepted.discard(connection)
 
+    def _region_headers(self) -> dict[str, str]:
+        return {REGION_HEADER: quote(self.region)} if self.region else {}
 
-def _add_features(_connection, _request, response):
-    """Tell a peer that connects which features this daemon has."""
-    response.headers[FEATURES_HEADER] = OWN_FEATURES
-    return response
+    def _add_features(self, _connection, _request, response):
+        """Tell a peer that connects which features this daemon has, and its region."""
+        response.headers[FEATURES_HEADER] = OWN_FEATURES
+        for name, value in self._region_headers().items():
+            response.headers[name] = value
+        return response
--- a/apricotquay/serving/fleet/relayclient.py
+++ b/apricotquay/serving/fleet/relayclient.py
@@ -39,6 +39,13 @@
 RelayedMessage = RelayedHead | RelayedData | RelayedEnd | RelayedFailure
 
 
+class RelayOutsideError(RequestNotRunError):
+    """The peer is in a region that the request may not pass through."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason, is_path_failure=True)
+
+
 class _RelayedAttempt:
     """An attempt that a peer makes, with the messages that arrived for it. None
     stands for the end of the connection.
@@ -183,8 +190,14 @@
             raise RequestNotRunError(
                 f"peer {address} does not relay", is_path_failure=True
             )
+        if call.regions and not self._may_pass(call.regions, connection.region):
+            raise RelayOutsideError(f"peer {address} is in another region")
         return connection
 
+    def _may_pass(self, regions: frozenset[str], region: str) -> bool:
+        """Whether a request for some regions may pass through a peer in a region."""
+        return region != "" and (region in regions or region == self._peers.region)
+
     def _relay_call(
         self, number: int, call: EngineCall, endpoint: Endpoint
     ) -> RelayCall:
--- a/apricotquay/serving/fleet/routedclient.py
+++ b/apricotquay/serving/fleet/routedclient.py
@@ -26,7 +26,7 @@
 from ..tasks import start_task
 from .paths import PathTable
 from .peerchecks import PeerChecks, PeerFindings
-from .relayclient import RelayClient, RelayedResponse
+from .relayclient import RelayClient, RelayedResponse, RelayOutsideError
 from .relaypool import RelayPool
 from .view import View
 
@@ -162,8 +162,9 @@
     ) -> EngineResponse:
         """Send a call by way of a peer; over this VM's own links if no peer can."""
         tried: set[str] = set()
+        outside: set[str] = set()
         error: RequestNotRunError | None = None
-        while len(tried) < MAX_RELAYS_PER_SEND:
+        while len(tried - outside) < MAX_RELAYS_PER_SEND:
             address = await self._choose_relay(endpoint, tried)
             if address is None:
                 break
@@ -172,6 +173,8 @@
                 return await self._send_by(
                     address, self._with_time_left(call, started_s), endpoint
                 )
+            except RelayOutsideError:
+                outside.add(address)
             except RequestNotRunError as exc:
                 if exc.is_path_failure:
                     self._pool.record_failed(address, self._clock.now_s())
--- a/apricotquay/serving/online/admission.py
+++ b/apricotquay/serving/online/admission.py
@@ -3,7 +3,7 @@
 from ...clocks import Clock
 from ...errors import ErrorKind, RequestError
 from ...ids import TeamId
-from ..catalog import Configuration, Route, Team
+from ..catalog import Configuration, Route, Team, allowed_regions
 from ..fleet.view import View
 from .attempts import AttemptRunner, fingerprint_of
 from .ratelimiter import RateLimiter
@@ -45,6 +45,10 @@
         if route is None:
             raise RequestError(ErrorKind.ROUTE_UNKNOWN, "no route matches")
         team = self._authenticate(configuration, route, key)
+        if allowed_regions(route, team) is None:
+            raise RequestError(
+                ErrorKind.ENDPOINT_MISSING, "route and team have no region in common"
+            )
         return Admission(route, team, configuration.version)
 
     @property
--- a/apricotquay/serving/online/handler.py
+++ b/apricotquay/serving/online/handler.py
@@ -8,7 +8,7 @@
 from ...errors import ErrorKind, Ran, RequestError
 from ...events import Event
 from ...ids import TeamId
-from ..catalog import Route, RouteKind, ServiceName, Team
+from ..catalog import Route, RouteKind, ServiceName, Team, allowed_regions
 from ..endpoints import Endpoint
 from ..engine import (
     AttemptFailedError,
@@ -157,6 +157,7 @@
                 avoid=frozenset(progress.failed_endpoints),
                 may_repeat=route.is_idempotent,
                 version=progress.version,
+                regions=allowed_regions(route, admission.team) or frozenset(),
             )
             if lease is None:
                 lease = await self._slot_waits.acquire(service, slot_request, progress)
@@ -267,7 +268,9 @@
         self.admission.check_drain(admission.route, progress, deadline_s)
         # Other daemons may have seen it crash endpoints while it waited.
         self.admission.check_quarantine(request, admission.team)
-        call = self._build_call(request, admission.team, progress, deadline_s)
+        call = self._build_call(
+            request, admission.team, progress, deadline_s, lease.ticket.regions
+        )
         progress.endpoint = endpoint.id
         route = admission.route
         silence_limits = self._timeouts.silence_limits(
@@ -349,6 +352,7 @@
         team: Team | None,
         progress: RequestProgress,
         deadline_s: float,
+        regions: frozenset[str],
     ) -> EngineCall:
         remaining_ms = int((deadline_s - self._clock.now_s()) * 1000)
         if remaining_ms <= 0:
@@ -365,6 +369,7 @@
             remaining_ms,
             progress.last_event_id,
             request.prompt_parts,
+            regions,
         )
 
     async def _end_timed_out(
--- a/apricotquay/serving/online/slotwaits.py
+++ b/apricotquay/serving/online/slotwaits.py
@@ -66,7 +66,9 @@
     async def _try_acquire_elsewhere(
         self, silent: SlotLease, slot_request: SlotRequest
     ) -> SlotLease | None:
-        serving = self._view.endpoints.serving(silent.service, slot_request.version)
+        serving = self._view.endpoints.serving(
+            silent.service, slot_request.version, slot_request.regions
+        )
         listed = {e.id for e in serving}
         others = listed - {silent.endpoint}
         if not others:
@@ -94,11 +96,16 @@
         return lease
 
     def _check_listed(
-        self, service: ServiceName, version: str, progress: RequestProgress
+        self,
+        service: ServiceName,
+        slot_request: SlotRequest,
+        progress: RequestProgress,
     ) -> None:
         """Raise RequestError if no endpoint can serve the request."""
-        is_listed = any(True for _ in self._view.endpoints.serving(service, version))
-        others_are_listed = any(True for _ in self._view.endpoints.serving(service))
+        serving = self._view.endpoints.serving
+        version, regions = slot_request.version, slot_request.regions
+        is_listed = any(True for _ in serving(service, version, regions))
+        others_are_listed = any(True for _ in serving(service, "", regions))
         if not is_listed and others_are_listed and progress.may_have_run:
             raise RequestError(
                 ErrorKind.ENDPOINT_FAILED,
@@ -106,13 +113,16 @@
                 ran=Ran.UNKNOWN,
             )
         if not is_listed and not progress.may_have_run:
-            raise RequestError(ErrorKind.ENDPOINT_MISSING, "no endpoint is listed")
+            where = f" in {' or '.join(sorted(regions))}" if regions else ""
+            raise RequestError(
+                ErrorKind.ENDPOINT_MISSING, f"no endpoint is listed{where}"
+            )
 
     async def _wait_for_slot(
         self, service: ServiceName, slot_request: SlotRequest, progress: RequestProgress
     ) -> SlotLease:
         while True:
-            self._check_listed(service, slot_request.version, progress)
+            self._check_listed(service, slot_request, progress)
             try:
                 return await self._slots.acquire(service, slot_request)
             except SlotUnavailableError as exc:
--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -121,7 +121,8 @@
     def _refuse_without_endpoints(self) -> None:
         """Refuse the waiting tickets of services whose endpoints have all left."""
         for ticket_id, waiter in self._waiters.items():
-            if not any(self._view.endpoints.serving(waiter.service)):
+            serving = self._view.endpoints.serving
+            if not any(serving(waiter.service, regions=waiter.regions)):
                 waiter.resolve(Refused(ticket_id, 0.0))
 
     def _leave_former_owners(self) -> None:
@@ -251,7 +252,7 @@
         leaving = {notice.endpoint for notice in endpoints.leaving_notices()}
         leaving |= {e.id for e in endpoints.all() if endpoints.is_evacuated(e.zone)}
         failed = request.avoid
-        serving = self._view.endpoints.serving(service, request.version)
+        serving = endpoints.serving(service, request.version, request.regions)
         listed = {e.id for e in serving}
         ejected = self._view.endpoints.ejected(service, self._clock.now_s())
         if listed - failed - ejected:
@@ -262,7 +263,7 @@
         self, owner: str | None, service: ServiceName, ticket: Ticket
     ) -> SlotLease | None:
         """Get a slot from an owner or the local table; None if the owner is silent."""
-        waiter = self._waiters[ticket.id] = Waiter(service, owner)
+        waiter = self._waiters[ticket.id] = Waiter(service, owner, ticket.regions)
         lease = None
         try:
             if owner is None:
--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -234,7 +234,7 @@
         if not self._line.online() or len(self._batch_running) == len(self._revoked):
             return
         wanted = collections.Counter(
-            t.version
+            (t.version, t.regions)
             for t in self._line.online()
             if self._rank(t, now_s) is Rank.ONLINE_IN_TIME
         )
--- a/apricotquay/serving/slots/revocation.py
+++ b/apricotquay/serving/slots/revocation.py
@@ -7,9 +7,12 @@
 import collections
 from collections.abc import Iterable, Iterator
 
-from .endpointslots import EndpointSlots
+from .endpointslots import EndpointProfile, EndpointSlots
 from .tickets import Ticket, TicketId, Work
 
+# The version and the regions that an online ticket needs; empty for any.
+Wanted = tuple[str, frozenset[str]]
+
 
 def revocable(
     slots_of_all: Iterable[EndpointSlots], revoked: set[TicketId], now_s: float
@@ -24,33 +27,48 @@
 
 
 def choose_revocations(
-    wanted: collections.Counter[str],
+    wanted: collections.Counter[Wanted],
     candidates: Iterable[tuple[Ticket, EndpointSlots]],
     missing: int,
     now_s: float,
 ) -> Iterator[TicketId]:
-    """Yield the items to revoke: at most `missing`, and for each version that online
-    tickets need as many as `wanted` counts; an empty version stands for any.
+    """Yield the items to revoke: at most `missing`, and for each version and regions
+    that online tickets need as many as `wanted` counts; empty ones stand for any.
     """
     wanted = wanted.copy()
     left = sorted(
-        (_revocation_key(ticket, slots, now_s), ticket.id, slots.version)
-        for ticket, slots in candidates
+        (
+            (_revocation_key(ticket, slots, now_s), ticket.id, slots.profile)
+            for ticket, slots in candidates
+        ),
+        key=lambda item: item[:2],
     )
     chosen: set[TicketId] = set()
     # Tickets that need a version come first: fewer items are of use to them.
-    for version in sorted(wanted, reverse=True):
-        for _, ticket_id, item_version in left:
-            if missing <= 0 or wanted[version] <= 0:
+    for need in sorted(wanted, key=_strictness, reverse=True):
+        for _, ticket_id, profile in left:
+            if missing <= 0 or wanted[need] <= 0:
                 break
-            if ticket_id in chosen or version not in ("", item_version):
+            if ticket_id in chosen or not _fits(need, profile):
                 continue
             missing -= 1
-            wanted[version] -= 1
+            wanted[need] -= 1
             chosen.add(ticket_id)
             yield ticket_id
 
 
+def _strictness(need: Wanted) -> tuple[str, list[str]]:
+    version, regions = need
+    return version, sorted(regions)
+
+
+def _fits(need: Wanted, profile: EndpointProfile) -> bool:
+    version, regions = need
+    if version not in ("", profile.version):
+        return False
+    return not regions or profile.region in regions
+
+
 def _revocation_key(ticket: Ticket, slots: EndpointSlots, now_s: float) -> float:
     """Return the sort key for revocation, lowest first: the negated slack, or minus
     infinity for an item that is already late.
--- a/apricotquay/serving/slots/slotowner.py
+++ b/apricotquay/serving/slots/slotowner.py
@@ -467,7 +467,9 @@
         }
         limits = self._limits_of(service, now_s)
         profiles = {
-            e.id: EndpointProfile(e.version, e.zone)
+            e.id: EndpointProfile(
+                e.version, e.zone, self._view.endpoints.region_of(e.zone)
+            )
             for e in self._view.endpoints.serving(service)
         }
         cold = self._cold_limits_of(service, now_s)
--- a/apricotquay/serving/slots/slotrequests.py
+++ b/apricotquay/serving/slots/slotrequests.py
@@ -66,10 +66,16 @@
 class Waiter:
     """A ticket of this daemon that has no decision yet."""
 
-    def __init__(self, service: ServiceName, owner: str | None) -> None:
+    def __init__(
+        self,
+        service: ServiceName,
+        owner: str | None,
+        regions: frozenset[str] = frozenset(),
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.service: ServiceName = service
         self.owner: str | None = owner
+        self.regions: frozenset[str] = regions
         self.connection: PeerConnection | None = None
         # When the owner was asked, and what it said with its grant.
         self.asked_s: float = float("-inf")
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable, Sequence
 
+import msgspec
 from parameterized import parameterized
 
 from apricotquay.clocks import SystemClock
@@ -92,8 +93,8 @@
         self.servers.append(server)
         return server
 
-    async def add_daemon(self, name: str) -> Daemon:
-        """Start a daemon and add it to the fleet."""
+    async def add_daemon(self, name: str, **fields) -> Daemon:
+        """Start a daemon with the given settings changed, and add it to the fleet."""
         host, _, port = self.store_address.rpartition(":")
         vm_host = ADDRESSES.allocate_host()
         settings = ServingSettings(
@@ -110,6 +111,7 @@
             True,
             8.0,
         )
+        settings = msgspec.structs.replace(settings, **fields)
         link = Link()
         store = CuttableStore(host, int(port))
         daemon = Daemon(
