--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -5,6 +5,7 @@
 """
 
 import ipaddress
+import json
 import math
 import re
 from typing import Any
@@ -30,6 +31,7 @@
 )
 from ..serving.endpoints import Endpoint
 from ..serving.engine import NO_LIMIT, EndpointLimit
+from ..serving.fleet.evacuations import EvacuationRecord
 from ..serving.fleet.keyedlog import KeyedRecord, Topic
 from ..serving.fleet.view import RecordUnreadableError
 from ..serving.http.http1 import HeaderList, find_header
@@ -72,10 +74,16 @@
 )
 
 CONFIGURATION_KEY = b"config"
+EVACUATION_PREFIX = b"evacuate/"
+MAX_ZONE_BYTES = 256
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,20}(\.[0-9]{0,20})?(e[+-]?[0-9]{1,3})?", re.ASCII)
 PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
 MAX_PORT = 65_535
 MAX_SLOTS = 100_000
+# No endpoint takes longer to warm up; a longer time is taken for a mistake.
+MAX_COLD_LEFT_MS = 120_000
+MAX_COLD_START_S = MAX_COLD_LEFT_MS / 1000
+MAX_COLD_PER_S = 1_000_000.0
 MAX_SHOWN_LENGTH = 40
 EMPTY_VALUE = "(empty)"
 
@@ -104,15 +112,22 @@
     retention_s: float = 600.0
     # Maximum tokens that a team may have queued on a batch route.
     cap: int = 0
+    # Of another type they make the record unreadable: without them bodies would reach
+    # regions that they must not.
+    allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
     slots: int = 0
+    cold_start_s: Any = None
+    cold_per_s: Any = None
 
 
 class _Service(msgspec.Struct):
     name: str
     engine: _Engine | None = None
+    cold_start_s: Any = None
+    cold_per_s: Any = None
 
 
 class _Tenant(msgspec.Struct):
@@ -121,6 +136,7 @@
     rate_per_s: float = 0.0
     burst: float = 0.0
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -139,6 +155,7 @@
     slots: int = 0
     born: int = 0
     version: str = ""
+    cold_left_ms: Any = None
 
 
 def decode_prompt_parts(headers: HeaderList) -> list[PartKey]:
@@ -188,6 +205,18 @@
             _convert_limits(raw.limits),
         )
 
+    def decode_evacuation(self, record: KeyedRecord) -> EvacuationRecord | None:
+        """Decode a record that evacuates a zone or ends that; None for any other."""
+        name = record.key.removeprefix(EVACUATION_PREFIX)
+        if name == record.key or not 0 < len(name) <= MAX_ZONE_BYTES:
+            return None
+        try:
+            zone = name.decode()
+            is_usable = record.value is None or json.loads(record.value) == {}
+        except (ValueError, RecursionError):
+            return None
+        return EvacuationRecord(zone, record.value is not None) if is_usable else None
+
     def endpoint_id(self, record: KeyedRecord) -> EndpointId:
         """Return the id of the record's endpoint, which is the record's key."""
         return EndpointId(record.key.decode("utf-8", "replace"))
@@ -212,6 +241,7 @@
             raw.born,
             # Without a version it may be any, so it counts as one of its own.
             raw.version or f"of {endpoint_id}",
+            _convert_cold_left(raw.cold_left_ms),
         )
         return endpoint_id, endpoint
 
@@ -265,11 +295,35 @@
         int(raw.result_deadline_ms),
         raw.retention_s,
         raw.cap,
+        frozenset(raw.allowed_regions or ()),
     )
 
 
 def _convert_service(raw: _Service) -> Service:
-    return Service(ServiceName(raw.name), raw.engine.slots if raw.engine else 0)
+    engine = raw.engine or _Engine()
+    start_s = engine.cold_start_s if raw.cold_start_s is None else raw.cold_start_s
+    per_s = engine.cold_per_s if raw.cold_per_s is None else raw.cold_per_s
+    return Service(
+        ServiceName(raw.name),
+        engine.slots,
+        _number_within(start_s, MAX_COLD_START_S) or 0.0,
+        _number_within(per_s, MAX_COLD_PER_S) or 0.0,
+    )
+
+
+def _convert_cold_left(value: Any) -> float | None:
+    """Return how long a server stays cold in seconds, None if its entry, which is
+    usable nevertheless, does not tell.
+    """
+    left_ms = _number_within(value, MAX_COLD_LEFT_MS)
+    return None if left_ms is None else left_ms / 1000
+
+
+def _number_within(value: Any, maximum: float) -> float | None:
+    """Return a number from 0 to a maximum, None for anything else."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return value if 0 <= value <= maximum else None
 
 
 def _convert_team(raw: _Tenant) -> Team:
@@ -279,6 +333,7 @@
         raw.rate_per_s,
         raw.burst,
         raw.priority,
+        frozenset(raw.allowed_regions or ()),
     )
 
 
--- a/apricotquay/serving/online/attempts.py
+++ b/apricotquay/serving/online/attempts.py
@@ -32,6 +32,7 @@
 from ..http.sse import EventSplitter, StreamEvent
 from ..metrics import ServingMetrics
 from ..reporting import Reporter
+from ..slots.eligibility import Eligibility, Ineligible, Needs
 from .handover import Handover
 
 T = TypeVar("T")
@@ -86,6 +87,23 @@
         """Return the parts of a request's prompt that other requests may share."""
         return self._engines.prompt_parts(headers)
 
+    def check_eligible(
+        self, request_id: str, endpoint_id: EndpointId, needs: Needs
+    ) -> Endpoint | Ineligible:
+        """Return the endpoint of a slot that was granted, or why it may not be sent the
+        request any more. Asked directly before the send.
+        """
+        checked = Eligibility(self._view.endpoints).check(endpoint_id, needs)
+        if isinstance(checked, Ineligible):
+            self._metrics.count("sends_withheld")
+            self._reporter.write_limited(
+                Event.GRANT_NOT_USED,
+                request=request_id,
+                endpoint=endpoint_id,
+                reason=checked.value,
+            )
+        return checked
+
     async def run(
         self,
         call: EngineCall,
@@ -123,6 +141,7 @@
             raise
         except AttemptFailedError as exc:
             self._record_leaving(endpoint, exc.is_leaving)
+            exc.was_cold = self._is_cold(endpoint)
             await self._judge_failure(call, endpoint, fingerprint, exc)
             if exc.is_failure and (exc.reset or exc.timed_out):
                 self._crash_detector.check_endpoint(endpoint, fingerprint)
@@ -208,7 +227,7 @@
         """Record a failure of an endpoint that was silent until its attempt ended;
         return whether it counts, which it doesn't if the way to it is lost.
         """
-        if self._engines.is_out_of_reach(endpoint):
+        if self._engines.is_out_of_reach(endpoint) or self._is_cold(endpoint):
             return False
         self._record_failure(
             call,
@@ -219,6 +238,12 @@
         )
         return True
 
+    def _is_cold(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint is slow because it has started a moment ago."""
+        configuration = self._view.configuration
+        now_s = self._clock.now_s()
+        return self._view.endpoints.cold_left_s(endpoint, configuration, now_s) > 0
+
     def _record_completion(
         self,
         call: EngineCall,
--- a/apricotquay/serving/online/handler.py
+++ b/apricotquay/serving/online/handler.py
@@ -8,7 +8,7 @@
 from ...errors import ErrorKind, Ran, RequestError
 from ...events import Event
 from ...ids import TeamId
-from ..catalog import Route, RouteKind, ServiceName, Team
+from ..catalog import Route, RouteKind, ServiceName, Team, allowed_regions
 from ..endpoints import Endpoint
 from ..engine import (
     AttemptFailedError,
@@ -20,9 +20,10 @@
 from ..metrics import ServingMetrics
 from ..reporting import Reporter
 from ..slots.allocator import SlotAllocator
+from ..slots.eligibility import Ineligible
 from ..slots.outliers import SlotOutcome
 from ..slots.slotrequests import SlotLease, SlotRequest
-from ..slots.tickets import Work
+from ..slots.tickets import Work, before_send
 from ..streams.streamkeeper import StreamKeeper
 from .admission import AdmissionControl
 from .attempts import AttemptRunner
@@ -156,6 +157,7 @@
                 avoid=frozenset(progress.failed_endpoints),
                 may_repeat=route.is_idempotent,
                 version=progress.version,
+                regions=allowed_regions(route, admission.team) or frozenset(),
             )
             if lease is None:
                 lease = await self._slot_waits.acquire(service, slot_request, progress)
@@ -256,19 +258,19 @@
         handover: Handover,
     ) -> SlotOutcome:
         """Send the request to one endpoint and forward a successful response."""
-        endpoint = self._view.endpoints.get(lease.endpoint)
-        if endpoint is None or endpoint.is_leaving:
-            progress.record_failure(lease.endpoint, "endpoint left", may_have_run=False)
-            return SlotOutcome.UNKNOWN
-        if progress.version and endpoint.version != progress.version:
+        needs = before_send(progress.version, lease.ticket.regions)
+        endpoint = self._attempts.check_eligible(request.id, lease.endpoint, needs)
+        if isinstance(endpoint, Ineligible):
             progress.record_failure(
-                lease.endpoint, "another version", may_have_run=False
+                lease.endpoint, f"endpoint: {endpoint.value}", may_have_run=False
             )
             return SlotOutcome.UNKNOWN
         self.admission.check_drain(admission.route, progress, deadline_s)
         # Other daemons may have seen it crash endpoints while it waited.
         self.admission.check_quarantine(request, admission.team)
-        call = self._build_call(request, admission.team, progress, deadline_s)
+        call = self._build_call(
+            request, admission.team, progress, deadline_s, lease.ticket.regions
+        )
         progress.endpoint = endpoint.id
         route = admission.route
         silence_limits = self._timeouts.silence_limits(
@@ -350,6 +352,7 @@
         team: Team | None,
         progress: RequestProgress,
         deadline_s: float,
+        regions: frozenset[str],
     ) -> EngineCall:
         remaining_ms = int((deadline_s - self._clock.now_s()) * 1000)
         if remaining_ms <= 0:
@@ -366,6 +369,7 @@
             remaining_ms,
             progress.last_event_id,
             request.prompt_parts,
+            regions,
         )
 
     async def _end_timed_out(
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable, Sequence
 
+import msgspec
 from parameterized import parameterized
 
 from apricotquay.clocks import SystemClock
@@ -62,10 +63,8 @@
         self.store_address = f"{HOST}:{await self.store.start(HOST, 0)}"
         await self.configure(1, small=["k1"], large=["k2"])
         for number in range(servers):
-            server = ModelServer(f"i-{number}", step_s, self.runs.append)
-            server.version = versions[number % len(versions)]
-            await server.start(HOST, 0, self.store_address)
-            self.servers.append(server)
+            version = versions[number % len(versions)]
+            await self.add_server(f"i-{number}", step_s, version=version)
         for number in range(daemons):
             await self.add_daemon(f"d{number}")
         for daemon in self.daemons:
@@ -85,8 +84,17 @@
         """Write a configuration with the keys of each team."""
         await write_configuration(self.store_address, make_configuration(version, keys))
 
-    async def add_daemon(self, name: str) -> Daemon:
-        """Start a daemon and add it to the fleet."""
+    async def add_server(self, name: str, step_s: float, **fields) -> ModelServer:
+        """Start a server with the given attributes and add it to the fleet."""
+        server = ModelServer(name, step_s, self.runs.append)
+        for field, value in fields.items():
+            setattr(server, field, value)
+        await server.start(HOST, 0, self.store_address)
+        self.servers.append(server)
+        return server
+
+    async def add_daemon(self, name: str, **fields) -> Daemon:
+        """Start a daemon with the given settings changed, and add it to the fleet."""
         host, _, port = self.store_address.rpartition(":")
         vm_host = ADDRESSES.allocate_host()
         settings = ServingSettings(
@@ -103,6 +111,7 @@
             True,
             8.0,
         )
+        settings = msgspec.structs.replace(settings, **fields)
         link = Link()
         store = CuttableStore(host, int(port))
         daemon = Daemon(
