--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -10,6 +10,7 @@
 from ..serving.engine import (
     AttemptFailedError,
     EndpointLimit,
+    EndpointLoad,
     EndpointUnreachableError,
     EngineCall,
     Reachability,
@@ -59,6 +60,7 @@
             name in FRAMING_HEADERS for name, _ in head.headers
         )
         self.limit: EndpointLimit = wire.decode_limit(list(head.headers))
+        self.load: EndpointLoad = wire.decode_load(list(head.headers))
         self.is_leaving: bool = wire.decode_leaving(list(head.headers))
         self._connection: ClientConnection = connection
         self._may_be_empty: bool = may_be_empty or _has_delimited_body(head)
@@ -178,6 +180,8 @@
         raise RequestNotRunError(
             f"endpoint refused with {head.status_code}",
             limit=wire.decode_limit(headers),
+            load=wire.decode_load(headers),
+            is_refusal=True,
             is_leaving=is_leaving,
         )
     if not answered_ids:
--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -29,7 +29,7 @@
     part_key,
 )
 from ..serving.endpoints import Endpoint
-from ..serving.engine import NO_LIMIT, EndpointLimit
+from ..serving.engine import NO_LIMIT, NO_LOAD, EndpointLimit, EndpointLoad
 from ..serving.fleet.keyedlog import KeyedRecord, Topic
 from ..serving.fleet.view import RecordUnreadableError
 from ..serving.http.http1 import HeaderList, find_header
@@ -76,6 +76,10 @@
 PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
 MAX_PORT = 65_535
 MAX_SLOTS = 100_000
+LOAD_COUNT = re.compile(r"[0-9]{1,6}", re.ASCII)
+LOAD_COUNTS = 3
+# Beyond 1,000 times the usual time a value says nothing of an endpoint that answers.
+MAX_TIME_PERCENT = 100_000
 MAX_SHOWN_LENGTH = 40
 EMPTY_VALUE = "(empty)"
 
@@ -164,6 +168,33 @@
     return EndpointLimit(float(text))
 
 
+def decode_load(headers: HeaderList) -> EndpointLoad:
+    """Return the load that a response states; two headers are malformed."""
+    values = [value for name, value in headers if name == SERVER_LOAD]
+    if not values:
+        return NO_LOAD
+    text = b",".join(values).decode("latin-1")
+    fields = [field.strip() for field in text.split(",")]
+    counts = [int(f) for f in fields[:LOAD_COUNTS] if LOAD_COUNT.fullmatch(f)]
+    is_valid = len(values) == 1 and len(counts) == LOAD_COUNTS and counts[-1] > 0
+    time_percent = _decode_time_percent(fields[LOAD_COUNTS:])
+    if not is_valid or max(counts) > MAX_SLOTS or time_percent is None:
+        return EndpointLoad(malformed=text[:MAX_SHOWN_LENGTH] or EMPTY_VALUE)
+    return EndpointLoad(*counts, time_percent)
+
+
+def _decode_time_percent(fields: list[str]) -> float | None:
+    """Return the percentage in the fields after the counts, 0 if there is none, None
+    if it is absurd.
+    """
+    if not fields:
+        return 0.0
+    if len(fields) > 1 or not DECIMAL_NUMBER.fullmatch(fields[0]):
+        return None
+    value = float(fields[0])
+    return value if 0 < value <= MAX_TIME_PERCENT else None
+
+
 def decode_leaving(headers: HeaderList) -> bool:
     """Whether a response says that its server leaves."""
     return [value for name, value in headers if name == SERVER_LEAVING] == [b"1"]
--- a/apricotquay/serving/batch/itemattempts.py
+++ b/apricotquay/serving/batch/itemattempts.py
@@ -1,6 +1,7 @@
 """Runs batch items at endpoints: a slot, one call, and what came of it."""
 
 import asyncio
+from collections.abc import Callable
 from functools import partial
 
 from ...clocks import Clock
@@ -51,7 +52,9 @@
         metrics: ServingMetrics,
         clock: Clock,
         reporter: Reporter,
+        zone: str = "",
     ) -> None:
+        self._zone: str = zone
         self._view: View = view
         self._slots: SlotAllocator = slots
         self._attempts: AttemptRunner = attempts
@@ -76,6 +79,7 @@
             needs_s,
             avoid=progress.endpoints_to_avoid(),
             version=progress.version,
+            zone=self._zone,
         )
         requested_s = self._clock.now_s()
         try:
@@ -172,11 +176,16 @@
                 endpoint,
                 timeout_s,
                 lambda response: _read_output(
-                    response, progress, endpoint.version, timeout_s
+                    response,
+                    progress,
+                    endpoint.version,
+                    timeout_s,
+                    lambda count: lease.use.record_events(count, self._clock.now_s()),
                 ),
                 # An accepted item is owed, whatever ended while it ran.
                 may_crash_endpoints=False,
                 on_limit=partial(self._slots.record_limit, lease),
+                use=lease.use,
             )
         except RequestNotRunError as exc:
             lease.path_check = exc.path_check
@@ -198,6 +207,7 @@
     progress: ItemProgress,
     version: str,
     timeout_s: float = EVENT_TIMEOUT_S,
+    on_events: Callable[[int], None] = lambda count: None,
 ) -> AttemptResult:
     """Read a response; only a failure of the endpoint's processing counts against
     the item."""
@@ -208,6 +218,7 @@
     if response.status != OK:
         return AttemptResult(Outcome.RETRY, f"status {response.status}")
     async for events in read_events(response, timeout_s, timeout_s):
+        on_events(len(events))
         for event in events:
             progress.append_event(event, version)
     return AttemptResult(Outcome.DONE, slot_outcome=SlotOutcome.SUCCEEDED)
--- a/apricotquay/serving/batch/runner.py
+++ b/apricotquay/serving/batch/runner.py
@@ -64,11 +64,14 @@
         clock: Clock,
         reporter: Reporter,
         job_retention_s: float,
+        zone: str = "",
     ) -> None:
         self._retention_ms: int = int(job_retention_s * 1000)
         self._jobs: Jobs = jobs
         self._view: View = view
-        self._attempts = ItemAttempts(view, slots, attempts, metrics, clock, reporter)
+        self._attempts = ItemAttempts(
+            view, slots, attempts, metrics, clock, reporter, zone
+        )
         self._metrics: ServingMetrics = metrics
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -227,7 +227,12 @@
         )
         components = (self.view, self.slots, attempts, self.metrics)
         self.runner = BatchRunner(
-            self.jobs, *components, self.clock, self.reporter, settings.job_retention_s
+            self.jobs,
+            *components,
+            self.clock,
+            self.reporter,
+            settings.job_retention_s,
+            settings.availability_zone,
         )
         self.online = OnlineRequestHandler(
             self.view,
@@ -238,6 +243,7 @@
             self.streams,
             self.clock,
             self.reporter,
+            settings.availability_zone,
         )
         self._peer_handlers = self._create_peer_handlers()
         handler = interface(
@@ -411,10 +417,19 @@
         self.metrics.set_gauge("endpoints_limited", self.slots.tables.limited_count)
         leaving_count = len(self.view.endpoints.leaving_notices())
         self.metrics.set_gauge("endpoints_said_leaving", leaving_count)
+        self._set_speed_gauges()
         headers = [(b"content-type", b"text/plain; charset=utf-8")]
         body = self.metrics.render().encode()
         await exchange.respond(HttpResponse(200, headers, body))
 
+    def _set_speed_gauges(self) -> None:
+        summary = self.slots.tables.speed_summary()
+        self.metrics.set_gauge("endpoints_slow", summary.slow_count)
+        self.metrics.set_gauge("endpoint_slowness_max", summary.slowest)
+        self.metrics.set_gauge("endpoint_slowness_min", summary.fastest)
+        self.metrics.set_gauge("endpoint_slowness_spread", summary.spread)
+        self.metrics.set_gauge("endpoints_left_out_full", self.slots.tables.full_count)
+
     def _create_peer_handlers(self) -> dict[type, PeerHandler]:
         """Return what handles each message of a peer; calls return their reply."""
         handlers: dict[type, PeerHandler] = {
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -43,6 +43,27 @@
 NO_LIMIT = EndpointLimit()
 
 
+class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What an endpoint's answer says of its load: requests `running` and `waiting`
+    there, its `slots` (0: nothing is stated), and how long work takes there now as a
+    percentage of the usual (0: not stated). A `malformed` value states nothing.
+    """
+
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    time_percent: float = 0.0
+    malformed: str = ""
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the endpoint says that it has no free slot."""
+        return 0 < self.slots <= self.running + self.waiting
+
+
+NO_LOAD = EndpointLoad()
+
+
 class Reachability(enum.Enum):
     """What became of a connection that was tried: SILENT proves nothing about the
     endpoint, since the network or this daemon may be the cause.
@@ -65,8 +86,9 @@
 class RequestNotRunError(ApricotquayError):
     """The endpoint certainly did not run the request.
 
-    `unreachable` means that no connection could be opened. `limit` and `is_leaving`
-    are what the endpoint's refusal says. A failure of the path says nothing of the
+    `unreachable` means that no connection could be opened. `limit`, `load` and
+    `is_leaving` are what the endpoint's refusal says, and `is_refusal` means that the
+    endpoint itself answered. A failure of the path says nothing of the
     endpoint, which other daemons may reach. `path_check`, if set, is still finding
     out whether it is one.
     """
@@ -77,20 +99,24 @@
         *,
         unreachable: bool = False,
         limit: EndpointLimit = NO_LIMIT,
+        load: EndpointLoad = NO_LOAD,
+        is_refusal: bool = False,
         is_leaving: bool = False,
         is_path_failure: bool = False,
     ) -> None:
         super().__init__(reason)
         self.unreachable: bool = unreachable
         self.limit: EndpointLimit = limit
+        self.load: EndpointLoad = load
+        self.is_refusal: bool = is_refusal
         self.is_leaving: bool = is_leaving
         self.is_path_failure: bool = is_path_failure
         self.path_check: asyncio.Task[bool] | None = None
 
     @property
     def is_failure(self) -> bool:
-        """Whether the endpoint failed, rather than being in need or leaving."""
-        is_excused = self.is_leaving or self.is_path_failure
+        """Whether the endpoint failed, rather than being in need, full or leaving."""
+        is_excused = self.is_leaving or self.is_path_failure or self.load.is_full
         return self.limit.rate_per_s is None and not is_excused
 
 
@@ -146,6 +172,7 @@
     headers: HeaderList
     ends_with_connection: bool
     limit: EndpointLimit
+    load: EndpointLoad
     is_leaving: bool
 
     def body(self) -> AsyncIterator[bytes]:
--- a/apricotquay/serving/fleet/relayclient.py
+++ b/apricotquay/serving/fleet/relayclient.py
@@ -13,8 +13,10 @@
 from ...errors import PeerUnavailableError
 from ..endpoints import Endpoint
 from ..engine import (
+    NO_LOAD,
     AttemptFailedError,
     EndpointLimit,
+    EndpointLoad,
     EngineCall,
     RequestNotRunError,
 )
@@ -88,6 +90,8 @@
         self.headers: HeaderList = head.headers
         self.ends_with_connection: bool = head.ends_with_connection
         self.limit = EndpointLimit(head.rate_per_s, head.malformed_limit)
+        # A relay of the previous release leaves the load out.
+        self.load: EndpointLoad = head.load or NO_LOAD
         self.is_leaving: bool = head.is_leaving
         self._attempt: _RelayedAttempt = attempt
         self._on_close: Callable[[], None] = on_close
@@ -234,6 +238,8 @@
         failure.reason,
         unreachable=failure.unreachable,
         limit=EndpointLimit(failure.rate_per_s, failure.malformed_limit),
+        load=failure.load or NO_LOAD,
+        is_refusal=failure.is_refusal,
         is_leaving=failure.is_leaving,
         is_path_failure=failure.is_path_failure,
     )
--- a/apricotquay/serving/fleet/relayserver.py
+++ b/apricotquay/serving/fleet/relayserver.py
@@ -13,6 +13,7 @@
 from ...ids import EndpointId
 from ..endpoints import Endpoint, LeavingNotice
 from ..engine import (
+    NO_LOAD,
     AttemptFailedError,
     EndpointUnreachableError,
     EngineCall,
@@ -260,6 +261,7 @@
         response.limit.rate_per_s,
         response.limit.malformed,
         response.is_leaving,
+        response.load if response.load != NO_LOAD else None,
     )
 
 
@@ -290,4 +292,6 @@
         rate_per_s=error.limit.rate_per_s,
         malformed_limit=error.limit.malformed,
         is_path_failure=error.is_path_failure,
+        load=error.load if error.load != NO_LOAD else None,
+        is_refusal=error.is_refusal,
     )
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -12,10 +12,11 @@
 from .batch.jobrecords import JobItem
 from .catalog import ServiceName
 from .endpoints import LeavingNotice
-from .engine import Reachability
+from .engine import EndpointLoad, Reachability
 from .fleet.keyedlog import KeyedRecord
 from .slots.outliers import SlotOutcome
 from .slots.sendlimits import LimitNotice
+from .slots.slotuse import UseReport
 from .slots.tickets import Work
 from .streams.streamversions import MIN_LIFETIME_S
 
@@ -73,15 +74,17 @@
     ticket: str
 
 
-class ReleaseSlot(msgspec.Struct, frozen=True, tag="release_slot"):
+class ReleaseSlot(msgspec.Struct, frozen=True, omit_defaults=True, tag="release_slot"):
     """The ticket's slot is free, or the ticket no longer waits.
 
-    `use` tells how the attempt there ended.
+    `use` tells how the attempt there ended, `shown` what it showed of the endpoint's
+    speed and load.
     """
 
     service: ServiceName
     ticket: str
     use: SlotOutcome = SlotOutcome.UNKNOWN
+    shown: UseReport | None = None
 
 
 class HeldSlot(msgspec.Struct, frozen=True, omit_defaults=True, tag="held_slot"):
@@ -334,7 +337,7 @@
     resume_after: int | None
 
 
-class RelayedHead(msgspec.Struct, frozen=True, tag="relayed_head"):
+class RelayedHead(msgspec.Struct, frozen=True, omit_defaults=True, tag="relayed_head"):
     """The head of the endpoint's response; see `EngineResponse`."""
 
     number: int
@@ -344,6 +347,7 @@
     rate_per_s: float | None
     malformed_limit: str
     is_leaving: bool
+    load: EndpointLoad | None = None
 
 
 class RelayedData(msgspec.Struct, frozen=True, tag="relayed_data"):
@@ -359,7 +363,9 @@
     number: int
 
 
-class RelayedFailure(msgspec.Struct, frozen=True, tag="relayed_failure"):
+class RelayedFailure(
+    msgspec.Struct, frozen=True, omit_defaults=True, tag="relayed_failure"
+):
     """The attempt failed; see `RequestNotRunError` for one that has not run, else
     `AttemptFailedError`.
     """
@@ -374,6 +380,8 @@
     rate_per_s: float | None = None
     malformed_limit: str = ""
     is_path_failure: bool = False
+    load: EndpointLoad | None = None
+    is_refusal: bool = False
 
 
 class RelayCredit(msgspec.Struct, frozen=True, tag="relay_credit"):
--- a/apricotquay/serving/online/attempts.py
+++ b/apricotquay/serving/online/attempts.py
@@ -20,6 +20,7 @@
     NO_LIMIT,
     AttemptFailedError,
     EndpointLimit,
+    EndpointLoad,
     EngineCall,
     EngineClient,
     EngineResponse,
@@ -32,6 +33,7 @@
 from ..http.sse import EventSplitter, StreamEvent
 from ..metrics import ServingMetrics
 from ..reporting import Reporter
+from ..slots.slotuse import SlotUse
 from .handover import Handover
 
 T = TypeVar("T")
@@ -96,6 +98,7 @@
         may_crash_endpoints: bool = True,
         handover: Handover | None = None,
         on_limit: Callable[[EndpointLimit], None] = lambda limit: None,
+        use: SlotUse | None = None,
     ) -> T:
         """Send a call and consume its response; errors are recorded and re-raised.
 
@@ -103,7 +106,10 @@
         `handover` the attempt then ends only when another endpoint takes over. No
         crash is ever attributed to a call without `may_crash_endpoints`. `on_limit`
         gets what the answer says of the endpoint's limit, before the body is read.
+        `use` records what the answer shows of the endpoint's load.
         """
+        use = use or SlotUse()
+        use.record_send(endpoint.started_ms, self._clock.now_s())
         fingerprint = None
         if may_crash_endpoints:
             fingerprint = fingerprint_of(call.target, call.team, call.body)
@@ -111,13 +117,14 @@
         was_abandoned = True
         try:
             response, result = await self._send(
-                call, endpoint, response_timeout_s, consume, handover, on_limit
+                call, endpoint, response_timeout_s, consume, handover, on_limit, use
             )
             was_abandoned = False
         except RequestNotRunError as exc:
             was_abandoned = False
             if exc.limit != NO_LIMIT:
                 on_limit(exc.limit)
+            self._record_load(endpoint, exc.load, use, is_refusal=exc.is_refusal)
             self._record_leaving(endpoint, exc.is_leaving)
             self._record_not_run(call, endpoint, fingerprint, exc)
             raise
@@ -240,6 +247,7 @@
         consume: Callable[[EngineResponse], Awaitable[T]],
         handover: Handover | None,
         on_limit: Callable[[EndpointLimit], None],
+        use: SlotUse,
     ) -> tuple[EngineResponse, T]:
         """Return the response, which is closed, and what `consume` made of it."""
         try:
@@ -252,6 +260,7 @@
             ) from exc
         try:
             self._record_leaving(endpoint, response.is_leaving)
+            self._record_load(endpoint, response.load, use)
             if is_success(response.status) or response.limit != NO_LIMIT:
                 on_limit(response.limit)
             return response, await consume(response)
@@ -264,6 +273,25 @@
             notice = LeavingNotice(endpoint.id, endpoint.started_ms)
             self._view.record_leaving([notice], is_answer=True)
 
+    def _record_load(
+        self,
+        endpoint: Endpoint,
+        load: EndpointLoad,
+        use: SlotUse,
+        *,
+        is_refusal: bool = False,
+    ) -> None:
+        """Record what an answer states of the endpoint's load."""
+        use.record_load(load, self._clock.now_s(), is_refusal=is_refusal)
+        if load.malformed:
+            self._metrics.count("loads_malformed")
+            self._reporter.write_limited(
+                Event.LOAD_MALFORMED,
+                lines_per_s=1,
+                endpoint=endpoint.id,
+                value=load.malformed,
+            )
+
     def _record_failure(
         self,
         call: EngineCall,
--- a/apricotquay/serving/online/forwarding.py
+++ b/apricotquay/serving/online/forwarding.py
@@ -31,8 +31,11 @@
         progress: RequestProgress,
         silence_limits: SilenceLimits,
         handover: Handover,
-        on_events: Callable[[], None],
+        on_events: Callable[[int], None],
     ) -> None:
+        """Forward a response; `on_events` gets the number of events that arrived,
+        before they are passed on.
+        """
         if route.kind is RouteKind.STREAMING and response.status == 200:
             await self._forward_stream(
                 response, silence_limits, handover, writer, progress, on_events
@@ -81,7 +84,7 @@
         handover: Handover,
         writer: ResponseWriter,
         progress: RequestProgress,
-        on_events: Callable[[], None],
+        on_events: Callable[[int], None],
     ) -> None:
         """Forward complete events as they arrive."""
         first_s = (
@@ -90,7 +93,7 @@
         batches = read_events(response, first_s, silence_limits.pause_s, handover)
         async for events in batches:
             progress.record_events(events)
-            on_events()
+            on_events(len(events))
             data = b"".join(event.raw for event in events)
             await self._forward_events(response, writer, progress, data)
         if not progress.response_started:
--- a/apricotquay/serving/online/handler.py
+++ b/apricotquay/serving/online/handler.py
@@ -67,7 +67,9 @@
         streams: StreamKeeper,
         clock: Clock,
         reporter: Reporter,
+        zone: str = "",
     ) -> None:
+        self._zone: str = zone
         self._streams: StreamKeeper = streams
         self._view: View = view
         self._slots: SlotAllocator = slots
@@ -156,6 +158,7 @@
                 avoid=frozenset(progress.failed_endpoints),
                 may_repeat=route.is_idempotent,
                 version=progress.version,
+                zone=self._zone,
             )
             if lease is None:
                 lease = await self._slot_waits.acquire(service, slot_request, progress)
@@ -209,14 +212,19 @@
             )
         progress.version = known.version
 
-    def _record_version(
+    def _record_events(
         self,
         request: OnlineRequest,
         admission: Admission,
         progress: RequestProgress,
         endpoint: Endpoint,
+        lease: SlotLease,
+        event_count: int,
     ) -> None:
-        """Record the version of a stream's first event before it is passed on."""
+        """Record events before they are passed on: their times, and the version of the
+        stream's first event.
+        """
+        lease.use.record_events(event_count, self._clock.now_s())
         if progress.version and progress.response_started:
             return
         progress.version = endpoint.version
@@ -275,7 +283,7 @@
             route, lease.service, progress.failed_attempts
         )
         on_events = partial(
-            self._record_version, request, admission, progress, endpoint
+            self._record_events, request, admission, progress, endpoint, lease
         )
         started_s = self._clock.now_s()
         try:
@@ -294,6 +302,7 @@
                 ),
                 handover=handover,
                 on_limit=partial(self._slots.record_limit, lease),
+                use=lease.use,
             )
         except asyncio.CancelledError:
             self._record_silence(call, endpoint, route, progress, lease, started_s)
--- a/apricotquay/serving/reporting.py
+++ b/apricotquay/serving/reporting.py
@@ -70,9 +70,10 @@
 
 
 class LineLimit:
-    """Admits LIMITED_LINES_PER_S lines a second. Pure."""
+    """Admits a number of lines a second. Pure."""
 
-    def __init__(self) -> None:
+    def __init__(self, lines_per_s: int = LIMITED_LINES_PER_S) -> None:
+        self._lines_per_s: int = lines_per_s
         self._second: int = -1
         self._admitted: int = 0
         self._suppressed: int = 0
@@ -82,7 +83,7 @@
         if int(now_s) != self._second:
             self._second = int(now_s)
             self._admitted = 0
-        if self._admitted >= LIMITED_LINES_PER_S:
+        if self._admitted >= self._lines_per_s:
             self._suppressed += 1
             return None
         self._admitted += 1
@@ -132,9 +133,11 @@
         )
         self.on_line()
 
-    def write_limited(self, event: Event, **fields: object) -> None:
-        """Queue an event unless LIMITED_LINES_PER_S of it were queued this second."""
-        limit = self._limits.setdefault(event, LineLimit())
+    def write_limited(
+        self, event: Event, lines_per_s: int = LIMITED_LINES_PER_S, **fields: object
+    ) -> None:
+        """Queue an event unless `lines_per_s` of it were queued this second."""
+        limit = self._limits.setdefault(event, LineLimit(lines_per_s))
         suppressed = limit.admit(self._clock.now_s())
         if suppressed is not None:
             self.write(event, suppressed=suppressed, **fields)
--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -5,6 +5,7 @@
 import itertools
 import weakref
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
@@ -35,6 +36,7 @@
 from .slotleases import LEASE_S
 from .slotowner import SlotTables
 from .slotrequests import SlotLease, SlotRequest, SlotUnavailableError, Waiter
+from .slotuse import UseReport
 from .ticketmessages import MS_PER_S, ask_slot_message, held_slot_message
 from .tickets import Decision, Granted, Refused, Revoked, Ticket, TicketId
 
@@ -173,7 +175,16 @@
         self._leases.pop(lease.ticket.id, None)
         if lease.owner is None:
             self.tables.record_outcome(lease.endpoint, lease.outcome)
-        self._release_ticket(lease.service, lease.ticket.id, lease.owner, lease.outcome)
+        shown = lease.use.report(self._clock.now_s())
+        self.tables.record_use(lease.service, lease.endpoint, shown)
+        self._release_ticket(
+            lease.service, lease.ticket.id, lease.owner, lease.outcome, shown
+        )
+
+    def _record_use(self, lease: SlotLease) -> None:
+        """Record a load that was stated now, for choices without an owner."""
+        shown = lease.use.report(self._clock.now_s())
+        self.tables.record_use(lease.service, lease.endpoint, shown)
 
     def record_limit(self, lease: SlotLease, limit: EndpointLimit) -> None:
         """Record what the answer to the request in a slot says of its endpoint's
@@ -343,6 +354,7 @@
             granted_s=self._clock.now_s(),
         )
         self._leases[ticket.id] = lease
+        lease.use.on_load = partial(self._record_use, lease)
         if owner is not None:
             self.tables.record_grant(service, ticket, endpoint)
         if owner != self._last_owners.get(service):
@@ -355,10 +367,12 @@
         ticket_id: TicketId,
         owner: str | None,
         outcome: SlotOutcome = SlotOutcome.UNKNOWN,
+        shown: UseReport | None = None,
     ) -> None:
         self.tables.release(service, ticket_id)
         if owner is not None:
-            self._send_if_connected(owner, ReleaseSlot(service, ticket_id, outcome))
+            message = ReleaseSlot(service, ticket_id, outcome, shown)
+            self._send_if_connected(owner, message)
 
     def _send_if_connected(self, owner: str, message: Message) -> None:
         """Send if connected; an owner releases tickets of closed connections."""
--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -20,6 +20,9 @@
 from .placement import Placement
 from .revocation import choose_revocations, revocable
 from .sendlimits import SendLimit
+from .slotuse import MS_PER_S, UseReport
+from .speeds import USUAL, ServiceSpeeds
+from .statedload import StatedLoad
 from .tickets import (
     Decision,
     Granted,
@@ -49,6 +52,7 @@
         self._batch_running: set[TicketId] = set()
         self._revoked: set[TicketId] = set()
         self._has_limits: bool = False
+        self._speeds: ServiceSpeeds = ServiceSpeeds()
 
     @property
     def waiting_count(self) -> int:
@@ -98,10 +102,63 @@
             slots.count = count
             slots.status = statuses.get(endpoint, EndpointStatus.NORMAL)
             slots.limit = limits.get(endpoint)
-            slots.profile = profiles.get(endpoint, UNKNOWN_PROFILE)
+            self._set_profile(slots, profiles.get(endpoint, UNKNOWN_PROFILE))
         self._has_limits = bool(limits)
         return list(self._serve_line(now_s))
 
+    def set_alone(self, *, is_alone: bool) -> None:
+        """Set whether other tables grant slots of the same endpoints."""
+        self._placement.is_alone = is_alone
+
+    @property
+    def slowness(self) -> Mapping[EndpointId, float]:
+        """How slow the endpoints are that are not as fast as usual."""
+        return self._speeds.slowness
+
+    def record_use(self, endpoint: EndpointId, report: UseReport, now_s: float) -> bool:
+        """Record what an attempt showed of its endpoint, before its slot is released;
+        return whether the endpoint is left out now because it is full.
+        """
+        slots = self._slots.get(endpoint)
+        if slots is None or report.started_ms != slots.profile.started_ms:
+            return False
+        refreshes = self._speeds.refreshes
+        if self._speeds.record(endpoint, report, now_s):
+            self._apply_slowness(slots)
+        if self._speeds.refreshes != refreshes:
+            self._apply_all_slowness()
+        load = report.load
+        if load is None or not 0 < load.slots:
+            return False
+        self._placement.has_loads = True
+        return slots.record_load(
+            load,
+            1 / self._waits.throughput_per_s((slots,), now_s),
+            now_s - max(0, report.load_age_ms) / MS_PER_S,
+            now_s,
+            is_refusal=report.was_refused,
+        )
+
+    def _refresh_speeds(self, now_s: float) -> None:
+        if self._speeds.refresh(now_s):
+            self._apply_all_slowness()
+
+    def _apply_all_slowness(self) -> None:
+        for slots in self._slots.values():
+            self._apply_slowness(slots)
+
+    def _apply_slowness(self, slots: EndpointSlots) -> None:
+        slots.slowness = self._speeds.slowness.get(slots.endpoint, USUAL)
+        self._placement.is_uneven = bool(self._speeds.slowness)
+
+    def _set_profile(self, slots: EndpointSlots, profile: EndpointProfile) -> None:
+        """Set an endpoint's profile; what was learnt of an earlier start is dropped."""
+        if slots.profile.started_ms != profile.started_ms:
+            self._speeds.forget(slots.endpoint)
+            slots.load = StatedLoad()
+            self._apply_slowness(slots)
+        slots.profile = profile
+
     def record_grant(self, ticket: Ticket, endpoint: EndpointId, now_s: float) -> None:
         """Record a slot that another daemon's table granted, unless it is known."""
         if ticket.id in self._endpoint_of:
@@ -113,6 +170,7 @@
         """Grant a slot, queue the ticket or refuse it; may revoke a batch item."""
         if ticket.id in self._endpoint_of or ticket.id in self._line:
             return []
+        self._refresh_speeds(now_s)
         refusal = self._refuse_if_too_late(ticket, now_s)
         if refusal is not None:
             return [refusal]
@@ -129,7 +187,7 @@
             slots = self._slots[endpoint]
             ticket, held_s = slots.release(ticket_id, now_s)
             if ticket.work is Work.ONLINE:
-                self._waits.record_service_time(held_s)
+                self._waits.record_service_time(held_s / slots.slowness)
             if not slots.is_open and not slots.running:
                 del self._slots[endpoint]
         return list(self._serve_line(now_s))
--- a/apricotquay/serving/slots/endpointslots.py
+++ b/apricotquay/serving/slots/endpointslots.py
@@ -5,7 +5,10 @@
 import msgspec
 
 from ...ids import EndpointId
+from ..engine import EndpointLoad
 from .sendlimits import SendLimit
+from .speeds import USUAL
+from .statedload import StatedLoad
 from .tickets import Ticket, TicketId, Work
 
 
@@ -26,13 +29,14 @@
     """What the platform says of an endpoint, as far as slot tables use it.
 
     `version` is that of its software, `memory_tokens` how many tokens its memory
-    holds, 0 if unknown. Empty strings mean unknown.
+    holds, 0 if unknown. Empty strings mean unknown. `started_ms` names its start.
     """
 
     version: str = ""
     zone: str = ""
     region: str = ""
     memory_tokens: int = 0
+    started_ms: int = 0
 
 
 UNKNOWN_PROFILE = EndpointProfile()
@@ -51,6 +55,9 @@
         self.status: EndpointStatus = EndpointStatus.NORMAL
         self.limit: SendLimit | None = None
         self.profile: EndpointProfile = UNKNOWN_PROFILE
+        # How long work takes there as a multiple of the usual.
+        self.slowness: float = USUAL
+        self.load = StatedLoad()
 
     @property
     def version(self) -> str:
@@ -68,7 +75,12 @@
 
     def is_available(self, now_s: float) -> bool:
         """Whether some ticket could be granted a slot now."""
-        return self.is_open and self.count > len(self.running) and self.may_send(now_s)
+        return (
+            self.is_open
+            and self.count > len(self.running)
+            and now_s >= self.load.held_until_s
+            and self.may_send(now_s)
+        )
 
     def suits(self, ticket: Ticket, now_s: float) -> bool:
         """Whether a ticket may use the endpoint, which is available."""
@@ -81,12 +93,42 @@
         return self.limit.may_send_batch(now_s)
 
     def throughput_per_s(self, service_time_s: float, now_s: float) -> float:
-        """Return how many online requests a second the endpoint can begin."""
-        by_slots = self.count / service_time_s
+        """Return how many online requests a second the endpoint can begin, with the
+        `service_time_s` of an endpoint that is as fast as usual.
+        """
+        by_slots = self.count / (service_time_s * self.slowness)
         if self.limit is None:
             return by_slots
         return min(by_slots, self.limit.granted_per_s(now_s))
 
+    def expected_time(self, others: float = 0.0) -> float:
+        """Return a measure of how long another request would take: the load by the
+        endpoint's speed, with runs of `others` that this table does not know of.
+        """
+        return self.slowness * (len(self.running) + others + 1) / self.count
+
+    def record_load(
+        self,
+        load: EndpointLoad,
+        slot_time_s: float,
+        at_s: float,
+        now_s: float,
+        *,
+        is_refusal: bool,
+    ) -> bool:
+        """Record what the endpoint stated at `at_s`; return whether it is left out now
+        because it is full. The table still counts the run that got the answer, and
+        a slot comes free every `slot_time_s`.
+        """
+        if is_refusal:
+            self.load.record(load, len(self.running) - 1, at_s, now_s)
+            return self.load.record_refusal(load, slot_time_s, now_s)
+        self.load.record_acceptance()
+        self.load.record(load, len(self.running), at_s, now_s)
+        if not load.is_full or not self.load.others:
+            return False
+        return self.load.hold(load, slot_time_s, at_s, now_s)
+
     def assign(self, ticket: Ticket, now_s: float) -> None:
         """Give a slot to a ticket."""
         if ticket.work is Work.ONLINE:
--- a/apricotquay/serving/slots/placement.py
+++ b/apricotquay/serving/slots/placement.py
@@ -1,6 +1,11 @@
-"""Chooses the endpoint of a ticket among those that have a free slot. Pure."""
+"""Chooses the endpoint of a ticket among those that have a free slot. Pure.
+
+Answers the load of endpoints of unequal speed, and of many daemons that choose at the
+same moment, each with a part of the information.
+"""
 
 import random
+import statistics
 from collections.abc import Callable, Sequence
 
 from ...ids import EndpointId
@@ -8,25 +13,34 @@
 from .tickets import Ticket, Work
 
 MAX_PREFIXES = 10_000
+# Expected times within this factor of the least are as good as equal.
+EQUAL_TIME_FACTOR = 1.1
+# A daemon that chooses alone takes the best of so many.
+SAMPLED_ENDPOINTS = 3
 
 
 class Placement:
     """Chooses endpoints, and remembers where shared prompt prefixes were read last.
 
     Used by `Dispatcher`. `can_revoke` tells at a time in seconds whether a batch item
-    can be revoked in favour of an online request.
+    can be revoked in favour of an online request. `is_uneven` is set while endpoints
+    differ in speed, `is_alone` while other tables grant slots of the same endpoints,
+    and `has_loads` once an endpoint has stated its load.
     """
 
     def __init__(self, seed: int, can_revoke: Callable[[float], bool]) -> None:
         self._random = random.Random(seed)
         self._can_revoke: Callable[[float], bool] = can_revoke
         self._endpoint_of_prefix: dict[str, EndpointId] = {}
+        self.is_uneven: bool = False
+        self.is_alone: bool = False
+        self.has_loads: bool = False
 
     def choose(
         self, ticket: Ticket, available: Sequence[EndpointSlots], now_s: float
     ) -> EndpointSlots | None:
-        """Choose the least loaded endpoint, or the one that served the prefix last
-        if at least half of its slots are free.
+        """Choose the endpoint with the least expected time, or the one that served the
+        prefix last if at least half of its slots are free.
         """
         usable = self._usable_endpoints(ticket, available, now_s)
         if not usable:
@@ -36,13 +50,41 @@
         for slots in usable:
             if slots.endpoint == preferred and slots.free * 2 >= slots.count:
                 return slots
-        highest_share = max(s.free / s.count for s in usable)
         slots = self._random.choice(
-            [s for s in usable if s.free / s.count == highest_share]
+            _in_zone(self._best_endpoints(usable, now_s), ticket.zone)
         )
         self._remember_prefix(ticket.prefix, slots.endpoint)
         return slots
 
+    def _best_endpoints(
+        self, usable: list[EndpointSlots], now_s: float
+    ) -> list[EndpointSlots]:
+        """Return the endpoints that are as good as equal and better than the others."""
+        if self.is_alone and (self.is_uneven or self.has_loads):
+            return self._best_of_sample(usable, now_s)
+        if not self.is_uneven:
+            highest_share = max(s.free / s.count for s in usable)
+            return [s for s in usable if s.free / s.count == highest_share]
+        times = [s.expected_time() for s in usable]
+        limit = min(times) * EQUAL_TIME_FACTOR
+        return [s for s, time in zip(usable, times, strict=True) if time <= limit]
+
+    def _best_of_sample(
+        self, usable: list[EndpointSlots], now_s: float
+    ) -> list[EndpointSlots]:
+        """Return the best of a few endpoints; if all daemons took the best of all, they
+        would take the same one until its load is known.
+        """
+        mean_others = statistics.fmean(s.load.others_now(0.0, now_s) for s in usable)
+        sampled = usable
+        if len(usable) > SAMPLED_ENDPOINTS:
+            sampled = self._random.sample(usable, SAMPLED_ENDPOINTS)
+        times = [
+            s.expected_time(s.load.others_now(mean_others, now_s)) for s in sampled
+        ]
+        limit = min(times) * EQUAL_TIME_FACTOR
+        return [s for s, time in zip(sampled, times, strict=True) if time <= limit]
+
     def _remember_prefix(self, prefix: str, endpoint: EndpointId) -> None:
         if not prefix:
             return
@@ -65,6 +107,13 @@
         return with_free_slots
 
 
+def _in_zone(best: list[EndpointSlots], zone: str) -> list[EndpointSlots]:
+    """Return those of equally good endpoints that are in a zone, else all."""
+    if not zone or len(best) == 1:
+        return best
+    return [s for s in best if s.profile.zone == zone] or best
+
+
 def _preferred_by_limit(
     usable: list[EndpointSlots], work: Work, now_s: float
 ) -> list[EndpointSlots]:
--- a/apricotquay/serving/slots/slotowner.py
+++ b/apricotquay/serving/slots/slotowner.py
@@ -40,6 +40,8 @@
     SendLimits,
 )
 from .slotleases import PeerLeases
+from .slotuse import UseReport
+from .speedreport import SpeedReporter, SpeedSummary
 from .ticketmessages import MS_PER_S, held_ticket, requested_ticket
 from .tickets import Decision, Granted, Refused, Ticket, TicketId
 
@@ -79,6 +81,9 @@
         self._outlier_detector = OutlierDetector()
         self._tables: dict[ServiceName, Dispatcher] = {}
         self.limits = SendLimits()
+        self._speed_reporters: dict[ServiceName, SpeedReporter] = {}
+        # How often endpoints were left out for a moment because they were full.
+        self.full_count: int = 0
         self._malformed: dict[EndpointId, str] = {}
         # How many daemons share limits, as owners told; 0 if none has.
         self._known_daemons: int = 0
@@ -123,6 +128,26 @@
         decisions = self.table(service).release(ticket_id, self._clock.now_s())
         self._deliver(decisions)
 
+    def record_use(
+        self, service: ServiceName, endpoint_id: EndpointId, report: UseReport | None
+    ) -> None:
+        """Record what an attempt showed of an endpoint, before its slot is released."""
+        if report is None:
+            return
+        now_s = self._clock.now_s()
+        table = self.table(service)
+        if table.record_use(endpoint_id, report, now_s):
+            self.full_count += 1
+        if self.is_owned(service):
+            self._speed_reporters.setdefault(
+                service, SpeedReporter(self._reporter)
+            ).check(table.slowness, now_s)
+
+    def speed_summary(self) -> SpeedSummary:
+        """Return what the tables know of the endpoints' speeds."""
+        tables = self._tables.values()
+        return SpeedSummary(v for table in tables for v in table.slowness.values())
+
     def record_outcome(self, endpoint_id: EndpointId, outcome: SlotOutcome) -> None:
         """Feed the outcome of an attempt at an endpoint to outlier detection."""
         endpoint = self._view.endpoints.get(endpoint_id)
@@ -291,6 +316,8 @@
     def _handle_release_slot(self, message: ReleaseSlot) -> None:
         ticket_id = TicketId(message.ticket)
         endpoint_id = self.table(message.service).endpoint_of(ticket_id)
+        if endpoint_id is not None:
+            self.record_use(message.service, endpoint_id, message.shown)
         self._release_peer_ticket(ticket_id)
         if endpoint_id is not None:
             self.record_outcome(endpoint_id, message.use)
@@ -434,9 +461,10 @@
         }
         limits = self._limits_of(service, now_s)
         profiles = {
-            e.id: EndpointProfile(e.version, e.zone)
+            e.id: EndpointProfile(e.version, e.zone, started_ms=e.started_ms)
             for e in self._view.endpoints.serving(service)
         }
+        table.set_alone(is_alone=not self.is_owned(service))
         return table.set_endpoints(slot_counts, now_s, statuses, limits, profiles)
 
     def _limits_of(
--- a/apricotquay/serving/slots/slotrequests.py
+++ b/apricotquay/serving/slots/slotrequests.py
@@ -10,6 +10,7 @@
 from ..catalog import ServiceName
 from ..fleet.peers import PeerConnection
 from .outliers import SlotOutcome
+from .slotuse import SlotUse
 from .tickets import Decision, Ticket, Work
 
 
@@ -46,9 +47,10 @@
 
     `owner` is the peer whose table also records the slot, None if only the table of
     this daemon does. It records it for as long as the connection `known_over` is open.
-    The holder sets `outcome` before it releases the slot. `granted_by` is the owner
-    that granted the slot, at `granted_s`. The `outcome` counts only once `path_check`,
-    if set, has found that the way to the endpoint did not fail.
+    The holder records in `use` what the attempt shows, and sets `outcome` before it
+    releases the slot. `granted_by` is the owner that granted the slot, at `granted_s`.
+    The `outcome` counts only once `path_check`, if set, has found that the way to the
+    endpoint did not fail.
     """
 
     service: ServiceName
@@ -61,6 +63,7 @@
     known_over: PeerConnection | None = None
     path_check: asyncio.Task[bool] | None = None
     granted_s: float = float("-inf")
+    use: SlotUse = msgspec.field(default_factory=SlotUse)
 
 
 class Waiter:
--- /dev/null
+++ b/apricotquay/serving/slots/slotuse.py
@@ -0,0 +1,103 @@
+"""What an attempt in a slot shows of its endpoint's speed and load. Pure."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from ..engine import NO_LOAD, EndpointLoad
+
+US_PER_S = 1_000_000
+MS_PER_S = 1_000
+
+
+class UseReport(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What one attempt showed, as told to the owner of the slots; 0 is unknown.
+
+    `started_ms` names the endpoint's start, `gap_us` is the mean time between events,
+    `load` the endpoint's statement of `load_age_ms` ago. `was_refused` means that the
+    endpoint answered that it does not run the request.
+    """
+
+    started_ms: int = 0
+    first_event_ms: int = 0
+    gap_us: int = 0
+    events: int = 0
+    load: EndpointLoad | None = None
+    load_age_ms: int = 0
+    was_refused: bool = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the attempt showed nothing."""
+        return not (self.first_event_ms or self.load or self.was_refused)
+
+
+class SlotUse:
+    """Records an attempt while it runs. One per slot lease; filled by those who make
+    the attempt, read by `SlotAllocator` when the slot is released.
+    """
+
+    def __init__(self) -> None:
+        # Called when an endpoint that runs the request has stated its load.
+        self.on_load: Callable[[], None] = lambda: None
+        self._sent_s: float | None = None
+        self._started_ms: int = 0
+        self._load: EndpointLoad | None = None
+        self._load_s: float = 0.0
+        self._was_refused: bool = False
+        self._first_event_s: float | None = None
+        self._last_event_s: float = 0.0
+        # Events that arrived together at first, which no gap lies before.
+        self._first_events: int = 0
+        self._events: int = 0
+
+    def record_send(self, started_ms: int, now_s: float) -> None:
+        """Record that the request is sent to a start of the endpoint."""
+        self._sent_s = now_s
+        self._started_ms = started_ms
+
+    def record_load(
+        self, load: EndpointLoad, now_s: float, *, is_refusal: bool = False
+    ) -> None:
+        """Record what the endpoint's answer states of its load, if it does."""
+        self._was_refused = is_refusal and load.slots > 0
+        if load != NO_LOAD and not load.malformed:
+            self._load = load
+            self._load_s = now_s
+            if not is_refusal:
+                self.on_load()
+
+    def record_events(self, count: int, now_s: float) -> None:
+        """Record events that arrived together."""
+        if self._first_event_s is None:
+            self._first_event_s = now_s
+            self._first_events = count
+        self._events += count
+        self._last_event_s = now_s
+
+    def report(self, now_s: float) -> UseReport | None:
+        """Return what the attempt has shown so far, None if nothing."""
+        if self._sent_s is None:
+            return None
+        first_event_ms = 0
+        if self._first_event_s is not None:
+            first_event_ms = max(
+                1, int((self._first_event_s - self._sent_s) * MS_PER_S)
+            )
+        report = UseReport(
+            self._started_ms,
+            first_event_ms,
+            int(self._gap_s() * US_PER_S),
+            self._events,
+            self._load,
+            int((now_s - self._load_s) * MS_PER_S) if self._load else 0,
+            self._was_refused,
+        )
+        return None if report.is_empty else report
+
+    def _gap_s(self) -> float:
+        """Return the mean time between events, 0 if there are none."""
+        gaps = self._events - self._first_events
+        if self._first_event_s is None or not gaps:
+            return 0.0
+        return (self._last_event_s - self._first_event_s) / gaps
--- /dev/null
+++ b/apricotquay/serving/slots/speeds.py
@@ -0,0 +1,196 @@
+"""Estimates how slow each endpoint of a service is, from attempts there. Pure.
+
+Slowness is how long work takes as a multiple of what is usual in the service, so 1.0
+is as usual and 2.5 two and a half times as slow. The load that this answers: a machine
+that is slower for good, or for part of a second since others use it, while answers
+arrive late and some of them are far from the rest.
+"""
+
+import collections
+import enum
+import statistics
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from ...ids import EndpointId
+from .slotuse import MS_PER_S, US_PER_S, UseReport
+
+# Noise of machines changes about every 0.6 s, and reports arrive that much later.
+RECENT_S = 2.0
+REMEMBERED_S = 10.0
+MAX_SAMPLES = 10
+# The median of fewer samples would follow a single outlier.
+MIN_SAMPLES = 3
+MAX_RECENT_SAMPLES = 5
+# The jitter of equal endpoints stays within these, which count as 1.0.
+USUAL_MIN, USUAL_MAX = 0.87, 1.15
+SLOWNESS_MIN, SLOWNESS_MAX = 0.25, 8.0
+# A mean of fewer gaps is not a measure of the speed.
+MIN_GAPS = 3
+# The wait for the first event varies with the prompt, too.
+FIRST_EVENT_MIN, FIRST_EVENT_MAX = 0.5, 2.0
+# Longer times are those of an attempt that hung, or not of this kind.
+MAX_GAP_S = 10.0
+MAX_FIRST_EVENT_S = 60.0
+REFRESH_S = 1.0
+USUAL = 1.0
+
+
+class SampleKind(enum.Enum):
+    """What a sample was measured by, the better one first."""
+
+    GAP = "gap"
+    FIRST_EVENT = "first_event"
+    STATED = "stated"
+
+
+class Sample(NamedTuple):
+    """One attempt's measure: seconds, or the stated slowness."""
+
+    at_s: float
+    kind: SampleKind
+    value: float
+
+
+class Typical:
+    """What is usual in a service: the median over its endpoints, None if unknown."""
+
+    def __init__(self) -> None:
+        self.values: dict[SampleKind, float] = {SampleKind.STATED: 1.0}
+
+    def slowness_of(self, sample: Sample) -> float | None:
+        """Return the slowness that a sample shows."""
+        usual = self.values.get(sample.kind)
+        if not usual:
+            return None
+        slowness = sample.value / usual
+        if sample.kind is SampleKind.FIRST_EVENT:
+            slowness = min(FIRST_EVENT_MAX, max(FIRST_EVENT_MIN, slowness))
+        return min(SLOWNESS_MAX, max(SLOWNESS_MIN, slowness))
+
+
+class SpeedEstimate:
+    """The recent samples of one start of an endpoint. Used by `ServiceSpeeds`."""
+
+    def __init__(self) -> None:
+        self._samples: collections.deque[Sample] = collections.deque(maxlen=MAX_SAMPLES)
+
+    def add(self, sample: Sample) -> None:
+        """Add the newest sample."""
+        self._samples.append(sample)
+
+    def expire(self, now_s: float) -> bool:
+        """Forget old samples; return whether some are left."""
+        while self._samples and now_s - self._samples[0].at_s > REMEMBERED_S:
+            self._samples.popleft()
+        return bool(self._samples)
+
+    def median_of(self, kind: SampleKind) -> float | None:
+        """Return the median value of the samples of a kind."""
+        values = [s.value for s in self._samples if s.kind is kind]
+        return statistics.median(values) if values else None
+
+    def slowness(self, typical: Typical, now_s: float) -> float:
+        """Return the slowness now; 1.0 exactly if it is about as usual."""
+        recent: list[float] = []
+        older: list[float] = []
+        for sample in reversed(self._samples):
+            age_s = now_s - sample.at_s
+            slowness = typical.slowness_of(sample)
+            if slowness is None or age_s > REMEMBERED_S:
+                continue
+            is_recent = age_s <= RECENT_S and len(recent) < MAX_RECENT_SAMPLES
+            (recent if is_recent else older).append(slowness)
+        value = _median_with(recent, lambda: _median_with(older, lambda: USUAL))
+        return USUAL if USUAL_MIN <= value <= USUAL_MAX else value
+
+
+def _median_with(values: list[float], earlier: Callable[[], float]) -> float:
+    """Return the median; too few values are filled up with an earlier one."""
+    missing = MIN_SAMPLES - len(values)
+    if missing > 0:
+        values = [*values, *[earlier()] * missing]
+    return statistics.median(values)
+
+
+class ServiceSpeeds:
+    """The slowness of a service's endpoints. Used by `Dispatcher`, whose tables the
+    owner of the slots feeds with all daemons' attempts, and a daemon with its own.
+    """
+
+    def __init__(self) -> None:
+        # Holds only endpoints that are not as usual.
+        self.slowness: dict[EndpointId, float] = {}
+        self._typical = Typical()
+        self._estimates: dict[EndpointId, SpeedEstimate] = {}
+        self._refreshed_s: float = float("-inf")
+        self._refreshed_count: int = 1
+        # Counts the refreshes, which may change all endpoints' slowness.
+        self.refreshes: int = 0
+
+    def record(self, endpoint: EndpointId, report: UseReport, now_s: float) -> bool:
+        """Record what an attempt showed; return whether it is a sample."""
+        sample = _sample_of(report, now_s)
+        if sample is None:
+            return False
+        estimate = self._estimates.setdefault(endpoint, SpeedEstimate())
+        estimate.add(sample)
+        if not self.refresh(now_s):
+            self._update(endpoint, estimate, now_s)
+        return True
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Forget an endpoint that left or has started anew."""
+        self._estimates.pop(endpoint, None)
+        self.slowness.pop(endpoint, None)
+
+    def refresh(self, now_s: float) -> bool:
+        """Let old samples lapse and find what is typical, every REFRESH_S and whenever
+        twice as many endpoints are known; return whether this was done.
+        """
+        has_grown = len(self._estimates) >= 2 * self._refreshed_count
+        if now_s - self._refreshed_s < REFRESH_S and not has_grown:
+            return False
+        self._refreshed_s = now_s
+        self.refreshes += 1
+        self._refreshed_count = max(1, len(self._estimates))
+        for endpoint, estimate in list(self._estimates.items()):
+            if not estimate.expire(now_s):
+                self.forget(endpoint)
+        self._refresh_typical()
+        for endpoint, estimate in self._estimates.items():
+            self._update(endpoint, estimate, now_s)
+        return True
+
+    def _update(
+        self, endpoint: EndpointId, estimate: SpeedEstimate, now_s: float
+    ) -> None:
+        slowness = estimate.slowness(self._typical, now_s)
+        if slowness == USUAL:
+            self.slowness.pop(endpoint, None)
+        else:
+            self.slowness[endpoint] = slowness
+
+    def _refresh_typical(self) -> None:
+        for kind in (SampleKind.GAP, SampleKind.FIRST_EVENT):
+            usual = _median(e.median_of(kind) for e in self._estimates.values())
+            if usual is not None:
+                self._typical.values[kind] = usual
+
+
+def _median(values: Iterable[float | None]) -> float | None:
+    known = [value for value in values if value is not None]
+    return statistics.median(known) if known else None
+
+
+def _sample_of(report: UseReport, now_s: float) -> Sample | None:
+    """Return the best measure in a report, which a peer sent; None if it has none."""
+    gap_s = report.gap_us / US_PER_S
+    if report.events > MIN_GAPS and 0 < gap_s <= MAX_GAP_S:
+        return Sample(now_s, SampleKind.GAP, gap_s)
+    first_event_s = report.first_event_ms / MS_PER_S
+    if report.events > 0 and 0 < first_event_s <= MAX_FIRST_EVENT_S:
+        return Sample(now_s, SampleKind.FIRST_EVENT, first_event_s)
+    if report.load is not None and report.load.time_percent > 0:
+        return Sample(now_s, SampleKind.STATED, report.load.time_percent / 100)
+    return None
--- /dev/null
+++ b/apricotquay/serving/slots/statedload.py
@@ -0,0 +1,71 @@
+"""What an endpoint stated of its load, and how long that is heeded. Pure.
+
+Answers the load of many daemons that choose at the same moment from old information,
+and of runs that a slot table does not know of.
+"""
+
+import math
+
+from ..engine import NO_LOAD, EndpointLoad
+
+# Runs that a table does not know of have mostly ended after this time.
+FADE_S = 0.5
+FORGET_S = 3.0
+# A statement that is told again has an age in whole milliseconds.
+SAME_S = 0.002
+MIN_HOLD_S = 0.02
+MAX_HOLD_S = 0.5
+
+
+class StatedLoad:
+    """The last stated load of an endpoint. Used by `EndpointSlots`.
+
+    `others` is how many runs it stated beyond those that the table knew of then.
+    """
+
+    def __init__(self) -> None:
+        self.others: int = 0
+        self.at_s: float = float("-inf")
+        self.held_until_s: float = float("-inf")
+        self._refusals: int = 0
+
+    def record(self, load: EndpointLoad, known: int, at_s: float, now_s: float) -> None:
+        """Record a statement of `at_s` while the table knew of `known` runs."""
+        if at_s <= self.at_s + SAME_S or load == NO_LOAD:
+            return
+        self.at_s = at_s
+        self.others = max(0, load.running + load.waiting - known)
+
+    def hold(
+        self, load: EndpointLoad, slot_time_s: float, at_s: float, now_s: float
+    ) -> bool:
+        """Leave out an endpoint that is full until a slot is likely free, with a slot
+        freed every `slot_time_s`; return whether it is left out now.
+        """
+        ahead = max(1, load.running + load.waiting - load.slots + 1)
+        hold_s = min(MAX_HOLD_S, max(MIN_HOLD_S, ahead * slot_time_s))
+        return self._hold_until(at_s + hold_s, now_s)
+
+    def record_refusal(
+        self, load: EndpointLoad, slot_time_s: float, now_s: float
+    ) -> bool:
+        """Leave out an endpoint that refused, longer with each refusal in a row."""
+        self._refusals += 1
+        # A run that ends makes room for a waiting one first.
+        factor = 2 ** min(self._refusals - 1, 8)
+        return self.hold(load, slot_time_s * factor, now_s, now_s)
+
+    def record_acceptance(self) -> None:
+        """Record that the endpoint has run a request."""
+        self._refusals = 0
+
+    def others_now(self, mean: float, now_s: float) -> float:
+        """Estimate the runs of others now: what was stated fades to the `mean`."""
+        age_s = now_s - self.at_s
+        if age_s > FORGET_S:
+            return mean
+        return mean + (self.others - mean) * math.exp(-age_s / FADE_S)
+
+    def _hold_until(self, until_s: float, now_s: float) -> bool:
+        self.held_until_s = max(self.held_until_s, until_s)
+        return self.held_until_s > now_s
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -274,6 +274,63 @@
 
         asyncio.run(run())
 
+    @parameterized.expand([("stated", b"7,1,8,250"), ("absurd", b"x,1,8")])
+    def test_load_is_not_forwarded_to_callers(self, _name, value):
+        """Neither one that is read nor one that is ignored."""
+
+        async def serve(reader, writer) -> None:
+            await reader.read(65_536)
+            extra = b"Server-Load: %s\r\nContent-Length: 2\r\n" % value
+            writer.write(response(extra=extra))
+            writer.close()
+
+        async def run():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            endpoint = Endpoint(EndpointId("i"), ServiceName("s"), "127.0.0.1", port)
+            answer = await ServerClient().send(self.call(), endpoint)
+            answer.close()
+            server.close()
+            return answer
+
+        answer = asyncio.run(run())
+        self.assertNotIn(b"server-load", [name for name, _ in answer.headers])
+        self.assertEqual(value == b"x,1,8", bool(answer.load.malformed))
+        self.assertEqual(250.0 * (value != b"x,1,8"), answer.load.time_percent)
+
+    @parameterized.expand(
+        [
+            ("full", b"8,0,8", False),
+            ("queue", b"6,2,8", False),
+            ("not full", b"7,0,8", True),
+            ("absurd", b"8,8,0", True),
+        ]
+    )
+    def test_refusal_of_a_full_endpoint_is_no_failure_of_it(
+        self, _name, value, is_failure
+    ):
+        """It would be ejected for what its callers sent."""
+        refusal = b"HTTP/1.1 503 No\r\nNot-Run: 1\r\nServer-Load: %s\r\n\r\n" % value
+
+        async def serve(reader, writer) -> None:
+            await reader.read(65_536)
+            writer.write(refusal)
+            writer.close()
+
+        async def run() -> None:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            endpoint = Endpoint(EndpointId("i"), ServiceName("s"), "127.0.0.1", port)
+            try:
+                await ServerClient().send(self.call(), endpoint)
+            finally:
+                server.close()
+
+        with self.assertRaises(RequestNotRunError) as caught:
+            asyncio.run(run())
+        self.assertTrue(caught.exception.is_refusal)
+        self.assertEqual(is_failure, caught.exception.is_failure)
+
     def test_silent_endpoint_is_not_taken_for_a_crashed_one(self):
         """Its full queue of connections lets a new one time out."""
         with contextlib.ExitStack() as sockets:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -8,11 +8,17 @@
 from apricotquay.platform.wire import (
     PlatformDirectory,
     decode_limit,
+    decode_load,
     decode_prompt_parts,
 )
 from apricotquay.serving.catalog import RouteKind
 from apricotquay.serving.crashes.promptparts import MAX_PARTS_PER_REQUEST
-from apricotquay.serving.engine import NO_LIMIT, EndpointLimit
+from apricotquay.serving.engine import (
+    NO_LIMIT,
+    NO_LOAD,
+    EndpointLimit,
+    EndpointLoad,
+)
 from apricotquay.serving.fleet.keyedlog import KeyedRecord
 from apricotquay.serving.fleet.view import RecordUnreadableError
 
@@ -233,3 +239,53 @@
         """Other programs write the header, so it may hold anything."""
         headers = [(b"server-limit", value) for value in values]
         self.assertEqual(expected, decode_limit(headers))
+
+
+class LoadHeaderTest(ApricotTest):
+    """The load that a response states."""
+
+    @parameterized.expand(
+        [
+            ("no header", [], NO_LOAD),
+            ("three figures", [b"3,0,8"], EndpointLoad(3, 0, 8)),
+            ("spaces", [b" 3, 1 ,8 "], EndpointLoad(3, 1, 8)),
+            ("with the time", [b"8,2,8,250"], EndpointLoad(8, 2, 8, 250.0)),
+            ("time with a fraction", [b"8,2,8,99.5"], EndpointLoad(8, 2, 8, 99.5)),
+            ("slowest", [b"1,0,8,100000"], EndpointLoad(1, 0, 8, 100_000.0)),
+            ("most slots", [b"0,0,100000"], EndpointLoad(0, 0, 100_000)),
+        ]
+    )
+    def test_load_is_read(self, _name, values, expected):
+        """Of a response with one header."""
+        headers = [(b"server-load", value) for value in values]
+        self.assertEqual(expected, decode_load(headers))
+
+    @parameterized.expand(
+        [
+            ("empty", [b""]),
+            ("a word", [b"busy"]),
+            ("not a number", [b"nan,0,8"]),
+            ("negative", [b"-1,0,8"]),
+            ("a fraction", [b"1.5,0,8"]),
+            ("a million", [b"1000000,0,8"]),
+            ("a million waiting", [b"1,1000000,8"]),
+            ("two figures", [b"3,0"]),
+            ("no slots", [b"0,0,0"]),
+            ("other digits", ["٣,0,8".encode()]),
+            ("no time", [b"3,0,8,"]),
+            ("time of zero", [b"3,0,8,0"]),
+            ("negative time", [b"3,0,8,-100"]),
+            ("infinite time", [b"3,0,8,inf"]),
+            ("time beyond all", [b"3,0,8,100001"]),
+            ("time too large for a float", [b"3,0,8,1e999"]),
+            ("five figures", [b"3,0,8,100,7"]),
+            ("two headers", [b"3,0,8", b"4,0,8"]),
+            ("very long", [b"9" * 99]),
+        ]
+    )
+    def test_absurd_load_states_nothing(self, _name, values):
+        """Other programs write the header, so it may hold anything."""
+        load = decode_load([(b"server-load", value) for value in values])
+        self.assertTrue(load.malformed)
+        self.assertEqual((0, 0, 0), (load.running, load.waiting, load.slots))
+        self.assertFalse(load.is_full)
--- a/tests/test_serving_handover.py
+++ b/tests/test_serving_handover.py
@@ -15,6 +15,7 @@
 from apricotquay.serving.crashes.partquarantine import PartQuarantine
 from apricotquay.serving.engine import (
     NO_LIMIT,
+    NO_LOAD,
     AttemptFailedError,
     RequestNotRunError,
 )
@@ -173,6 +174,7 @@
     headers = ()
     ends_with_connection = False
     limit = NO_LIMIT
+    load = NO_LOAD
     is_leaving = False
 
     def __init__(self, endpoints: RandomEndpoints, call) -> None:
--- a/tests/test_serving_online.py
+++ b/tests/test_serving_online.py
@@ -25,6 +25,7 @@
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
 from apricotquay.serving.engine import (
     NO_LIMIT,
+    NO_LOAD,
     AttemptFailedError,
     EndpointLimit,
     RequestNotRunError,
@@ -65,6 +66,7 @@
         self.headers = [(b"x-server", b"1")]
         self.ends_with_connection = False
         self.limit = NO_LIMIT
+        self.load = NO_LOAD
         self.is_leaving = False
         self._parts = parts
 
--- a/tests/test_serving_partcrashes.py
+++ b/tests/test_serving_partcrashes.py
@@ -28,6 +28,7 @@
 from apricotquay.serving.crashes.promptparts import PartsAtCrash, part_key
 from apricotquay.serving.engine import (
     NO_LIMIT,
+    NO_LOAD,
     AttemptFailedError,
     EngineCall,
     RequestNotRunError,
@@ -105,6 +106,7 @@
         self.headers = []
         self.ends_with_connection = ends_with_connection
         self.limit = NO_LIMIT
+        self.load = NO_LOAD
         self.is_leaving = False
 
     async def body(self):
--- a/tests/test_serving_relayclient.py
+++ b/tests/test_serving_relayclient.py
@@ -5,19 +5,29 @@
 from parameterized import parameterized
 
 from apricotquay.serving.endpoints import Endpoint
-from apricotquay.serving.engine import AttemptFailedError, EngineCall
+from apricotquay.serving.engine import (
+    NO_LOAD,
+    AttemptFailedError,
+    EndpointLoad,
+    EngineCall,
+    RequestNotRunError,
+)
 from apricotquay.serving.fleet.relayclient import RelayClient
+from apricotquay.serving.fleet.relayserver import _not_run_failure
 from apricotquay.serving.messages import (
     RelayedData,
     RelayedEnd,
     RelayedFailure,
     RelayedHead,
+    decode_frame,
+    encode_frame,
 )
 
 from .base import ApricotTest
 from .test_serving_relayserver import RecordingConnection, settle
 
 ENDPOINT = Endpoint("i-1", "llm", "127.0.0.1", 1)
+LOAD = EndpointLoad(8, 1, 8, 250.0)
 CALL = EngineCall("a", "POST", "/s/1", [], b"", None, 5000)
 
 
@@ -106,6 +116,34 @@
 
         self.run_scenario(scenario)
 
+    @parameterized.expand([("stated", LOAD, LOAD), ("earlier release", None, NO_LOAD)])
+    def test_load_of_a_relayed_answer_is_not_lost(self, _name, told, expected):
+        """A relay of the previous release leaves it out."""
+
+        async def scenario(client, connection, number, sending):
+            head = RelayedHead(number, 200, [], False, None, "", False, told)
+            client.handle_message(connection, decode_frame(encode_frame(0, head))[1])
+            response = await sending
+            self.assertEqual(expected, response.load)
+            response.close()
+
+        self.run_scenario(scenario)
+
+    def test_load_of_a_relayed_refusal_is_not_lost(self):
+        """The endpoint is full; it must not count as failed."""
+
+        async def scenario(client, connection, number, sending):
+            error = RequestNotRunError("full", load=LOAD, is_refusal=True)
+            failure = _not_run_failure(number, error)
+            client.handle_message(connection, decode_frame(encode_frame(0, failure))[1])
+            with self.assertRaises(RequestNotRunError) as caught:
+                await sending
+            self.assertEqual(LOAD, caught.exception.load)
+            self.assertTrue(caught.exception.is_refusal)
+            self.assertFalse(caught.exception.is_failure)
+
+        self.run_scenario(scenario)
+
     def test_messages_after_the_end_are_ignored(self):
         """The next attempt has a number of its own."""
 
--- a/tests/test_serving_relayserver.py
+++ b/tests/test_serving_relayserver.py
@@ -4,7 +4,7 @@
 
 from apricotquay.clocks import SystemClock
 from apricotquay.serving.endpoints import Endpoint
-from apricotquay.serving.engine import NO_LIMIT
+from apricotquay.serving.engine import NO_LIMIT, NO_LOAD
 from apricotquay.serving.fleet.relayclient import WINDOW_BYTES
 from apricotquay.serving.fleet.relayserver import MAX_CHUNK_BYTES, RelayServer
 from apricotquay.serving.messages import (
@@ -33,6 +33,7 @@
     headers: list = []
     ends_with_connection = False
     limit = NO_LIMIT
+    load = NO_LOAD
     is_leaving = False
 
     def __init__(self) -> None:
--- a/tests/test_serving_slotleases.py
+++ b/tests/test_serving_slotleases.py
@@ -10,18 +10,23 @@
 from apricotquay.ids import EndpointId, TeamId
 from apricotquay.serving.batch.itemattempts import MAX_SLOT_WAIT_S
 from apricotquay.serving.catalog import ServiceName
+from apricotquay.serving.engine import EndpointLoad
 from apricotquay.serving.fleet import peers as peers_module
 from apricotquay.serving.messages import (
     AskSlot,
     HeldSlot,
+    ReleaseSlot,
     SlotQueued,
     TicketList,
+    decode_frame,
     encode_frame,
 )
 from apricotquay.serving.slots import allocator as slots_module, slotleases
 from apricotquay.serving.slots.dispatch import Dispatcher
+from apricotquay.serving.slots.outliers import SlotOutcome
 from apricotquay.serving.slots.slotleases import LEASE_S, MAX_STEP_S, PeerLeases
 from apricotquay.serving.slots.slotrequests import SlotLease, SlotRequest
+from apricotquay.serving.slots.slotuse import UseReport
 from apricotquay.serving.slots.tickets import Ticket, TicketId, Work
 
 from .base import ApricotTest
@@ -300,6 +305,33 @@
         for name in fields:
             self.assertEqual(getattr(plain, name), getattr(known, name))
 
+    def test_what_a_slot_showed_is_left_out_or_ignored_by_the_previous_release(self):
+        """A release that is not read would leak a slot for a second."""
+        plain = ReleaseSlot(SERVICE, "t", SlotOutcome.SUCCEEDED)
+        frame = cbor2.loads(encode_frame(0, plain))
+        self.assertEqual(["type", "service", "ticket", "use"], list(frame[1]))
+        report = UseReport(5, 80, 12_000, 40, EndpointLoad(8, 1, 8, 250.0), 700)
+        encoded = encode_frame(
+            0, ReleaseSlot(SERVICE, "t", SlotOutcome.SUCCEEDED, report)
+        )
+        known = msgspec.convert(cbor2.loads(encoded)[1], PreviousReleaseSlot)
+        self.assertEqual(("t", SlotOutcome.SUCCEEDED), (known.ticket, known.use))
+        self.assertEqual(report, decode_frame(encoded)[1].shown)
+
+    def test_release_of_the_previous_release_is_read(self):
+        """It names the outcome always and what the slot showed never."""
+        value = msgspec.to_builtins(PreviousReleaseSlot(SERVICE, "t"))
+        _, message = decode_frame(cbor2.dumps([0, value]))
+        self.assertEqual(ReleaseSlot(SERVICE, "t"), message)
+
+
+class PreviousReleaseSlot(msgspec.Struct, frozen=True, tag="release_slot"):
+    """The message as the release before speeds and loads defines it."""
+
+    service: ServiceName
+    ticket: str
+    use: SlotOutcome = SlotOutcome.UNKNOWN
+
 
 class PreviousHeldSlot(msgspec.Struct, frozen=True, tag="held_slot"):
     """The message as the release before teams and tokens defines it."""
--- /dev/null
+++ b/tests/test_serving_speeds.py
@@ -0,0 +1,392 @@
+"""Estimates of endpoints' speeds, and the choice by them, in virtual time."""
+
+import random
+
+from parameterized import parameterized
+
+from apricotquay.ids import EndpointId
+from apricotquay.serving.engine import NO_LOAD, EndpointLoad
+from apricotquay.serving.slots.dispatch import Dispatcher
+from apricotquay.serving.slots.endpointslots import EndpointProfile, EndpointSlots
+from apricotquay.serving.slots.slotuse import SlotUse, UseReport
+from apricotquay.serving.slots.speeds import (
+    REMEMBERED_S,
+    SLOWNESS_MAX,
+    ServiceSpeeds,
+)
+from apricotquay.serving.slots.statedload import MAX_HOLD_S
+from apricotquay.serving.slots.tickets import Granted, Ticket, TicketId, Work
+
+from .base import ApricotTest
+
+ENDPOINTS = [EndpointId(f"e{n}") for n in range(9)]
+SLOW = ENDPOINTS[0]
+GAP_US = 10_000
+SLOTS = 8
+FULL = EndpointLoad(SLOTS, 0, SLOTS)
+
+
+def report(factor: float = 1.0, **fields) -> UseReport:
+    """Return the report of an attempt that took so many times the usual."""
+    values = {"first_event_ms": int(60 * factor), "gap_us": int(GAP_US * factor)}
+    return UseReport(**(values | {"events": 40} | fields))
+
+
+def feed(speeds: ServiceSpeeds, now_s: float, slow_factor: float = 1.0) -> None:
+    """Record one attempt at each endpoint."""
+    for endpoint in ENDPOINTS:
+        factor = slow_factor if endpoint == SLOW else 1.0
+        speeds.record(endpoint, report(factor), now_s)
+
+
+def online(name: str, now_s: float = 0.0, **fields) -> Ticket:
+    """Return an online ticket."""
+    return Ticket(TicketId(name), Work.ONLINE, now_s + 9, now_s + 9, **fields)
+
+
+class SlotUseTest(ApricotTest):
+    """What an attempt shows."""
+
+    def test_times_and_events_of_an_attempt_are_reported(self):
+        """Events that arrive together have one time."""
+        use = SlotUse()
+        use.record_send(5, 10.0)
+        use.record_load(EndpointLoad(3, 1, 8, 250.0), 10.05)
+        for at_s, count in ((10.1, 2), (10.2, 1), (10.4, 3)):
+            use.record_events(count, at_s)
+        shown = use.report(10.5)
+        self.assertEqual((5, 6, 450), (shown.started_ms, shown.events, 450))
+        self.assertAlmostEqual(100, shown.first_event_ms, delta=1)
+        self.assertAlmostEqual(75_000, shown.gap_us, delta=1)
+        self.assertAlmostEqual(450, shown.load_age_ms, delta=1)
+        self.assertFalse(shown.was_refused)
+
+    def test_attempt_that_shows_nothing_is_not_reported(self):
+        """The message to the owner stays as it was."""
+        use = SlotUse()
+        self.assertIsNone(use.report(1.0))
+        use.record_send(5, 1.0)
+        use.record_load(NO_LOAD, 1.1)
+        use.record_load(EndpointLoad(malformed="x"), 1.1)
+        self.assertIsNone(use.report(1.2))
+
+    @parameterized.expand([("stated", FULL, True), ("no header", NO_LOAD, False)])
+    def test_refusal_counts_where_endpoints_state_their_load(self, _name, load, known):
+        """Others are served as by the previous release."""
+        use = SlotUse()
+        use.record_send(5, 1.0)
+        use.record_load(load, 1.1, is_refusal=True)
+        shown = use.report(1.1)
+        self.assertEqual(known, shown is not None and shown.was_refused)
+
+
+class ServiceSpeedsTest(ApricotTest):
+    """Slowness of nine endpoints of a service."""
+
+    @parameterized.expand([(0.55,), (1.8,), (2.5,)])
+    def test_change_is_followed_within_two_seconds_and_back(self, factor):
+        """With two attempts a second at each endpoint."""
+        speeds = ServiceSpeeds()
+        for step in range(20):
+            feed(speeds, step / 2)
+        self.assertEqual({}, speeds.slowness)
+        for step in range(20, 24):
+            feed(speeds, step / 2, factor)
+        self.assertEqual([SLOW], list(speeds.slowness))
+        self.assertAlmostEqual(factor, speeds.slowness[SLOW], delta=0.2 * factor)
+        for step in range(24, 29):
+            feed(speeds, step / 2)
+        self.assertEqual({}, speeds.slowness)
+
+    @parameterized.expand([("first", 0), ("third", 3), ("after many", 20)])
+    def test_single_outlier_changes_nothing(self, _name, before):
+        """One attempt that hung says little of the endpoint."""
+        speeds = ServiceSpeeds()
+        for step in range(before):
+            feed(speeds, step * 0.3)
+        feed(speeds, before * 0.3, 50.0)
+        self.assertEqual({}, speeds.slowness)
+
+    def test_old_samples_lapse(self):
+        """An endpoint that got no work for long is tried as usual."""
+        speeds = ServiceSpeeds()
+        for step in range(8):
+            feed(speeds, step * 0.3, 2.5)
+        speeds.refresh(REMEMBERED_S / 2)
+        self.assertEqual([SLOW], list(speeds.slowness))
+        speeds.refresh(2.1 + REMEMBERED_S + 0.1)
+        self.assertEqual({}, speeds.slowness)
+
+    @parameterized.expand([(seed,) for seed in range(5)])
+    def test_equal_endpoints_with_jitter_are_as_usual(self, seed):
+        """Else the choice would change where nothing calls for it."""
+        rng = random.Random(seed)
+        speeds = ServiceSpeeds()
+        for step in range(100):
+            for endpoint in ENDPOINTS:
+                factor = rng.uniform(0.9, 1.1)
+                speeds.record(endpoint, report(factor), step * 0.2)
+            speeds.refresh(step * 0.2)
+            self.assertEqual({}, speeds.slowness)
+
+    def test_stated_time_counts_for_attempts_without_events(self):
+        """An answer that is not a stream has no other measure."""
+        speeds = ServiceSpeeds()
+        shown = UseReport(load=EndpointLoad(1, 0, 8, 250.0))
+        for step in range(3):
+            speeds.record(SLOW, shown, step * 0.3)
+        self.assertEqual({SLOW: 2.5}, speeds.slowness)
+
+    @parameterized.expand(
+        [
+            ("negative gap", {"gap_us": -5, "first_event_ms": -5}),
+            ("endless gap", {"gap_us": 10**15, "first_event_ms": 10**15}),
+            ("no events", {"events": 0, "gap_us": 10**7}),
+            ("negative events", {"events": -3}),
+        ]
+    )
+    def test_absurd_report_is_no_sample(self, _name, fields):
+        """A peer's message may hold anything."""
+        speeds = ServiceSpeeds()
+        for step in range(5):
+            self.assertFalse(speeds.record(SLOW, report(**fields), step * 0.1))
+        self.assertEqual({}, speeds.slowness)
+
+    def test_slowness_is_bounded(self):
+        """An endpoint that is a thousand times slower must still be tried."""
+        speeds = ServiceSpeeds()
+        for step in range(8):
+            feed(speeds, step * 0.3, 900.0)
+        self.assertEqual({SLOW: SLOWNESS_MAX}, speeds.slowness)
+
+
+class ChoiceTest(ApricotTest):
+    """Which endpoint a ticket gets, and what else follows from speeds."""
+
+    def table(self, slow_factor: float = 1.0, zones: str = "") -> Dispatcher:
+        """Return a table that has learnt that one endpoint is slower."""
+        table = Dispatcher(seed=1)
+        profiles = {
+            e: EndpointProfile(zone=zones[n % len(zones)] if zones else "")
+            for n, e in enumerate(ENDPOINTS)
+        }
+        counts = dict.fromkeys(ENDPOINTS, SLOTS)
+        table.set_endpoints(counts, 0.0, profiles=profiles)
+        if slow_factor != 1.0:
+            for step in range(8):
+                for endpoint in ENDPOINTS:
+                    factor = slow_factor if endpoint == SLOW else 1.0
+                    table.record_use(endpoint, report(factor), step * 0.2)
+        return table
+
+    def fill(self, table: Dispatcher, count: int, now_s: float = 1.5, **fields) -> None:
+        """Request so many slots."""
+        for number in range(count):
+            table.request_slot(online(f"t{number}", now_s, **fields), now_s)
+
+    @parameterized.expand([(0.55, 36, 7), (2.0, 34, 2), (2.5, 42, 2)])
+    def test_endpoints_get_work_in_proportion_to_their_speed(
+        self, factor, count, expected
+    ):
+        """The free share of slots would give each the same."""
+        table = self.table(factor)
+        self.fill(table, count)
+        self.assertAlmostEqual(expected, table.running_at(SLOW), delta=1)
+        others = [table.running_at(e) for e in ENDPOINTS[1:]]
+        self.assertLessEqual(max(others) - min(others), 1)
+
+    def test_slow_endpoint_gets_all_its_slots_when_work_waits(self):
+        """No slot idles while a request waits, and none gets more than it has."""
+        table = self.table(2.5)
+        self.fill(table, SLOTS * len(ENDPOINTS) + 3)
+        self.assertEqual(
+            {SLOTS}, {table.running_at(endpoint) for endpoint in ENDPOINTS}
+        )
+
+    @parameterized.expand([("one table", False), ("daemon alone", True)])
+    def test_choice_without_differences_is_that_of_before(self, _name, is_alone):
+        """The same draws of the same random source, request by request."""
+        plain, learnt = self.table(), self.table()
+        learnt.set_alone(is_alone=is_alone)
+        for number in range(60):
+            for endpoint in ENDPOINTS:
+                learnt.record_use(endpoint, report(), number * 0.1)
+            ticket = online(f"t{number}", number * 0.1)
+            self.assertEqual(
+                plain.request_slot(ticket, number * 0.1),
+                learnt.request_slot(ticket, number * 0.1),
+            )
+
+    def test_samples_of_another_start_are_not_heeded(self):
+        """The machine may be another."""
+        table = self.table(2.5)
+        self.assertEqual([SLOW], list(table.slowness))
+        counts = dict.fromkeys(ENDPOINTS, SLOTS)
+        table.set_endpoints(counts, 2.0, profiles={SLOW: EndpointProfile(started_ms=7)})
+        self.assertEqual({}, dict(table.slowness))
+        for step in range(5):
+            table.record_use(SLOW, report(2.5), 2.0 + step * 0.1)
+        self.assertEqual({}, dict(table.slowness))
+
+    def test_throughput_follows_the_speed(self):
+        """Expected waits and times to retry after would be wrong otherwise."""
+        slots = EndpointSlots(SLOW, SLOTS)
+        usual_per_s = slots.throughput_per_s(0.8, 0.0)
+        slots.slowness = 2.5
+        self.assertAlmostEqual(usual_per_s / 2.5, slots.throughput_per_s(0.8, 0.0))
+
+    def test_throughput_counts_slow_endpoints_once(self):
+        """The measured service time includes their slowness."""
+        table = Dispatcher(seed=1)
+        table.set_endpoints({SLOW: 4, ENDPOINTS[1]: 4}, 0.0)
+        for step in range(9):
+            table.record_use(SLOW, report(2.0), step * 0.1)
+            table.record_use(ENDPOINTS[1], report(1.0), step * 0.1)
+        ratio = table.slowness[SLOW] / table.slowness.get(ENDPOINTS[1], 1.0)
+        self.assertAlmostEqual(2.0, ratio, delta=0.1)
+        now_s = 1.0
+        for number in range(400):
+            ticket = online(f"t{number}", now_s)
+            granted = table.request_slot(ticket, now_s)[0]
+            held_s = 1.2 if granted.endpoint == SLOW else 0.6
+            now_s += 0.001
+            table.release(ticket.id, now_s + held_s)
+        throughput_per_s = table._waits.throughput_per_s(table._slots.values(), now_s)
+        self.assertAlmostEqual(4 / 1.2 + 4 / 0.6, throughput_per_s, delta=0.7)
+
+    def test_own_zone_goes_first_among_equals_only(self):
+        """Further away as soon as that costs the client time."""
+        table = self.table(zones="abc")
+        own = {e for n, e in enumerate(ENDPOINTS) if n % 3 == 1}
+        self.fill(table, len(own), zone="b")
+        self.assertEqual({1}, {table.running_at(e) for e in own})
+        self.fill(table, len(ENDPOINTS), zone="b")
+        self.assertEqual({1}, {table.running_at(e) for e in ENDPOINTS})
+
+    @parameterized.expand([("one zone", "b"), ("none", "")])
+    def test_zone_changes_nothing_where_endpoints_name_one_or_none(self, _name, zones):
+        """The same draws of the same random source."""
+        plain, zoned = self.table(zones=zones), self.table(zones=zones)
+        for number in range(40):
+            first = plain.request_slot(online(f"t{number}"), 0.0)
+            second = zoned.request_slot(online(f"t{number}", zone="b"), 0.0)
+            self.assertEqual(first, second)
+
+    def test_faster_endpoint_elsewhere_goes_before_a_slow_one_in_the_zone(self):
+        """A zone is no reason to wait."""
+        table = self.table(2.5, zones="abcdefghi")
+        decisions = table.request_slot(online("t", 1.5, zone="a"), 1.5)
+        self.assertIsInstance(decisions[0], Granted)
+        self.assertNotEqual(SLOW, decisions[0].endpoint)
+
+
+class FullEndpointTest(ApricotTest):
+    """An endpoint that refuses or states that it is full."""
+
+    def table(self) -> Dispatcher:
+        """Return a table of two endpoints."""
+        table = Dispatcher(seed=1)
+        table.set_endpoints(dict.fromkeys(ENDPOINTS[:2], SLOTS), 0.0)
+        return table
+
+    def refuse(self, table: Dispatcher, name: str, now_s: float) -> EndpointId:
+        """Request a slot where the endpoint refuses; return the endpoint."""
+        endpoint = table.request_slot(online(name, now_s), now_s)[0].endpoint
+        shown = UseReport(load=FULL, was_refused=True)
+        self.assertTrue(table.record_use(endpoint, shown, now_s))
+        table.release(TicketId(name), now_s)
+        return endpoint
+
+    def test_endpoint_that_refused_is_left_out_for_a_moment(self):
+        """The table counts all its slots as free."""
+        table = self.table()
+        refused = self.refuse(table, "r", 0.0)
+        for number in range(4):
+            granted = table.request_slot(online(f"t{number}"), 0.01)[0]
+            self.assertNotEqual(refused, granted.endpoint)
+        later = [table.request_slot(online(f"u{n}"), 0.6)[0] for n in range(4)]
+        self.assertIn(refused, {d.endpoint for d in later})
+
+    def test_hold_grows_with_refusals_in_a_row_and_stays_bounded(self):
+        """Runs of a killed daemon go on for some hundred milliseconds."""
+        slots = EndpointSlots(SLOW, SLOTS)
+        holds_s = []
+        for number in range(12):
+            now_s = number * 10.0
+            slots.record_load(FULL, 0.09, now_s, now_s, is_refusal=True)
+            holds_s.append(slots.load.held_until_s - now_s)
+        self.assertEqual(sorted(holds_s), holds_s)
+        self.assertLess(holds_s[0], 0.1)
+        self.assertAlmostEqual(MAX_HOLD_S, holds_s[-1])
+        slots.record_load(EndpointLoad(1, 0, 8), 0.09, 500.0, 500.0, is_refusal=False)
+        slots.record_load(FULL, 0.09, 501.0, 501.0, is_refusal=True)
+        self.assertLess(slots.load.held_until_s - 501.0, 0.1)
+
+    def test_request_that_waits_gets_the_slot_when_the_hold_ends(self):
+        """Nobody else would wake the table."""
+        table = Dispatcher(seed=1)
+        table.set_endpoints({SLOW: SLOTS}, 0.0)
+        self.refuse(table, "r", 0.0)
+        self.assertEqual([], table.request_slot(online("t"), 0.01))
+        self.assertEqual([], table.tick(0.02))
+        self.assertEqual([Granted(TicketId("t"), SLOW)], table.tick(MAX_HOLD_S + 0.01))
+
+    def test_full_load_that_the_table_knows_leaves_nothing_out(self):
+        """The next release makes room, which the table sees first."""
+        table = self.table()
+        for number in range(2 * SLOTS):
+            table.request_slot(online(f"t{number}"), 0.0)
+        self.assertFalse(table.record_use(SLOW, UseReport(load=FULL), 0.1))
+        self.assertFalse(
+            table.record_use(SLOW, UseReport(load=FULL, load_age_ms=-5), 0.2)
+        )
+
+    def test_full_load_of_others_leaves_the_endpoint_out(self):
+        """Another daemon's table has granted the slots."""
+        table = self.table()
+        table.request_slot(online("t"), 0.0)
+        self.assertTrue(table.record_use(SLOW, UseReport(load=FULL), 0.1))
+
+    def test_old_statement_leaves_nothing_out(self):
+        """A stream's head is as old as the stream when its slot is released."""
+        table = self.table()
+        shown = UseReport(load=FULL, load_age_ms=700)
+        self.assertFalse(table.record_use(SLOW, shown, 1.0))
+
+
+class AloneTest(ApricotTest):
+    """Many daemons that choose at the same moment, each with its own table."""
+
+    DAEMONS = 40
+
+    def choose_all(self, stated: dict[EndpointId, int]) -> dict[EndpointId, int]:
+        """Let each daemon choose once after each has heard the same loads."""
+        chosen = dict.fromkeys(ENDPOINTS, 0)
+        for number in range(self.DAEMONS):
+            table = Dispatcher(seed=number)
+            table.set_endpoints(dict.fromkeys(ENDPOINTS, SLOTS), 0.0)
+            table.set_alone(is_alone=True)
+            for endpoint, running in stated.items():
+                load = EndpointLoad(running, 0, SLOTS)
+                table.record_use(endpoint, UseReport(load=load), 1.0)
+            granted = table.request_slot(online("t", 1.1), 1.1)[0]
+            chosen[granted.endpoint] += 1
+        return chosen
+
+    def test_daemons_do_not_all_choose_the_emptiest(self):
+        """It would be full before any of them knows."""
+        stated = dict.fromkeys(ENDPOINTS, 4) | {SLOW: 0}
+        chosen = self.choose_all(stated)
+        self.assertLess(chosen[SLOW], self.DAEMONS / 2)
+        self.assertGreater(chosen[SLOW], self.DAEMONS / len(ENDPOINTS))
+
+    def test_fuller_endpoints_are_chosen_less(self):
+        """Half of the endpoints are nearly full."""
+        full = dict.fromkeys(ENDPOINTS[:4], 7)
+        chosen = self.choose_all(dict.fromkeys(ENDPOINTS, 2) | full)
+        self.assertLess(sum(chosen[e] for e in full), self.DAEMONS * 0.15)
+
+    def test_endpoint_not_heard_of_counts_as_average(self):
+        """Else all would choose it."""
+        stated = dict.fromkeys(ENDPOINTS[1:], 4)
+        self.assertLess(self.choose_all(stated)[SLOW], self.DAEMONS / 3)
