--- a/apricotquay/serving/online/attempts.py
+++ b/apricotquay/serving/online/attempts.py
@@ -120,8 +120,10 @@
                 call, endpoint, response_timeout_s, consume, handover, on_limit, use
             )
             was_abandoned = False
+            use.record_end()
         except RequestNotRunError as exc:
             was_abandoned = False
+            use.record_end()
             if exc.limit != NO_LIMIT:
                 on_limit(exc.limit)
             self._record_load(endpoint, exc.load, use, is_refusal=exc.is_refusal)
--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -183,7 +183,7 @@
 
     def _record_use(self, lease: SlotLease) -> None:
         """Record a load that was stated now, for choices without an owner."""
-        shown = lease.use.report(self._clock.now_s())
+        shown = lease.use.report(self._clock.now_s(), is_released=False)
         self.tables.record_use(lease.service, lease.endpoint, shown)
 
     def record_limit(self, lease: SlotLease, limit: EndpointLimit) -> None:
--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -22,7 +22,7 @@
 from .sendlimits import SendLimit
 from .slotuse import MS_PER_S, UseReport
 from .speeds import USUAL, ServiceSpeeds
-from .statedload import StatedLoad
+from .statedload import LINGER_S, StatedLoad
 from .tickets import (
     Decision,
     Granted,
@@ -127,6 +127,8 @@
             self._apply_slowness(slots)
         if self._speeds.refreshes != refreshes:
             self._apply_all_slowness()
+        if report.was_abandoned:
+            self.record_abandoned(endpoint, now_s)
         load = report.load
         if load is None or not 0 < load.slots:
             return False
@@ -139,6 +141,12 @@
             is_refusal=report.was_refused,
         )
 
+    def record_abandoned(self, endpoint: EndpointId, now_s: float) -> None:
+        """Record that an endpoint may run a request on whose slot is released."""
+        slots = self._slots.get(endpoint)
+        if slots is not None and slots.load.record_abandoned(now_s):
+            self._placement.lingering_until_s = now_s + LINGER_S
+
     def _refresh_speeds(self, now_s: float) -> None:
         if self._speeds.refresh(now_s):
             self._apply_all_slowness()
--- a/apricotquay/serving/slots/placement.py
+++ b/apricotquay/serving/slots/placement.py
@@ -28,7 +28,8 @@
     Used by `Dispatcher`. `can_revoke` tells at a time in seconds whether a batch item
     can be revoked in favour of an online request. `is_uneven` is set while endpoints
     differ in speed, `is_alone` while other tables grant slots of the same endpoints,
-    and `has_loads` once an endpoint has stated its load.
+    and `has_loads` once an endpoint has stated its load. Until `lingering_until_s` an
+    endpoint may run a request that was abandoned.
     """
 
     def __init__(self, seed: int, can_revoke: Callable[[float], bool]) -> None:
@@ -38,6 +39,7 @@
         self.is_uneven: bool = False
         self.is_alone: bool = False
         self.has_loads: bool = False
+        self.lingering_until_s: float = float("-inf")
 
     def choose(
         self, ticket: Ticket, available: Sequence[EndpointSlots], now_s: float
@@ -65,10 +67,10 @@
         """Return the endpoints that are as good as equal and better than the others."""
         if self.is_alone and (self.is_uneven or self.has_loads):
             return self._best_of_sample(usable, now_s)
-        if not self.is_uneven:
+        if not self.is_uneven and now_s >= self.lingering_until_s:
             highest_share = max(s.free / s.count for s in usable)
             return [s for s in usable if s.free / s.count == highest_share]
-        costs = [s.cost() for s in usable]
+        costs = [s.cost(now_s) for s in usable]
         limit = min(costs) + EQUAL_COST
         return [s for s, cost in zip(usable, costs, strict=True) if cost <= limit]
 
@@ -81,7 +83,7 @@
         mean_others = statistics.fmean(s.load.others_now(0.0, now_s) for s in usable)
         count = max(MIN_SAMPLED, round(SAMPLED_SHARE * len(usable)))
         sampled = self._random.sample(usable, min(count, len(usable)))
-        costs = [s.cost(s.load.others_now(mean_others, now_s)) for s in sampled]
+        costs = [s.cost(now_s, s.load.others_now(mean_others, now_s)) for s in sampled]
         limit = min(costs) + EQUAL_COST
         return [s for s, cost in zip(sampled, costs, strict=True) if cost <= limit]
 
--- a/apricotquay/serving/slots/slotowner.py
+++ b/apricotquay/serving/slots/slotowner.py
@@ -415,8 +415,16 @@
     def _release_tickets_of(self, connection: PeerConnection) -> None:
         self._peer_leases.end(connection)
         for ticket_id in self._tickets_of_connection.pop(connection, set()):
+            self._record_lost(ticket_id)
             self._release_peer_ticket(ticket_id)
 
+    def _record_lost(self, ticket_id: TicketId) -> None:
+        """Record that the holder of a slot is gone; its run may go on for a moment."""
+        table = self.table(self._peer_tickets[ticket_id].service)
+        endpoint_id = table.endpoint_of(ticket_id)
+        if endpoint_id is not None:
+            table.record_abandoned(endpoint_id, self._clock.now_s())
+
     def _release_peer_ticket(self, ticket_id: TicketId) -> None:
         peer = self._remove_peer_ticket(ticket_id)
         if peer is not None:
--- a/apricotquay/serving/slots/slotuse.py
+++ b/apricotquay/serving/slots/slotuse.py
@@ -15,7 +15,8 @@
 
     `started_ms` names the endpoint's start, `gap_us` is the mean time between events,
     `load` the endpoint's statement of `load_age_ms` ago. `was_refused` means that the
-    endpoint answered that it does not run the request.
+    endpoint answered that it does not run the request, `was_abandoned` that it may
+    still run it.
     """
 
     started_ms: int = 0
@@ -25,11 +26,13 @@
     load: EndpointLoad | None = None
     load_age_ms: int = 0
     was_refused: bool = False
+    was_abandoned: bool = False
 
     @property
     def is_empty(self) -> bool:
         """Whether the attempt showed nothing."""
-        return not (self.first_event_ms or self.load or self.was_refused)
+        has_shown = self.first_event_ms or self.load or self.was_refused
+        return not (has_shown or self.was_abandoned)
 
 
 class SlotUse:
@@ -45,6 +48,7 @@
         self._load: EndpointLoad | None = None
         self._load_s: float = 0.0
         self._was_refused: bool = False
+        self._is_over: bool = True
         self._first_event_s: float | None = None
         self._last_event_s: float = 0.0
         # Events that arrived together at first, which no gap lies before.
@@ -55,6 +59,11 @@
         """Record that the request is sent to a start of the endpoint."""
         self._sent_s = now_s
         self._started_ms = started_ms
+        self._is_over = False
+
+    def record_end(self) -> None:
+        """Record that the endpoint does not run the request, or no longer."""
+        self._is_over = True
 
     def record_load(
         self, load: EndpointLoad, now_s: float, *, is_refusal: bool = False
@@ -75,7 +84,7 @@
         self._events += count
         self._last_event_s = now_s
 
-    def report(self, now_s: float) -> UseReport | None:
+    def report(self, now_s: float, *, is_released: bool = True) -> UseReport | None:
         """Return what the attempt has shown so far, None if nothing."""
         if self._sent_s is None:
             return None
@@ -92,6 +101,7 @@
             self._load,
             int((now_s - self._load_s) * MS_PER_S) if self._load else 0,
             self._was_refused,
+            is_released and not self._is_over,
         )
         return None if report.is_empty else report
 
--- a/apricotquay/serving/slots/statedload.py
+++ b/apricotquay/serving/slots/statedload.py
@@ -4,6 +4,7 @@
 and of runs that a slot table does not know of.
 """
 
+import collections
 import math
 
 from ..engine import NO_LOAD, EndpointLoad
@@ -13,6 +14,9 @@
 FORGET_S = 3.0
 # A statement that is told again has an age in whole milliseconds.
 SAME_S = 0.002
+# How long an endpoint may run a request whose connection was closed.
+LINGER_S = 0.3
+MAX_LINGERING = 64
 MIN_HOLD_S = 0.02
 MAX_HOLD_S = 0.5
 
@@ -28,6 +32,10 @@
         self.at_s: float = float("-inf")
         self.held_until_s: float = float("-inf")
         self._refusals: int = 0
+        # When each run that was abandoned has certainly ended.
+        self._lingering_s: collections.deque[float] = collections.deque(
+            maxlen=MAX_LINGERING
+        )
 
     def record(self, load: EndpointLoad, known: int, at_s: float, now_s: float) -> None:
         """Record a statement of `at_s` while the table knew of `known` runs."""
@@ -59,6 +67,21 @@
         """Record that the endpoint has run a request."""
         self._refusals = 0
 
+    def record_abandoned(self, now_s: float) -> bool:
+        """Record that a run was abandoned, which may hold its slot a little longer;
+        return whether this counts: only at an endpoint that states its load.
+        """
+        if self.at_s == float("-inf"):
+            return False
+        self._lingering_s.append(now_s + LINGER_S)
+        return True
+
+    def lingering(self, now_s: float) -> int:
+        """Return how many abandoned runs may still hold slots."""
+        while self._lingering_s and self._lingering_s[0] <= now_s:
+            self._lingering_s.popleft()
+        return len(self._lingering_s)
+
     def others_now(self, mean: float, now_s: float) -> float:
         """Estimate the runs of others now: what was stated fades to the `mean`."""
         age_s = now_s - self.at_s
--- a/tests/test_serving_speeds.py
+++ b/tests/test_serving_speeds.py
@@ -54,6 +54,10 @@
         use.record_load(EndpointLoad(3, 1, 8, 250.0), 10.05)
         for at_s, count in ((10.1, 2), (10.2, 1), (10.4, 3)):
             use.record_events(count, at_s)
+        self.assertTrue(use.report(10.5).was_abandoned)
+        self.assertFalse(use.report(10.5, is_released=False).was_abandoned)
+        use.record_end()
+        self.assertFalse(use.report(10.5).was_abandoned)
         shown = use.report(10.5)
         self.assertEqual((5, 6, 450), (shown.started_ms, shown.events, 450))
         self.assertAlmostEqual(100, shown.first_event_ms, delta=1)
@@ -68,6 +72,7 @@
         use.record_send(5, 1.0)
         use.record_load(NO_LOAD, 1.1)
         use.record_load(EndpointLoad(malformed="x"), 1.1)
+        use.record_end()
         self.assertIsNone(use.report(1.2))
 
     @parameterized.expand([("stated", FULL, True), ("no header", NO_LOAD, False)])
@@ -345,6 +350,26 @@
         table.request_slot(online("t"), 0.0)
         self.assertTrue(table.record_use(SLOW, UseReport(load=FULL), 0.1))
 
+    @parameterized.expand([("stated", True), ("never stated", False)])
+    def test_abandoned_run_counts_for_a_moment_where_loads_are_stated(
+        self, _name, states
+    ):
+        """The endpoint runs it until it notices the closed connection."""
+        table = self.table()
+        for endpoint in ENDPOINTS[:2] if states else ():
+            table.record_use(endpoint, UseReport(load=EndpointLoad(1, 0, 8)), 0.0)
+        for number in range(4):
+            table.request_slot(online(f"t{number}"), 0.0)
+        leaver = table.endpoint_of(TicketId("t0"))
+        table.record_use(leaver, UseReport(was_abandoned=True), 0.1)
+        table.release(TicketId("t0"), 0.1)
+        granted = {table.request_slot(online(f"n{n}"), 0.11)[0].endpoint for n in "a"}
+        self.assertEqual(not states, granted == {leaver})
+        # It counts no longer, and it never keeps a slot from a request that waits.
+        for number in range(2 * SLOTS - 4):
+            table.request_slot(online(f"w{number}"), 0.12)
+        self.assertEqual(SLOTS, table.running_at(leaver))
+
     def test_old_statement_leaves_nothing_out(self):
         """A stream's head is as old as the stream when its slot is released."""
         table = self.table()
