--- a/apricotquay/serving/slots/endpointslots.py
+++ b/apricotquay/serving/slots/endpointslots.py
@@ -106,14 +106,19 @@
             return by_slots
         return min(by_slots, self.limit.granted_per_s(now_s))
 
-    def cost(self, now_s: float, others: float = 0.0) -> float:
+    def cost(
+        self,
+        now_s: float,
+        others: float = 0.0,
+        slowness_weight: float = SLOWNESS_WEIGHT,
+    ) -> float:
         """Return what another request would cost here, by which endpoints are compared:
         its expected time, and the load with abandoned runs and with runs of `others`
         that this table does not know of.
         """
         others += self.load.lingering(now_s)
         load = (len(self.running) + others) / self.count
-        return load + SLOWNESS_WEIGHT * self.slowness
+        return load + slowness_weight * self.slowness
 
     def record_load(
         self,
--- a/apricotquay/serving/slots/placement.py
+++ b/apricotquay/serving/slots/placement.py
@@ -15,11 +15,14 @@
 MAX_PREFIXES = 10_000
 # Costs that differ by less are as good as equal: a quarter of one of eight slots.
 EQUAL_COST = 0.03
-# A daemon that chooses alone takes the best of a third of the endpoints. If all took
-# the best of all, many would take the same one; the best of two or three leaves out
-# most of what a daemon knows of its own requests.
-SAMPLED_SHARE = 1 / 3
+# A daemon that chooses alone takes the best of half of the endpoints. If all took the
+# best of all, all might take the same one; the best of two or three leaves out most of
+# what a daemon knows of its own requests.
+SAMPLED_SHARE = 0.5
 MIN_SAMPLED = 3
+# It has granted a small part of what runs at an endpoint, so that with the weight of
+# an owner the slowness would outweigh its own counts, and all would fill the fast ones.
+ALONE_SLOWNESS_WEIGHT = 0.06
 
 
 class Placement:
@@ -80,10 +83,14 @@
         """Return the best of a few endpoints; if all daemons took the best of all, they
         would take the same one until its load is known.
         """
-        mean_others = statistics.fmean(s.load.others_now(0.0, now_s) for s in usable)
+        stated = [s.load.others for s in usable if s.load.is_fresh(now_s)]
+        mean_others = statistics.fmean(stated or [0.0])
         count = max(MIN_SAMPLED, round(SAMPLED_SHARE * len(usable)))
         sampled = self._random.sample(usable, min(count, len(usable)))
-        costs = [s.cost(now_s, s.load.others_now(mean_others, now_s)) for s in sampled]
+        costs = [
+            s.cost(now_s, s.load.others_now(mean_others, now_s), ALONE_SLOWNESS_WEIGHT)
+            for s in sampled
+        ]
         limit = min(costs) + EQUAL_COST
         return [s for s, cost in zip(sampled, costs, strict=True) if cost <= limit]
 
--- a/apricotquay/serving/slots/statedload.py
+++ b/apricotquay/serving/slots/statedload.py
@@ -82,10 +82,14 @@
             self._lingering_s.popleft()
         return len(self._lingering_s)
 
+    def is_fresh(self, now_s: float) -> bool:
+        """Whether the last statement says anything of the load now."""
+        return now_s - self.at_s <= FORGET_S
+
     def others_now(self, mean: float, now_s: float) -> float:
         """Estimate the runs of others now: what was stated fades to the `mean`."""
         age_s = now_s - self.at_s
-        if age_s > FORGET_S:
+        if not self.is_fresh(now_s):
             return mean
         return mean + (self.others - mean) * math.exp(-age_s / FADE_S)
 
