--- a/apricotquay/serving/slots/placement.py
+++ b/apricotquay/serving/slots/placement.py
@@ -1,6 +1,11 @@
-"""Chooses the endpoint of a ticket among those that have a free slot. Pure."""
+"""Chooses the endpoint of a ticket among those that have a free slot. Pure.
+
+Answers the load of endpoints of unequal speed, and of many daemons that choose at the
+same moment, each with a part of the information.
+"""
 
 import random
+import statistics
 from collections.abc import Callable, Sequence
 
 from ...ids import EndpointId
@@ -8,25 +13,42 @@
 from .tickets import Ticket, Work
 
 MAX_PREFIXES = 10_000
+# Costs that differ by less are as good as equal: a quarter of one of eight slots.
+EQUAL_COST = 0.03
+# A daemon that chooses alone takes the best of half of the endpoints. If all took the
+# best of all, all might take the same one; the best of two or three leaves out most of
+# what a daemon knows of its own requests.
+SAMPLED_SHARE = 0.5
+MIN_SAMPLED = 3
+# It has granted a small part of what runs at an endpoint, so that with the weight of
+# an owner the slowness would outweigh its own counts, and all would fill the fast ones.
+ALONE_SLOWNESS_WEIGHT = 0.06
 
 
 class Placement:
     """Chooses endpoints, and remembers where shared prompt prefixes were read last.
 
     Used by `Dispatcher`. `can_revoke` tells at a time in seconds whether a batch item
-    can be revoked in favour of an online request.
+    can be revoked in favour of an online request. `is_uneven` is set while endpoints
+    differ in speed, `is_alone` while other tables grant slots of the same endpoints,
+    and `has_loads` once an endpoint has stated its load. Until `lingering_until_s` an
+    endpoint may run a request that was abandoned.
     """
 
     def __init__(self, seed: int, can_revoke: Callable[[float], bool]) -> None:
         self._random = random.Random(seed)
         self._can_revoke: Callable[[float], bool] = can_revoke
         self._endpoint_of_prefix: dict[str, EndpointId] = {}
+        self.is_uneven: bool = False
+        self.is_alone: bool = False
+        self.has_loads: bool = False
+        self.lingering_until_s: float = float("-inf")
 
     def choose(
         self, ticket: Ticket, available: Sequence[EndpointSlots], now_s: float
     ) -> EndpointSlots | None:
-        """Choose the least loaded endpoint, or the one that served the prefix last
-        if at least half of its slots are free.
+        """Choose the endpoint with the least cost, or the one that served the
+        prefix last if at least half of its slots are free.
         """
         usable = self._usable_endpoints(ticket, available, now_s)
         if not usable:
@@ -36,13 +58,42 @@
         for slots in usable:
             if slots.endpoint == preferred and slots.free * 2 >= slots.count:
                 return slots
-        highest_share = max(s.free / s.count for s in usable)
         slots = self._random.choice(
-            [s for s in usable if s.free / s.count == highest_share]
+            _in_zone(self._best_endpoints(usable, now_s), ticket.zone)
         )
         self._remember_prefix(ticket.prefix, slots.endpoint)
         return slots
 
+    def _best_endpoints(
+        self, usable: list[EndpointSlots], now_s: float
+    ) -> list[EndpointSlots]:
+        """Return the endpoints that are as good as equal and better than the others."""
+        if self.is_alone and (self.is_uneven or self.has_loads):
+            return self._best_of_sample(usable, now_s)
+        if not self.is_uneven and now_s >= self.lingering_until_s:
+            highest_share = max(s.free / s.count for s in usable)
+            return [s for s in usable if s.free / s.count == highest_share]
+        costs = [s.cost(now_s) for s in usable]
+        limit = min(costs) + EQUAL_COST
+        return [s for s, cost in zip(usable, costs, strict=True) if cost <= limit]
+
+    def _best_of_sample(
+        self, usable: list[EndpointSlots], now_s: float
+    ) -> list[EndpointSlots]:
+        """Return the best of a few endpoints; if all daemons took the best of all, they
+        would take the same one until its load is known.
+        """
+        stated = [s.load.others for s in usable if s.load.is_fresh(now_s)]
+        mean_others = statistics.fmean(stated or [0.0])
+        count = max(MIN_SAMPLED, round(SAMPLED_SHARE * len(usable)))
+        sampled = self._random.sample(usable, min(count, len(usable)))
+        costs = [
+            s.cost(now_s, s.load.others_now(mean_others, now_s), ALONE_SLOWNESS_WEIGHT)
+            for s in sampled
+        ]
+        limit = min(costs) + EQUAL_COST
+        return [s for s, cost in zip(sampled, costs, strict=True) if cost <= limit]
+
     def _remember_prefix(self, prefix: str, endpoint: EndpointId) -> None:
         if not prefix:
             return
@@ -65,6 +116,13 @@
         return with_free_slots
 
 
+def _in_zone(best: list[EndpointSlots], zone: str) -> list[EndpointSlots]:
+    """Return those of equally good endpoints that are in a zone, else all."""
+    if not zone or len(best) == 1:
+        return best
+    return [s for s in best if s.profile.zone == zone] or best
+
+
 def _preferred_by_limit(
     usable: list[EndpointSlots], work: Work, now_s: float
 ) -> list[EndpointSlots]:
