--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -153,18 +153,21 @@
             request.zone,
             request.regions,
         )
+        unusable: set[str] = set()
         for asked_count in range(MAX_OWNER_ASKS):
             owner = self._owner(service)
             self._update_owner(service, owner)
             is_late = self._clock.now_s() > ticket.slot_deadline_s
             if owner is None or (asked_count and is_late):
                 break
-            lease = await self._acquire_from(owner, service, ticket)
+            lease = await self._acquire_from(owner, service, ticket, unusable)
             if lease is not None:
                 return lease
             # A late answer of the owner must not be mistaken for another decision.
-            ticket = msgspec.structs.replace(ticket, id=self._new_id())
-        lease = await self._acquire_from(None, service, ticket)
+            ticket = msgspec.structs.replace(
+                ticket, id=self._new_id(), avoid=ticket.avoid | unusable
+            )
+        lease = await self._acquire_from(None, service, ticket, unusable)
         if lease is None:
             raise SlotUnavailableError(0.0)
         return lease
@@ -260,9 +263,15 @@
         return failed | leaving if listed - failed else frozenset(leaving)
 
     async def _acquire_from(
-        self, owner: str | None, service: ServiceName, ticket: Ticket
+        self,
+        owner: str | None,
+        service: ServiceName,
+        ticket: Ticket,
+        unusable: set[str],
     ) -> SlotLease | None:
-        """Get a slot from an owner or the local table; None if the owner is silent."""
+        """Get a slot from an owner or the local table; None if the owner is silent or
+        its grant does not count, whose endpoint is added to `unusable` then.
+        """
         waiter = self._waiters[ticket.id] = Waiter(service, owner, ticket.regions)
         lease = None
         try:
@@ -273,8 +282,11 @@
                 decision = await self._ask_owner(service, ticket, owner, waiter)
             if isinstance(decision, Refused):
                 raise SlotUnavailableError(decision.wait_s)
-            if isinstance(decision, Granted) and self._may_use(decision, waiter):
-                lease = self._add_lease(service, ticket, decision.endpoint, waiter)
+            if isinstance(decision, Granted):
+                if self._may_use(decision, waiter):
+                    lease = self._add_lease(service, ticket, decision.endpoint, waiter)
+                else:
+                    unusable.add(decision.endpoint)
             return lease
         finally:
             self._waiters.pop(ticket.id, None)
--- a/apricotquay/serving/slots/coldlimits.py
+++ b/apricotquay/serving/slots/coldlimits.py
@@ -32,6 +32,10 @@
 # arrive with those of the next.
 MAX_GRANT_AGE_S = 0.3
 
+# An endpoint that is ejected after failures may be starting again, and the entry of
+# its new start is seen so late. Until then it gets no more than a cold one.
+ENTRY_DELAY_S = 2.0
+
 
 class ColdLimit(SharedPace):
     """The sends that one start of an endpoint may get while it is cold. Used by the
--- a/apricotquay/serving/slots/endpointslots.py
+++ b/apricotquay/serving/slots/endpointslots.py
@@ -6,7 +6,7 @@
 
 from ...ids import EndpointId
 from .coldlimits import ColdLimit
-from .eligibility import find_mismatch
+from .eligibility import Ineligible, find_mismatch
 from .sendlimits import SendLimit
 from .tickets import Ticket, TicketId, Work
 
@@ -89,14 +89,20 @@
         return self.is_open and self.count > len(self.running) and self.may_send(now_s)
 
     def suits(self, ticket: Ticket, now_s: float) -> bool:
-        """Whether a ticket may use the endpoint, which is available."""
-        profile = self.profile
-        if find_mismatch(self.endpoint, profile.version, profile.region, ticket):
+        """Whether a ticket may use the endpoint, which has a free slot."""
+        if self.why_not(ticket, now_s) is not None:
             return False
         if self.limit is None or ticket.work is Work.ONLINE:
             return True
         return self.limit.may_send_batch(now_s)
 
+    def why_not(self, ticket: Ticket, now_s: float) -> Ineligible | None:
+        """Return why the endpoint may not take a ticket now, None if it may."""
+        if self.cold is not None and not self.cold.may_send(now_s):
+            return Ineligible.COLD
+        profile = self.profile
+        return find_mismatch(self.endpoint, profile.version, profile.region, ticket)
+
     def throughput_per_s(self, service_time_s: float, now_s: float) -> float:
         """Return how many online requests a second the endpoint can begin."""
         rate_per_s = self.count / service_time_s
--- a/apricotquay/serving/slots/slotowner.py
+++ b/apricotquay/serving/slots/slotowner.py
@@ -29,7 +29,14 @@
     TicketsKnown,
 )
 from ..reporting import Reporter
-from .coldlimits import TAKEOVER_S, ColdLimit, ColdLimits, sharing_daemons
+from .coldlimits import (
+    ENTRY_DELAY_S,
+    MIN_SHARING_DAEMONS,
+    TAKEOVER_S,
+    ColdLimit,
+    ColdLimits,
+    sharing_daemons,
+)
 from .dispatch import Dispatcher
 from .endpointslots import EndpointProfile, EndpointStatus
 from .outliers import OutlierDetector, SlotOutcome
@@ -92,6 +99,10 @@
         self.is_confirmed: Callable[[], bool] = lambda: True
         self._owned_since_s: dict[ServiceName, float] = {}
         self._cold_checked_s: float = float("-inf")
+        # Until when endpoints that failed may have started again without an entry.
+        self._may_be_new_until_s: dict[EndpointId, float] = {}
+        # How many daemons were told that they share a rate.
+        self._told_sharing: int = MIN_SHARING_DAEMONS
         self._peer_tickets: dict[TicketId, PeerTicket] = {}
         self._tickets_of_connection: dict[PeerConnection, set[TicketId]] = {}
         self._peer_leases = PeerLeases()
@@ -140,6 +151,10 @@
         failures, total = self._outlier_detector.failure_counts(endpoint, now_s)
         ejection_s = self._outlier_detector.record_attempt(endpoint, outcome, now_s)
         if ejection_s:
+            settings = self._settings(endpoint.service)
+            if settings is not None and settings.cold_per_s:
+                until_s = now_s + ejection_s + ENTRY_DELAY_S
+                self._may_be_new_until_s[endpoint_id] = until_s
             self.needs_tick.set()
             self._reporter.write(
                 Event.ENDPOINT_EJECTED,
@@ -243,6 +258,7 @@
         if len(self.cold_limits) and now_s - self._cold_checked_s >= COLD_INTERVAL_S:
             self._cold_checked_s = now_s
             self._forget_cold(now_s)
+            self._tell_sharing()
             self.refresh()
         waiting = [table for table in self._tables.values() if table.waiting_count]
         for table in waiting:
@@ -499,6 +515,15 @@
                 found[endpoint.id] = limit
         return found
 
+    def _tell_sharing(self) -> None:
+        """Tell peers how many daemons share a rate if they are more than assumed."""
+        daemons = self._told_daemons()
+        if daemons <= self._told_sharing:
+            return
+        self._told_sharing = daemons
+        for connection in self._tickets_of_connection:
+            connection.send(LimitList([], daemons))
+
     def _forget_cold(self, now_s: float) -> None:
         """End the limits of endpoints that are warm, gone or limited no more."""
         for endpoint_id in list(self.cold_limits.all()):
@@ -506,6 +531,7 @@
             settings = self._settings(endpoint.service) if endpoint else None
             if settings is None or not settings.cold_per_s:
                 self.cold_limits.end(endpoint_id)
+                self._may_be_new_until_s.pop(endpoint_id, None)
             else:
                 self._cold_limit(endpoint, settings, now_s)
 
@@ -551,9 +577,14 @@
         return found
 
     def _cold_left_s(self, endpoint: Endpoint) -> float:
-        return self._view.endpoints.cold_left_s(
-            endpoint, self._view.configuration, self._clock.now_s()
+        now_s = self._clock.now_s()
+        left_s = self._view.endpoints.cold_left_s(
+            endpoint, self._view.configuration, now_s
         )
+        may_be_new_until_s = self._may_be_new_until_s.get(endpoint.id, now_s)
+        if may_be_new_until_s <= now_s:
+            self._may_be_new_until_s.pop(endpoint.id, None)
+        return max(left_s, may_be_new_until_s - now_s)
 
     def _settings(self, service: ServiceName) -> Service | None:
         configuration = self._view.configuration
--- a/tests/test_serving_coldlimits.py
+++ b/tests/test_serving_coldlimits.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 from parameterized import parameterized
 
 from apricotquay.ids import EndpointId
@@ -11,6 +12,7 @@
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.slots.allocator import SlotAllocator
 from apricotquay.serving.slots.coldlimits import (
+    ENTRY_DELAY_S,
     MAX_GRANT_AGE_S,
     TAKEOVER_S,
     ColdLimit,
@@ -18,6 +20,8 @@
     sharing_daemons,
 )
 from apricotquay.serving.slots.dispatch import Dispatcher
+from apricotquay.serving.slots.outliers import EJECTION_BASE_S, SlotOutcome
+from apricotquay.serving.slots.slotowner import SlotTables
 from apricotquay.serving.slots.slotrequests import Waiter
 from apricotquay.serving.slots.tickets import Granted, TicketId
 
@@ -233,6 +237,62 @@
         asyncio.run(run())
 
 
+class SlotTablesTest(ApricotTest):
+    """The owner's tables of a service that has a limit for cold endpoints."""
+
+    def tables(self, clock: SteppedClock, cold_per_s: float = COLD_PER_S) -> SlotTables:
+        """Return tables with endpoints that are warm."""
+        view = FixedView()
+        service = Service(SERVICE, 8, 3.0, cold_per_s)
+        view.configuration = Configuration(1, [], [service], None, Limits())
+        for endpoint in list(view.endpoints.all()):
+            entry = msgspec.structs.replace(endpoint, started_ms=1, cold_left_s=0.0)
+            view.endpoints.apply(endpoint.id, entry, 50, clock.now_s())
+        tables = SlotTables(view, clock, quiet_reporter())
+        tables.table(SERVICE)
+        return tables
+
+    def fail_often(self, tables: SlotTables, endpoint_id: EndpointId) -> None:
+        """Report failures until the endpoint is ejected."""
+        for _ in range(5):
+            tables.record_outcome(endpoint_id, SlotOutcome.FAILED)
+
+    @parameterized.expand([("limited", COLD_PER_S, True), ("no limit", 0.0, False)])
+    def test_endpoint_that_failed_may_have_started_again(
+        self, _name, cold_per_s, is_cold
+    ):
+        """The entry of the new start comes late, and the empty endpoint is flooded."""
+        clock = SteppedClock()
+        tables = self.tables(clock, cold_per_s)
+        endpoint_id = EndpointId("e1")
+        self.fail_often(tables, endpoint_id)
+        clock.at_s += EJECTION_BASE_S + 1.0
+        tables.tick()
+        self.assertEqual(is_cold, tables.is_cold(endpoint_id))
+        self.assertFalse(tables.is_cold(EndpointId("e0")))
+        clock.at_s += ENTRY_DELAY_S
+        tables.tick()
+        self.assertFalse(tables.is_cold(endpoint_id))
+        self.assertEqual(0, len(tables.cold_limits))
+
+    def test_limits_end_with_their_endpoints(self):
+        """An endpoint that is gone must not keep the tables busy for ever."""
+        clock = SteppedClock()
+        tables = self.tables(clock)
+        endpoints = tables._view.endpoints
+        entry = _endpoint(STARTED_MS, cold_left_s=100.0)
+        endpoints.apply(ENDPOINT, entry, 99, clock.now_s())
+        tables.refresh()
+        self.assertEqual(1, len(tables.cold_limits))
+        endpoints.apply(ENDPOINT, None, 100, clock.now_s())
+        clock.at_s += 1.0
+        tables.tick()
+        self.assertEqual(0, len(tables.cold_limits))
+        clock.at_s += 1.0
+        tables.tick()
+        self.assertFalse(tables.needs_tick.is_set())
+
+
 class ColdDispatchTest(ApricotTest):
     """The slot table of a service with a cold endpoint."""
 
--- a/tests/test_serving_relayclient.py
+++ b/tests/test_serving_relayclient.py
@@ -2,11 +2,12 @@
 
 import asyncio
 
+import msgspec
 from parameterized import parameterized
 
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.engine import AttemptFailedError, EngineCall
-from apricotquay.serving.fleet.relayclient import RelayClient
+from apricotquay.serving.fleet.relayclient import RelayClient, RelayOutsideError
 from apricotquay.serving.messages import (
     RelayedData,
     RelayedEnd,
@@ -47,6 +48,37 @@
     return RelayedFailure(number, "refused", may_have_run=False)
 
 
+class RelayRegionTest(ApricotTest):
+    """Peers that a request for some regions may pass through."""
+
+    @parameterized.expand(
+        [
+            ("no restriction", (), "south", True),
+            ("allowed region", ("north",), "north", True),
+            ("this VM's own region", ("north",), "home", True),
+            ("another region", ("north",), "south", False),
+            ("peer of the previous release", ("north",), "", False),
+        ]
+    )
+    def test_region_of_the_peer(self, _name, regions, region, is_sent):
+        """The body must not reach a daemon elsewhere, not even to be refused there."""
+
+        async def run() -> None:
+            peers = OnePeer()
+            peers.region = "home"
+            peers.connection.region = region
+            client = RelayClient(peers, list)
+            call = msgspec.structs.replace(CALL, regions=frozenset(regions))
+            sending = asyncio.ensure_future(client.send("p", call, ENDPOINT))
+            await settle()
+            self.assertEqual(is_sent, bool(peers.connection.sent))
+            if not is_sent:
+                self.assertIsInstance(sending.exception(), RelayOutsideError)
+            sending.cancel()
+
+        asyncio.run(run())
+
+
 class RelayClientTest(ApricotTest):
     """An answer counts only for the request that it names."""
 
--- a/tests/test_serving_relayserver.py
+++ b/tests/test_serving_relayserver.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+import msgspec
+
 from apricotquay.clocks import SystemClock
 from apricotquay.serving.endpoints import Endpoint
 from apricotquay.serving.engine import NO_LIMIT
-from apricotquay.serving.fleet.evacuations import Evacuations
+from apricotquay.serving.fleet.evacuations import EvacuationRecord, Evacuations
+from apricotquay.serving.fleet.keyedlog import KeyedRecord
 from apricotquay.serving.fleet.relayclient import WINDOW_BYTES
 from apricotquay.serving.fleet.relayserver import MAX_CHUNK_BYTES, RelayServer
 from apricotquay.serving.messages import (
@@ -23,7 +26,7 @@
 
 PART = b"x" * 10_000
 PARTS = 200
-ENDPOINT = Endpoint("i-1", "llm", "127.0.0.1", 1, started_ms=7)
+ENDPOINT = Endpoint("i-1", "llm", "127.0.0.1", 1, "z", started_ms=7)
 CALL = RelayCall(1, "i-1", 7, "a", "POST", "/s/1", [], b"", None, 5000, None)
 
 
@@ -97,12 +100,13 @@
 
     def run_scenario(self, scenario) -> None:
         """Run a scenario with a server that got a call."""
+        self.view = ListedView()
 
         async def run() -> None:
             engines = LargeEngines()
             server = RelayServer(
                 engines,
-                ListedView(),
+                self.view,
                 ServingMetrics(),
                 SystemClock(),
                 quiet_reporter(),
@@ -152,6 +156,21 @@
 
         self.run_scenario(scenario)
 
+    def test_call_to_an_evacuated_endpoint_does_not_run(self):
+        """The peer that sent it may be cut off from the store and not know."""
+
+        async def scenario(server, connection, _response):
+            record = KeyedRecord(b"evacuate/z", b"{}", 1)
+            self.view.evacuations.apply(EvacuationRecord("z", True), record)
+            served_count = server.served_count
+            server.handle_message(connection, msgspec.structs.replace(CALL, number=2))
+            failure = connection.sent[-1]
+            self.assertIsInstance(failure, RelayedFailure)
+            self.assertEqual((2, False), (failure.number, failure.may_have_run))
+            self.assertEqual(served_count, server.served_count)
+
+        self.run_scenario(scenario)
+
     def test_call_to_another_start_of_the_endpoint_does_not_run(self):
         """Its version may be another than that of the start which was meant."""
 
