--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -206,16 +206,15 @@
         )
 
     def decode_evacuation(self, record: KeyedRecord) -> EvacuationRecord | None:
-        """Decode a record that evacuates a zone or ends that; None for any other."""
-        name = record.key.removeprefix(EVACUATION_PREFIX)
-        if name == record.key or not 0 < len(name) <= MAX_ZONE_BYTES:
-            return None
-        try:
-            zone = name.decode()
-            is_usable = record.value is None or json.loads(record.value) == {}
-        except (ValueError, RecursionError):
+        """Decode a record that evacuates a zone or ends that; None for other keys."""
+        if not record.key.startswith(EVACUATION_PREFIX):
             return None
-        return EvacuationRecord(zone, record.value is not None) if is_usable else None
+        name = record.key.removeprefix(EVACUATION_PREFIX)
+        if not 0 < len(name) <= MAX_ZONE_BYTES:
+            raise RecordUnreadableError(f"a zone's name of {len(name)} bytes")
+        if record.value is not None and json.loads(record.value) != {}:
+            raise RecordUnreadableError("an evacuation whose value is not empty")
+        return EvacuationRecord(name.decode(), record.value is not None)
 
     def endpoint_id(self, record: KeyedRecord) -> EndpointId:
         """Return the id of the record's endpoint, which is the record's key."""
--- a/apricotquay/serving/fleet/view.py
+++ b/apricotquay/serving/fleet/view.py
@@ -39,7 +39,7 @@
 
     def decode_evacuation(self, record: KeyedRecord) -> EvacuationRecord | None:
         """Decode a record of the configuration's topic that evacuates a zone or ends
-        that; None for a record of another kind or without a usable value.
+        that; None for a record of another kind.
         """
 
     def decode_endpoint(self, record: KeyedRecord) -> tuple[EndpointId, Endpoint]:
--- a/apricotquay/serving/slots/endpointslots.py
+++ b/apricotquay/serving/slots/endpointslots.py
@@ -10,6 +10,10 @@
 from .sendlimits import SendLimit
 from .tickets import Ticket, TicketId, Work
 
+# A cold endpoint is warm, or its owner answers again, within a few seconds. A daemon's
+# share of its rate would give waits of minutes.
+MIN_COLD_THROUGHPUT_PER_S = 0.5
+
 
 class EndpointStatus(enum.Enum):
     """Result of outlier detection for an endpoint.
@@ -106,9 +110,11 @@
     def throughput_per_s(self, service_time_s: float, now_s: float) -> float:
         """Return how many online requests a second the endpoint can begin."""
         rate_per_s = self.count / service_time_s
-        for limit in (self.limit, self.cold):
-            if limit is not None:
-                rate_per_s = min(rate_per_s, limit.granted_per_s(now_s))
+        if self.limit is not None:
+            rate_per_s = min(rate_per_s, self.limit.granted_per_s(now_s))
+        if self.cold is not None:
+            cold_per_s = self.cold.granted_per_s(now_s)
+            rate_per_s = min(rate_per_s, max(MIN_COLD_THROUGHPUT_PER_S, cold_per_s))
         return rate_per_s
 
     def assign(self, ticket: Ticket, now_s: float) -> None:
--- a/tests/test_serving_coldlimits.py
+++ b/tests/test_serving_coldlimits.py
@@ -23,7 +23,7 @@
 from apricotquay.serving.slots.outliers import EJECTION_BASE_S, SlotOutcome
 from apricotquay.serving.slots.slotowner import SlotTables
 from apricotquay.serving.slots.slotrequests import Waiter
-from apricotquay.serving.slots.tickets import Granted, TicketId
+from apricotquay.serving.slots.tickets import Granted, Refused, TicketId
 
 from .base import ApricotTest
 from .test_serving_dispatch import batch, online
@@ -330,6 +330,18 @@
             granted += self.granted_cold(dispatcher.request_slot(ticket, 0.0))
         self.assertEqual(1, granted)
 
+    def test_daemon_alone_refuses_for_seconds_only(self):
+        """Its share is a send in minutes, but the endpoint is cold for seconds."""
+        dispatcher = Dispatcher(seed=1)
+        limit = ColdLimit(STARTED_MS, COLD_PER_S, 0.0)
+        limit.share_among(sharing_daemons(0), 0.0, is_shared=True)
+        dispatcher.set_endpoints({ENDPOINT: 8}, 0.0, cold={ENDPOINT: limit})
+        for number in range(2):
+            decisions = dispatcher.request_slot(online(f"{number}", 2.0, 1.8), 0.0)
+        waits_s = [d.wait_s for d in decisions if isinstance(d, Refused)]
+        self.assertTrue(waits_s)
+        self.assertLess(max(waits_s), 10.0)
+
     def test_waiting_request_gets_the_next_send(self):
         """With all endpoints cold work waits for the pace, it is not lost."""
         dispatcher = self.table(cold=8)
