--- a/apricotquay/serving/slots/endpointslots.py
+++ b/apricotquay/serving/slots/endpointslots.py
@@ -7,7 +7,7 @@
 from ...ids import EndpointId
 from ..engine import EndpointLoad
 from .coldlimits import ColdLimit
-from .eligibility import find_mismatch
+from .eligibility import Ineligible, find_mismatch
 from .sendlimits import SendLimit
 from .speeds import USUAL
 from .statedload import StatedLoad
@@ -17,6 +17,9 @@
 # side by side, so that a smaller weight sends more to endpoints that are slow now, and
 # with a larger one some fast endpoints run more than 1.25 times the mean.
 SLOWNESS_WEIGHT = 0.25
+# A cold endpoint is warm, or its owner answers again, within a few seconds. A daemon's
+# share of its rate would give waits of minutes.
+MIN_COLD_THROUGHPUT_PER_S = 0.5
 
 
 class EndpointStatus(enum.Enum):
@@ -106,22 +109,30 @@
         )
 
     def suits(self, ticket: Ticket, now_s: float) -> bool:
-        """Whether a ticket may use the endpoint, which is available."""
-        profile = self.profile
-        if find_mismatch(self.endpoint, profile.version, profile.region, ticket):
+        """Whether a ticket may use the endpoint, which has a free slot."""
+        if self.why_not(ticket, now_s) is not None:
             return False
         if self.limit is None or ticket.work is Work.ONLINE:
             return True
         return self.limit.may_send_batch(now_s)
 
+    def why_not(self, ticket: Ticket, now_s: float) -> Ineligible | None:
+        """Return why the endpoint may not take a ticket now, None if it may."""
+        if self.cold is not None and not self.cold.may_send(now_s):
+            return Ineligible.COLD
+        profile = self.profile
+        return find_mismatch(self.endpoint, profile.version, profile.region, ticket)
+
     def throughput_per_s(self, service_time_s: float, now_s: float) -> float:
         """Return how many online requests a second the endpoint can begin, with the
         `service_time_s` of an endpoint that is as fast as usual.
         """
         rate_per_s = self.count / (service_time_s * self.slowness)
-        for limit in (self.limit, self.cold):
-            if limit is not None:
-                rate_per_s = min(rate_per_s, limit.granted_per_s(now_s))
+        if self.limit is not None:
+            rate_per_s = min(rate_per_s, self.limit.granted_per_s(now_s))
+        if self.cold is not None:
+            cold_per_s = self.cold.granted_per_s(now_s)
+            rate_per_s = min(rate_per_s, max(MIN_COLD_THROUGHPUT_PER_S, cold_per_s))
         return rate_per_s
 
     def cost(
