--- a/standins/platform.py
+++ b/standins/platform.py
@@ -157,7 +157,8 @@
 class ModelServer:
     """Server of a `service`: streams as many events as a request asks for.
 
-    The request's body is `events=N`, `fail=STATUS` for an error response, `hang=1` for
+    The request's body is `events=N`, with `bytes=N` for the least size of an event's
+    data, `fail=STATUS` for an error response, `hang=1` for
     an answer without events, or `crash=1` to end the server without an answer. A
     request whose prompt has one of the `crashing_parts`, not as its last part, ends
     the server `crash_delay_s` after it begins, in a stream of `events_before_crash`
@@ -290,6 +291,7 @@
             await asyncio.sleep(self._step_s * random.uniform(0.5, 1.5))
             await self._wait_while_holding()
             data = self.make_data(request_id, number)
+            data = data.ljust(int(options.get("bytes", 0)), b".")
             await exchange.send(_encode_event(number, data))
             self.sent_event_count += 1
             if after < 0 and number + 1 == self.first_run_events:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -54,6 +54,11 @@
                 cwd=self.release_dir,
             )
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process that was started last has not ended."""
+        return self._popen.poll() is None
+
     async def is_listening(self) -> bool:
         """Whether a store or server has printed its port since it was started."""
         return b'{"port": ' in self.output_path.read_bytes()[self._output_start :]
@@ -107,7 +112,7 @@
     """A store, model servers and event-loop daemons, each in its own process.
 
     The servers have so many software `versions` in turn. Daemons serve their metrics
-    at `metrics`, a port and a path, if it is set.
+    at `metrics`, a port and a path, if it is set; `limits` are those of their VMs.
     """
 
     def __init__(
@@ -118,8 +123,10 @@
         crashing_part: str = "",
         versions: int = 1,
         metrics: str = "",
+        limits: dict[str, int] | None = None,
     ) -> None:
         self._metrics: str = metrics
+        self._limits: dict[str, int] = limits or {}
         self.output_dir = Path(tempfile.mkdtemp(prefix="apricotquay-"))
         self.proxy = FaultProxy()
         self.proxy_listeners: list[str] = []
@@ -181,6 +188,8 @@
             "bootstrap": True,
             "bounds": {"grace_s": SHUTDOWN_GRACE_S},
         }
+        if self._limits:
+            boot["limits"] = self._limits
         path = self.output_dir / f"d{number}.json"
         path.write_text(json.dumps(boot))
         args = ["apricotquay.platform"]
