--- a/apricotquay/serving/fleet/peers.py
+++ b/apricotquay/serving/fleet/peers.py
@@ -4,6 +4,7 @@
 import contextlib
 import enum
 import itertools
+import sys
 from collections.abc import Awaitable, Callable
 
 from websockets.asyncio.client import connect
@@ -14,6 +15,7 @@
 from ...events import Event
 from ..messages import CallNotServed, Message, decode_frame, encode_frame
 from ..reporting import Reporter
+from .peerqueues import PeerQueues
 
 CONNECT_TIMEOUT_S = 0.4
 # After a failure no connection to the peer is opened for this long.
@@ -50,6 +52,7 @@
         reporter: Reporter,
         features: str = "",
         address: str = "",
+        queues: PeerQueues | None = None,
     ) -> None:
         self.address: str = address
         self._features: frozenset[str] = frozenset(features.split(","))
@@ -63,6 +66,7 @@
         self._call_numbers = itertools.count(1)
         self._pending_calls: dict[int, asyncio.Future] = {}
         self._outgoing: asyncio.Queue[bytes] = asyncio.Queue()
+        self._queues: PeerQueues = queues or PeerQueues(sys.maxsize)
         self._tasks: set[asyncio.Task] = set()
 
     def supports(self, feature: Feature) -> bool:
@@ -71,7 +75,7 @@
 
     def send(self, message: Message) -> None:
         """Queue a message that has no reply."""
-        self._outgoing.put_nowait(encode_frame(0, message))
+        self._enqueue(encode_frame(0, message))
 
     async def call(self, message: Message, timeout_s: float) -> Message:
         """Send a call and wait for its reply.
@@ -85,7 +89,7 @@
         number = next(self._call_numbers)
         reply = asyncio.get_running_loop().create_future()
         self._pending_calls[number] = reply
-        self._outgoing.put_nowait(encode_frame(number, message))
+        self._enqueue(encode_frame(number, message))
         try:
             async with asyncio.timeout(timeout_s):
                 return await reply
@@ -141,20 +145,28 @@
             reply = await self._handler(self, message)
             if number > 0:
                 frame = encode_frame(-number, reply or CallNotServed("no reply"))
-                self._outgoing.put_nowait(frame)
+                self._enqueue(frame)
         except Exception as exc:
             # No reply: the call may have had effects, so it is not said to be refused.
             self._reporter.write(
                 Event.THREAD_FAILED, task="peer message", error=repr(exc)[:200]
             )
 
+    def _enqueue(self, frame: bytes) -> None:
+        if self.is_open:
+            self._outgoing.put_nowait(frame)
+            self._queues.add(self, len(frame))
+
     async def _write(self) -> None:
         with contextlib.suppress(ConnectionClosed):
             while True:
-                await self._socket.send(await self._outgoing.get())
+                frame = await self._outgoing.get()
+                await self._socket.send(frame)
+                self._queues.remove(self, len(frame))
 
     def _clean_up(self) -> None:
         self.is_open = False
+        self._queues.forget(self)
         for task in self._tasks:
             task.cancel()
         for reply in self._pending_calls.values():
@@ -169,7 +181,10 @@
 class Peers:
     """All peer connections of a daemon: accepted ones, and those opened on demand."""
 
-    def __init__(self, handler: Handler, reporter: Reporter) -> None:
+    def __init__(
+        self, handler: Handler, reporter: Reporter, queues: PeerQueues | None = None
+    ) -> None:
+        self._queues: PeerQueues = queues or PeerQueues(sys.maxsize)
         self._handler: Handler = handler
         self._reporter: Reporter = reporter
         self._connections: dict[str, PeerConnection] = {}
@@ -269,6 +284,7 @@
             self._reporter,
             socket.response.headers.get(FEATURES_HEADER, ""),
             address,
+            self._queues,
         )
         self._connections[address] = connection
         task = asyncio.create_task(connection.run())
@@ -283,6 +299,7 @@
             self._reporter,
             socket.request.headers.get(FEATURES_HEADER, ""),
             socket.request.headers.get(ADDRESS_HEADER, ""),
+            self._queues,
         )
         self._accepted.add(connection)
         try:
