--- a/apricotquay/platform/settings.py
+++ b/apricotquay/platform/settings.py
@@ -7,6 +7,12 @@
 
 from ..errors import ErrorKind, RequestError
 from ..serving.daemon import Address, ServingSettings
+from ..serving.http.resourcelimits import (
+    DEFAULT_MAX_FDS,
+    DEFAULT_MEMORY_MB,
+    DEFAULT_WRITE_STALL_S,
+    ResourceLimits,
+)
 from ..settings import convert_checked
 
 SETTINGS_PATH_VARIABLE = "APRICOTQUAY_BOOT"
@@ -22,6 +28,14 @@
     status_s: float = 120.0
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    """The size of the VM; 0 stands for unknown."""
+
+    memory_mb: float = 0
+    max_fds: int = 0
+    write_stall_ms: float = 0
+
+
 class _Store(msgspec.Struct):
     address: str
     parts: int = 12
@@ -37,6 +51,7 @@
     # True only when the whole fleet starts for the first time.
     bootstrap: bool = False
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
 
 def load_settings(metrics: str | None) -> ServingSettings:
@@ -72,6 +87,16 @@
         file.bounds.grace_s,
         file.bounds.status_s * RETENTION_FACTOR,
         READY_PATH,
+        _convert_limits(file.limits),
+    )
+
+
+def _convert_limits(limits: _Limits) -> ResourceLimits:
+    stall_s = limits.write_stall_ms / 1000
+    return ResourceLimits(
+        int(limits.memory_mb) if limits.memory_mb >= 1 else DEFAULT_MEMORY_MB,
+        limits.max_fds if limits.max_fds > 0 else DEFAULT_MAX_FDS,
+        stall_s if stall_s > 0 else DEFAULT_WRITE_STALL_S,
     )
 
 
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -28,8 +28,10 @@
 from .fleet.shards import Shards
 from .fleet.view import Directory, View
 from .fleet.viewexchange import ViewExchange
+from .guard import ResourceGuard
 from .http.http1 import HttpResponse
 from .http.httpserver import Exchange, HttpServer, ServerLimits
+from .http.resourcelimits import ResourceLimits
 from .messages import (
     AskSlot,
     CallNotServed,
@@ -119,7 +121,7 @@
     `starts_full` means that the whole fleet starts for the first time, so that the
     teams' rate limits start with a full burst. `grace_s` is the time from SIGTERM
     to SIGKILL, and `job_retention_s` how long after its submission a job
-    that has ended can be read.
+    that has ended can be read. `resources` is the size of the VM.
     """
 
     vm_id: str
@@ -136,6 +138,7 @@
     grace_s: float
     job_retention_s: float = 240.0
     ready_path: str = "/readyz"
+    resources: ResourceLimits = ResourceLimits()
 
 
 class Daemon:
@@ -169,7 +172,10 @@
         incarnation = secrets.token_hex(4)
         address = str(settings.peers)
         self.view = View(log, directory, self.clock, self.reporter)
-        self.peers = Peers(self._handle_peer_message, self.reporter)
+        self.guard = ResourceGuard(settings.resources, self.metrics, self.reporter)
+        self.peers = Peers(
+            self._handle_peer_message, self.reporter, self.guard.peer_queues
+        )
         self.shards = Shards(
             log, address, incarnation, settings.shards, self.clock, self.reporter
         )
@@ -244,10 +250,21 @@
             self.online, self.jobs, self.metrics, self.clock, self.reporter
         )
         self.callers = HttpServer(
-            handler, self._server_limits, self._report_connection_failure
+            handler,
+            self._server_limits,
+            self._report_connection_failure,
+            self.guard.client_resources("callers"),
+        )
+        self.ready = HttpServer(
+            self._handle_ready,
+            self._server_limits,
+            resources=self.guard.service_resources("readiness"),
+        )
+        self.metrics_server = HttpServer(
+            self._handle_metrics,
+            self._server_limits,
+            resources=self.guard.service_resources("metrics"),
         )
-        self.ready = HttpServer(self._handle_ready, self._server_limits)
-        self.metrics_server = HttpServer(self._handle_metrics, self._server_limits)
 
     async def start(self) -> None:
         """Start all components and listen for connections."""
@@ -409,6 +426,8 @@
         self.metrics.set_gauge("peer_tickets", self.slots.tables.peer_ticket_count)
         self.metrics.set_gauge("streams_kept", self.streams.kept_count)
         self.metrics.set_gauge("endpoints_limited", self.slots.tables.limited_count)
+        self.metrics.set_gauge("connections_open", self.callers.connection_count)
+        self.guard.set_gauges()
         leaving_count = len(self.view.endpoints.leaving_notices())
         self.metrics.set_gauge("endpoints_said_leaving", leaving_count)
         headers = [(b"content-type", b"text/plain; charset=utf-8")]
