--- a/apricotquay/platform/settings.py
+++ b/apricotquay/platform/settings.py
@@ -8,6 +8,12 @@
 
 from ..errors import ErrorKind, RequestError
 from ..serving.daemon import Address, ServingSettings
+from ..serving.http.resourcelimits import (
+    DEFAULT_MAX_FDS,
+    DEFAULT_MEMORY_MB,
+    DEFAULT_WRITE_STALL_S,
+    ResourceLimits,
+)
 from ..settings import convert_checked
 
 SETTINGS_PATH_VARIABLE = "APRICOTQUAY_BOOT"
@@ -23,6 +29,14 @@
     status_s: float = 120.0
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    """The size of the VM; 0 stands for unknown."""
+
+    memory_mb: float = 0
+    max_fds: int = 0
+    write_stall_ms: float = 0
+
+
 class _Store(msgspec.Struct):
     address: str
     parts: int = 12
@@ -41,6 +55,7 @@
     # The region of each zone; entries of other types are ignored.
     zones: Any = None
     region: Any = None
+    limits: _Limits = _Limits()
 
 
 def load_settings(metrics: str | None) -> ServingSettings:
@@ -78,6 +93,16 @@
         READY_PATH,
         file.region if isinstance(file.region, str) else "",
         _convert_zones(file.zones),
+        _convert_limits(file.limits),
+    )
+
+
+def _convert_limits(limits: _Limits) -> ResourceLimits:
+    stall_s = limits.write_stall_ms / 1000
+    return ResourceLimits(
+        int(limits.memory_mb) if limits.memory_mb >= 1 else DEFAULT_MEMORY_MB,
+        limits.max_fds if limits.max_fds > 0 else DEFAULT_MAX_FDS,
+        stall_s if stall_s > 0 else DEFAULT_WRITE_STALL_S,
     )
 
 
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -28,8 +28,10 @@
 from .fleet.shards import Shards
 from .fleet.view import Directory, View
 from .fleet.viewexchange import ViewExchange
+from .guard import ResourceGuard
 from .http.http1 import HttpResponse
 from .http.httpserver import Exchange, HttpServer, ServerLimits
+from .http.resourcelimits import ResourceLimits
 from .messages import (
     AskSlot,
     CallNotServed,
@@ -120,7 +122,8 @@
     teams' rate limits start with a full burst. `grace_s` is the time from SIGTERM
     to SIGKILL, and `job_retention_s` how long after its submission a job
     that has ended can be read. `region` is that of this VM, and `zones` has those of
-    availability zones, as far as the settings name them.
+    availability zones, as far as the settings name them. `resources` is the size of
+    the VM.
     """
 
     vm_id: str
@@ -139,6 +142,7 @@
     ready_path: str = "/readyz"
     region: str = ""
     zones: dict[str, str] = {}
+    resources: ResourceLimits = ResourceLimits()
 
     def region_of(self, zone: str) -> str:
         """Return the region of a zone, empty if it is not known."""
@@ -180,7 +184,10 @@
         self.view = View(log, directory, self.clock, self.reporter)
         self.view.endpoints.region_of = settings.region_of
         region = settings.region_of(settings.availability_zone)
-        self.peers = Peers(self._handle_peer_message, self.reporter, region)
+        self.guard = ResourceGuard(settings.resources, self.metrics, self.reporter)
+        self.peers = Peers(
+            self._handle_peer_message, self.reporter, region, self.guard.peer_queues
+        )
         self.shards = Shards(
             log, address, incarnation, settings.shards, self.clock, self.reporter
         )
@@ -261,10 +268,21 @@
             self.online, self.jobs, self.metrics, self.clock, self.reporter
         )
         self.callers = HttpServer(
-            handler, self._server_limits, self._report_connection_failure
+            handler,
+            self._server_limits,
+            self._report_connection_failure,
+            self.guard.client_resources("callers"),
+        )
+        self.ready = HttpServer(
+            self._handle_ready,
+            self._server_limits,
+            resources=self.guard.service_resources("readiness"),
+        )
+        self.metrics_server = HttpServer(
+            self._handle_metrics,
+            self._server_limits,
+            resources=self.guard.service_resources("metrics"),
         )
-        self.ready = HttpServer(self._handle_ready, self._server_limits)
-        self.metrics_server = HttpServer(self._handle_metrics, self._server_limits)
 
     async def start(self) -> None:
         """Start all components and listen for connections."""
@@ -432,6 +450,8 @@
         self.metrics.set_gauge("grants_not_used", unused_count)
         zone_count = len(self.view.evacuations.zones)
         self.metrics.set_gauge("zones_evacuated", zone_count)
+        self.metrics.set_gauge("connections_open", self.callers.connection_count)
+        self.guard.set_gauges()
         leaving_count = len(self.view.endpoints.leaving_notices())
         self.metrics.set_gauge("endpoints_said_leaving", leaving_count)
         self._set_speed_gauges()
