--- a/tests/test_serving_coldlimits.py
+++ b/tests/test_serving_coldlimits.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import cbor2
 import msgspec
 from parameterized import parameterized
 
@@ -10,6 +11,7 @@
 from apricotquay.serving.catalog import Configuration, Limits, Service
 from apricotquay.serving.coldperiods import MAX_CLOCK_DIFFERENCE_S, ColdPeriods
 from apricotquay.serving.endpoints import Endpoint
+from apricotquay.serving.messages import SlotGranted, decode_frame, encode_frame
 from apricotquay.serving.slots.allocator import SlotAllocator
 from apricotquay.serving.slots.coldlimits import (
     ENTRY_DELAY_S,
@@ -237,6 +239,26 @@
         asyncio.run(run())
 
 
+class GrantMessageTest(ApricotTest):
+    """Frames that daemons of the previous release send and read."""
+
+    @parameterized.expand(
+        [
+            ("warm", SlotGranted("t", "e"), {"type", "ticket", "endpoint"}),
+            (
+                "cold",
+                SlotGranted("t", "e", is_cold=True, waited_ms=5),
+                {"type", "ticket", "endpoint", "is_cold", "waited_ms"},
+            ),
+        ]
+    )
+    def test_fields(self, _name, message, expected):
+        """Without a cold endpoint nothing changes for a peer."""
+        _, value = cbor2.loads(encode_frame(0, message))
+        self.assertEqual(expected, set(value))
+        self.assertEqual((0, message), decode_frame(encode_frame(0, message)))
+
+
 class SlotTablesTest(ApricotTest):
     """The owner's tables of a service that has a limit for cold endpoints."""
 
