--- a/apricotquay/serving/online/attempts.py
+++ b/apricotquay/serving/online/attempts.py
@@ -126,7 +126,9 @@
             use.record_end()
             if exc.limit != NO_LIMIT:
                 on_limit(exc.limit)
-            self._record_load(endpoint, exc.load, use, is_refusal=exc.is_refusal)
+            is_full = exc.limit == NO_LIMIT and not exc.is_leaving
+            if exc.is_refusal and is_full:
+                self._record_load(endpoint, exc.load, use, is_refusal=True)
             self._record_leaving(endpoint, exc.is_leaving)
             self._record_not_run(call, endpoint, fingerprint, exc)
             raise
--- a/tests/test_platform_speeds.py
+++ b/tests/test_platform_speeds.py
@@ -5,6 +5,8 @@
 
 from parameterized import parameterized
 
+from apricotquay.serving.slots.tickets import Work
+
 from .test_platform_fleet import PlatformTest
 
 SERVERS = 4
@@ -103,9 +105,50 @@
         self.run_scenario(scenario, daemons=2, servers=1)
 
 
+class ZoneTest(PlatformTest):
+    """The zone of the daemon that sends, which the settings name."""
+
+    def test_requests_and_batch_items_name_the_zone_of_their_daemon(self):
+        """The owner could not prefer endpoints there otherwise."""
+
+        async def scenario(fleet):
+            zones = []
+            for daemon in fleet.daemons:
+                self.record_zones(daemon.slots, zones)
+            await fleet.call(fleet.daemons[0], "POST", "/s/1", attempt_id="a1")
+            await fleet.submit(fleet.daemons[0], "j1", ["events=3"])
+            await fleet.wait_for_results(fleet.daemons[0], "j1")
+            self.assertEqual({(Work.ONLINE, "z"), (Work.BATCH, "z")}, set(zones))
+
+        self.run_scenario(scenario, daemons=2, servers=1)
+
+    def record_zones(self, slots, zones: list) -> None:
+        """Record the work and the zone of each request for a slot."""
+        acquire = slots.acquire
+
+        async def record(service, request):
+            zones.append((request.work, request.zone))
+            return await acquire(service, request)
+
+        slots.acquire = record
+
+
 class FullServerTest(PlatformTest):
     """Servers whose slots others hold, which the table counts as free."""
 
+    def test_server_that_refuses_for_its_limit_is_not_left_out_as_full(self):
+        """Its limit decides when it gets requests."""
+
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.limit, server.refuses_all = "5", True
+            await self.send_load(fleet, time.monotonic() + 0.5)
+            full_counts = [d.slots.tables.full_count for d in fleet.daemons]
+            self.assertEqual([0, 0], full_counts)
+            self.assertGreater(sum(s.refused_count for s in fleet.servers), 0)
+
+        self.run_scenario(scenario, daemons=2, servers=2)
+
     async def fill(self, fleet, server) -> None:
         """Let somebody else hold the server's slots for a while."""
         server.running += 8
