--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -17,6 +17,7 @@
     EndpointSlots,
     EndpointStatus,
 )
+from .fairshares import FairShares
 from .placement import Placement
 from .revocation import choose_revocations, revocable
 from .sendlimits import SendLimit
@@ -43,7 +44,8 @@
     def __init__(self, seed: int = 0) -> None:
         self._slots: dict[EndpointId, EndpointSlots] = {}
         self._endpoint_of: dict[TicketId, EndpointId] = {}
-        self._line = WaitingLine(self._rank)
+        self._shares = FairShares()
+        self._line = WaitingLine(self._rank, self._shares)
         self._waits = WaitEstimator()
         self._placement = Placement(seed, self._can_revoke)
         self._batch_running: set[TicketId] = set()
@@ -128,6 +130,7 @@
         if endpoint is not None:
             slots = self._slots[endpoint]
             ticket, held_s = slots.release(ticket_id, now_s)
+            self._shares.release(ticket_id, held_s)
             if ticket.work is Work.ONLINE:
                 self._waits.record_service_time(held_s)
             if not slots.is_open and not slots.running:
@@ -144,20 +147,29 @@
         for ticket in late:
             self._line.remove(ticket.id)
         refusals: list[Decision] = [
-            self._refuse(ticket, self._expected_wait_s(now_s), now_s) for ticket in late
+            self._refuse(ticket, self._expected_wait_s(ticket, now_s), now_s)
+            for ticket in late
         ]
         refusals += self._refuse_missing_versions()
         return refusals + list(self._serve_line(now_s))
 
     def _refuse_if_too_late(self, ticket: Ticket, now_s: float) -> Refused | None:
         """Refuse an online ticket that cannot get a slot before its deadline."""
-        if ticket.work is not Work.ONLINE:
+        if ticket.work is not Work.ONLINE or self._is_soon(ticket, now_s):
             return None
-        wait_s = self._expected_wait_s(now_s)
+        wait_s = self._expected_wait_s(ticket, now_s)
         if not wait_s or now_s + wait_s <= ticket.slot_deadline_s:
             return None
         return self._refuse(ticket, wait_s, now_s)
 
+    def _is_soon(self, ticket: Ticket, now_s: float) -> bool:
+        """Whether a ticket gets a slot in time even after all that wait; this spares
+        the estimate by team for most tickets.
+        """
+        ahead = len(self._line.online())
+        wait_s = self._waits.expected_wait_s(self._slots.values(), ahead, now_s)
+        return now_s + wait_s <= ticket.slot_deadline_s
+
     def _refuse(self, ticket: Ticket, wait_s: float, now_s: float) -> Refused:
         after_s = self._waits.retry_after_s(wait_s, self._slots.values(), now_s)
         return Refused(ticket.id, after_s)
@@ -174,15 +186,14 @@
 
     def _hopeless_tickets(self, now_s: float) -> list[Ticket]:
         """Return the waiting online tickets that would be granted a slot too late."""
-        waiting = [t for t in self._line.online() if t.slot_deadline_s > now_s]
-        waiting.sort(key=lambda t: (self._rank(t, now_s), t.due_s))
+        order = self._line.expected_order(now_s)
+        waiting = [t for t in order if t.slot_deadline_s > now_s]
         return self._waits.hopeless(self._slots.values(), waiting, now_s)
 
-    def _expected_wait_s(self, now_s: float) -> float:
-        """Estimate a new online ticket's wait; batch items can be preempted."""
-        return self._waits.expected_wait_s(
-            self._slots.values(), self._line.online(), now_s
-        )
+    def _expected_wait_s(self, ticket: Ticket, now_s: float) -> float:
+        """Estimate the wait of an online ticket that joins the line."""
+        ahead = self._shares.ahead(ticket)
+        return self._waits.expected_wait_s(self._slots.values(), ahead, now_s)
 
     def _rank(self, ticket: Ticket, now_s: float) -> Rank:
         """Return a ticket's rank; overridden to compare other orders."""
@@ -248,4 +259,5 @@
         if ticket.work is Work.BATCH:
             self._batch_running.add(ticket.id)
         slots.assign(ticket, now_s)
+        self._shares.grant(ticket, self._waits.expected_slot_s(ticket))
         self._endpoint_of[ticket.id] = slots.endpoint
--- /dev/null
+++ b/apricotquay/serving/slots/fairshares.py
@@ -0,0 +1,305 @@
+"""Fair shares of slot time between teams, by weight. Pure.
+
+Absorbs a team that sends several times its usual rate while slots are short: the
+others get their slots as before. Source: start-time fair queueing, Goyal, Vin and
+Cheng, 1996.
+"""
+
+import collections
+import math
+from collections.abc import Collection, Iterator, Mapping
+
+import msgspec
+
+from ...ids import TeamId
+from .tickets import Ticket, TicketId, Work
+
+DEFAULT_WEIGHT = 1.0
+# What a release may correct a team's share by, in slot time. Clients wait about as
+# long, so that a long stream does not keep its team out for longer.
+MAX_CORRECTION_S = 5.0
+# How many requests a team may be ahead of its share before others precede it. Between
+# teams below that the deadline decides, which puts more requests in time.
+ALLOWED_REQUESTS = 2
+# How far, in slot time, a waiting team may hold the virtual time back that is served
+# later than its turn because no free endpoint suits it.
+MAX_LAG_S = 5.0
+
+
+class _Account(msgspec.Struct):
+    """A team's part in the work of one class.
+
+    `tag` is the virtual time from which its next ticket is served. `queued` counts
+    its waiting tickets, `waiting` those of them that need a slot of their own, and
+    `held` the tickets with a slot.
+    """
+
+    tag: float
+    weight: float = DEFAULT_WEIGHT
+    queued: int = 0
+    waiting: int = 0
+    held: int = 0
+
+
+class _Charge(msgspec.Struct, frozen=True):
+    """What the grant of a ticket's slot added to its team's account."""
+
+    ticket: Ticket
+    cost_s: float
+
+
+class PriorityClass:
+    """The teams' accounts in one kind of work of one priority.
+
+    `cost_s` is the slot time that one more ticket is expected to use.
+    """
+
+    def __init__(self) -> None:
+        self.accounts: dict[TeamId, _Account] = {}
+        self.virtual_time: float = 0.0
+        self.cost_s: float = 1.0
+        self._grants_since_sweep: int = 0
+
+    def account(self, ticket: Ticket) -> _Account:
+        """Return the account of a ticket's team; create it at first use."""
+        account = self.accounts.get(ticket.team)
+        if account is None:
+            weight = _usable_weight(ticket.weight)
+            account = _Account(self.virtual_time, weight)
+            self.accounts[ticket.team] = account
+        return account
+
+    def start(self, account: _Account) -> float:
+        """Return the virtual time from which a team's next ticket is served."""
+        return max(account.tag, self.virtual_time)
+
+    def allowed(self, account: _Account) -> float:
+        """Return the virtual time up to which a team is not ahead of its share."""
+        return self.virtual_time + ALLOWED_REQUESTS * self.cost_s / account.weight
+
+    def forget_if_idle(self, team: TeamId) -> None:
+        """Forget a team that has neither work nor a debt."""
+        account = self.accounts[team]
+        is_idle = not account.queued and not account.held
+        if is_idle and account.tag <= self.virtual_time:
+            del self.accounts[team]
+
+    def key(self, team: TeamId, held_s: Mapping[TeamId, float]) -> float:
+        """Return a team's sort key in the order of service, lowest first. It is the
+        same for all teams that are not ahead of their share.
+        """
+        account = self.accounts.get(team)
+        if account is None:
+            return -math.inf
+        position = account.tag + held_s.get(team, 0.0) / account.weight
+        is_allowed = position <= self.allowed(account)
+        return self.virtual_time if is_allowed else position
+
+    def position(self, team: TeamId, held_s: Mapping[TeamId, float]) -> float:
+        """Return how far a team is, with the slots that it holds now."""
+        account = self.accounts[team]
+        return account.tag + held_s.get(team, 0.0) / account.weight
+
+    def advance(self, served: _Account, held_s: float) -> None:
+        """Advance the virtual time to the team that is furthest behind, when a ticket
+        of `served`, which holds `held_s` of slot time, gets its slot.
+        """
+        start = self.start(served)
+        lag_s = max(MAX_LAG_S, held_s)
+        behind = min((a.tag for a in self.accounts.values() if a.queued), default=start)
+        lowest = start - lag_s / served.weight
+        self.virtual_time = max(self.virtual_time, lowest, min(start, behind))
+
+    def served_before(
+        self, position: float, team: TeamId, held_s: Mapping[TeamId, float]
+    ) -> int:
+        """Return how many of a team's waiting tickets are served before a position."""
+        account = self.accounts[team]
+        end = max(position, self.allowed(account))
+        lead = end - self.position(team, held_s)
+        if lead < 0:
+            return 0
+        turns = 1 + math.floor(lead * account.weight / self.cost_s)
+        return min(account.waiting, turns)
+
+    def forget_idle(self) -> None:
+        """Forget all teams that have neither work nor a debt, once in a while."""
+        self._grants_since_sweep += 1
+        if self._grants_since_sweep < len(self.accounts):
+            return
+        self._grants_since_sweep = 0
+        for team in list(self.accounts):
+            self.forget_if_idle(team)
+
+    def has_work(self) -> bool:
+        """Whether any ticket waits or holds a slot."""
+        return any(a.queued or a.held for a in self.accounts.values())
+
+
+class FairShares:
+    """How much slot time each team has used, relative to its weight.
+
+    Used by `WaitingLine` for the order between teams and by `Dispatcher`, which
+    reports grants and releases.
+    """
+
+    def __init__(self) -> None:
+        self._classes: dict[tuple[Work, int], PriorityClass] = {}
+        self._charges: dict[TicketId, _Charge] = {}
+        # Expected slot time of the slots that a team holds, whatever their priority.
+        self._held_s: dict[Work, collections.Counter[TeamId]] = {
+            work: collections.Counter() for work in Work
+        }
+
+    def team_count(self) -> int:
+        """Return how many accounts are kept, to check that their number is bounded."""
+        return sum(len(c.accounts) for c in self._classes.values())
+
+    def priorities(self, work: Work) -> list[int]:
+        """Return the priorities with accounts, highest first."""
+        return sorted(p for kind, p in self._classes if kind is work)
+
+    def add_waiting(self, ticket: Ticket) -> None:
+        """Record that a ticket waits."""
+        priority_class = self._class_of(ticket)
+        account = priority_class.account(ticket)
+        account.weight = _usable_weight(ticket.weight)
+        if not account.queued:
+            account.tag = priority_class.start(account)
+        account.queued += 1
+        account.waiting += not ticket.holds_slot
+
+    def remove_waiting(self, ticket: Ticket) -> None:
+        """Record that a ticket waits no longer."""
+        account = self._class_of(ticket).account(ticket)
+        account.queued -= 1
+        account.waiting -= not ticket.holds_slot
+        self._forget(ticket)
+
+    def grant(self, ticket: Ticket, cost_s: float) -> None:
+        """Charge a ticket's team for a slot, with the slot time that it may use."""
+        priority_class = self._class_of(ticket)
+        account = priority_class.account(ticket)
+        start = priority_class.start(account)
+        held_s = self._held_s[ticket.work]
+        priority_class.advance(account, held_s[ticket.team])
+        priority_class.cost_s = cost_s
+        account.tag = start + cost_s / account.weight
+        account.held += 1
+        self._charges[ticket.id] = _Charge(ticket, cost_s)
+        held_s[ticket.team] += cost_s
+        priority_class.forget_idle()
+
+    def release(self, ticket_id: TicketId, held_s: float) -> None:
+        """Correct a ticket's charge to the slot time that it used."""
+        charge = self._charges.pop(ticket_id, None)
+        if charge is None:
+            return
+        ticket = charge.ticket
+        account = self._class_of(ticket).account(ticket)
+        excess_s = min(held_s - charge.cost_s, MAX_CORRECTION_S)
+        account.tag += excess_s / account.weight
+        account.held -= 1
+        held_of_teams_s = self._held_s[ticket.work]
+        held_of_teams_s[ticket.team] -= charge.cost_s
+        if not self._holds_slots(ticket.work, ticket.team):
+            del held_of_teams_s[ticket.team]
+        self._forget(ticket)
+
+    def in_order(
+        self, work: Work, priority: int, teams: Collection[TeamId]
+    ) -> list[tuple[float, TeamId]]:
+        """Return teams with their sort keys in the order of service. Teams without
+        work come first, so that the caller finds them.
+        """
+        if len(teams) == 1:
+            return [(0.0, team) for team in teams]
+        priority_class = self._classes.get((work, priority))
+        if priority_class is None:
+            return [(0.0, team) for team in teams]
+        held_s = self._held_s[work]
+        return sorted((priority_class.key(team, held_s), team) for team in teams)
+
+    def ahead(self, ticket: Ticket) -> int:
+        """Return how many waiting tickets a new one would be served after.
+
+        That is the work of higher classes and of its own team, and what other teams
+        of its class get until the own team's turn comes so many times.
+        """
+        higher = sum(
+            account.waiting
+            for (work, priority), priority_class in self._classes.items()
+            for account in priority_class.accounts.values()
+            if work is ticket.work and priority < ticket.priority
+        )
+        return higher + self._ahead_in_class(ticket)
+
+    def share(self, ticket: Ticket) -> float:
+        """Return the share of its class's slots that a ticket's team can count on: by
+        weight among the teams with work, or what it holds now if that is more.
+        """
+        accounts = self._busy_accounts(ticket)
+        own = accounts.get(ticket.team)
+        weight = own.weight if own else _usable_weight(ticket.weight)
+        others = [a for team, a in accounts.items() if team != ticket.team]
+        by_weight = weight / (weight + sum(a.weight for a in others))
+        held = own.held if own else 0
+        all_held = held + sum(a.held for a in others)
+        return max(by_weight, held / all_held if all_held else 0.0)
+
+    def _busy_accounts(self, ticket: Ticket) -> dict[TeamId, _Account]:
+        priority_class = self._classes.get((ticket.work, ticket.priority))
+        accounts = priority_class.accounts if priority_class else {}
+        return {t: a for t, a in accounts.items() if a.waiting or a.held}
+
+    def _ahead_in_class(self, ticket: Ticket) -> int:
+        priority_class = self._classes.get((ticket.work, ticket.priority))
+        if priority_class is None:
+            return 0
+        accounts = priority_class.accounts
+        own = accounts.get(ticket.team)
+        own_waiting = own.waiting if own else 0
+        if not any(a.waiting for t, a in accounts.items() if t != ticket.team):
+            return own_waiting
+        weight = own.weight if own else _usable_weight(ticket.weight)
+        held_s = self._held_s[ticket.work]
+        tag = own.tag if own else priority_class.virtual_time
+        position = tag + held_s.get(ticket.team, 0.0) / weight
+        position += own_waiting * priority_class.cost_s / weight
+        others = (t for t, a in accounts.items() if a.waiting and t != ticket.team)
+        return own_waiting + sum(
+            priority_class.served_before(position, team, held_s) for team in others
+        )
+
+    def expected_keys(self, work: Work, priority: int, team: TeamId) -> Iterator[float]:
+        """Yield the keys at which a team's waiting tickets will probably go."""
+        priority_class = self._classes[work, priority]
+        account = priority_class.accounts[team]
+        position = priority_class.position(team, self._held_s[work])
+        while True:
+            is_allowed = position <= priority_class.allowed(account)
+            yield priority_class.virtual_time if is_allowed else position
+            position += priority_class.cost_s / account.weight
+
+    def _holds_slots(self, work: Work, team: TeamId) -> bool:
+        return any(
+            priority_class.accounts[team].held
+            for (kind, _), priority_class in self._classes.items()
+            if kind is work and team in priority_class.accounts
+        )
+
+    def _class_of(self, ticket: Ticket) -> PriorityClass:
+        return self._classes.setdefault((ticket.work, ticket.priority), PriorityClass())
+
+    def _forget(self, ticket: Ticket) -> None:
+        """Forget what an idle team or class leaves; a debt ends with the shortage."""
+        priority_class = self._class_of(ticket)
+        priority_class.forget_if_idle(ticket.team)
+        if not priority_class.has_work():
+            del self._classes[ticket.work, ticket.priority]
+
+
+def _usable_weight(weight: float) -> float:
+    """Return a weight, or the default for one that a peer could not mean."""
+    is_usable = math.isfinite(weight) and weight > 0
+    return weight if is_usable else DEFAULT_WEIGHT
--- a/apricotquay/serving/slots/waits.py
+++ b/apricotquay/serving/slots/waits.py
@@ -8,7 +8,7 @@
 from collections.abc import Collection, Iterable
 
 from .endpointslots import EndpointSlots
-from .tickets import Ticket
+from .tickets import Ticket, Work
 
 # Initial estimate of how long an online request holds its slot. The estimate is
 # updated when slots are released.
@@ -30,6 +30,12 @@
         """Record how long an online request held its slot."""
         self._service_time_s += SERVICE_TIME_SMOOTHING * (held_s - self._service_time_s)
 
+    def expected_slot_s(self, ticket: Ticket) -> float:
+        """Return how long a ticket is expected to hold its slot."""
+        if ticket.work is Work.ONLINE:
+            return self._service_time_s
+        return ticket.expected_duration_s or self._service_time_s
+
     def throughput_per_s(self, slots: Iterable[EndpointSlots], now_s: float) -> float:
         """Return how many online requests a second the endpoints can begin."""
         total = sum(
@@ -38,12 +44,11 @@
         return total or 1 / self._service_time_s
 
     def expected_wait_s(
-        self,
-        slots: Collection[EndpointSlots],
-        waiting_online: Iterable[Ticket],
-        now_s: float,
+        self, slots: Collection[EndpointSlots], ahead: int, now_s: float
     ) -> float:
-        """Estimate a new online ticket's wait; batch items can be preempted."""
+        """Estimate the wait of an online ticket that is served after `ahead` others;
+        batch items can be preempted.
+        """
         free = sum(
             s.count - s.online_count for s in slots if s.is_open and s.limit is None
         )
@@ -52,7 +57,6 @@
             for s in slots
             if s.is_open and s.limit is not None and s.may_send(now_s)
         )
-        ahead = sum(1 for t in waiting_online if not t.holds_slot)
         if ahead < free or not slots:
             return 0.0
         return (ahead - free + 1) / self.throughput_per_s(slots, now_s)
--- a/bench/queueing.py
+++ b/bench/queueing.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from apricotquay.ids import EndpointId
+from apricotquay.ids import EndpointId, TeamId
 from apricotquay.serving.slots.dispatch import Dispatcher
 from apricotquay.serving.slots.tickets import (
     Decision,
@@ -71,6 +71,17 @@
         return Rank.ONLINE_IN_TIME if online else Rank.BATCH_IN_TIME
 
 
+class TeamBlindDispatcher(Dispatcher):
+    """Baseline: the order of service before teams and priorities."""
+
+    def request_slot(self, ticket: Ticket, now_s: float) -> list[Decision]:
+        """Request a slot for a ticket like any other."""
+        ticket = msgspec.structs.replace(
+            ticket, team=TeamId(""), priority=0, weight=1.0, tokens=0
+        )
+        return super().request_slot(ticket, now_s)
+
+
 class LocalTables:
     """One slot table per daemon; each counts only the requests of its daemon."""
 
@@ -135,6 +146,10 @@
     sent_s: float = 0.0
     started_s: float = 0.0
     refused_early: bool = False
+    team: TeamId = TeamId("")
+    priority: int = 0
+    weight: float = 1.0
+    tokens: int = 0
     served_s: float = 0.0
     ticket_count: int = 0
     send_count: int = 0
@@ -225,6 +240,10 @@
             due_s,
             arrival.service_time_s,
             arrival.hangs,
+            team=arrival.team,
+            priority=arrival.priority,
+            weight=arrival.weight,
+            tokens=arrival.tokens,
         )
         self.requests.append(request)
         self._send_online(request, now_s)
@@ -249,6 +268,10 @@
             Work.ONLINE,
             request.sent_s + d.objective_s,
             request.sent_s + d.caller_timeout_s - RESPONSE_MARGIN_S,
+            team=request.team,
+            priority=request.priority,
+            weight=request.weight,
+            tokens=request.tokens,
         )
         self._tickets[ticket.id] = request
         self._apply_decisions(self._table.request_slot(ticket, now_s), now_s)
--- a/bench/slottable.py
+++ b/bench/slottable.py
@@ -1,10 +1,11 @@
 """Time per request of the event-loop daemon's slot table by endpoints and items."""
 
+import itertools
 import random
 import time
 from collections.abc import Iterator
 
-from apricotquay.ids import EndpointId
+from apricotquay.ids import EndpointId, TeamId
 from apricotquay.serving.slots.dispatch import Dispatcher
 from apricotquay.serving.slots.tickets import Granted, Ticket, TicketId, Work
 
@@ -16,21 +17,23 @@
 ONLINE_SERVICE_TIME_S = 0.7
 # Offered online load over capacity: requests fill all slots and half as many wait.
 LOAD_FACTOR = 1.5
+# One team, and as many as the users have.
+TEAM_COUNTS = (1, 86)
 
 
 def measure_slot_table(seed: int) -> Iterator[Row]:
     """Yield the time to request and release an online request's slot while batch
     items wait, of which none, or half, avoid an endpoint that failed them.
     """
-    for endpoint_count, item_count in ENDPOINT_AND_ITEM_COUNTS:
-        for avoiding_share in (0.0, 0.5):
-            table, now_s = _fill_table(endpoint_count, item_count, avoiding_share, seed)
-            scenario = (
-                f"{endpoint_count} endpoints, {item_count} items wait, "
-                f"{avoiding_share:.0%} avoid some"
-            )
-            value_us = _measure_request_s(table, endpoint_count, now_s) * 1e6
-            yield Row(scenario, "an online request's ask and release", value_us, "us")
+    cases = itertools.product(ENDPOINT_AND_ITEM_COUNTS, (0.0, 0.5), TEAM_COUNTS)
+    for (endpoint_count, item_count), avoiding_share, teams in cases:
+        table, now_s = _fill_table(endpoint_count, item_count, avoiding_share, seed)
+        scenario = (
+            f"{endpoint_count} endpoints, {item_count} items wait, "
+            f"{avoiding_share:.0%} avoid some, {teams} teams"
+        )
+        value_us = _measure_request_s(table, endpoint_count, now_s, teams) * 1e6
+        yield Row(scenario, "an online request's ask and release", value_us, "us")
 
 
 def _fill_table(
@@ -54,7 +57,9 @@
     return table, 1.0
 
 
-def _measure_request_s(table: Dispatcher, endpoint_count: int, now_s: float) -> float:
+def _measure_request_s(
+    table: Dispatcher, endpoint_count: int, now_s: float, teams: int
+) -> float:
     """Return the mean time of a request's two calls of the table, in seconds."""
     interval_s = ONLINE_SERVICE_TIME_S / (
         endpoint_count * SLOTS_PER_ENDPOINT * LOAD_FACTOR
@@ -63,7 +68,13 @@
     started_s = time.perf_counter()
     for number in range(REQUEST_COUNT):
         now_s += interval_s
-        ticket = Ticket(TicketId(f"o{number}"), Work.ONLINE, now_s + 0.3, now_s + 1.8)
+        ticket = Ticket(
+            TicketId(f"o{number}"),
+            Work.ONLINE,
+            now_s + 0.3,
+            now_s + 1.8,
+            team=TeamId(f"team{number % teams}"),
+        )
         decisions = list(table.request_slot(ticket, now_s))
         while running and running[0][0] <= now_s:
             decisions += table.release(running.pop(0)[1], now_s)
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from apricotquay.events import Event
+from apricotquay.ids import TeamId
 
 PEAK_PERIOD_S, CALM_DURATION_S = 5.8, 3.4
 CALM_RATE_FACTOR, PEAK_RATE_FACTOR = 0.383, 1.87
@@ -69,11 +70,18 @@
 
 
 class OnlineArrival(msgspec.Struct, frozen=True):
-    """An online request's arrival and how long it holds a slot."""
+    """An online request's arrival and how long it holds a slot.
+
+    The other fields are those of its ticket.
+    """
 
     at_s: float
     service_time_s: float
     hangs: bool = False
+    team: TeamId = TeamId("")
+    priority: int = 0
+    weight: float = 1.0
+    tokens: int = 0
 
 
 class JobArrival(msgspec.Struct, frozen=True):
