--- a/apricotquay/serving/batch/itemattempts.py
+++ b/apricotquay/serving/batch/itemattempts.py
@@ -18,6 +18,7 @@
 from ..reporting import Reporter
 from ..slots.allocator import SlotAllocator
 from ..slots.outliers import SlotOutcome
+from ..slots.schedulingterms import SchedulingTerms, scheduling_terms
 from ..slots.slotrequests import SlotLease, SlotRequest, SlotUnavailableError
 from ..slots.tickets import Work
 from .itemprogress import (
@@ -29,6 +30,7 @@
 )
 from .itemschedule import postponement_s
 from .jobtable import Job
+from .routecache import RouteCache
 from .runningitems import RunningItem
 
 ITEM_TIMEOUT_MS = 60_000
@@ -59,6 +61,7 @@
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
         self._run_times = RunTimeEstimate()
+        self._routes = RouteCache(view)
 
     async def run(self, running: RunningItem) -> AttemptResult:
         """Wait for a slot and run an item there once."""
@@ -69,6 +72,7 @@
         item = job.items[index]
         self._discard_lost_version(service, progress)
         needs_s = self._run_times.remaining_s(progress.ran_s)
+        terms = self._terms(job, index)
         slot_request = SlotRequest(
             Work.BATCH,
             due_s,
@@ -76,6 +80,9 @@
             needs_s,
             avoid=progress.endpoints_to_avoid(),
             version=progress.version,
+            team=terms.team,
+            priority=terms.priority,
+            weight=terms.weight,
         )
         requested_s = self._clock.now_s()
         try:
@@ -124,6 +131,12 @@
         )
         return result
 
+    def _terms(self, job: Job, index: int) -> SchedulingTerms:
+        """Return the terms of an item by the current configuration."""
+        configuration = self._view.configuration
+        team = configuration.teams.get(job.header.team) if configuration else None
+        return scheduling_terms(self._routes.find(job, index), team)
+
     def _discard_lost_version(
         self, service: ServiceName, progress: ItemProgress
     ) -> None:
--- a/apricotquay/serving/online/handler.py
+++ b/apricotquay/serving/online/handler.py
@@ -21,6 +21,7 @@
 from ..reporting import Reporter
 from ..slots.allocator import SlotAllocator
 from ..slots.outliers import SlotOutcome
+from ..slots.schedulingterms import scheduling_terms
 from ..slots.slotrequests import SlotLease, SlotRequest
 from ..slots.tickets import Work
 from ..streams.streamkeeper import StreamKeeper
@@ -146,6 +147,7 @@
         service = route.service_for(random.random())
         await self._find_version(request, admission, progress, service)
         due_s = request.arrived_s + route.objective_ms / 1000
+        terms = scheduling_terms(route, admission.team)
         lease: SlotLease | None = None
         while True:
             slot_request = SlotRequest(
@@ -156,6 +158,9 @@
                 avoid=frozenset(progress.failed_endpoints),
                 may_repeat=route.is_idempotent,
                 version=progress.version,
+                team=terms.team,
+                priority=terms.priority,
+                weight=terms.weight,
             )
             if lease is None:
                 lease = await self._slot_waits.acquire(service, slot_request, progress)
