--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -171,7 +171,10 @@
         return now_s + wait_s <= ticket.slot_deadline_s
 
     def _refuse(self, ticket: Ticket, wait_s: float, now_s: float) -> Refused:
-        after_s = self._waits.retry_after_s(wait_s, self._slots.values(), now_s)
+        share = self._shares.share(ticket)
+        after_s = self._waits.retry_after_s(
+            ticket, wait_s, share, self._slots.values(), now_s
+        )
         return Refused(ticket.id, after_s)
 
     def _refuse_missing_versions(self) -> Iterable[Refused]:
--- a/apricotquay/serving/slots/fairshares.py
+++ b/apricotquay/serving/slots/fairshares.py
@@ -235,8 +235,9 @@
         return higher + self._ahead_in_class(ticket)
 
     def share(self, ticket: Ticket) -> float:
-        """Return the share of its class's slots that a ticket's team can count on: by
-        weight among the teams with work, or what it holds now if that is more.
+        """Return the share of all slots that a ticket's team can count on: of what
+        higher classes do not hold, by weight among the teams of its class that have
+        work, or what it holds of its class's slots now if that is more.
         """
         accounts = self._busy_accounts(ticket)
         own = accounts.get(ticket.team)
@@ -245,7 +246,21 @@
         by_weight = weight / (weight + sum(a.weight for a in others))
         held = own.held if own else 0
         all_held = held + sum(a.held for a in others)
-        return max(by_weight, held / all_held if all_held else 0.0)
+        in_class = max(by_weight, held / all_held if all_held else 0.0)
+        return in_class * self.class_share(ticket)
+
+    def class_share(self, ticket: Ticket) -> float:
+        """Return the share of the held slots that higher classes leave to a ticket's
+        class, at least one slot's.
+        """
+        held_of_class = {
+            priority: sum(a.held for a in priority_class.accounts.values())
+            for (work, priority), priority_class in self._classes.items()
+            if work is ticket.work
+        }
+        held = sum(held_of_class.values())
+        higher = sum(n for p, n in held_of_class.items() if p < ticket.priority)
+        return max(held - higher, 1) / held if held else 1.0
 
     def _busy_accounts(self, ticket: Ticket) -> dict[TeamId, _Account]:
         priority_class = self._classes.get((ticket.work, ticket.priority))
--- a/apricotquay/serving/slots/waits.py
+++ b/apricotquay/serving/slots/waits.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Collection, Iterable
 
+from ...ids import TeamId
 from .endpointslots import EndpointSlots
 from .tickets import Ticket, Work
 
@@ -14,6 +15,12 @@
 # updated when slots are released.
 DEFAULT_SERVICE_TIME_S = 0.7
 SERVICE_TIME_SMOOTHING = 0.05
+# Classes and teams whose refused callers are remembered before those are forgotten
+# that have returned, and how many callers of each.
+MAX_CALLERS = 512
+MAX_RETRY_TIMES = 1000
+
+_Caller = tuple[int, TeamId]
 
 
 class WaitEstimator:
@@ -24,7 +31,8 @@
 
     def __init__(self) -> None:
         self._service_time_s: float = DEFAULT_SERVICE_TIME_S
-        self._retry_times_s: list[float] = []
+        # Of the refused callers of each class and team.
+        self._retry_times_s: dict[_Caller, list[float]] = {}
 
     def record_service_time(self, held_s: float) -> None:
         """Record how long an online request held its slot."""
@@ -83,11 +91,32 @@
         return hopeless
 
     def retry_after_s(
-        self, wait_s: float, slots: Collection[EndpointSlots], now_s: float
+        self,
+        ticket: Ticket,
+        wait_s: float,
+        share: float,
+        slots: Collection[EndpointSlots],
+        now_s: float,
     ) -> float:
-        """Return a refused caller's retry delay, spread over what can be served."""
-        self._retry_times_s = [at_s for at_s in self._retry_times_s if at_s > now_s]
-        spread_s = len(self._retry_times_s) / self.throughput_per_s(slots, now_s)
+        """Return a refused caller's retry delay, spread over what can be served of its
+        class and team, which get `share` of the slots.
+        """
+        caller = (ticket.priority, ticket.team)
+        times_s = [at_s for at_s in self._retry_times_s.get(caller, []) if at_s > now_s]
+        spread_s = len(times_s) / (self.throughput_per_s(slots, now_s) * share)
         after_s = wait_s + spread_s
-        self._retry_times_s.append(now_s + after_s)
+        if len(times_s) < MAX_RETRY_TIMES:
+            times_s.append(now_s + after_s)
+        self._forget_retries(now_s)
+        self._retry_times_s[caller] = times_s
         return after_s
+
+    def _forget_retries(self, now_s: float) -> None:
+        """Forget the teams whose callers have all returned, if they may be many."""
+        if len(self._retry_times_s) < MAX_CALLERS:
+            return
+        self._retry_times_s = {
+            caller: times_s
+            for caller, times_s in self._retry_times_s.items()
+            if times_s[-1] > now_s
+        }
--- a/bench/main.py
+++ b/bench/main.py
@@ -10,6 +10,7 @@
     "decisions": lambda seed: decisions.measure_decisions(),
     "policies": policies.measure_policies,
     "owners": policies.measure_owner_counts,
+    "teams": policies.measure_team_policies,
     "slots": lambda seed: slottable.measure_slot_table(seed),
     "rates": rates.measure_rate_limits,
     "calls": lambda seed: calls.measure_calls(),
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -9,9 +9,17 @@
 
 from apricotquay.serving.slots.tickets import Work
 
-from .queueing import EarliestDueDispatcher, LocalTables, Policy, QueueingModel
+from .queueing import (
+    EarliestDueDispatcher,
+    LocalTables,
+    Policy,
+    QueueingModel,
+    Request,
+    TeamBlindDispatcher,
+)
 from .results import Row
 from .splittables import SplitTables
+from .teamloads import SCENARIOS, TeamScenario
 from .upperbound import compute_upper_bound
 from .workloads import DEPLOYMENTS, Deployment, Disturbance, generate_workload
 
@@ -19,6 +27,7 @@
 # Student's t at 95 % for 7 degrees of freedom, one less than the repeats.
 T_95_DF_7 = 2.365
 DAEMON_COUNT = 10
+TEAM_REPEATS = 3
 
 DISTURBANCES = (
     Disturbance("calm"),
@@ -38,6 +47,12 @@
     Policy("attempts given up after 0.2 s", first_event_timeout_s=0.2),
 )
 
+# The first is the baseline.
+TEAM_POLICIES = (
+    Policy("teams and classes unknown", TeamBlindDispatcher),
+    Policy("fair shares and classes"),
+)
+
 # The users' large deployment: 39 engines before 195 daemons.
 LARGE = Deployment(
     engines=39,
@@ -79,6 +94,52 @@
     )
 
 
+def measure_team_policies(seed: int, repeats: int = TEAM_REPEATS) -> Iterator[Row]:
+    """Yield what each group of teams gets with and without shares and priorities. The
+    baseline is the table that knows neither.
+    """
+    for scenario in SCENARIOS:
+        blind, shared = (
+            simulate_teams(scenario, policy, seed, repeats) for policy in TEAM_POLICIES
+        )
+        for group, requests in sorted(shared.items()):
+            for figure, share_of in TEAM_FIGURES.items():
+                yield Row(
+                    f"{scenario.name}: {group}",
+                    figure,
+                    share_of(requests),
+                    "",
+                    share_of(blind[group]),
+                )
+
+
+def simulate_teams(
+    scenario: TeamScenario, policy: Policy, seed: int, repeats: int
+) -> dict[str, list[Request]]:
+    """Return the requests of each group of teams."""
+    groups: dict[str, list[Request]] = {}
+    for number in range(repeats):
+        workload = scenario.workload(seed + number)
+        model = QueueingModel(scenario.deployment, workload, policy, seed + number)
+        model.run()
+        for request in model.requests:
+            groups.setdefault(scenario.group_of[request.team], []).append(request)
+    return groups
+
+
+def in_time_share(requests: Sequence[Request]) -> float:
+    """Return the share of requests that were served in time."""
+    return statistics.fmean(r.is_in_time for r in requests)
+
+
+def served_share(requests: Sequence[Request]) -> float:
+    """Return the share of requests that got a slot."""
+    return statistics.fmean(r.slot_wait_s is not None for r in requests)
+
+
+TEAM_FIGURES = {"in time": in_time_share, "served": served_share}
+
+
 def measure_policies(
     seed: int,
     policies: Sequence[Policy] = POLICIES,
--- a/bench/teamloads.py
+++ b/bench/teamloads.py
@@ -98,3 +98,94 @@
         return 1.0
     is_calm = at_s % PEAK_PERIOD_S < CALM_DURATION_S
     return CALM_RATE_FACTOR if is_calm else PEAK_RATE_FACTOR
+
+
+class TeamScenario(msgspec.Struct, frozen=True):
+    """A load of several teams; results are given for each group of teams."""
+
+    name: str
+    deployment: Deployment
+    loads: tuple[TeamLoad, ...]
+    group_of: dict[TeamId, str]
+    engines: tuple[EngineCount, ...] = ()
+    has_peaks: bool = False
+
+    def workload(self, seed: int) -> Workload:
+        """Return the workload of a seed."""
+        return team_workload(
+            self.deployment, self.loads, seed, self.engines, self.has_peaks
+        )
+
+
+# Four teams of 2 a second at two endpoints, and one that sends 30 a second for 12 s.
+PAIR = Deployment(engines=2, online_service_time_s=0.7, duration_s=20.0)
+SMALL_LOADS = tuple(TeamLoad(TeamId(f"small{n}"), 2.0) for n in range(4))
+LARGE_LOAD = TeamLoad(
+    TeamId("large"), 1.0, burst_factor=30.0, burst_from_s=4.0, burst_to_s=16.0
+)
+
+# 78 teams of unequal size and a large one, which sends 7.5 times its usual for 6.5 s.
+FLEET = Deployment(duration_s=30.0)
+UNEQUAL_RATES_PER_S = (0.1,) * 40 + (0.3,) * 30 + (1.0,) * 8
+UNEQUAL_LOADS = tuple(
+    TeamLoad(TeamId(f"team{n}"), rate_per_s)
+    for n, rate_per_s in enumerate(UNEQUAL_RATES_PER_S)
+)
+BURSTING_LOAD = TeamLoad(
+    TeamId("large"), 6.0, burst_factor=7.5, burst_from_s=8.0, burst_to_s=14.5
+)
+
+# 81 equal teams in three classes, and the loss of half the endpoints for 10 s.
+CLASS_COUNT = 3
+CLASS_LOADS = tuple(
+    TeamLoad(TeamId(f"team{n}"), 0.525, priority=n % CLASS_COUNT) for n in range(81)
+)
+HALF_LOST = (EngineCount(0.0, 6), EngineCount(10.0, 3), EngineCount(20.0, 6))
+
+
+def _by_size(loads: Iterable[TeamLoad]) -> dict[TeamId, str]:
+    return {load.team: "large" if load.team == "large" else "small" for load in loads}
+
+
+def _by_class(loads: Iterable[TeamLoad]) -> dict[TeamId, str]:
+    return {load.team: f"class {load.priority}" for load in loads}
+
+
+SCENARIOS = (
+    TeamScenario("small teams alone", PAIR, SMALL_LOADS, _by_size(SMALL_LOADS)),
+    TeamScenario(
+        "large team beside small ones",
+        PAIR,
+        (*SMALL_LOADS, LARGE_LOAD),
+        _by_size((*SMALL_LOADS, LARGE_LOAD)),
+    ),
+    TeamScenario(
+        "unequal teams, waves",
+        FLEET,
+        UNEQUAL_LOADS,
+        _by_size(UNEQUAL_LOADS),
+        has_peaks=True,
+    ),
+    TeamScenario(
+        "unequal teams, waves, one at 7.5 times its usual",
+        FLEET,
+        (*UNEQUAL_LOADS, BURSTING_LOAD),
+        _by_size((*UNEQUAL_LOADS, BURSTING_LOAD)),
+        has_peaks=True,
+    ),
+    TeamScenario(
+        "three classes, waves",
+        FLEET,
+        CLASS_LOADS,
+        _by_class(CLASS_LOADS),
+        has_peaks=True,
+    ),
+    TeamScenario(
+        "three classes, waves, half the endpoints lost",
+        FLEET,
+        CLASS_LOADS,
+        _by_class(CLASS_LOADS),
+        HALF_LOST,
+        has_peaks=True,
+    ),
+)
--- /dev/null
+++ b/tests/test_serving_rejections.py
@@ -0,0 +1,108 @@
+"""Which tickets are refused when slots are short, and when their callers return."""
+
+from parameterized import parameterized
+
+from apricotquay.ids import TeamId
+from apricotquay.serving.slots.dispatch import Dispatcher
+from apricotquay.serving.slots.tickets import Refused, Ticket
+from apricotquay.serving.slots.waits import MAX_CALLERS, WaitEstimator
+
+from .base import ApricotTest
+from .test_serving_dispatch import online, table
+
+SLOTS = 4
+# So many requests of one team wait that its next cannot be served within 1.8 s.
+MANY = 40
+
+
+def request(name: str, team: str, deadline_s: float = 1.8, **fields) -> Ticket:
+    """Return a ticket that can wait until a time."""
+    return online(name, 0.3, deadline_s, team=TeamId(team), **fields)
+
+
+def full_table(team: str, **fields) -> Dispatcher:
+    """Return a table whose slots and line are full of one team's requests."""
+    dispatcher = table(a=SLOTS)
+    for number in range(SLOTS + MANY):
+        dispatcher.request_slot(request(f"w{number}", team, 100.0, **fields), 0.0)
+    return dispatcher
+
+
+class RejectionTest(ApricotTest):
+    """What is refused at once."""
+
+    @parameterized.expand(
+        [
+            ("the team whose line is long", "large", 0, True),
+            ("a team below its share", "small", 0, False),
+            ("a higher class of the same team", "large", -1, False),
+            ("a lower class of another team", "small", 1, True),
+        ]
+    )
+    def test_only_requests_that_come_too_late_in_the_order_are_refused(
+        self, _name, team, priority, is_refused
+    ):
+        """A line of requests that are served later is no reason."""
+        dispatcher = full_table("large")
+        decisions = dispatcher.request_slot(
+            request("new", team, priority=priority), 0.01
+        )
+        self.assertEqual(is_refused, any(isinstance(d, Refused) for d in decisions))
+
+    def test_refused_request_of_a_team_counts_no_tickets_of_lower_classes(self):
+        """Its wait is that of its own class."""
+        low = full_table("large", priority=1)
+        waits_s = [
+            self._wait_s(low, request("n0", "x", 0.02)),
+            self._wait_s(low, request("n1", "large", 0.02, priority=1)),
+        ]
+        self.assertLess(waits_s[0] * 10, waits_s[1])
+
+    def test_callers_of_a_small_team_return_before_those_of_a_large_one(self):
+        """Their delay is spread over what is served of their own team."""
+        dispatcher = full_table("large")
+        for number in range(30):
+            self._wait_s(dispatcher, request(f"l{number}", "large"))
+        for number in range(3):
+            ticket = request(f"s{number}", "small", 100.0)
+            dispatcher.request_slot(ticket, 0.0)
+        small_s = self._wait_s(dispatcher, request("small", "small", 0.02))
+        large_s = self._wait_s(dispatcher, request("large", "large", 0.02))
+        self.assertLess(small_s, large_s / 4)
+
+    def test_retry_times_of_equal_callers_differ(self):
+        """Callers that return together would compete for the same slots."""
+        dispatcher = full_table("large")
+        waits_s = [
+            self._wait_s(dispatcher, request(f"r{n}", "large")) for n in range(5)
+        ]
+        self.assertEqual(sorted(set(waits_s)), waits_s)
+
+    def test_memory_of_refused_callers_is_bounded(self):
+        """Many teams are refused once each."""
+        estimator = WaitEstimator()
+        for number in range(4 * MAX_CALLERS):
+            ticket = request("t", f"team{number}")
+            estimator.retry_after_s(ticket, 0.1, 1.0, [], float(number))
+        self.assertLessEqual(len(estimator._retry_times_s), MAX_CALLERS)
+
+    def _wait_s(self, dispatcher: Dispatcher, ticket: Ticket) -> float:
+        [refused] = dispatcher.request_slot(ticket, 0.01)
+        self.assertIsInstance(refused, Refused)
+        return refused.wait_s
+
+
+class OvertakenTest(ApricotTest):
+    """Tickets that others overtake while they wait."""
+
+    def test_overtaken_ticket_is_refused_at_its_deadline_and_not_kept(self):
+        """A lower class waits as long as its caller allows and no longer."""
+        dispatcher = table(a=1)
+        dispatcher.request_slot(request("running", "x", 100.0), 0.0)
+        dispatcher.request_slot(request("low", "x", 1.8, priority=1), 0.0)
+        for number in range(10):
+            ticket = request(f"h{number}", "x", 100.0)
+            dispatcher.request_slot(ticket, 0.1)
+        self.assertEqual([], dispatcher.tick(1.0))
+        [refused] = dispatcher.tick(1.8)
+        self.assertEqual("low", refused.ticket)
