--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -393,6 +393,7 @@
         parts[-2] if len(parts) > 1 else "",
         wire.decode_prompt_parts(request.headers),
         request.header(wire.RESUMES) or "",
+        wire.decode_token_usage(request.headers),
     )
 
 
--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -24,6 +24,7 @@
     is_success,
 )
 from ..serving.http.httpclient import ClientConnection, open_client
+from ..serving.slots.memory import TokenUsage
 from . import wire
 
 # Connecting takes one round trip of a few milliseconds. After a timeout the request
@@ -116,6 +117,10 @@
         """Return the parts of a request's prompt that other requests may share."""
         return wire.decode_prompt_parts(headers)
 
+    def token_usage(self, headers: HeaderList) -> TokenUsage:
+        """Return the size that a caller states of a request."""
+        return wire.decode_token_usage(headers)
+
     def forwarded_headers(self, headers: HeaderList) -> HeaderList:
         """Return the headers of a caller that servers may get: no key is left."""
         return [
--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -33,6 +33,7 @@
 from ..serving.fleet.keyedlog import KeyedRecord, Topic
 from ..serving.fleet.view import RecordUnreadableError
 from ..serving.http.http1 import HeaderList, find_header
+from ..serving.slots.memory import UNKNOWN_USAGE, TokenUsage
 
 # Headers that a daemon reads or sets, in lower case as h11 returns them.
 REQUEST_ID = b"attempt-id"
@@ -46,6 +47,7 @@
 SIGNATURE = b"response-stamp"
 ANSWERING_ENDPOINT = b"instance"
 SERVER_LOAD = b"server-load"
+TOKEN_USAGE = b"token-usage"
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
 MODEL = b"model"
@@ -73,6 +75,11 @@
 
 CONFIGURATION_KEY = b"config"
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,20}(\.[0-9]{0,20})?(e[+-]?[0-9]{1,3})?", re.ASCII)
+USAGE = re.compile(r"[0-9]{1,12} *, *[0-9]{1,12}", re.ASCII)
+COUNT = re.compile(r"[0-9]{1,12}", re.ASCII)
+# More tokens than any memory holds.
+MAX_TOKENS = 1_000_000_000
+MALFORMED_USAGE = TokenUsage(is_malformed=True)
 PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
 MAX_PORT = 65_535
 MAX_SLOTS = 100_000
@@ -108,6 +115,8 @@
 
 class _Engine(msgspec.Struct):
     slots: int = 0
+    # Any value, so that an invalid one does not make the configuration unreadable.
+    kv_cache_tokens: Any = 0
 
 
 class _Service(msgspec.Struct):
@@ -153,6 +162,32 @@
     return [part_key(model, part_id) for part_id in shared][:MAX_PARTS_PER_REQUEST]
 
 
+def decode_token_usage(headers: HeaderList) -> TokenUsage:
+    """Return the size that a caller states of a request; two headers are malformed."""
+    values = [value for name, value in headers if name == TOKEN_USAGE]
+    if not values:
+        return UNKNOWN_USAGE
+    text = b";".join(values).decode("latin-1").strip()
+    if not USAGE.fullmatch(text):
+        return MALFORMED_USAGE
+    prompt, max_output = (int(number) for number in text.split(","))
+    if max(prompt, max_output) > MAX_TOKENS:
+        return MALFORMED_USAGE
+    return TokenUsage(prompt, max_output, _decode_shared_tokens(headers, prompt))
+
+
+def _decode_shared_tokens(headers: HeaderList, prompt: int) -> int:
+    """Return the length of the last shared part of a prompt, 0 if it is unknown.
+
+    It is at most that of all shared parts, whether lengths are counted from the start
+    of the prompt or of the part, so that no memory is taken for shared that is not.
+    """
+    entries = (find_header(headers, PROMPT_PARTS) or "").split(",")
+    text = entries[-2].rpartition(":")[2].strip() if len(entries) > 1 else ""
+    length = int(text) if COUNT.fullmatch(text) else 0
+    return length if length <= prompt else 0
+
+
 def decode_limit(headers: HeaderList) -> EndpointLimit:
     """Return the limit that a response names; two headers are malformed."""
     values = [value for name, value in headers if name == SERVER_LIMIT]
@@ -269,7 +304,17 @@
 
 
 def _convert_service(raw: _Service) -> Service:
-    return Service(ServiceName(raw.name), raw.engine.slots if raw.engine else 0)
+    engine = raw.engine or _Engine()
+    return Service(
+        ServiceName(raw.name), engine.slots, _convert_memory(engine.kv_cache_tokens)
+    )
+
+
+def _convert_memory(value: Any) -> int:
+    """Return how many tokens a memory holds, 0 for a value that names no size."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    is_size = is_number and 0 < value <= MAX_TOKENS
+    return int(value) if is_size else 0
 
 
 def _convert_team(raw: _Tenant) -> Team:
--- a/apricotquay/serving/batch/itemattempts.py
+++ b/apricotquay/serving/batch/itemattempts.py
@@ -5,6 +5,7 @@
 
 from ...clocks import Clock
 from ...events import Event
+from ...ids import RouteName
 from ..catalog import ServiceName
 from ..engine import (
     AttemptFailedError,
@@ -13,10 +14,12 @@
     RequestNotRunError,
 )
 from ..fleet.view import View
+from ..http.http1 import HeaderList
 from ..metrics import ServingMetrics
 from ..online.attempts import AttemptRunner, read_events
 from ..reporting import Reporter
 from ..slots.allocator import SlotAllocator
+from ..slots.memory import RequestSizes, TokenUsage, exceeds_memory
 from ..slots.outliers import SlotOutcome
 from ..slots.schedulingterms import SchedulingTerms, scheduling_terms
 from ..slots.slotrequests import SlotLease, SlotRequest, SlotUnavailableError
@@ -62,6 +65,7 @@
         self._reporter: Reporter = reporter
         self._run_times = RunTimeEstimate()
         self._routes = RouteCache(view)
+        self._sizes = RequestSizes()
 
     async def run(self, running: RunningItem) -> AttemptResult:
         """Wait for a slot and run an item there once."""
@@ -72,7 +76,11 @@
         item = job.items[index]
         self._discard_lost_version(service, progress)
         needs_s = self._run_times.remaining_s(progress.ran_s)
+        usage = self._usage(job, index)
+        if exceeds_memory(usage, self._memory_tokens(service)):
+            return AttemptResult(Outcome.IMPOSSIBLE, "larger than any memory")
         terms = self._terms(job, index)
+        route_name = self._route_name(job, index)
         slot_request = SlotRequest(
             Work.BATCH,
             due_s,
@@ -83,6 +91,7 @@
             team=terms.team,
             priority=terms.priority,
             weight=terms.weight,
+            tokens=self._sizes.needed_tokens(route_name, usage),
         )
         requested_s = self._clock.now_s()
         try:
@@ -118,6 +127,7 @@
         progress.record_attempt(lease.endpoint, result, had_output, ran_s)
         if result.outcome is Outcome.DONE:
             self._run_times.record(progress.ran_s)
+            self._sizes.record(route_name, usage, progress.last_id + 1)
         self._reporter.write(
             Event.ITEM_ATTEMPT_ENDED,
             job=job.header.id,
@@ -137,6 +147,21 @@
         team = configuration.teams.get(job.header.team) if configuration else None
         return scheduling_terms(self._routes.find(job, index), team)
 
+    def _route_name(self, job: Job, index: int) -> RouteName:
+        route = self._routes.find(job, index)
+        return route.name if route else RouteName("")
+
+    def _usage(self, job: Job, index: int) -> TokenUsage:
+        usage = self._attempts.token_usage(_headers_of(job, index))
+        if usage.is_malformed:
+            self._metrics.count("token_usage_malformed")
+        return usage
+
+    def _memory_tokens(self, service: ServiceName) -> int:
+        configuration = self._view.configuration
+        settings = configuration.services.get(service) if configuration else None
+        return settings.memory_tokens if settings else 0
+
     def _discard_lost_version(
         self, service: ServiceName, progress: ItemProgress
     ) -> None:
@@ -161,10 +186,7 @@
         if progress.version and endpoint.version != progress.version:
             return AttemptResult(Outcome.RETRY, "another version")
         item = job.items[index]
-        headers = [
-            (b"host", job.header.host.encode()),
-            *((n.lower().encode(), v.encode("latin-1")) for n, v in item.headers),
-        ]
+        headers = _headers_of(job, index)
         remaining_ms = job.header.give_up_ms - self._clock.wall_ms()
         call = EngineCall(
             item.id,
@@ -206,6 +228,15 @@
             )
 
 
+def _headers_of(job: Job, index: int) -> HeaderList:
+    """Return the headers of an item's request."""
+    item = job.items[index]
+    return [
+        (b"host", job.header.host.encode()),
+        *((n.lower().encode(), v.encode("latin-1")) for n, v in item.headers),
+    ]
+
+
 async def _read_output(
     response: EngineResponse,
     progress: ItemProgress,
--- a/apricotquay/serving/catalog.py
+++ b/apricotquay/serving/catalog.py
@@ -71,10 +71,13 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A service; `slots` is the default of its endpoints, 0 if unset."""
+    """A service; `slots` is the default of its endpoints, 0 if unset, and
+    `memory_tokens` how many tokens the memory of each holds, 0 if unknown.
+    """
 
     name: ServiceName
     slots: int = 0
+    memory_tokens: int = 0
 
 
 class Team(msgspec.Struct, frozen=True):
--- a/apricotquay/serving/engine.py
+++ b/apricotquay/serving/engine.py
@@ -12,6 +12,7 @@
 from .crashes.promptparts import PartKey
 from .endpoints import Endpoint
 from .http.http1 import HeaderList
+from .slots.memory import TokenUsage
 
 
 class EngineCall(msgspec.Struct, frozen=True):
@@ -171,6 +172,9 @@
     def prompt_parts(self, headers: HeaderList) -> list[PartKey]:
         """Return the parts of a request's prompt that other requests may share."""
 
+    def token_usage(self, headers: HeaderList) -> TokenUsage:
+        """Return the size that a caller states of a request."""
+
     def forwarded_headers(self, headers: HeaderList) -> HeaderList:
         """Return the headers of a caller that endpoints may get: no key is left."""
 
--- a/apricotquay/serving/fleet/routedclient.py
+++ b/apricotquay/serving/fleet/routedclient.py
@@ -23,6 +23,7 @@
 from ..http.http1 import HeaderList
 from ..metrics import ServingMetrics
 from ..reporting import Reporter
+from ..slots.memory import TokenUsage
 from ..tasks import start_task
 from .paths import PathTable
 from .peerchecks import PeerChecks, PeerFindings
@@ -119,6 +120,10 @@
         """Return the parts of a request's prompt that other requests may share."""
         return self._direct.prompt_parts(headers)
 
+    def token_usage(self, headers: HeaderList) -> TokenUsage:
+        """Return the size that a caller states of a request."""
+        return self._direct.token_usage(headers)
+
     def is_out_of_reach(self, endpoint: Endpoint) -> bool:
         """Whether this VM is known not to reach an endpoint that a peer reaches."""
         return self.paths.is_lost(endpoint.id)
--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -45,6 +45,7 @@
     tokens: int = 0
     zone: str = ""
     regions: list[str] = []
+    prefix_tokens: int = 0
 
 
 class SlotQueued(msgspec.Struct, frozen=True, tag="slot_queued"):
--- a/apricotquay/serving/online/attempts.py
+++ b/apricotquay/serving/online/attempts.py
@@ -32,6 +32,7 @@
 from ..http.sse import EventSplitter, StreamEvent
 from ..metrics import ServingMetrics
 from ..reporting import Reporter
+from ..slots.memory import TokenUsage
 from .handover import Handover
 
 T = TypeVar("T")
@@ -86,6 +87,10 @@
         """Return the parts of a request's prompt that other requests may share."""
         return self._engines.prompt_parts(headers)
 
+    def token_usage(self, headers: HeaderList) -> TokenUsage:
+        """Return the size that a caller states of a request."""
+        return self._engines.token_usage(headers)
+
     async def run(
         self,
         call: EngineCall,
--- a/apricotquay/serving/online/handler.py
+++ b/apricotquay/serving/online/handler.py
@@ -20,6 +20,7 @@
 from ..metrics import ServingMetrics
 from ..reporting import Reporter
 from ..slots.allocator import SlotAllocator
+from ..slots.memory import RequestSizes, exceeds_memory
 from ..slots.outliers import SlotOutcome
 from ..slots.schedulingterms import scheduling_terms
 from ..slots.slotrequests import SlotLease, SlotRequest
@@ -79,6 +80,7 @@
         self._timeouts = AdaptiveTimeouts()
         self.admission = AdmissionControl(view, rates, attempts, clock)
         self._forwarder = ResponseForwarder(clock)
+        self._sizes = RequestSizes()
         self._slot_waits = SlotWaits(slots, view, clock, reporter)
 
     async def serve(
@@ -145,6 +147,7 @@
         """Retry until a response is delivered or no further attempt is allowed."""
         route = admission.route
         service = route.service_for(random.random())
+        self._check_memory(request, service)
         await self._find_version(request, admission, progress, service)
         due_s = request.arrived_s + route.objective_ms / 1000
         terms = scheduling_terms(route, admission.team)
@@ -161,6 +164,8 @@
                 team=terms.team,
                 priority=terms.priority,
                 weight=terms.weight,
+                tokens=self._sizes.needed_tokens(route.name, request.usage),
+                prefix_tokens=request.usage.shared,
             )
             if lease is None:
                 lease = await self._slot_waits.acquire(service, slot_request, progress)
@@ -173,6 +178,7 @@
                     request, admission, writer, progress, lease, deadline_s, handover
                 )
                 if lease.outcome is SlotOutcome.SUCCEEDED:
+                    self._record_size(request, route, progress)
                     return
                 self._check_may_retry(route, progress)
                 await self._check_crash_suspicion(request, progress, lease)
@@ -214,6 +220,27 @@
             )
         progress.version = known.version
 
+    def _check_memory(self, request: OnlineRequest, service: ServiceName) -> None:
+        """Raise RequestError for a request that no endpoint of a service can hold."""
+        if request.usage.is_malformed:
+            self._metrics.count("token_usage_malformed")
+        configuration = self._view.configuration
+        settings = configuration.services.get(service) if configuration else None
+        memory_tokens = settings.memory_tokens if settings else 0
+        if exceeds_memory(request.usage, memory_tokens):
+            raise RequestError(
+                ErrorKind.MEMORY_EXCEEDED,
+                f"{request.usage.total} tokens are more than the {memory_tokens} that "
+                f"an endpoint of {service} holds",
+            )
+
+    def _record_size(
+        self, request: OnlineRequest, route: Route, progress: RequestProgress
+    ) -> None:
+        """Record how long a stream became that has ended by itself."""
+        if route.kind is RouteKind.STREAMING and progress.last_event_id is not None:
+            self._sizes.record(route.name, request.usage, progress.last_event_id + 1)
+
     def _record_version(
         self,
         request: OnlineRequest,
--- a/apricotquay/serving/online/requests.py
+++ b/apricotquay/serving/online/requests.py
@@ -14,6 +14,7 @@
 from ..http.bodybudget import BodyReservation
 from ..http.http1 import HeaderList
 from ..http.sse import StreamEvent
+from ..slots.memory import UNKNOWN_USAGE, TokenUsage
 
 INTERRUPTION_RETRY_AFTER_MS = 300
 
@@ -24,7 +25,8 @@
     `caller_timeout_ms` is how long the caller waits, `resume_after` the id of the
     last event that it received from an earlier response, `prefix` identifies the
     prompt's shared prefix, `prompt_parts` are its parts without the last. `resumes`
-    is the id of the request that brought the first event of the stream. Times in
+    is the id of the request that brought the first event of the stream, `usage` the
+    size that the caller states. Times in
     seconds are read from the daemon's clock.
     """
 
@@ -42,6 +44,7 @@
     prefix: str = ""
     prompt_parts: list[PartKey] = []
     resumes: str = ""
+    usage: TokenUsage = UNKNOWN_USAGE
 
 
 class ResponseWriter(Protocol):
--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -145,6 +145,7 @@
             request.tokens,
             request.zone,
             request.regions,
+            request.prefix_tokens,
         )
         for asked_count in range(MAX_OWNER_ASKS):
             owner = self._owner(service)
--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -19,6 +19,7 @@
 )
 from .fairshares import FairShares
 from .placement import Placement
+from .reservations import MemoryReservations
 from .revocation import choose_revocations, revocable
 from .sendlimits import SendLimit
 from .tickets import (
@@ -47,6 +48,7 @@
         self._shares = FairShares()
         self._line = WaitingLine(self._rank, self._shares)
         self._waits = WaitEstimator()
+        self._reservations = MemoryReservations()
         self._placement = Placement(seed, self._can_revoke)
         self._batch_running: set[TicketId] = set()
         self._revoked: set[TicketId] = set()
@@ -101,6 +103,7 @@
             slots.status = statuses.get(endpoint, EndpointStatus.NORMAL)
             slots.limit = limits.get(endpoint)
             slots.profile = profiles.get(endpoint, UNKNOWN_PROFILE)
+        self._reservations.check_endpoint()
         self._has_limits = bool(limits)
         return list(self._serve_line(now_s))
 
@@ -123,7 +126,7 @@
 
     def release(self, ticket_id: TicketId, now_s: float) -> list[Decision]:
         """Release a ticket's slot or remove the ticket from the queue."""
-        self._line.remove(ticket_id)
+        self._remove_waiting(ticket_id)
         self._revoked.discard(ticket_id)
         self._batch_running.discard(ticket_id)
         endpoint = self._endpoint_of.pop(ticket_id, None)
@@ -145,7 +148,7 @@
         if self._has_limits:
             late += self._hopeless_tickets(now_s)
         for ticket in late:
-            self._line.remove(ticket.id)
+            self._remove_waiting(ticket.id)
         refusals: list[Decision] = [
             self._refuse(ticket, self._expected_wait_s(ticket, now_s), now_s)
             for ticket in late
@@ -153,6 +156,10 @@
         refusals += self._refuse_missing_versions()
         return refusals + list(self._serve_line(now_s))
 
+    def _remove_waiting(self, ticket_id: TicketId) -> None:
+        self._line.remove(ticket_id)
+        self._reservations.end(ticket_id)
+
     def _refuse_if_too_late(self, ticket: Ticket, now_s: float) -> Refused | None:
         """Refuse an online ticket that cannot get a slot before its deadline."""
         if ticket.work is not Work.ONLINE or self._is_soon(ticket, now_s):
@@ -184,7 +191,7 @@
             return
         for ticket in list(self._line.all()):
             if ticket.version and ticket.version not in listed:
-                self._line.remove(ticket.id)
+                self._remove_waiting(ticket.id)
                 yield Refused(ticket.id, 0.0)
 
     def _hopeless_tickets(self, now_s: float) -> list[Ticket]:
@@ -223,6 +230,7 @@
             slots = self._placement.choose(ticket, available, now_s)
             if slots is None:
                 blocked.add(ticket.restriction)
+                self._reserve_memory(ticket, available, now_s)
                 continue
             self._line.remove(ticket.id)
             self._assign(ticket, slots, now_s)
@@ -232,6 +240,17 @@
                 available.remove(slots)
             yield Granted(ticket.id, slots.endpoint)
 
+    def _reserve_memory(
+        self, ticket: Ticket, available: list[EndpointSlots], now_s: float
+    ) -> None:
+        """Reserve memory if a ticket only lacks memory and has been passed for long."""
+        if not ticket.tokens:
+            return
+        if any(
+            s.accepts(ticket, now_s) and not s.has_memory(ticket) for s in available
+        ):
+            self._reservations.record_blocked(ticket, self._slots.values(), now_s)
+
     def _can_revoke(self, now_s: float) -> bool:
         """Whether a batch item can be revoked in favour of an online request."""
         if not self._has_limits:
@@ -261,6 +280,7 @@
     def _assign(self, ticket: Ticket, slots: EndpointSlots, now_s: float) -> None:
         if ticket.work is Work.BATCH:
             self._batch_running.add(ticket.id)
+        self._reservations.end(ticket.id)
         slots.assign(ticket, now_s)
         self._shares.grant(ticket, self._waits.expected_slot_s(ticket))
         self._endpoint_of[ticket.id] = slots.endpoint
--- a/apricotquay/serving/slots/endpointslots.py
+++ b/apricotquay/serving/slots/endpointslots.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ...ids import EndpointId
+from .memory import MemoryUse, Reservation
 from .sendlimits import SendLimit
 from .tickets import Ticket, TicketId, Work
 
@@ -51,6 +52,8 @@
         self.status: EndpointStatus = EndpointStatus.NORMAL
         self.limit: SendLimit | None = None
         self.profile: EndpointProfile = UNKNOWN_PROFILE
+        self.memory = MemoryUse()
+        self.reservation: Reservation | None = None
 
     @property
     def version(self) -> str:
@@ -72,6 +75,27 @@
 
     def suits(self, ticket: Ticket, now_s: float) -> bool:
         """Whether a ticket may use the endpoint, which is available."""
+        return self.accepts(ticket, now_s) and self.has_memory(ticket)
+
+    def has_memory(self, ticket: Ticket) -> bool:
+        """Whether the endpoint's memory holds a ticket beside those that run and one
+        that memory is reserved for; as far as the sizes are known.
+        """
+        capacity = self.profile.memory_tokens
+        if not capacity or not ticket.tokens:
+            return True
+        kept = self.reservation
+        reserved = kept.tokens if kept and kept.ticket != ticket.id else 0
+        return self.memory.tokens + self.memory.needed(ticket) + reserved <= capacity
+
+    def could_hold(self, ticket: Ticket) -> bool:
+        """Whether the endpoint's memory would hold a ticket alone."""
+        may_use = self.is_open and self.endpoint not in ticket.avoid
+        is_version = ticket.version in ("", self.version)
+        return may_use and is_version and ticket.tokens <= self.profile.memory_tokens
+
+    def accepts(self, ticket: Ticket, now_s: float) -> bool:
+        """Whether a ticket may use the endpoint if there is memory for it."""
         if self.endpoint in ticket.avoid:
             return False
         if ticket.version and ticket.version != self.version:
@@ -92,11 +116,13 @@
         if ticket.work is Work.ONLINE:
             self.online_count += 1
         self.running[ticket.id] = ticket
+        self.memory.add(ticket)
         self.granted_s[ticket.id] = now_s
 
     def release(self, ticket_id: TicketId, now_s: float) -> tuple[Ticket, float]:
         """Free a ticket's slot; return the ticket and how long it held the slot."""
         ticket = self.running.pop(ticket_id)
+        self.memory.remove(ticket)
         held_s = now_s - self.granted_s.pop(ticket_id)
         if ticket.work is Work.ONLINE:
             self.online_count -= 1
--- a/apricotquay/serving/slots/slotowner.py
+++ b/apricotquay/serving/slots/slotowner.py
@@ -433,8 +433,9 @@
             for entry in self._view.endpoints.serving(service)
         }
         limits = self._limits_of(service, now_s)
+        memory_tokens = self._memory_tokens(service)
         profiles = {
-            e.id: EndpointProfile(e.version, e.zone)
+            e.id: EndpointProfile(e.version, e.zone, memory_tokens=memory_tokens)
             for e in self._view.endpoints.serving(service)
         }
         return table.set_endpoints(slot_counts, now_s, statuses, limits, profiles)
@@ -461,6 +462,11 @@
                 found[endpoint.id] = limit
         return found
 
+    def _memory_tokens(self, service: ServiceName) -> int:
+        configuration = self._view.configuration
+        settings = configuration.services.get(service) if configuration else None
+        return settings.memory_tokens if settings else 0
+
     def _default_slots(self, service: ServiceName) -> int:
         configuration = self._view.configuration
         settings = configuration.services.get(service) if configuration else None
--- a/apricotquay/serving/slots/slotrequests.py
+++ b/apricotquay/serving/slots/slotrequests.py
@@ -39,6 +39,7 @@
     tokens: int = 0
     zone: str = ""
     regions: frozenset[str] = frozenset()
+    prefix_tokens: int = 0
 
 
 class SlotLease(msgspec.Struct):
--- a/apricotquay/serving/slots/ticketmessages.py
+++ b/apricotquay/serving/slots/ticketmessages.py
@@ -31,6 +31,7 @@
         ticket.tokens,
         ticket.zone,
         sorted(ticket.regions),
+        ticket.prefix_tokens,
     )
 
 
@@ -53,6 +54,7 @@
         message.tokens,
         message.zone,
         frozenset(message.regions),
+        message.prefix_tokens,
     )
 
 
--- a/apricotquay/serving/slots/tickets.py
+++ b/apricotquay/serving/slots/tickets.py
@@ -30,12 +30,17 @@
 
 
 class Restriction(NamedTuple):
-    """Which endpoints a ticket may use; the fields are those of `Ticket`."""
+    """Which endpoints a ticket may use; the fields are those of `Ticket`.
+
+    `size` is the magnitude of its tokens: those that find no memory hold up none that
+    are smaller.
+    """
 
     version: str
     avoid: frozenset[str]
     may_repeat: bool
     regions: frozenset[str]
+    size: int = 0
 
 
 UNRESTRICTED = Restriction("", frozenset(), True, frozenset())
@@ -55,8 +60,9 @@
 
     `team`, the ticket's `priority` class (0 is the highest) and the team's `weight`
     decide who goes first when slots are short. `tokens` is the memory that the request
-    needs at an endpoint, 0 if unknown. `zone` is the availability zone of the daemon
-    that sends it, and `regions` are those that it may reach, empty for all.
+    needs at an endpoint, 0 if unknown, of which `prefix_tokens` are shared. `zone` is
+    the availability zone of the daemon that sends it, and `regions` are those that it
+    may reach, empty for all.
     """
 
     id: TicketId
@@ -75,11 +81,18 @@
     tokens: int = 0
     zone: str = ""
     regions: frozenset[str] = frozenset()
+    prefix_tokens: int = 0
 
     @property
     def restriction(self) -> Restriction:
         """Which endpoints the ticket may use."""
-        return Restriction(self.version, self.avoid, self.may_repeat, self.regions)
+        return Restriction(
+            self.version,
+            self.avoid,
+            self.may_repeat,
+            self.regions,
+            max(0, self.tokens).bit_length(),
+        )
 
     def is_late(self, now_s: float) -> bool:
         """Whether the ticket would miss `due_s` even with a slot now."""
--- a/tests/test_platform_fields.py
+++ b/tests/test_platform_fields.py
@@ -21,7 +21,7 @@
     Server-Load Tenant Token-Usage Wait-Ms Weight-Versions
 """.split()
 # Passed on as they are.
-UNUSED_HEADERS = {"Token-Usage", "Length-Hint", "Weight-Versions", "Pin-Ms"}
+UNUSED_HEADERS = {"Length-Hint", "Weight-Versions", "Pin-Ms"}
 
 # Fields of each record, with those that are not decoded.
 RECORDS = [
--- a/tests/test_platform_scheduling.py
+++ b/tests/test_platform_scheduling.py
@@ -1,6 +1,7 @@
 """Priority and fair shares of teams, from configuration to endpoint."""
 
 import asyncio
+import json
 
 from parameterized import parameterized
 
@@ -105,6 +106,70 @@
         return asyncio.ensure_future(call)
 
 
+class MemoryFleetTest(PlatformTest):
+    """Requests and items whose size is stated, at a server of known memory."""
+
+    MEMORY = 1_000
+
+    @parameterized.expand(
+        [
+            ("fits", "400,600", 200),
+            ("larger than the memory", "400,601", 503),
+            ("malformed", "401;600", 200),
+        ]
+    )
+    def test_request_larger_than_the_memory_reaches_no_server(
+        self, _name, usage, status
+    ):
+        """It has not run, and no time is named at which it could."""
+
+        async def scenario(fleet):
+            await self.configure(fleet)
+            response = await fleet.call(
+                fleet.daemons[0], "POST", "/s/1", b"", attempt_id="a", token_usage=usage
+            )
+            self.assertEqual(status, response.status)
+            self.assertEqual(status == 200, bool(fleet.runs))
+            names = [name for name, _ in response.headers]
+            self.assertNotIn(b"retry-after", names)
+
+        self.run_scenario(scenario, daemons=1, servers=1)
+
+    def test_item_larger_than_the_memory_ends_and_others_run(self):
+        """It would be sent for ever, or fill a server's memory."""
+
+        async def scenario(fleet):
+            await self.configure(fleet)
+            daemon = fleet.daemons[0]
+            items = [
+                {
+                    "id": f"j-{n}",
+                    "path": "/b/1",
+                    "headers": {"Token-Usage": usage},
+                    "body": "",
+                    "tokens": 1,
+                }
+                for n, usage in enumerate(["900,200", "100,200", "oops"])
+            ]
+            data = json.dumps({"items": items}).encode()
+            response = await fleet.call(daemon, "POST", "/b/job", data, attempt_id="j")
+            self.assertEqual(202, response.status)
+            results = await fleet.wait_for_results(daemon, "j")
+            states = [results[f"j-{n}"][0] for n in range(3)]
+            self.assertEqual(["dead_letter", "done", "done"], states)
+            self.assertNotIn("j-0", [run["ran"] for run in fleet.runs])
+
+        self.run_scenario(scenario, daemons=1, servers=1)
+
+    async def configure(self, fleet: PlatformFleet) -> None:
+        """Write a configuration with a memory; wait until it is known."""
+        value = make_configuration(2, {"small": ["k1"]})
+        value["services"][0]["engine"]["kv_cache_tokens"] = self.MEMORY
+        await write_configuration(fleet.store_address, value)
+        for daemon in fleet.daemons:
+            await fleet.wait_until(lambda d=daemon: d.view.configuration.version == 2)
+
+
 def waiting(fleet: PlatformFleet) -> int:
     """Return how many tickets wait at the owner of the slots."""
     return sum(d.slots.tables.table("llm").waiting_count for d in fleet.daemons)
