--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -103,7 +103,7 @@
             slots.status = statuses.get(endpoint, EndpointStatus.NORMAL)
             slots.limit = limits.get(endpoint)
             slots.profile = profiles.get(endpoint, UNKNOWN_PROFILE)
-        self._reservations.check_endpoint()
+        self._reservations.check_endpoints()
         self._has_limits = bool(limits)
         return list(self._serve_line(now_s))
 
--- a/apricotquay/serving/slots/memory.py
+++ b/apricotquay/serving/slots/memory.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ...ids import RouteName
-from .tickets import Ticket, TicketId
+from .tickets import Ticket, TicketId, Work
 
 # The share of the output limit that all but one in so many streams stay below.
 OUTPUT_QUANTILE = 0.95
@@ -109,6 +109,7 @@
     """Memory of an endpoint that is kept for a waiting ticket."""
 
     ticket: TicketId
+    work: Work
     tokens: int
 
 
--- a/apricotquay/serving/slots/reservations.py
+++ b/apricotquay/serving/slots/reservations.py
@@ -9,18 +9,20 @@
 # A request whose turn it is but that finds no memory is passed by smaller ones for so
 # long; of the 0.3 s to its first event the larger part remains for the reservation.
 RESERVE_AFTER_S = 0.1
+# The share of the endpoints that have reservations at most, so that smaller requests
+# keep the others while large ones alone would need all.
+MAX_RESERVED_SHARE = 0.5
 
 
 class MemoryReservations:
-    """Keeps memory for a large ticket that smaller ones would pass for ever.
+    """Keeps memory for large tickets that smaller ones would pass for ever.
 
-    One ticket has a reservation at a time. Smaller ones still use what its endpoint
-    has left beside it. Used by `Dispatcher`.
+    An endpoint's memory is reserved for one ticket at a time. Smaller ones still use
+    what it has left beside that. Used by `Dispatcher`.
     """
 
     def __init__(self) -> None:
-        self._ticket: Ticket | None = None
-        self._slots: EndpointSlots | None = None
+        self._slots_of_ticket: dict[TicketId, EndpointSlots] = {}
         self._blocked_since_s: dict[TicketId, float] = {}
 
     def record_blocked(
@@ -30,33 +32,48 @@
         once it has been passed for long enough.
         """
         since_s = self._blocked_since_s.setdefault(ticket.id, now_s)
-        if now_s - since_s < RESERVE_AFTER_S or not self._may_reserve(ticket):
+        is_due = now_s - since_s >= RESERVE_AFTER_S
+        if not is_due or ticket.id in self._slots_of_ticket:
             return
-        roomy = [s for s in slots_of_all if s.could_hold(ticket)]
-        if roomy:
-            self._end_current()
-            self._ticket = ticket
-            self._slots = min(roomy, key=lambda slots: slots.memory.tokens)
-            self._slots.reservation = Reservation(ticket.id, ticket.tokens)
+        open_to = [
+            s for s in self._reservable(list(slots_of_all)) if _may_reserve(s, ticket)
+        ]
+        if open_to:
+            slots = min(open_to, key=lambda slots: slots.memory.tokens)
+            self._end_at(slots)
+            self._slots_of_ticket[ticket.id] = slots
+            slots.reservation = Reservation(ticket.id, ticket.work, ticket.tokens)
+
+    def _reservable(self, slots_of_all: list[EndpointSlots]) -> list[EndpointSlots]:
+        """Return the endpoints among which a further ticket finds its reservation."""
+        count = len(self._slots_of_ticket)
+        if count < max(1, MAX_RESERVED_SHARE * len(slots_of_all)):
+            return slots_of_all
+        return [slots for slots in slots_of_all if slots.reservation is not None]
 
     def end(self, ticket_id: TicketId) -> None:
         """End a ticket's reservation, since it was served or has left."""
         self._blocked_since_s.pop(ticket_id, None)
-        if self._ticket is not None and self._ticket.id == ticket_id:
-            self._end_current()
-
-    def check_endpoint(self) -> None:
-        """End the reservation at an endpoint that takes no more work."""
-        if self._slots is not None and not self._slots.is_open:
-            self._end_current()
-
-    def _may_reserve(self, ticket: Ticket) -> bool:
-        """Whether no ticket has the reservation, or a batch item that can wait."""
-        if self._ticket is None:
-            return True
-        return self._ticket.work is Work.BATCH and ticket.work is Work.ONLINE
-
-    def _end_current(self) -> None:
-        if self._slots is not None:
-            self._slots.reservation = None
-        self._ticket = self._slots = None
+        slots = self._slots_of_ticket.get(ticket_id)
+        if slots is not None:
+            self._end_at(slots)
+
+    def check_endpoints(self) -> None:
+        """End the reservations at endpoints that take no more work."""
+        for slots in list(self._slots_of_ticket.values()):
+            if not slots.is_open:
+                self._end_at(slots)
+
+    def _end_at(self, slots: EndpointSlots) -> None:
+        if slots.reservation is not None:
+            del self._slots_of_ticket[slots.reservation.ticket]
+            slots.reservation = None
+
+
+def _may_reserve(slots: EndpointSlots, ticket: Ticket) -> bool:
+    """Whether an endpoint's memory can be reserved for a ticket: a batch item, which
+    can wait, gives its reservation up to an online request.
+    """
+    kept = slots.reservation
+    is_open = kept is None or (kept.work is Work.BATCH and ticket.work is Work.ONLINE)
+    return is_open and slots.could_hold(ticket)
--- a/bench/main.py
+++ b/bench/main.py
@@ -11,6 +11,7 @@
     "policies": policies.measure_policies,
     "owners": policies.measure_owner_counts,
     "teams": policies.measure_team_policies,
+    "sizes": policies.measure_large_requests,
     "slots": lambda seed: slottable.measure_slot_table(seed),
     "rates": rates.measure_rate_limits,
     "calls": lambda seed: calls.measure_calls(),
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -7,6 +7,8 @@
 import statistics
 from collections.abc import Iterator, Sequence
 
+import msgspec
+
 from apricotquay.serving.slots.tickets import Work
 
 from .queueing import (
@@ -19,7 +21,7 @@
 )
 from .results import Row
 from .splittables import SplitTables
-from .teamloads import SCENARIOS, TeamScenario
+from .teamloads import LARGE_REQUESTS, LARGE_TOKENS, SCENARIOS, TeamScenario
 from .upperbound import compute_upper_bound
 from .workloads import DEPLOYMENTS, Deployment, Disturbance, generate_workload
 
@@ -113,6 +115,46 @@
                 )
 
 
+def measure_large_requests(seed: int) -> Iterator[Row]:
+    """Yield what large requests get, and how many of all are sent to endpoints without
+    the memory for them while another had it. The baseline knows no sizes.
+    """
+    blind, sized = (
+        simulate_sizes(policy, seed, TEAM_REPEATS) for policy in TEAM_POLICIES
+    )
+    name = LARGE_REQUESTS.name
+    for group, requests in sized.groups.items():
+        before = blind.groups[group]
+        for figure, share_of in TEAM_FIGURES.items():
+            value, baseline = share_of(requests), share_of(before)
+            yield Row(f"{name}: {group}", figure, value, "", baseline)
+    figure = "sent without memory"
+    yield Row(name, figure, sized.overfull_grants, "", blind.overfull_grants)
+
+
+class SizedResult(msgspec.Struct):
+    """The requests of a run by size, and how many were sent without memory."""
+
+    groups: dict[str, list[Request]]
+    overfull_grants: int = 0
+
+
+def simulate_sizes(policy: Policy, seed: int, repeats: int) -> SizedResult:
+    """Return what happens to requests of two sizes."""
+    result = SizedResult({"small requests": [], "large requests": []})
+    for number in range(repeats):
+        workload = LARGE_REQUESTS.workload(seed + number)
+        deployment = LARGE_REQUESTS.deployment
+        model = QueueingModel(deployment, workload, policy, seed + number)
+        model.run()
+        result.overfull_grants += model.overfull_grants
+        for request in model.requests:
+            is_large = request.tokens == LARGE_TOKENS
+            group = "large requests" if is_large else "small requests"
+            result.groups[group].append(request)
+    return result
+
+
 def simulate_teams(
     scenario: TeamScenario, policy: Policy, seed: int, repeats: int
 ) -> dict[str, list[Request]]:
--- a/bench/queueing.py
+++ b/bench/queueing.py
@@ -19,6 +19,7 @@
 
 from apricotquay.ids import EndpointId, TeamId
 from apricotquay.serving.slots.dispatch import Dispatcher
+from apricotquay.serving.slots.endpointslots import EndpointProfile
 from apricotquay.serving.slots.tickets import (
     Decision,
     Granted,
@@ -164,6 +165,7 @@
 
     def __init__(self, slots: int) -> None:
         self.slots: int = slots
+        self.tokens: int = 0
         self.running: set[TicketId] = set()
         self.waiting: collections.deque[TicketId] = collections.deque()
 
@@ -175,6 +177,8 @@
         self, deployment: Deployment, workload: Workload, policy: Policy, seed: int
     ) -> None:
         self.requests: list[Request] = []
+        # Requests sent to an engine without memory for them while another had it.
+        self.overfull_grants: int = 0
         self.busy_slot_s: dict[Work, float] = dict.fromkeys(Work, 0.0)
         self._deployment: Deployment = deployment
         self._workload: Workload = workload
@@ -229,7 +233,12 @@
         for endpoint in ids:
             self._engines.setdefault(endpoint, _Engine(self._deployment.slots))
         counts = dict.fromkeys(ids, self._deployment.slots)
-        self._apply_decisions(self._table.set_endpoints(counts, now_s), now_s)
+        known = {}
+        if self._deployment.memory_tokens:
+            profile = EndpointProfile(memory_tokens=self._deployment.memory_tokens)
+            known = {"profiles": dict.fromkeys(ids, profile)}
+        decisions = self._table.set_endpoints(counts, now_s, **known)
+        self._apply_decisions(decisions, now_s)
 
     def _handle_online_arrival(self, now_s: float, arrival: OnlineArrival) -> None:
         due_s = now_s + self._deployment.objective_s
@@ -325,9 +334,20 @@
         """Queue a request at its engine, which starts it when a slot is free."""
         engine = self._engines[granted.endpoint]
         self._engine_by_ticket[granted.ticket] = engine
+        self._count_overfull(engine, self._tickets[granted.ticket])
+        engine.tokens += self._tickets[granted.ticket].tokens
         engine.waiting.append(granted.ticket)
         self._start_queued(engine, now_s)
 
+    def _count_overfull(self, engine: _Engine, request: Request) -> None:
+        memory_tokens = self._deployment.memory_tokens
+        has_room = [
+            e.tokens + request.tokens <= memory_tokens for e in self._engines.values()
+        ]
+        is_overfull = engine.tokens + request.tokens > memory_tokens
+        if memory_tokens and is_overfull and any(has_room):
+            self.overfull_grants += 1
+
     def _start_queued(self, engine: _Engine, now_s: float) -> None:
         while engine.waiting and len(engine.running) < engine.slots:
             ticket_id = engine.waiting.popleft()
@@ -401,6 +421,7 @@
 
     def _free_slot(self, ticket_id: TicketId, now_s: float) -> None:
         engine = self._engine_by_ticket.pop(ticket_id)
+        engine.tokens -= self._tickets[ticket_id].tokens
         if ticket_id in engine.running:
             engine.running.discard(ticket_id)
             request = self._tickets[ticket_id]
--- a/bench/teamloads.py
+++ b/bench/teamloads.py
@@ -21,12 +21,14 @@
 
 # How far a team's rate may rise above its usual one.
 MAX_RATE_FACTOR = PEAK_RATE_FACTOR
+LARGE_SHARE = 0.1
 
 
 class TeamLoad(msgspec.Struct, frozen=True):
     """What one team sends.
 
     Between `burst_from_s` and `burst_to_s` its rate is `burst_factor` times the usual.
+    A tenth of its requests need `large_tokens` of memory, if set, the others `tokens`.
     """
 
     team: TeamId
@@ -37,6 +39,7 @@
     burst_from_s: float = 0.0
     burst_to_s: float = 0.0
     tokens: int = 0
+    large_tokens: int = 0
 
     def rate_at(self, at_s: float) -> float:
         """Return the team's rate at a time."""
@@ -82,10 +85,16 @@
                 team=load.team,
                 priority=load.priority,
                 weight=load.weight,
-                tokens=load.tokens,
+                tokens=_tokens(load, rng),
             )
 
 
+def _tokens(load: TeamLoad, rng: random.Random) -> int:
+    if load.large_tokens and rng.random() < LARGE_SHARE:
+        return load.large_tokens
+    return load.tokens
+
+
 def _poisson(rate_per_s: float, end_s: float, rng: random.Random) -> Iterator[float]:
     at_s = rng.expovariate(rate_per_s)
     while at_s < end_s:
@@ -142,6 +151,15 @@
 )
 HALF_LOST = (EngineCount(0.0, 6), EngineCount(10.0, 3), EngineCount(20.0, 6))
 
+# Requests of two sizes; the memory of the endpoints is short in the peaks.
+MEMORY_TOKENS = 72_000
+SMALL_TOKENS, LARGE_TOKENS = 5_000, 40_000
+SIZED_FLEET = Deployment(duration_s=30.0, memory_tokens=MEMORY_TOKENS)
+SIZED_LOADS = tuple(
+    TeamLoad(TeamId(f"team{n}"), 4.5, tokens=SMALL_TOKENS, large_tokens=LARGE_TOKENS)
+    for n in range(10)
+)
+
 
 def _by_size(loads: Iterable[TeamLoad]) -> dict[TeamId, str]:
     return {load.team: "large" if load.team == "large" else "small" for load in loads}
@@ -151,6 +169,14 @@
     return {load.team: f"class {load.priority}" for load in loads}
 
 
+LARGE_REQUESTS = TeamScenario(
+    "large requests, waves",
+    SIZED_FLEET,
+    SIZED_LOADS,
+    {load.team: "all" for load in SIZED_LOADS},
+    has_peaks=True,
+)
+
 SCENARIOS = (
     TeamScenario("small teams alone", PAIR, SMALL_LOADS, _by_size(SMALL_LOADS)),
     TeamScenario(
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -40,6 +40,7 @@
     item_value: float = 35.0
     item_late_value: float = 3.5
     duration_s: float = 60.0
+    memory_tokens: int = 0
 
 
 DEPLOYMENTS = {
--- a/tests/test_serving_teamloads.py
+++ b/tests/test_serving_teamloads.py
@@ -1,7 +1,12 @@
 """Loads of many teams that compete for too few slots, in virtual time."""
 
 from apricotquay.serving.slots.dispatch import Dispatcher
-from bench.policies import in_time_share, served_share, simulate_teams
+from bench.policies import (
+    in_time_share,
+    served_share,
+    simulate_sizes,
+    simulate_teams,
+)
 from bench.queueing import Policy, TeamBlindDispatcher
 from bench.teamloads import SCENARIOS
 
@@ -13,6 +18,8 @@
 MAX_LOSS = 0.02
 # The least share of a team's requests served, of the share of all teams' requests.
 MIN_SERVED_RATIO = 0.25
+# The same for the largest tenth of requests.
+MIN_LARGE_RATIO = 0.9
 BY_NAME = {scenario.name: scenario for scenario in SCENARIOS}
 
 
@@ -59,3 +66,13 @@
             for team in {request.team for request in everyone}:
                 of_team = [r for r in everyone if r.team == team]
                 self.assertGreaterEqual(served_share(of_team), least, team)
+
+    def test_large_requests_are_served_as_the_others_and_within_the_memory(self):
+        """The memory is short in the peaks; small requests would pass large ones."""
+        sized = simulate_sizes(Policy("sizes", Dispatcher), SEED, REPEATS)
+        large = served_share(sized.groups["large requests"])
+        small = served_share(sized.groups["small requests"])
+        self.assertGreaterEqual(large, MIN_LARGE_RATIO * small)
+        self.assertEqual(0, sized.overfull_grants)
+        blind = simulate_sizes(Policy("none", TeamBlindDispatcher), SEED, REPEATS)
+        self.assertGreater(blind.overfull_grants, 0)
