--- a/apricotquay/events.py
+++ b/apricotquay/events.py
@@ -67,6 +67,8 @@
     STREAM_TAKEN_UP = (1609, "stream taken up")
     ATTEMPT_RELAYED = (1610, "attempt given to a peer that reaches the endpoint")
     RELAY_SERVED = (1611, "attempt made for a peer ended")
+    SLOT_REFUSED = (1621, "slot refused")
+    MEMORY_EXCEEDED = (1622, "request larger than the memory of endpoints")
     JOB_ACCEPTED = (1701, "job accepted")
     JOB_FINISHED = (1702, "job finished")
     JOB_CANCELLED = (1703, "job cancelled")
--- a/apricotquay/serving/batch/itemattempts.py
+++ b/apricotquay/serving/batch/itemattempts.py
@@ -77,7 +77,16 @@
         self._discard_lost_version(service, progress)
         needs_s = self._run_times.remaining_s(progress.ran_s)
         usage = self._usage(job, index)
-        if exceeds_memory(usage, self._memory_tokens(service)):
+        memory_tokens = self._memory_tokens(service)
+        if exceeds_memory(usage, memory_tokens):
+            self._metrics.count("memory_exceeded")
+            self._reporter.write_limited(
+                Event.MEMORY_EXCEEDED,
+                request=item.id,
+                service=service,
+                tokens=usage.total,
+                memory_tokens=memory_tokens,
+            )
             return AttemptResult(Outcome.IMPOSSIBLE, "larger than any memory")
         terms = self._terms(job, index)
         route_name = self._route_name(job, index)
--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -73,6 +73,8 @@
 from .tasks import start_task
 
 LOG_FLUSH_INTERVAL_S = 0.1
+# Priority classes with a gauge of their own.
+SHOWN_PRIORITIES = 4
 # The load balancer stops opening connections after two failed checks, 1 s apart.
 BALANCER_REMOVAL_S = 2.6
 DRAIN_POLL_INTERVAL_S = 0.05
@@ -411,10 +413,22 @@
         self.metrics.set_gauge("endpoints_limited", self.slots.tables.limited_count)
         leaving_count = len(self.view.endpoints.leaving_notices())
         self.metrics.set_gauge("endpoints_said_leaving", leaving_count)
+        self._set_slot_gauges()
         headers = [(b"content-type", b"text/plain; charset=utf-8")]
         body = self.metrics.render().encode()
         await exchange.respond(HttpResponse(200, headers, body))
 
+    def _set_slot_gauges(self) -> None:
+        """Set what waits for slots here by class, and what was refused by reason."""
+        tables = self.slots.tables
+        waiting = tables.waiting_by_priority()
+        for priority in range(SHOWN_PRIORITIES):
+            name = f"slots_waiting_class_{priority}"
+            self.metrics.set_gauge(name, waiting.pop(priority, 0))
+        self.metrics.set_gauge("slots_waiting_class_other", waiting.total())
+        for reason, count in tables.refused_counts.items():
+            self.metrics.set_gauge(f"slots_refused_{reason.value}", count)
+
     def _create_peer_handlers(self) -> dict[type, PeerHandler]:
         """Return what handles each message of a peer; calls return their reply."""
         handlers: dict[type, PeerHandler] = {
--- a/apricotquay/serving/online/handler.py
+++ b/apricotquay/serving/online/handler.py
@@ -228,6 +228,14 @@
         settings = configuration.services.get(service) if configuration else None
         memory_tokens = settings.memory_tokens if settings else 0
         if exceeds_memory(request.usage, memory_tokens):
+            self._metrics.count("memory_exceeded")
+            self._reporter.write_limited(
+                Event.MEMORY_EXCEEDED,
+                request=request.id,
+                service=service,
+                tokens=request.usage.total,
+                memory_tokens=memory_tokens,
+            )
             raise RequestError(
                 ErrorKind.MEMORY_EXCEEDED,
                 f"{request.usage.total} tokens are more than the {memory_tokens} that "
--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -26,6 +26,7 @@
     Decision,
     Granted,
     Rank,
+    RefusalReason,
     Refused,
     Restriction,
     Revoked,
@@ -59,6 +60,10 @@
         """Number of waiting tickets."""
         return len(self._line)
 
+    def waiting_by_priority(self) -> collections.Counter[int]:
+        """Return how many online tickets of each priority wait."""
+        return collections.Counter(t.priority for t in self._line.online())
+
     def is_waiting(self, ticket_id: TicketId) -> bool:
         """Whether a ticket waits for a slot."""
         return ticket_id in self._line
@@ -144,14 +149,18 @@
         """Refuse waiting online tickets that are past their slot deadline, or cannot
         get a slot before it because endpoints have named limits.
         """
-        late = [t for t in self._line.online() if t.slot_deadline_s <= now_s]
+        late = [
+            (ticket, RefusalReason.WAITED_TOO_LONG)
+            for ticket in self._line.online()
+            if ticket.slot_deadline_s <= now_s
+        ]
         if self._has_limits:
-            late += self._hopeless_tickets(now_s)
-        for ticket in late:
+            hopeless = self._hopeless_tickets(now_s)
+            late += [(ticket, RefusalReason.OVERTAKEN) for ticket in hopeless]
+        for ticket, _ in late:
             self._remove_waiting(ticket.id)
         refusals: list[Decision] = [
-            self._refuse(ticket, self._expected_wait_s(ticket, now_s), now_s)
-            for ticket in late
+            self._refuse(ticket, reason, now_s) for ticket, reason in late
         ]
         refusals += self._refuse_missing_versions()
         return refusals + list(self._serve_line(now_s))
@@ -167,7 +176,7 @@
         wait_s = self._expected_wait_s(ticket, now_s)
         if not wait_s or now_s + wait_s <= ticket.slot_deadline_s:
             return None
-        return self._refuse(ticket, wait_s, now_s)
+        return self._refuse(ticket, RefusalReason.LINE_TOO_LONG, now_s)
 
     def _is_soon(self, ticket: Ticket, now_s: float) -> bool:
         """Whether a ticket gets a slot in time even after all that wait; this spares
@@ -177,12 +186,20 @@
         wait_s = self._waits.expected_wait_s(self._slots.values(), ahead, now_s)
         return now_s + wait_s <= ticket.slot_deadline_s
 
-    def _refuse(self, ticket: Ticket, wait_s: float, now_s: float) -> Refused:
+    def _refuse(self, ticket: Ticket, reason: RefusalReason, now_s: float) -> Refused:
+        """Return the refusal of a ticket that does not wait any more."""
         share = self._shares.share(ticket)
         after_s = self._waits.retry_after_s(
-            ticket, wait_s, share, self._slots.values(), now_s
+            ticket,
+            self._expected_wait_s(ticket, now_s),
+            share,
+            self._slots.values(),
+            now_s,
+        )
+        ahead = self._shares.ahead(ticket)
+        return Refused(
+            ticket.id, after_s, reason, ticket.team, ticket.priority, ahead, share
         )
-        return Refused(ticket.id, after_s)
 
     def _refuse_missing_versions(self) -> Iterable[Refused]:
         """Refuse waiting tickets that need a version which no endpoint has any more."""
@@ -192,7 +209,13 @@
         for ticket in list(self._line.all()):
             if ticket.version and ticket.version not in listed:
                 self._remove_waiting(ticket.id)
-                yield Refused(ticket.id, 0.0)
+                yield Refused(
+                    ticket.id,
+                    0.0,
+                    RefusalReason.VERSION_MISSING,
+                    ticket.team,
+                    ticket.priority,
+                )
 
     def _hopeless_tickets(self, now_s: float) -> list[Ticket]:
         """Return the waiting online tickets that would be granted a slot too late."""
--- a/apricotquay/serving/slots/slotowner.py
+++ b/apricotquay/serving/slots/slotowner.py
@@ -1,6 +1,7 @@
 """The owner's side of slot allocation: a table per service, with peers' tickets."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 
 import msgspec
@@ -41,7 +42,14 @@
 )
 from .slotleases import PeerLeases
 from .ticketmessages import MS_PER_S, held_ticket, requested_ticket
-from .tickets import Decision, Granted, Refused, Ticket, TicketId
+from .tickets import (
+    Decision,
+    Granted,
+    RefusalReason,
+    Refused,
+    Ticket,
+    TicketId,
+)
 
 DEFAULT_SLOTS = 8
 # A newer ticket may have been requested after its peer compiled its ticket list.
@@ -87,6 +95,7 @@
         self._peer_tickets: dict[TicketId, PeerTicket] = {}
         self._tickets_of_connection: dict[PeerConnection, set[TicketId]] = {}
         self._peer_leases = PeerLeases()
+        self.refused_counts = dict.fromkeys(RefusalReason, 0)
         self.on_local_decision = lambda decision: None
 
     @property
@@ -99,6 +108,13 @@
         """Number of known tickets of peers."""
         return len(self._peer_tickets)
 
+    def waiting_by_priority(self) -> collections.Counter[int]:
+        """Return how many online requests of each priority wait in all tables."""
+        waiting: collections.Counter[int] = collections.Counter()
+        for table in self._tables.values():
+            waiting += table.waiting_by_priority()
+        return waiting
+
     def table(self, service: ServiceName) -> Dispatcher:
         """Return the slot table of a service; create it at first use."""
         table = self._tables.get(service)
@@ -403,6 +419,8 @@
 
     def _deliver(self, decisions: list[Decision]) -> None:
         for decision in decisions:
+            if isinstance(decision, Refused):
+                self._report_refusal(decision)
             peer = self._peer_tickets.get(decision.ticket)
             if peer is None:
                 self.on_local_decision(decision)
@@ -411,6 +429,19 @@
             if isinstance(decision, Refused):
                 self._remove_peer_ticket(decision.ticket)
 
+    def _report_refusal(self, refused: Refused) -> None:
+        self.refused_counts[refused.reason] += 1
+        self._reporter.write_limited(
+            Event.SLOT_REFUSED,
+            ticket=refused.ticket,
+            reason=refused.reason.value,
+            team=refused.team,
+            priority=refused.priority,
+            ahead=refused.ahead,
+            share=round(refused.share, 3),
+            wait_ms=int(refused.wait_s * MS_PER_S),
+        )
+
     def _statuses_of(
         self, service: ServiceName, now_s: float
     ) -> dict[EndpointId, EndpointStatus]:
--- a/apricotquay/serving/slots/tickets.py
+++ b/apricotquay/serving/slots/tickets.py
@@ -117,11 +117,32 @@
     endpoint: EndpointId
 
 
+class RefusalReason(enum.Enum):
+    """Why a ticket is refused: `LINE_TOO_LONG` when it is new, `OVERTAKEN` while it
+    waits for limited endpoints, `WAITED_TOO_LONG` at its deadline, and
+    `VERSION_MISSING` when no endpoint has its version any more.
+    """
+
+    LINE_TOO_LONG = "line_too_long"
+    OVERTAKEN = "overtaken"
+    WAITED_TOO_LONG = "waited_too_long"
+    VERSION_MISSING = "version_missing"
+
+
 class Refused(msgspec.Struct, frozen=True):
-    """A ticket cannot get a slot in time; one may be free after `wait_s`."""
+    """A ticket cannot get a slot in time; one may be free after `wait_s`.
+
+    `ahead` tickets would have been served before it, and its team's `share` of the
+    slots is what its callers' return is spread over. They are for the log.
+    """
 
     ticket: TicketId
     wait_s: float
+    reason: RefusalReason = RefusalReason.WAITED_TOO_LONG
+    team: TeamId = TeamId("")
+    priority: int = 0
+    ahead: int = 0
+    share: float = 1.0
 
 
 class Revoked(msgspec.Struct, frozen=True):
--- a/tests/test_platform_scheduling.py
+++ b/tests/test_platform_scheduling.py
@@ -132,6 +132,10 @@
             self.assertEqual(status == 200, bool(fleet.runs))
             names = [name for name, _ in response.headers]
             self.assertNotIn(b"retry-after", names)
+            metrics = fleet.daemons[0].metrics.render()
+            self.assertEqual(status == 503, "memory_exceeded 1" in metrics)
+            is_counted = "token_usage_malformed 1" in metrics
+            self.assertEqual(";" in usage, is_counted)
 
         self.run_scenario(scenario, daemons=1, servers=1)
 
--- a/tests/test_serving_rejections.py
+++ b/tests/test_serving_rejections.py
@@ -2,13 +2,22 @@
 
 from parameterized import parameterized
 
+from apricotquay.events import Event
 from apricotquay.ids import TeamId
 from apricotquay.serving.slots.dispatch import Dispatcher
-from apricotquay.serving.slots.tickets import Refused, Ticket
+from apricotquay.serving.slots.slotowner import SlotTables
+from apricotquay.serving.slots.tickets import RefusalReason, Refused, Ticket
 from apricotquay.serving.slots.waits import MAX_CALLERS, WaitEstimator
 
 from .base import ApricotTest
 from .test_serving_dispatch import online, table
+from .test_serving_slots import (
+    ENDPOINTS,
+    SERVICE,
+    SLOTS as SLOTS_PER_ENDPOINT,
+    FixedView,
+    SteppedClock,
+)
 
 SLOTS = 4
 # So many requests of one team wait that its next cannot be served within 1.8 s.
@@ -92,6 +101,65 @@
         return refused.wait_s
 
 
+class RecordingReporter:
+    """Keeps the events of a table."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[Event, dict]] = []
+
+    def write_limited(self, event: Event, **fields) -> None:
+        """Keep an event that may come often."""
+        self.lines.append((event, fields))
+
+
+class RefusalReasonTest(ApricotTest):
+    """What an operator learns of a refusal."""
+
+    def test_each_refusal_has_a_line_and_a_count_of_its_reason(self):
+        """Without the reason a class that waits looks like too few endpoints."""
+        reporter, clock = RecordingReporter(), SteppedClock()
+        tables = SlotTables(FixedView(), clock, reporter)
+        now_s = clock.now_s()
+        for number in range(ENDPOINTS * SLOTS_PER_ENDPOINT):
+            ticket = request(f"w{number}", "large", now_s + 100.0)
+            tables.request_slot(SERVICE, ticket)
+        tables.request_slot(SERVICE, request("w", "large", now_s + 1.0, priority=2))
+        tables.request_slot(SERVICE, request("new", "large", now_s + 0.01, priority=2))
+        self.assertEqual({2: 1}, dict(tables.waiting_by_priority()))
+        clock.at_s += 2.0
+        tables.tick()
+        self.assertEqual({Event.SLOT_REFUSED}, {event for event, _ in reporter.lines})
+        reasons = [(f["ticket"], f["reason"], f["priority"]) for _, f in reporter.lines]
+        self.assertEqual(
+            [("new", "line_too_long", 2), ("w", "waited_too_long", 2)], reasons
+        )
+        self.assertEqual(2, sum(tables.refused_counts.values()))
+        self.assertEqual({}, dict(tables.waiting_by_priority()))
+
+    @parameterized.expand(
+        [
+            ("at once", 0.01, 0.0, RefusalReason.LINE_TOO_LONG),
+            ("at its deadline", 1.0, 1.0, RefusalReason.WAITED_TOO_LONG),
+        ]
+    )
+    def test_reason_follows_from_when_it_is_refused(
+        self, _name, deadline_s, tick_s, reason
+    ):
+        """The first calls for a look at shares, the second at who overtook it."""
+        dispatcher = table(a=1)
+        dispatcher.request_slot(request("running", "x", 100.0), 0.0)
+        decisions = dispatcher.request_slot(request("t", "x", deadline_s), 0.0)
+        [refused] = decisions or dispatcher.tick(tick_s)
+        self.assertEqual(reason, refused.reason)
+
+    def test_missing_version_is_named(self):
+        """No time is named, since none is known."""
+        dispatcher = table(a=1)
+        dispatcher.request_slot(request("t", "x", 100.0, version="v9"), 0.0)
+        [refused] = dispatcher.tick(0.1)
+        self.assertEqual(RefusalReason.VERSION_MISSING, refused.reason)
+
+
 class OvertakenTest(ApricotTest):
     """Tickets that others overtake while they wait."""
 
