--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -160,7 +160,8 @@
         for ticket, _ in late:
             self._remove_waiting(ticket.id)
         refusals: list[Decision] = [
-            self._refuse(ticket, reason, now_s) for ticket, reason in late
+            self._refuse(ticket, reason, self._shares.ahead(ticket), now_s)
+            for ticket, reason in late
         ]
         refusals += self._refuse_missing_versions()
         return refusals + list(self._serve_line(now_s))
@@ -173,30 +174,28 @@
         """Refuse an online ticket that cannot get a slot before its deadline."""
         if ticket.work is not Work.ONLINE or self._is_soon(ticket, now_s):
             return None
-        wait_s = self._expected_wait_s(ticket, now_s)
+        ahead = self._shares.ahead(ticket)
+        wait_s = self._expected_wait_s(ahead, now_s)
         if not wait_s or now_s + wait_s <= ticket.slot_deadline_s:
             return None
-        return self._refuse(ticket, RefusalReason.LINE_TOO_LONG, now_s)
+        return self._refuse(ticket, RefusalReason.LINE_TOO_LONG, ahead, now_s)
 
     def _is_soon(self, ticket: Ticket, now_s: float) -> bool:
         """Whether a ticket gets a slot in time even after all that wait; this spares
         the estimate by team for most tickets.
         """
-        ahead = len(self._line.online())
-        wait_s = self._waits.expected_wait_s(self._slots.values(), ahead, now_s)
+        wait_s = self._expected_wait_s(len(self._line.online()), now_s)
         return now_s + wait_s <= ticket.slot_deadline_s
 
-    def _refuse(self, ticket: Ticket, reason: RefusalReason, now_s: float) -> Refused:
-        """Return the refusal of a ticket that does not wait any more."""
+    def _refuse(
+        self, ticket: Ticket, reason: RefusalReason, ahead: int, now_s: float
+    ) -> Refused:
+        """Return the refusal of a ticket that does not wait, behind `ahead` others."""
         share = self._shares.share(ticket)
+        wait_s = self._expected_wait_s(ahead, now_s)
         after_s = self._waits.retry_after_s(
-            ticket,
-            self._expected_wait_s(ticket, now_s),
-            share,
-            self._slots.values(),
-            now_s,
+            ticket, wait_s, share, self._slots.values(), now_s
         )
-        ahead = self._shares.ahead(ticket)
         return Refused(
             ticket.id, after_s, reason, ticket.team, ticket.priority, ahead, share
         )
@@ -223,9 +222,8 @@
         waiting = [t for t in order if t.slot_deadline_s > now_s]
         return self._waits.hopeless(self._slots.values(), waiting, now_s)
 
-    def _expected_wait_s(self, ticket: Ticket, now_s: float) -> float:
-        """Estimate the wait of an online ticket that joins the line."""
-        ahead = self._shares.ahead(ticket)
+    def _expected_wait_s(self, ahead: int, now_s: float) -> float:
+        """Estimate the wait of an online ticket that is served after `ahead` others."""
         return self._waits.expected_wait_s(self._slots.values(), ahead, now_s)
 
     def _rank(self, ticket: Ticket, now_s: float) -> Rank:
--- a/tests/test_serving_memory.py
+++ b/tests/test_serving_memory.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings, strategies as st
 from parameterized import parameterized
 
-from apricotquay.ids import EndpointId, RouteName
+from apricotquay.ids import EndpointId, RouteName, TeamId
 from apricotquay.platform.wire import (
     PlatformDirectory,
     decode_token_usage,
@@ -22,7 +22,11 @@
     TokenUsage,
     exceeds_memory,
 )
-from apricotquay.serving.slots.tickets import Granted, Ticket, TicketId
+from apricotquay.serving.slots.ticketmessages import (
+    ask_slot_message,
+    requested_ticket,
+)
+from apricotquay.serving.slots.tickets import Granted, Ticket, TicketId, Work
 from standins.platform import make_configuration
 
 from .base import ApricotTest
@@ -153,6 +157,37 @@
         self.assertFalse(exceeds_memory(TokenUsage(prompt, output), 0))
 
 
+class MessageTest(ApricotTest):
+    """Tickets between daemons."""
+
+    def test_every_field_of_a_ticket_reaches_the_owner(self):
+        """One that is left out has its default there, and nobody notices."""
+        ticket = Ticket(
+            TicketId("t"),
+            Work.BATCH,
+            12.0,
+            13.0,
+            4.0,
+            "p",
+            frozenset({"a"}),
+            False,
+            True,
+            "v",
+            TeamId("team"),
+            2,
+            3.5,
+            700,
+            "z",
+            frozenset({"r"}),
+            300,
+        )
+        default = Ticket(TicketId(""), Work.ONLINE, 0.0, 0.0)
+        for name in Ticket.__struct_fields__:
+            self.assertNotEqual(getattr(default, name), getattr(ticket, name), name)
+        message = ask_slot_message(ServiceName("llm"), ticket, 10.0)
+        self.assertEqual(ticket, requested_ticket(message, 10.0))
+
+
 class MemoryUseTest(ApricotTest):
     """The tokens that an endpoint holds."""
 
