--- a/apricotquay/errors.py
+++ b/apricotquay/errors.py
@@ -91,7 +91,7 @@
     ErrorKind.LOG_UNAVAILABLE: ErrorResponse(503, _UNKNOWN, 5_000),
     ErrorKind.JOB_STORE_UNAVAILABLE: ErrorResponse(503, _NOT_RUN, 5_000),
     ErrorKind.DRAINING: ErrorResponse(503, _NOT_RUN, 500),
-    ErrorKind.MEMORY_EXCEEDED: ErrorResponse(503, _NOT_RUN),
+    ErrorKind.MEMORY_EXCEEDED: ErrorResponse(421, _NOT_RUN),
     ErrorKind.OUTCOME_UNKNOWN: ErrorResponse(502, _UNKNOWN),
     ErrorKind.ITEM_CANCELLED: ErrorResponse(409, _UNKNOWN),
     ErrorKind.VERSION_CONFLICT: ErrorResponse(409, _NOT_RUN),
--- a/apricotquay/serving/slots/fairshares.py
+++ b/apricotquay/serving/slots/fairshares.py
@@ -1,44 +1,21 @@
 """Fair shares of slot time between teams, by weight. Pure.
 
 Absorbs a team that sends several times its usual rate while slots are short: the
-others get their slots as before. Source: start-time fair queueing, Goyal, Vin and
-Cheng, 1996.
+others get their slots as before.
 """
 
 import collections
-import math
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Collection, Iterator
 
 import msgspec
 
 from ...ids import TeamId
+from .teamaccounts import Account, PriorityClass, usable_weight
 from .tickets import Ticket, TicketId, Work
 
-DEFAULT_WEIGHT = 1.0
 # What a release may correct a team's share by, in slot time. Clients wait about as
 # long, so that a long stream does not keep its team out for longer.
 MAX_CORRECTION_S = 5.0
-# How many requests a team may be ahead of its share before others precede it. Between
-# teams below that the deadline decides, which puts more requests in time.
-ALLOWED_REQUESTS = 2
-# How far, in slot time, a waiting team may hold the virtual time back that is served
-# later than its turn because no free endpoint suits it.
-MAX_LAG_S = 5.0
-
-
-class _Account(msgspec.Struct):
-    """A team's part in the work of one class.
-
-    `tag` is the virtual time from which its next ticket is served. `queued` counts
-    its waiting tickets, `waiting` those of them that need a slot of their own, and
-    `held` the tickets with a slot.
-    """
-
-    tag: float
-    weight: float = DEFAULT_WEIGHT
-    queued: int = 0
-    waiting: int = 0
-    held: int = 0
 
 
 class _Charge(msgspec.Struct, frozen=True):
@@ -48,94 +25,6 @@
     cost_s: float
 
 
-class PriorityClass:
-    """The teams' accounts in one kind of work of one priority.
-
-    `cost_s` is the slot time that one more ticket is expected to use.
-    """
-
-    def __init__(self) -> None:
-        self.accounts: dict[TeamId, _Account] = {}
-        self.virtual_time: float = 0.0
-        self.cost_s: float = 1.0
-        self._grants_since_sweep: int = 0
-
-    def account(self, ticket: Ticket) -> _Account:
-        """Return the account of a ticket's team; create it at first use."""
-        account = self.accounts.get(ticket.team)
-        if account is None:
-            weight = _usable_weight(ticket.weight)
-            account = _Account(self.virtual_time, weight)
-            self.accounts[ticket.team] = account
-        return account
-
-    def start(self, account: _Account) -> float:
-        """Return the virtual time from which a team's next ticket is served."""
-        return max(account.tag, self.virtual_time)
-
-    def allowed(self, account: _Account) -> float:
-        """Return the virtual time up to which a team is not ahead of its share."""
-        return self.virtual_time + ALLOWED_REQUESTS * self.cost_s / account.weight
-
-    def forget_if_idle(self, team: TeamId) -> None:
-        """Forget a team that has neither work nor a debt."""
-        account = self.accounts[team]
-        is_idle = not account.queued and not account.held
-        if is_idle and account.tag <= self.virtual_time:
-            del self.accounts[team]
-
-    def key(self, team: TeamId, held_s: Mapping[TeamId, float]) -> float:
-        """Return a team's sort key in the order of service, lowest first. It is the
-        same for all teams that are not ahead of their share.
-        """
-        account = self.accounts.get(team)
-        if account is None:
-            return -math.inf
-        position = account.tag + held_s.get(team, 0.0) / account.weight
-        is_allowed = position <= self.allowed(account)
-        return self.virtual_time if is_allowed else position
-
-    def position(self, team: TeamId, held_s: Mapping[TeamId, float]) -> float:
-        """Return how far a team is, with the slots that it holds now."""
-        account = self.accounts[team]
-        return account.tag + held_s.get(team, 0.0) / account.weight
-
-    def advance(self, served: _Account, held_s: float) -> None:
-        """Advance the virtual time to the team that is furthest behind, when a ticket
-        of `served`, which holds `held_s` of slot time, gets its slot.
-        """
-        start = self.start(served)
-        lag_s = max(MAX_LAG_S, held_s)
-        behind = min((a.tag for a in self.accounts.values() if a.queued), default=start)
-        lowest = start - lag_s / served.weight
-        self.virtual_time = max(self.virtual_time, lowest, min(start, behind))
-
-    def served_before(
-        self, position: float, team: TeamId, held_s: Mapping[TeamId, float]
-    ) -> int:
-        """Return how many of a team's waiting tickets are served before a position."""
-        account = self.accounts[team]
-        end = max(position, self.allowed(account))
-        lead = end - self.position(team, held_s)
-        if lead < 0:
-            return 0
-        turns = 1 + math.floor(lead * account.weight / self.cost_s)
-        return min(account.waiting, turns)
-
-    def forget_idle(self) -> None:
-        """Forget all teams that have neither work nor a debt, once in a while."""
-        self._grants_since_sweep += 1
-        if self._grants_since_sweep < len(self.accounts):
-            return
-        self._grants_since_sweep = 0
-        for team in list(self.accounts):
-            self.forget_if_idle(team)
-
-    def has_work(self) -> bool:
-        """Whether any ticket waits or holds a slot."""
-        return any(a.queued or a.held for a in self.accounts.values())
-
-
 class FairShares:
     """How much slot time each team has used, relative to its weight.
 
@@ -155,15 +44,11 @@
         """Return how many accounts are kept, to check that their number is bounded."""
         return sum(len(c.accounts) for c in self._classes.values())
 
-    def priorities(self, work: Work) -> list[int]:
-        """Return the priorities with accounts, highest first."""
-        return sorted(p for kind, p in self._classes if kind is work)
-
     def add_waiting(self, ticket: Ticket) -> None:
         """Record that a ticket waits."""
         priority_class = self._class_of(ticket)
         account = priority_class.account(ticket)
-        account.weight = _usable_weight(ticket.weight)
+        account.weight = usable_weight(ticket.weight)
         if not account.queued:
             account.tag = priority_class.start(account)
         account.queued += 1
@@ -241,7 +126,7 @@
         """
         accounts = self._busy_accounts(ticket)
         own = accounts.get(ticket.team)
-        weight = own.weight if own else _usable_weight(ticket.weight)
+        weight = own.weight if own else usable_weight(ticket.weight)
         others = [a for team, a in accounts.items() if team != ticket.team]
         by_weight = weight / (weight + sum(a.weight for a in others))
         held = own.held if own else 0
@@ -262,7 +147,7 @@
         higher = sum(n for p, n in held_of_class.items() if p < ticket.priority)
         return max(held - higher, 1) / held if held else 1.0
 
-    def _busy_accounts(self, ticket: Ticket) -> dict[TeamId, _Account]:
+    def _busy_accounts(self, ticket: Ticket) -> dict[TeamId, Account]:
         priority_class = self._classes.get((ticket.work, ticket.priority))
         accounts = priority_class.accounts if priority_class else {}
         return {t: a for t, a in accounts.items() if a.waiting or a.held}
@@ -276,7 +161,7 @@
         own_waiting = own.waiting if own else 0
         if not any(a.waiting for t, a in accounts.items() if t != ticket.team):
             return own_waiting
-        weight = own.weight if own else _usable_weight(ticket.weight)
+        weight = own.weight if own else usable_weight(ticket.weight)
         held_s = self._held_s[ticket.work]
         tag = own.tag if own else priority_class.virtual_time
         position = tag + held_s.get(ticket.team, 0.0) / weight
@@ -312,9 +197,3 @@
         priority_class.forget_if_idle(ticket.team)
         if not priority_class.has_work():
             del self._classes[ticket.work, ticket.priority]
-
-
-def _usable_weight(weight: float) -> float:
-    """Return a weight, or the default for one that a peer could not mean."""
-    is_usable = math.isfinite(weight) and weight > 0
-    return weight if is_usable else DEFAULT_WEIGHT
--- a/apricotquay/serving/slots/schedulingterms.py
+++ b/apricotquay/serving/slots/schedulingterms.py
@@ -4,7 +4,7 @@
 
 from ...ids import TeamId
 from ..catalog import Route, Team
-from .fairshares import DEFAULT_WEIGHT
+from .teamaccounts import DEFAULT_WEIGHT
 
 
 class SchedulingTerms(msgspec.Struct, frozen=True):
--- a/apricotquay/serving/slots/waits.py
+++ b/apricotquay/serving/slots/waits.py
@@ -42,7 +42,7 @@
         """Return how long a ticket is expected to hold its slot."""
         if ticket.work is Work.ONLINE:
             return self._service_time_s
-        return ticket.expected_duration_s or self._service_time_s
+        return max(0.0, ticket.expected_duration_s) or self._service_time_s
 
     def throughput_per_s(self, slots: Iterable[EndpointSlots], now_s: float) -> float:
         """Return how many online requests a second the endpoints can begin."""
