--- a/apricotquay/serving/slots/teamaccounts.py
+++ b/apricotquay/serving/slots/teamaccounts.py
@@ -12,6 +12,10 @@
 from .tickets import Ticket
 
 DEFAULT_WEIGHT = 1.0
+# The range of weights that are told apart. Quotients of weights outside of it can
+# overflow, and a team of a smaller weight would hardly ever be served.
+MIN_WEIGHT = 0.01
+MAX_WEIGHT = 100_000.0
 # How many requests a team may be ahead of its share before others precede it. Between
 # teams below that the deadline decides, which puts more requests in time.
 ALLOWED_REQUESTS = 2
@@ -124,6 +128,9 @@
 
 
 def usable_weight(weight: float) -> float:
-    """Return a weight, or the default for one that a peer could not mean."""
-    is_usable = math.isfinite(weight) and weight > 0
-    return weight if is_usable else DEFAULT_WEIGHT
+    """Return a weight within the range, or the default for one that a peer could not
+    mean.
+    """
+    if not math.isfinite(weight) or weight <= 0:
+        return DEFAULT_WEIGHT
+    return min(max(weight, MIN_WEIGHT), MAX_WEIGHT)
--- a/apricotquay/serving/slots/ticketmessages.py
+++ b/apricotquay/serving/slots/ticketmessages.py
@@ -9,6 +9,9 @@
 from .tickets import Ticket, TicketId
 
 MS_PER_S = 1000
+# Priorities of peers are limited to this magnitude: events and messages hold integers
+# of 64 bits at most.
+MAX_PRIORITY = 1_000_000
 
 
 def ask_slot_message(service: ServiceName, ticket: Ticket, now_s: float) -> AskSlot:
@@ -49,7 +52,7 @@
         message.holds_slot,
         message.version,
         message.team,
-        message.priority,
+        _usable_priority(message.priority),
         message.weight,
         message.tokens,
         message.zone,
@@ -88,5 +91,9 @@
     )
 
 
+def _usable_priority(priority: int) -> int:
+    return min(max(priority, -MAX_PRIORITY), MAX_PRIORITY)
+
+
 def _to_ms(time_s: float) -> int:
     return int(time_s * MS_PER_S)
--- a/apricotquay/serving/slots/waits.py
+++ b/apricotquay/serving/slots/waits.py
@@ -19,6 +19,9 @@
 # that have returned, and how many callers of each.
 MAX_CALLERS = 512
 MAX_RETRY_TIMES = 1000
+# A retry delay at most. Shortages change within that time, and callers of a team with
+# a very small share would otherwise be sent away for hours.
+MAX_RETRY_AFTER_S = 60.0
 
 _Caller = tuple[int, TeamId]
 
@@ -104,7 +107,7 @@
         caller = (ticket.priority, ticket.team)
         times_s = [at_s for at_s in self._retry_times_s.get(caller, []) if at_s > now_s]
         spread_s = len(times_s) / (self.throughput_per_s(slots, now_s) * share)
-        after_s = wait_s + spread_s
+        after_s = min(wait_s + spread_s, MAX_RETRY_AFTER_S)
         if len(times_s) < MAX_RETRY_TIMES:
             times_s.append(now_s + after_s)
         self._forget_retries(now_s)
--- a/tests/test_serving_rejections.py
+++ b/tests/test_serving_rejections.py
@@ -1,16 +1,24 @@
 """Which tickets are refused when slots are short, and when their callers return."""
 
+import msgspec
 from parameterized import parameterized
 
 from apricotquay.events import Event
 from apricotquay.ids import TeamId
+from apricotquay.serving.messages import AskSlot
 from apricotquay.serving.slots.dispatch import Dispatcher
 from apricotquay.serving.slots.slotowner import SlotTables
-from apricotquay.serving.slots.tickets import RefusalReason, Refused, Ticket
-from apricotquay.serving.slots.waits import MAX_CALLERS, WaitEstimator
+from apricotquay.serving.slots.ticketmessages import MAX_PRIORITY, requested_ticket
+from apricotquay.serving.slots.tickets import RefusalReason, Refused, Ticket, Work
+from apricotquay.serving.slots.waits import (
+    MAX_CALLERS,
+    MAX_RETRY_AFTER_S,
+    WaitEstimator,
+)
 
 from .base import ApricotTest
 from .test_serving_dispatch import online, table
+from .test_serving_fairshares import serve_all
 from .test_serving_slots import (
     ENDPOINTS,
     SERVICE,
@@ -95,6 +103,53 @@
             estimator.retry_after_s(ticket, 0.1, 1.0, [], float(number))
         self.assertLessEqual(len(estimator._retry_times_s), MAX_CALLERS)
 
+    @parameterized.expand(
+        [
+            (weight, priority)
+            for weight in (5e-324, 1e-320, 1e-9, 1e9, 1e308)
+            for priority in (0, -(2**63), 2**63)
+        ]
+    )
+    def test_extreme_terms_of_a_peer_raise_no_error_and_name_no_endless_delay(
+        self, weight, priority
+    ):
+        """Quotients of such weights overflow in the requests of other teams."""
+        dispatcher = table(a=1)
+        dispatcher.request_slot(request("r", "x", 20.0), 0.0)
+        decisions = []
+        for number in range(6):
+            terms = {"weight": weight, "priority": priority}
+            extreme = request(f"e{number}", "extreme", **terms)
+            decisions += dispatcher.request_slot(extreme, 0.0)
+            other = request(f"o{number}", "other")
+            decisions += dispatcher.request_slot(other, 0.0)
+        decisions += dispatcher.tick(1.9)
+        refused = [d for d in decisions if isinstance(d, Refused)]
+        self.assertEqual(12, len(refused))
+        self.assertLessEqual(max(d.wait_s for d in refused), MAX_RETRY_AFTER_S)
+
+    @parameterized.expand([("low", -(10**400)), ("high", 10**400), ("usual", 3)])
+    def test_priority_of_a_peer_does_not_exceed_what_an_event_can_hold(
+        self, _name, priority
+    ):
+        """The event of its refusal would raise an error in the owner."""
+        message = AskSlot(SERVICE, "t", Work.ONLINE, 1, 1, 1, "", [], priority=priority)
+        ticket = requested_ticket(message, 0.0)
+        expected = priority if abs(priority) < MAX_PRIORITY else MAX_PRIORITY
+        self.assertEqual(expected, abs(ticket.priority))
+        msgspec.json.encode(ticket.priority)
+
+    @parameterized.expand([(1e-320,), (1e308,)])
+    def test_extreme_weight_of_a_team_does_not_end_the_service_of_others(self, weight):
+        """The line is served to its end, whoever is due first."""
+        dispatcher = table(a=1)
+        dispatcher.request_slot(request("r", "x", 900.0), 0.0)
+        for number in range(20):
+            extreme = request(f"e{number}", "extreme", 900.0, weight=weight)
+            dispatcher.request_slot(extreme, 0.0)
+            dispatcher.request_slot(request(f"o{number}", "other", 900.0), 0.0)
+        self.assertEqual(40, len(serve_all(dispatcher, ["r"])))
+
     def _wait_s(self, dispatcher: Dispatcher, ticket: Ticket) -> float:
         [refused] = dispatcher.request_slot(ticket, 0.01)
         self.assertIsInstance(refused, Refused)
