--- a/apricotquay/serving/batch/itemattempts.py
+++ b/apricotquay/serving/batch/itemattempts.py
@@ -6,6 +6,7 @@
 
 from ...clocks import Clock
 from ...events import Event
+from ...ids import RouteName
 from ..catalog import ServiceName, allowed_regions
 from ..engine import (
     AttemptFailedError,
@@ -14,12 +15,15 @@
     RequestNotRunError,
 )
 from ..fleet.view import View
+from ..http.http1 import HeaderList
 from ..metrics import ServingMetrics
 from ..online.attempts import AttemptRunner, read_events
 from ..reporting import Reporter
 from ..slots.allocator import SlotAllocator
 from ..slots.eligibility import Ineligible
+from ..slots.memory import RequestSizes, TokenUsage, exceeds_memory
 from ..slots.outliers import SlotOutcome
+from ..slots.schedulingterms import SchedulingTerms, scheduling_terms
 from ..slots.slotrequests import SlotLease, SlotRequest, SlotUnavailableError
 from ..slots.tickets import Work, before_send
 from .itemprogress import (
@@ -31,6 +35,7 @@
 )
 from .itemschedule import postponement_s
 from .jobtable import Job
+from .routecache import RouteCache
 from .runningitems import RunningItem
 
 ITEM_TIMEOUT_MS = 60_000
@@ -63,6 +68,8 @@
         self._clock: Clock = clock
         self._reporter: Reporter = reporter
         self._run_times = RunTimeEstimate()
+        self._routes = RouteCache(view)
+        self._sizes = RequestSizes()
 
     async def run(self, running: RunningItem) -> AttemptResult:
         """Wait for a slot and run an item there once."""
@@ -76,6 +83,23 @@
             return AttemptResult(Outcome.RETRY, "route and team have no common region")
         self._discard_lost_version(service, progress)
         needs_s = self._run_times.remaining_s(progress.ran_s)
+        usage = self._usage(job, index)
+        memory_tokens = self._memory_tokens(service)
+        if exceeds_memory(usage, memory_tokens):
+            self._metrics.count("memory_exceeded")
+            self._reporter.write_limited(
+                Event.MEMORY_EXCEEDED,
+                request=item.id,
+                service=service,
+                tokens=usage.total,
+                memory_tokens=memory_tokens,
+            )
+            # An accepted item is only given up by the endpoints' answers or by time.
+            return AttemptResult(
+                Outcome.RETRY, "larger than any memory", was_fruitless=True
+            )
+        terms = self._terms(job, index)
+        route_name = self._route_name(job, index)
         slot_request = SlotRequest(
             Work.BATCH,
             due_s,
@@ -85,6 +109,10 @@
             version=progress.version,
             regions=regions,
             zone=self._zone,
+            team=terms.team,
+            priority=terms.priority,
+            weight=terms.weight,
+            tokens=self._sizes.needed_tokens(route_name, usage),
         )
         requested_s = self._clock.now_s()
         try:
@@ -120,6 +148,7 @@
         progress.record_attempt(lease.endpoint, result, had_output, ran_s)
         if result.outcome is Outcome.DONE:
             self._run_times.record(progress.ran_s)
+            self._sizes.record(route_name, usage, progress.last_id + 1)
         self._reporter.write(
             Event.ITEM_ATTEMPT_ENDED,
             job=job.header.id,
@@ -141,6 +170,27 @@
             return frozenset()
         return allowed_regions(route, configuration.teams.get(job.header.team))
 
+    def _terms(self, job: Job, index: int) -> SchedulingTerms:
+        """Return the terms of an item by the current configuration."""
+        configuration = self._view.configuration
+        team = configuration.teams.get(job.header.team) if configuration else None
+        return scheduling_terms(self._routes.find(job, index), team)
+
+    def _route_name(self, job: Job, index: int) -> RouteName:
+        route = self._routes.find(job, index)
+        return route.name if route else RouteName("")
+
+    def _usage(self, job: Job, index: int) -> TokenUsage:
+        usage = self._attempts.token_usage(_headers_of(job, index))
+        if usage.is_malformed:
+            self._metrics.count("token_usage_malformed")
+        return usage
+
+    def _memory_tokens(self, service: ServiceName) -> int:
+        configuration = self._view.configuration
+        settings = configuration.services.get(service) if configuration else None
+        return settings.memory_tokens if settings else 0
+
     def _discard_lost_version(
         self, service: ServiceName, progress: ItemProgress
     ) -> None:
@@ -164,10 +214,7 @@
         endpoint = self._attempts.check_eligible(item.id, lease.endpoint, needs)
         if isinstance(endpoint, Ineligible):
             return AttemptResult(Outcome.RETRY, f"endpoint: {endpoint.value}")
-        headers = [
-            (b"host", job.header.host.encode()),
-            *((n.lower().encode(), v.encode("latin-1")) for n, v in item.headers),
-        ]
+        headers = _headers_of(job, index)
         remaining_ms = job.header.give_up_ms - self._clock.wall_ms()
         call = EngineCall(
             item.id,
@@ -215,6 +262,15 @@
             )
 
 
+def _headers_of(job: Job, index: int) -> HeaderList:
+    """Return the headers of an item's request."""
+    item = job.items[index]
+    return [
+        (b"host", job.header.host.encode()),
+        *((n.lower().encode(), v.encode("latin-1")) for n, v in item.headers),
+    ]
+
+
 async def _read_output(
     response: EngineResponse,
     progress: ItemProgress,
--- a/apricotquay/serving/catalog.py
+++ b/apricotquay/serving/catalog.py
@@ -73,7 +73,8 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A service; `slots` is the default of its endpoints, 0 if unset.
+    """A service; `slots` is the default of its endpoints, 0 if unset, and
+    `memory_tokens` how many tokens the memory of each holds, 0 if unknown.
 
     An endpoint that is cold takes `cold_per_s` requests a second from all daemons, 0
     for no limit, and is taken to be cold for `cold_start_s` if its entry does not say.
@@ -83,6 +84,7 @@
     slots: int = 0
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    memory_tokens: int = 0
 
 
 class Team(msgspec.Struct, frozen=True):
--- a/apricotquay/serving/online/attempts.py
+++ b/apricotquay/serving/online/attempts.py
@@ -34,6 +34,7 @@
 from ..metrics import ServingMetrics
 from ..reporting import Reporter
 from ..slots.eligibility import Eligibility, Ineligible, Needs
+from ..slots.memory import TokenUsage
 from ..slots.slotuse import SlotUse
 from .handover import Handover
 
@@ -106,6 +107,10 @@
             )
         return checked
 
+    def token_usage(self, headers: HeaderList) -> TokenUsage:
+        """Return the size that a caller states of a request."""
+        return self._engines.token_usage(headers)
+
     async def run(
         self,
         call: EngineCall,
--- a/apricotquay/serving/online/handler.py
+++ b/apricotquay/serving/online/handler.py
@@ -21,7 +21,9 @@
 from ..reporting import Reporter
 from ..slots.allocator import SlotAllocator
 from ..slots.eligibility import Ineligible
+from ..slots.memory import RequestSizes, exceeds_memory
 from ..slots.outliers import SlotOutcome
+from ..slots.schedulingterms import scheduling_terms
 from ..slots.slotrequests import SlotLease, SlotRequest
 from ..slots.tickets import Work, before_send
 from ..streams.streamkeeper import StreamKeeper
@@ -81,6 +83,7 @@
         self._timeouts = AdaptiveTimeouts()
         self.admission = AdmissionControl(view, rates, attempts, clock)
         self._forwarder = ResponseForwarder(clock)
+        self._sizes = RequestSizes()
         self._slot_waits = SlotWaits(slots, view, clock, reporter)
 
     async def serve(
@@ -147,8 +150,10 @@
         """Retry until a response is delivered or no further attempt is allowed."""
         route = admission.route
         service = route.service_for(random.random())
+        self._check_memory(request, service)
         await self._find_version(request, admission, progress, service)
         due_s = request.arrived_s + route.objective_ms / 1000
+        terms = scheduling_terms(route, admission.team)
         lease: SlotLease | None = None
         while True:
             slot_request = SlotRequest(
@@ -161,6 +166,11 @@
                 version=progress.version,
                 regions=allowed_regions(route, admission.team) or frozenset(),
                 zone=self._zone,
+                team=terms.team,
+                priority=terms.priority,
+                weight=terms.weight,
+                tokens=self._sizes.needed_tokens(route.name, request.usage),
+                prefix_tokens=request.usage.shared,
             )
             if lease is None:
                 lease = await self._slot_waits.acquire(service, slot_request, progress)
@@ -173,6 +183,7 @@
                     request, admission, writer, progress, lease, deadline_s, handover
                 )
                 if lease.outcome is SlotOutcome.SUCCEEDED:
+                    self._record_size(request, route, progress)
                     return
                 self._check_may_retry(route, progress)
                 await self._check_crash_suspicion(request, progress, lease)
@@ -214,6 +225,35 @@
             )
         progress.version = known.version
 
+    def _check_memory(self, request: OnlineRequest, service: ServiceName) -> None:
+        """Raise RequestError for a request that no endpoint of a service can hold."""
+        if request.usage.is_malformed:
+            self._metrics.count("token_usage_malformed")
+        configuration = self._view.configuration
+        settings = configuration.services.get(service) if configuration else None
+        memory_tokens = settings.memory_tokens if settings else 0
+        if exceeds_memory(request.usage, memory_tokens):
+            self._metrics.count("memory_exceeded")
+            self._reporter.write_limited(
+                Event.MEMORY_EXCEEDED,
+                request=request.id,
+                service=service,
+                tokens=request.usage.total,
+                memory_tokens=memory_tokens,
+            )
+            raise RequestError(
+                ErrorKind.MEMORY_EXCEEDED,
+                f"{request.usage.total} tokens are more than the {memory_tokens} that "
+                f"an endpoint of {service} holds",
+            )
+
+    def _record_size(
+        self, request: OnlineRequest, route: Route, progress: RequestProgress
+    ) -> None:
+        """Record how long a stream became that has ended by itself."""
+        if route.kind is RouteKind.STREAMING and progress.last_event_id is not None:
+            self._sizes.record(route.name, request.usage, progress.last_event_id + 1)
+
     def _record_events(
         self,
         request: OnlineRequest,
--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -154,6 +154,7 @@
             request.tokens,
             request.zone,
             request.regions,
+            request.prefix_tokens,
         )
         unusable: set[str] = set()
         for asked_count in range(MAX_OWNER_ASKS):
--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -18,7 +18,9 @@
     EndpointSlots,
     EndpointStatus,
 )
+from .fairshares import FairShares
 from .placement import Placement
+from .reservations import MemoryReservations
 from .revocation import choose_revocations, revocable
 from .sendlimits import SendLimit
 from .slotuse import MS_PER_S, UseReport
@@ -28,6 +30,7 @@
     Decision,
     Granted,
     Rank,
+    RefusalReason,
     Refused,
     Restriction,
     Revoked,
@@ -47,8 +50,10 @@
     def __init__(self, seed: int = 0) -> None:
         self._slots: dict[EndpointId, EndpointSlots] = {}
         self._endpoint_of: dict[TicketId, EndpointId] = {}
-        self._line = WaitingLine(self._rank)
+        self._shares = FairShares()
+        self._line = WaitingLine(self._rank, self._shares)
         self._waits = WaitEstimator()
+        self._reservations = MemoryReservations()
         self._placement = Placement(seed, self._can_revoke)
         self._batch_running: set[TicketId] = set()
         self._revoked: set[TicketId] = set()
@@ -60,6 +65,10 @@
         """Number of waiting tickets."""
         return len(self._line)
 
+    def waiting_by_priority(self) -> collections.Counter[int]:
+        """Return how many online tickets of each priority wait."""
+        return collections.Counter(t.priority for t in self._line.online())
+
     def is_waiting(self, ticket_id: TicketId) -> bool:
         """Whether a ticket waits for a slot."""
         return ticket_id in self._line
@@ -106,6 +115,7 @@
             slots.limit = limits.get(endpoint)
             self._set_profile(slots, profiles.get(endpoint, UNKNOWN_PROFILE))
             slots.cold = cold.get(endpoint)
+        self._reservations.check_endpoints()
         self._has_limits = bool(limits) or bool(cold)
         return list(self._serve_line(now_s))
 
@@ -190,13 +200,14 @@
 
     def release(self, ticket_id: TicketId, now_s: float) -> list[Decision]:
         """Release a ticket's slot or remove the ticket from the queue."""
-        self._line.remove(ticket_id)
+        self._remove_waiting(ticket_id)
         self._revoked.discard(ticket_id)
         self._batch_running.discard(ticket_id)
         endpoint = self._endpoint_of.pop(ticket_id, None)
         if endpoint is not None:
             slots = self._slots[endpoint]
             ticket, held_s = slots.release(ticket_id, now_s)
+            self._shares.release(ticket_id, held_s)
             if ticket.work is Work.ONLINE:
                 self._waits.record_service_time(held_s / slots.slowness)
             if not slots.is_open and not slots.running:
@@ -207,29 +218,56 @@
         """Refuse waiting online tickets that are past their slot deadline, or cannot
         get a slot before it because endpoints have named limits.
         """
-        late = [t for t in self._line.online() if t.slot_deadline_s <= now_s]
+        late = [
+            (ticket, RefusalReason.WAITED_TOO_LONG)
+            for ticket in self._line.online()
+            if ticket.slot_deadline_s <= now_s
+        ]
         if self._has_limits:
-            late += self._hopeless_tickets(now_s)
-        for ticket in late:
-            self._line.remove(ticket.id)
+            hopeless = self._hopeless_tickets(now_s)
+            late += [(ticket, RefusalReason.OVERTAKEN) for ticket in hopeless]
+        for ticket, _ in late:
+            self._remove_waiting(ticket.id)
         refusals: list[Decision] = [
-            self._refuse(ticket, self._expected_wait_s(now_s), now_s) for ticket in late
+            self._refuse(ticket, reason, self._shares.ahead(ticket), now_s)
+            for ticket, reason in late
         ]
         refusals += self._refuse_missing_versions()
         return refusals + list(self._serve_line(now_s))
 
+    def _remove_waiting(self, ticket_id: TicketId) -> None:
+        self._line.remove(ticket_id)
+        self._reservations.end(ticket_id)
+
     def _refuse_if_too_late(self, ticket: Ticket, now_s: float) -> Refused | None:
         """Refuse an online ticket that cannot get a slot before its deadline."""
-        if ticket.work is not Work.ONLINE:
+        if ticket.work is not Work.ONLINE or self._is_soon(ticket, now_s):
             return None
-        wait_s = self._expected_wait_s(now_s)
+        ahead = self._shares.ahead(ticket)
+        wait_s = self._expected_wait_s(ahead, now_s)
         if not wait_s or now_s + wait_s <= ticket.slot_deadline_s:
             return None
-        return self._refuse(ticket, wait_s, now_s)
+        return self._refuse(ticket, RefusalReason.LINE_TOO_LONG, ahead, now_s)
 
-    def _refuse(self, ticket: Ticket, wait_s: float, now_s: float) -> Refused:
-        after_s = self._waits.retry_after_s(wait_s, self._slots.values(), now_s)
-        return Refused(ticket.id, after_s)
+    def _is_soon(self, ticket: Ticket, now_s: float) -> bool:
+        """Whether a ticket gets a slot in time even after all that wait; this spares
+        the estimate by team for most tickets.
+        """
+        wait_s = self._expected_wait_s(len(self._line.online()), now_s)
+        return now_s + wait_s <= ticket.slot_deadline_s
+
+    def _refuse(
+        self, ticket: Ticket, reason: RefusalReason, ahead: int, now_s: float
+    ) -> Refused:
+        """Return the refusal of a ticket that does not wait, behind `ahead` others."""
+        share = self._shares.share(ticket)
+        wait_s = self._expected_wait_s(ahead, now_s)
+        after_s = self._waits.retry_after_s(
+            ticket, wait_s, share, self._slots.values(), now_s
+        )
+        return Refused(
+            ticket.id, after_s, reason, ticket.team, ticket.priority, ahead, share
+        )
 
     def _refuse_missing_versions(self) -> Iterable[Refused]:
         """Refuse waiting tickets that need a version which no endpoint has any more."""
@@ -238,20 +276,24 @@
             return
         for ticket in list(self._line.all()):
             if ticket.version and ticket.version not in listed:
-                self._line.remove(ticket.id)
-                yield Refused(ticket.id, 0.0)
+                self._remove_waiting(ticket.id)
+                yield Refused(
+                    ticket.id,
+                    0.0,
+                    RefusalReason.VERSION_MISSING,
+                    ticket.team,
+                    ticket.priority,
+                )
 
     def _hopeless_tickets(self, now_s: float) -> list[Ticket]:
         """Return the waiting online tickets that would be granted a slot too late."""
-        waiting = [t for t in self._line.online() if t.slot_deadline_s > now_s]
-        waiting.sort(key=lambda t: (self._rank(t, now_s), t.due_s))
+        order = self._line.expected_order(now_s)
+        waiting = [t for t in order if t.slot_deadline_s > now_s]
         return self._waits.hopeless(self._slots.values(), waiting, now_s)
 
-    def _expected_wait_s(self, now_s: float) -> float:
-        """Estimate a new online ticket's wait; batch items can be preempted."""
-        return self._waits.expected_wait_s(
-            self._slots.values(), self._line.online(), now_s
-        )
+    def _expected_wait_s(self, ahead: int, now_s: float) -> float:
+        """Estimate the wait of an online ticket that is served after `ahead` others."""
+        return self._waits.expected_wait_s(self._slots.values(), ahead, now_s)
 
     def _rank(self, ticket: Ticket, now_s: float) -> Rank:
         """Return a ticket's rank; overridden to compare other orders."""
@@ -278,6 +320,7 @@
             slots = self._placement.choose(ticket, available, now_s)
             if slots is None:
                 blocked.add(ticket.restriction)
+                self._reserve_memory(ticket, available, now_s)
                 continue
             self._line.remove(ticket.id)
             self._assign(ticket, slots, now_s)
@@ -286,6 +329,17 @@
                 available.remove(slots)
             yield Granted(ticket.id, slots.endpoint)
 
+    def _reserve_memory(
+        self, ticket: Ticket, available: list[EndpointSlots], now_s: float
+    ) -> None:
+        """Reserve memory if a ticket only lacks memory and has been passed for long."""
+        if not ticket.tokens:
+            return
+        if any(
+            s.accepts(ticket, now_s) and not s.has_memory(ticket) for s in available
+        ):
+            self._reservations.record_blocked(ticket, self._slots.values(), now_s)
+
     def _can_revoke(self, now_s: float) -> bool:
         """Whether a batch item can be revoked in favour of an online request."""
         if not self._has_limits:
@@ -315,5 +369,7 @@
     def _assign(self, ticket: Ticket, slots: EndpointSlots, now_s: float) -> None:
         if ticket.work is Work.BATCH:
             self._batch_running.add(ticket.id)
+        self._reservations.end(ticket.id)
         slots.assign(ticket, now_s)
+        self._shares.grant(ticket, self._waits.expected_slot_s(ticket))
         self._endpoint_of[ticket.id] = slots.endpoint
--- a/apricotquay/serving/slots/endpointslots.py
+++ b/apricotquay/serving/slots/endpointslots.py
@@ -8,6 +8,7 @@
 from ..engine import EndpointLoad
 from .coldlimits import ColdLimit
 from .eligibility import Ineligible, find_mismatch
+from .memory import MemoryUse, Reservation
 from .sendlimits import SendLimit
 from .speeds import USUAL
 from .statedload import StatedLoad
@@ -70,6 +71,8 @@
         # How long work takes there as a multiple of the usual.
         self.slowness: float = USUAL
         self.load = StatedLoad()
+        self.memory = MemoryUse()
+        self.reservation: Reservation | None = None
 
     @property
     def version(self) -> str:
@@ -109,7 +112,27 @@
         )
 
     def suits(self, ticket: Ticket, now_s: float) -> bool:
-        """Whether a ticket may use the endpoint, which has a free slot."""
+        """Whether a ticket may use the endpoint, which is available."""
+        return self.accepts(ticket, now_s) and self.has_memory(ticket)
+
+    def has_memory(self, ticket: Ticket) -> bool:
+        """Whether the endpoint's memory holds a ticket beside those that run and one
+        that memory is reserved for; as far as the sizes are known.
+        """
+        capacity = self.profile.memory_tokens
+        if not capacity or not ticket.tokens:
+            return True
+        kept = self.reservation
+        reserved = kept.tokens if kept and kept.ticket != ticket.id else 0
+        return self.memory.tokens + self.memory.needed(ticket) + reserved <= capacity
+
+    def could_hold(self, ticket: Ticket) -> bool:
+        """Whether the endpoint's memory would hold a ticket alone."""
+        is_large_enough = ticket.tokens <= self.profile.memory_tokens
+        return self.is_open and is_large_enough and self._mismatch(ticket) is None
+
+    def accepts(self, ticket: Ticket, now_s: float) -> bool:
+        """Whether a ticket may use the endpoint if there is memory for it."""
         if self.why_not(ticket, now_s) is not None:
             return False
         if self.limit is None or ticket.work is Work.ONLINE:
@@ -120,6 +143,10 @@
         """Return why the endpoint may not take a ticket now, None if it may."""
         if self.cold is not None and not self.cold.may_send(now_s):
             return Ineligible.COLD
+        return self._mismatch(ticket)
+
+    def _mismatch(self, ticket: Ticket) -> Ineligible | None:
+        """Return why the endpoint fits a ticket at no time, None if it does."""
         profile = self.profile
         return find_mismatch(self.endpoint, profile.version, profile.region, ticket)
 
@@ -176,11 +203,13 @@
         if ticket.work is Work.ONLINE:
             self.online_count += 1
         self.running[ticket.id] = ticket
+        self.memory.add(ticket)
         self.granted_s[ticket.id] = now_s
 
     def release(self, ticket_id: TicketId, now_s: float) -> tuple[Ticket, float]:
         """Free a ticket's slot; return the ticket and how long it held the slot."""
         ticket = self.running.pop(ticket_id)
+        self.memory.remove(ticket)
         held_s = now_s - self.granted_s.pop(ticket_id)
         if ticket.work is Work.ONLINE:
             self.online_count -= 1
--- a/apricotquay/serving/slots/slotowner.py
+++ b/apricotquay/serving/slots/slotowner.py
@@ -1,6 +1,7 @@
 """The owner's side of slot allocation: a table per service, with peers' tickets."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 
 import msgspec
@@ -51,7 +52,14 @@
 from .slotuse import UseReport
 from .speedreport import SpeedReporter, SpeedSummary
 from .ticketmessages import MS_PER_S, held_ticket, requested_ticket
-from .tickets import Decision, Granted, Refused, Ticket, TicketId
+from .tickets import (
+    Decision,
+    Granted,
+    RefusalReason,
+    Refused,
+    Ticket,
+    TicketId,
+)
 
 DEFAULT_SLOTS = 8
 # A newer ticket may have been requested after its peer compiled its ticket list.
@@ -111,6 +119,7 @@
         self._peer_tickets: dict[TicketId, PeerTicket] = {}
         self._tickets_of_connection: dict[PeerConnection, set[TicketId]] = {}
         self._peer_leases = PeerLeases()
+        self.refused_counts = dict.fromkeys(RefusalReason, 0)
         self.on_local_decision = lambda decision: None
 
     @property
@@ -123,6 +132,13 @@
         """Number of known tickets of peers."""
         return len(self._peer_tickets)
 
+    def waiting_by_priority(self) -> collections.Counter[int]:
+        """Return how many online requests of each priority wait in all tables."""
+        waiting: collections.Counter[int] = collections.Counter()
+        for table in self._tables.values():
+            waiting += table.waiting_by_priority()
+        return waiting
+
     def table(self, service: ServiceName) -> Dispatcher:
         """Return the slot table of a service; create it at first use."""
         table = self._tables.get(service)
@@ -475,6 +491,8 @@
 
     def _deliver(self, decisions: list[Decision]) -> None:
         for decision in decisions:
+            if isinstance(decision, Refused):
+                self._report_refusal(decision)
             peer = self._peer_tickets.get(decision.ticket)
             if peer is None:
                 self.on_local_decision(decision)
@@ -483,6 +501,19 @@
             if isinstance(decision, Refused):
                 self._remove_peer_ticket(decision.ticket)
 
+    def _report_refusal(self, refused: Refused) -> None:
+        self.refused_counts[refused.reason] += 1
+        self._reporter.write_limited(
+            Event.SLOT_REFUSED,
+            ticket=refused.ticket,
+            reason=refused.reason.value,
+            team=refused.team,
+            priority=refused.priority,
+            ahead=refused.ahead,
+            share=round(refused.share, 3),
+            wait_ms=int(refused.wait_s * MS_PER_S),
+        )
+
     def _message_for(self, decision: Decision, peer: PeerTicket) -> Message:
         if isinstance(decision, Refused):
             return SlotRefused(decision.ticket, int(decision.wait_s * MS_PER_S))
@@ -517,11 +548,13 @@
             for entry in self._view.endpoints.serving(service)
         }
         limits = self._limits_of(service, now_s)
+        memory_tokens = self._memory_tokens(service)
         profiles = {
             e.id: EndpointProfile(
                 e.version,
                 e.zone,
                 self._view.endpoints.region_of(e.zone),
+                memory_tokens=memory_tokens,
                 started_ms=e.started_ms,
             )
             for e in self._view.endpoints.serving(service)
@@ -625,6 +658,10 @@
             self._may_be_new_until_s.pop(endpoint.id, None)
         return max(left_s, may_be_new_until_s - now_s)
 
+    def _memory_tokens(self, service: ServiceName) -> int:
+        settings = self._settings(service)
+        return settings.memory_tokens if settings else 0
+
     def _settings(self, service: ServiceName) -> Service | None:
         configuration = self._view.configuration
         return configuration.services.get(service) if configuration else None
--- a/apricotquay/serving/slots/tickets.py
+++ b/apricotquay/serving/slots/tickets.py
@@ -30,12 +30,17 @@
 
 
 class Restriction(NamedTuple):
-    """Which endpoints a ticket may use; the fields are those of `Ticket`."""
+    """Which endpoints a ticket may use; the fields are those of `Ticket`.
+
+    `size` is the magnitude of its tokens: those that find no memory hold up none that
+    are smaller.
+    """
 
     version: str
     avoid: frozenset[str]
     may_repeat: bool
     regions: frozenset[str]
+    size: int = 0
 
 
 def before_send(version: str, regions: frozenset[str]) -> Restriction:
@@ -62,8 +67,9 @@
 
     `team`, the ticket's `priority` class (0 is the highest) and the team's `weight`
     decide who goes first when slots are short. `tokens` is the memory that the request
-    needs at an endpoint, 0 if unknown. `zone` is the availability zone of the daemon
-    that sends it, and `regions` are those that it may reach, empty for all.
+    needs at an endpoint, 0 if unknown, of which `prefix_tokens` are shared. `zone` is
+    the availability zone of the daemon that sends it, and `regions` are those that it
+    may reach, empty for all.
     """
 
     id: TicketId
@@ -82,11 +88,18 @@
     tokens: int = 0
     zone: str = ""
     regions: frozenset[str] = frozenset()
+    prefix_tokens: int = 0
 
     @property
     def restriction(self) -> Restriction:
         """Which endpoints the ticket may use."""
-        return Restriction(self.version, self.avoid, self.may_repeat, self.regions)
+        return Restriction(
+            self.version,
+            self.avoid,
+            self.may_repeat,
+            self.regions,
+            max(0, self.tokens).bit_length(),
+        )
 
     def is_late(self, now_s: float) -> bool:
         """Whether the ticket would miss `due_s` even with a slot now."""
@@ -111,11 +124,32 @@
     endpoint: EndpointId
 
 
+class RefusalReason(enum.Enum):
+    """Why a ticket is refused: `LINE_TOO_LONG` when it is new, `OVERTAKEN` while it
+    waits for limited endpoints, `WAITED_TOO_LONG` at its deadline, and
+    `VERSION_MISSING` when no endpoint has its version any more.
+    """
+
+    LINE_TOO_LONG = "line_too_long"
+    OVERTAKEN = "overtaken"
+    WAITED_TOO_LONG = "waited_too_long"
+    VERSION_MISSING = "version_missing"
+
+
 class Refused(msgspec.Struct, frozen=True):
-    """A ticket cannot get a slot in time; one may be free after `wait_s`."""
+    """A ticket cannot get a slot in time; one may be free after `wait_s`.
+
+    `ahead` tickets would have been served before it, and its team's `share` of the
+    slots is what its callers' return is spread over. They are for the log.
+    """
 
     ticket: TicketId
     wait_s: float
+    reason: RefusalReason = RefusalReason.WAITED_TOO_LONG
+    team: TeamId = TeamId("")
+    priority: int = 0
+    ahead: int = 0
+    share: float = 1.0
 
 
 class Revoked(msgspec.Struct, frozen=True):
--- a/apricotquay/serving/slots/waits.py
+++ b/apricotquay/serving/slots/waits.py
@@ -7,13 +7,23 @@
 
 from collections.abc import Collection, Iterable
 
+from ...ids import TeamId
 from .endpointslots import EndpointSlots
-from .tickets import Ticket
+from .tickets import Ticket, Work
 
 # Initial estimate of how long an online request holds its slot. The estimate is
 # updated when slots are released.
 DEFAULT_SERVICE_TIME_S = 0.7
 SERVICE_TIME_SMOOTHING = 0.05
+# Classes and teams whose refused callers are remembered before those are forgotten
+# that have returned, and how many callers of each.
+MAX_CALLERS = 512
+MAX_RETRY_TIMES = 1000
+# A retry delay at most. Shortages change within that time, and callers of a team with
+# a very small share would otherwise be sent away for hours.
+MAX_RETRY_AFTER_S = 60.0
+
+_Caller = tuple[int, TeamId]
 
 
 class WaitEstimator:
@@ -24,12 +34,19 @@
 
     def __init__(self) -> None:
         self._service_time_s: float = DEFAULT_SERVICE_TIME_S
-        self._retry_times_s: list[float] = []
+        # Of the refused callers of each class and team.
+        self._retry_times_s: dict[_Caller, list[float]] = {}
 
     def record_service_time(self, held_s: float) -> None:
         """Record how long an online request held its slot."""
         self._service_time_s += SERVICE_TIME_SMOOTHING * (held_s - self._service_time_s)
 
+    def expected_slot_s(self, ticket: Ticket) -> float:
+        """Return how long a ticket is expected to hold its slot."""
+        if ticket.work is Work.ONLINE:
+            return self._service_time_s
+        return max(0.0, ticket.expected_duration_s) or self._service_time_s
+
     def throughput_per_s(self, slots: Iterable[EndpointSlots], now_s: float) -> float:
         """Return how many online requests a second the endpoints can begin."""
         total = sum(
@@ -38,12 +55,11 @@
         return total or 1 / self._service_time_s
 
     def expected_wait_s(
-        self,
-        slots: Collection[EndpointSlots],
-        waiting_online: Iterable[Ticket],
-        now_s: float,
+        self, slots: Collection[EndpointSlots], ahead: int, now_s: float
     ) -> float:
-        """Estimate a new online ticket's wait; batch items can be preempted."""
+        """Estimate the wait of an online ticket that is served after `ahead` others;
+        batch items can be preempted.
+        """
         free = sum(
             s.count - s.online_count for s in slots if s.is_open and not s.is_limited
         )
@@ -52,7 +68,6 @@
             for s in slots
             if s.is_open and s.is_limited and s.may_send(now_s)
         )
-        ahead = sum(1 for t in waiting_online if not t.holds_slot)
         if ahead < free or not slots:
             return 0.0
         return (ahead - free + 1) / self.throughput_per_s(slots, now_s)
@@ -79,11 +94,32 @@
         return hopeless
 
     def retry_after_s(
-        self, wait_s: float, slots: Collection[EndpointSlots], now_s: float
+        self,
+        ticket: Ticket,
+        wait_s: float,
+        share: float,
+        slots: Collection[EndpointSlots],
+        now_s: float,
     ) -> float:
-        """Return a refused caller's retry delay, spread over what can be served."""
-        self._retry_times_s = [at_s for at_s in self._retry_times_s if at_s > now_s]
-        spread_s = len(self._retry_times_s) / self.throughput_per_s(slots, now_s)
-        after_s = wait_s + spread_s
-        self._retry_times_s.append(now_s + after_s)
+        """Return a refused caller's retry delay, spread over what can be served of its
+        class and team, which get `share` of the slots.
+        """
+        caller = (ticket.priority, ticket.team)
+        times_s = [at_s for at_s in self._retry_times_s.get(caller, []) if at_s > now_s]
+        spread_s = len(times_s) / (self.throughput_per_s(slots, now_s) * share)
+        after_s = min(wait_s + spread_s, MAX_RETRY_AFTER_S)
+        if len(times_s) < MAX_RETRY_TIMES:
+            times_s.append(now_s + after_s)
+        self._forget_retries(now_s)
+        self._retry_times_s[caller] = times_s
         return after_s
+
+    def _forget_retries(self, now_s: float) -> None:
+        """Forget the teams whose callers have all returned, if they may be many."""
+        if len(self._retry_times_s) < MAX_CALLERS:
+            return
+        self._retry_times_s = {
+            caller: times_s
+            for caller, times_s in self._retry_times_s.items()
+            if times_s[-1] > now_s
+        }
--- a/bench/queueing.py
+++ b/bench/queueing.py
@@ -17,9 +17,10 @@
 
 import msgspec
 
-from apricotquay.ids import EndpointId
+from apricotquay.ids import EndpointId, TeamId
 from apricotquay.serving.engine import EndpointLoad
 from apricotquay.serving.slots.dispatch import Dispatcher
+from apricotquay.serving.slots.endpointslots import EndpointProfile
 from apricotquay.serving.slots.slotuse import MS_PER_S, US_PER_S, UseReport
 from apricotquay.serving.slots.tickets import (
     Decision,
@@ -77,6 +78,17 @@
         return Rank.ONLINE_IN_TIME if online else Rank.BATCH_IN_TIME
 
 
+class TeamBlindDispatcher(Dispatcher):
+    """Baseline: the order of service before teams and priorities."""
+
+    def request_slot(self, ticket: Ticket, now_s: float) -> list[Decision]:
+        """Request a slot for a ticket like any other."""
+        ticket = msgspec.structs.replace(
+            ticket, team=TeamId(""), priority=0, weight=1.0, tokens=0
+        )
+        return super().request_slot(ticket, now_s)
+
+
 class LocalTables:
     """One slot table per daemon; each counts only the requests of its daemon."""
 
@@ -148,6 +160,10 @@
     sent_s: float = 0.0
     started_s: float = 0.0
     refused_early: bool = False
+    team: TeamId = TeamId("")
+    priority: int = 0
+    weight: float = 1.0
+    tokens: int = 0
     served_s: float = 0.0
     ticket_count: int = 0
     send_count: int = 0
@@ -170,6 +186,7 @@
         self.arrivals: int = 0
         self.full_arrivals: int = 0
         self.slots: int = slots
+        self.tokens: int = 0
         self.running: set[TicketId] = set()
         self.waiting: collections.deque[TicketId] = collections.deque()
 
@@ -181,6 +198,8 @@
         self, deployment: Deployment, workload: Workload, policy: Policy, seed: int
     ) -> None:
         self.requests: list[Request] = []
+        # Requests sent to an engine without memory for them while another had it.
+        self.overfull_grants: int = 0
         self.busy_slot_s: dict[Work, float] = dict.fromkeys(Work, 0.0)
         self._deployment: Deployment = deployment
         self._workload: Workload = workload
@@ -236,7 +255,12 @@
             if endpoint not in self._engines:
                 self._engines[endpoint] = self._new_engine(endpoint)
         counts = dict.fromkeys(ids, self._deployment.slots)
-        self._apply_decisions(self._table.set_endpoints(counts, now_s), now_s)
+        known = {}
+        if self._deployment.memory_tokens:
+            profile = EndpointProfile(memory_tokens=self._deployment.memory_tokens)
+            known = {"profiles": dict.fromkeys(ids, profile)}
+        decisions = self._table.set_endpoints(counts, now_s, **known)
+        self._apply_decisions(decisions, now_s)
 
     def _new_engine(self, endpoint: EndpointId) -> _Engine:
         d = self._deployment
@@ -259,6 +283,10 @@
             due_s,
             arrival.service_time_s,
             arrival.hangs,
+            team=arrival.team,
+            priority=arrival.priority,
+            weight=arrival.weight,
+            tokens=arrival.tokens,
         )
         self.requests.append(request)
         self._send_online(request, now_s)
@@ -283,6 +311,10 @@
             Work.ONLINE,
             request.sent_s + d.objective_s,
             request.sent_s + d.caller_timeout_s - RESPONSE_MARGIN_S,
+            team=request.team,
+            priority=request.priority,
+            weight=request.weight,
+            tokens=request.tokens,
         )
         self._tickets[ticket.id] = request
         self._apply_decisions(self._table.request_slot(ticket, now_s), now_s)
@@ -338,9 +370,20 @@
         self._engine_by_ticket[granted.ticket] = engine
         engine.arrivals += 1
         engine.full_arrivals += len(engine.running) >= engine.slots
+        self._count_overfull(engine, self._tickets[granted.ticket])
+        engine.tokens += self._tickets[granted.ticket].tokens
         engine.waiting.append(granted.ticket)
         self._start_queued(engine, now_s)
 
+    def _count_overfull(self, engine: _Engine, request: Request) -> None:
+        memory_tokens = self._deployment.memory_tokens
+        has_room = [
+            e.tokens + request.tokens <= memory_tokens for e in self._engines.values()
+        ]
+        is_overfull = engine.tokens + request.tokens > memory_tokens
+        if memory_tokens and is_overfull and any(has_room):
+            self.overfull_grants += 1
+
     def _start_queued(self, engine: _Engine, now_s: float) -> None:
         while engine.waiting and len(engine.running) < engine.slots:
             ticket_id = engine.waiting.popleft()
@@ -468,6 +511,7 @@
 
     def _free_slot(self, ticket_id: TicketId, now_s: float) -> None:
         engine = self._engine_by_ticket.pop(ticket_id)
+        engine.tokens -= self._tickets[ticket_id].tokens
         if ticket_id in engine.running:
             engine.running.discard(ticket_id)
             request = self._tickets[ticket_id]
--- a/bench/slottable.py
+++ b/bench/slottable.py
@@ -1,11 +1,12 @@
 """Time per request of the event-loop daemon's slot table by endpoints and items."""
 
 import collections
+import itertools
 import random
 import time
 from collections.abc import Iterator
 
-from apricotquay.ids import EndpointId
+from apricotquay.ids import EndpointId, TeamId
 from apricotquay.serving.engine import EndpointLoad
 from apricotquay.serving.slots.dispatch import Dispatcher
 from apricotquay.serving.slots.slotuse import UseReport
@@ -24,21 +25,23 @@
 CALM_ENDPOINT_COUNTS = (45, 600)
 SLOWNESSES = (1.8, 0.83)
 GAP_US = 10_000
+# One team, and as many as the users have.
+TEAM_COUNTS = (1, 86)
 
 
 def measure_slot_table(seed: int) -> Iterator[Row]:
     """Yield the time to request and release an online request's slot while batch
     items wait, of which none, or half, avoid an endpoint that failed them.
     """
-    for endpoint_count, item_count in ENDPOINT_AND_ITEM_COUNTS:
-        for avoiding_share in (0.0, 0.5):
-            table, now_s = _fill_table(endpoint_count, item_count, avoiding_share, seed)
-            scenario = (
-                f"{endpoint_count} endpoints, {item_count} items wait, "
-                f"{avoiding_share:.0%} avoid some"
-            )
-            value_us = _measure_request_s(table, endpoint_count, now_s) * 1e6
-            yield Row(scenario, "an online request's ask and release", value_us, "us")
+    cases = itertools.product(ENDPOINT_AND_ITEM_COUNTS, (0.0, 0.5), TEAM_COUNTS)
+    for (endpoint_count, item_count), avoiding_share, teams in cases:
+        table, now_s = _fill_table(endpoint_count, item_count, avoiding_share, seed)
+        scenario = (
+            f"{endpoint_count} endpoints, {item_count} items wait, "
+            f"{avoiding_share:.0%} avoid some, {teams} teams"
+        )
+        value_us = _measure_request_s(table, endpoint_count, now_s, teams) * 1e6
+        yield Row(scenario, "an online request's ask and release", value_us, "us")
     for endpoint_count in CALM_ENDPOINT_COUNTS:
         for speeds in (False, True):
             kind = "unequal speeds, reported" if speeds else "nothing reported"
@@ -99,7 +102,9 @@
     return table, 1.0
 
 
-def _measure_request_s(table: Dispatcher, endpoint_count: int, now_s: float) -> float:
+def _measure_request_s(
+    table: Dispatcher, endpoint_count: int, now_s: float, teams: int
+) -> float:
     """Return the mean time of a request's two calls of the table, in seconds."""
     interval_s = ONLINE_SERVICE_TIME_S / (
         endpoint_count * SLOTS_PER_ENDPOINT * LOAD_FACTOR
@@ -108,7 +113,13 @@
     started_s = time.perf_counter()
     for number in range(REQUEST_COUNT):
         now_s += interval_s
-        ticket = Ticket(TicketId(f"o{number}"), Work.ONLINE, now_s + 0.3, now_s + 1.8)
+        ticket = Ticket(
+            TicketId(f"o{number}"),
+            Work.ONLINE,
+            now_s + 0.3,
+            now_s + 1.8,
+            team=TeamId(f"team{number % teams}"),
+        )
         decisions = list(table.request_slot(ticket, now_s))
         while running and running[0][0] <= now_s:
             decisions += table.release(running.pop(0)[1], now_s)
