--- a/standins/platform.py
+++ b/standins/platform.py
@@ -372,8 +372,18 @@
 
 async def write_configuration(store: str, value: dict) -> None:
     """Append a configuration as the operator does; raise if that fails."""
+    await _write_operator_record(store, b"config", json.dumps(value).encode())
+
+
+async def write_evacuation(store: str, zone: str, *, is_evacuated: bool) -> None:
+    """Evacuate a zone, or end that, as the operator does; raise if that fails."""
+    value = b"{}" if is_evacuated else None
+    await _write_operator_record(store, f"evacuate/{zone}".encode(), value)
+
+
+async def _write_operator_record(store: str, key: bytes, value: bytes | None) -> None:
     client = StoreClient(*_parse_address(store))
-    record = KeyedRecord(b"config", json.dumps(value).encode())
+    record = KeyedRecord(key, value)
     try:
         await client.append(Topic("keyed.op"), 0, [record], None)
     finally:
@@ -437,10 +447,12 @@
         crashing_part: str = "",
         crash_delay_s: float = 0.1,
         version: str = "v1",
+        zone: str = "z",
     ) -> None:
         """Run a model server; a prompt with the crashing part ends it."""
         server = ModelServer(name, step_s)
         server.version = version
+        server.zone = zone
         server.crashing_parts = frozenset([str(crashing_part)] if crashing_part else [])
         server.crash_delay_s = crash_delay_s
         asyncio.run(
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -108,6 +108,11 @@
         return lines
 
 
+def zone_of_server(number: int) -> str:
+    """Return the availability zone of a model server: every second is in z1."""
+    return f"z{number % 2}"
+
+
 class PlatformProcesses:
     """A store, model servers and event-loop daemons, each in its own process.
 
@@ -207,6 +212,7 @@
         args += ["--store", self.store_address, *_listen_args(listen)]
         args += ["--shown", _format_address(proxied), "--step-s", str(self._step_s)]
         args += ["--version", f"v{number % self._versions}"]
+        args += ["--zone", zone_of_server(number)]
         if self._crashing_part:
             args += ["--crashing-part", self._crashing_part]
         return self._make_process(f"i{number}", args)
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -5,11 +5,11 @@
 A store, model servers and daemons run as separate processes. A loopback proxy
 forwards the connections of each daemon to the store and of all daemons to each
 server. Faults start one after the other and overlap; beside them, sound servers
-fall silent and go on, and some callers send requests ahead and read nothing. The
-other callers keep their connections. After the run, the responses
-that callers got are compared with the runs that the servers logged. Each violated
-guarantee is printed; the exit code is 1 if there is any. Only processes started here
-are signalled, by process id.
+fall silent and go on, zones of servers are evacuated for a while, and some callers
+send requests ahead and read nothing. The other callers keep their connections. After
+the run, the responses that callers got are compared with the runs that the servers
+logged. Each violated guarantee is printed; the exit code is 1 if there is any. Only
+processes started here are signalled, by process id.
 """
 
 import asyncio
@@ -34,8 +34,8 @@
 )
 from apricotquay.serving.http.httpclient import open_client
 
-from .platform import make_configuration, write_configuration
-from .processes import SHUTDOWN_GRACE_S, PlatformProcesses
+from .platform import make_configuration, write_configuration, write_evacuation
+from .processes import SHUTDOWN_GRACE_S, PlatformProcesses, zone_of_server
 
 # Source address of connections that are not bound to a host.
 SOURCE_HOST = "127.0.0.1"
@@ -49,6 +49,12 @@
 # A caller that reads nothing sends so many requests ahead, and stays for so long.
 UNREAD_REQUESTS = 24
 UNREAD_S = (0.5, 3.0)
+# Nothing new reaches an evacuated zone so long after the operator's record.
+EVACUATION_TIME_S = 5.0
+EVACUATED_S = (6.0, 9.0)
+EVACUATION_INTERVAL_S = (1.0, 3.0)
+# A daemon is in touch if nothing disturbed it for so long.
+CONTACT_S = 4.0
 # A daemon may end a request at its time limit; callers wait longer than that.
 TIME_LIMIT_S = 5.0
 TIME_LIMIT_MARGIN_S = 0.1
@@ -78,6 +84,14 @@
     is_cut: bool = False
 
 
+class Evacuation(msgspec.Struct):
+    """An evacuation of a zone, from its acknowledgement to its end."""
+
+    zone: str
+    started_s: float
+    ended_s: float
+
+
 class Disturbance(msgspec.Struct):
     """A fault that may end the requests that a process serves meanwhile."""
 
@@ -120,6 +134,8 @@
         self._version: int = 1
         self._withdrawn: dict[str, float] = {}
         self._disturbances: list[Disturbance] = []
+        self._evacuation_rng = random.Random(f"evacuation{seed}")
+        self._evacuations: list[Evacuation] = []
 
     async def run(self) -> list[str]:
         """Execute the run and return the violated guarantees."""
@@ -304,6 +320,7 @@
         running = {
             asyncio.create_task(self._silence_servers(deadline_s)),
             asyncio.create_task(self._leave_responses_unread(deadline_s)),
+            asyncio.create_task(self._evacuate_zones(deadline_s)),
         }
         while time.monotonic() < deadline_s:
             running.add(asyncio.create_task(self._rng.choice(faults)()))
@@ -342,6 +359,27 @@
                 await asyncio.sleep(rng.uniform(*UNREAD_S))
                 writer.transport.abort()
 
+    async def _evacuate_zones(self, deadline_s: float) -> None:
+        """Evacuate a zone and end that, time and again."""
+        rng = self._evacuation_rng
+        while time.monotonic() < deadline_s:
+            await asyncio.sleep(rng.uniform(*EVACUATION_INTERVAL_S))
+            zone = zone_of_server(rng.randrange(2))
+            await self._wait_until(lambda z=zone: self._set_evacuated(z, True))
+            started_s = time.time()
+            await asyncio.sleep(rng.uniform(*EVACUATED_S))
+            self._evacuations.append(Evacuation(zone, started_s, time.time()))
+            await self._wait_until(lambda z=zone: self._set_evacuated(z, False))
+
+    async def _set_evacuated(self, zone: str, is_evacuated: bool) -> bool:
+        store = self._fleet.store_address
+        try:
+            await write_evacuation(store, zone, is_evacuated=is_evacuated)
+        except Exception:
+            # The store is paused or starting; the caller retries.
+            return False
+        return True
+
     @contextlib.contextmanager
     def _disturb(self, process: str) -> Iterator[None]:
         """Record a fault that may end what a process serves."""
@@ -378,9 +416,10 @@
             await self._wait_until(process.is_listening)
 
     async def _pause_store(self) -> None:
-        self._fleet.store.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self._rng.uniform(0.2, 2.5))
-        self._fleet.store.send_signal(signal.SIGCONT)
+        with self._disturb("store"):
+            self._fleet.store.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(0.2, 2.5))
+            self._fleet.store.send_signal(signal.SIGCONT)
 
     async def _disturb_connections(self) -> None:
         name = self._rng.choice(self._fleet.proxy_listeners)
@@ -480,6 +519,8 @@
         for request in self._requests:
             runs = runs_by_id.get(request.id, [])
             self._check_response(request, runs)
+            for run in runs:
+                self._check_zone(request, run)
             servers = sent_to[request.daemon].get(request.id, set())
             self._check_end(request, servers | {run["server"] for run in runs})
 
@@ -536,6 +577,29 @@
                 f"{', '.join(sorted(processes))} were sound"
             )
 
+    def _check_zone(self, request: SentRequest, run: dict) -> None:
+        """Check that no daemon in touch sent a request to an evacuated zone."""
+        zone = zone_of_server(int(run["server"].rpartition("-")[2]))
+        for evacuation in self._evacuations:
+            late_s = evacuation.started_s + EVACUATION_TIME_S
+            if evacuation.zone != zone or not late_s < run["at"] < evacuation.ended_s:
+                continue
+            if self._was_in_touch(f"d{request.daemon}", run["at"]):
+                since_s = run["at"] - evacuation.started_s
+                self.violations.append(
+                    f"{request.id} reached zone {zone} {since_s:.1f} s after its "
+                    "evacuation"
+                )
+
+    def _was_in_touch(self, daemon: str, at_s: float) -> bool:
+        """Whether nothing disturbed a daemon or the store for a while."""
+        return not any(
+            fault.process in (daemon, "store")
+            and fault.started_s <= at_s
+            and fault.ended_s >= at_s - CONTACT_S
+            for fault in self._disturbances
+        )
+
     def _check_response(self, request: SentRequest, runs: list[dict]) -> None:
         if request.kind == "unsafe" and len(runs) > 1:
             self.violations.append(
