--- a/apricotquay/serving/slots/placement.py
+++ b/apricotquay/serving/slots/placement.py
@@ -58,9 +58,11 @@
         for slots in usable:
             if slots.endpoint == preferred and slots.free * 2 >= slots.count:
                 return slots
-        slots = self._random.choice(
-            _in_zone(self._best_endpoints(usable, now_s), ticket.zone)
-        )
+        best = self._best_endpoints(usable, now_s)
+        if not self.is_alone:
+            # Daemons alone would all fill their own zone without seeing each other.
+            best = _in_zone(best, ticket.zone)
+        slots = self._random.choice(best)
         self._remember_prefix(ticket.prefix, slots.endpoint)
         return slots
 
--- a/apricotquay/serving/slots/statedload.py
+++ b/apricotquay/serving/slots/statedload.py
@@ -58,6 +58,9 @@
         self, load: EndpointLoad, slot_time_s: float, now_s: float
     ) -> bool:
         """Leave out an endpoint that refused, longer with each refusal in a row."""
+        if now_s < self.held_until_s:
+            # The request was under way when the endpoint was found full.
+            return True
         self._refusals += 1
         # A run that ends makes room for a waiting one first.
         factor = 2 ** min(self._refusals - 1, 8)
--- a/tests/test_serving_speeds.py
+++ b/tests/test_serving_speeds.py
@@ -394,6 +394,14 @@
         slots.record_load(FULL, 0.09, 501.0, 501.0, is_refusal=True)
         self.assertLess(slots.load.held_until_s - 501.0, 0.1)
 
+    def test_refusals_at_the_same_moment_count_once(self):
+        """Requests that were under way when the endpoint was full say nothing new."""
+        slots = EndpointSlots(SLOW, SLOTS)
+        for number in range(5):
+            now_s = 1.0 + number * 0.01
+            slots.record_load(FULL, 0.09, now_s, now_s, is_refusal=True)
+        self.assertLess(slots.load.held_until_s, 1.15)
+
     def test_request_that_waits_gets_the_slot_when_the_hold_ends(self):
         """Nobody else would wake the table."""
         table = Dispatcher(seed=1)
@@ -472,6 +480,20 @@
         self.assertLess(chosen[SLOW], self.DAEMONS * 0.65)
         self.assertGreater(chosen[SLOW], self.DAEMONS / len(ENDPOINTS))
 
+    def test_zone_does_not_draw_all_daemons_that_choose_alone(self):
+        """They do not see what the others send to the endpoints of their zone."""
+        chosen = dict.fromkeys(ENDPOINTS, 0)
+        profiles = {e: EndpointProfile(zone="abc"[n % 3]) for n, e in enumerate(chosen)}
+        for number in range(60):
+            table = Dispatcher(seed=number)
+            counts = dict.fromkeys(ENDPOINTS, SLOTS)
+            table.set_endpoints(counts, 0.0, profiles=profiles)
+            table.set_alone(is_alone=True)
+            granted = table.request_slot(online("t", zone="a"), 0.0)[0]
+            chosen[granted.endpoint] += 1
+        in_zone = sum(chosen[e] for e in ENDPOINTS[::3])
+        self.assertLess(in_zone, 35)
+
     def test_fuller_endpoints_are_chosen_less(self):
         """Half of the endpoints are nearly full."""
         full = dict.fromkeys(ENDPOINTS[:4], 7)
