--- a/apricotquay/serving/slots/speeds.py
+++ b/apricotquay/serving/slots/speeds.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from ...ids import EndpointId
-from .slotuse import MS_PER_S, US_PER_S, UseReport
+from .slotuse import US_PER_S, UseReport
 
 # Noise of machines changes about every 0.6 s, and reports arrive that much later.
 RECENT_S = 2.0
@@ -27,11 +27,8 @@
 SLOWNESS_MIN, SLOWNESS_MAX = 0.25, 8.0
 # A mean of fewer gaps is not a measure of the speed.
 MIN_GAPS = 3
-# The wait for the first event varies with the prompt, too.
-FIRST_EVENT_MIN, FIRST_EVENT_MAX = 0.5, 2.0
 # Longer times are those of an attempt that hung, or not of this kind.
 MAX_GAP_S = 10.0
-MAX_FIRST_EVENT_S = 60.0
 REFRESH_S = 1.0
 USUAL = 1.0
 
@@ -40,7 +37,6 @@
     """What a sample was measured by, the better one first."""
 
     GAP = "gap"
-    FIRST_EVENT = "first_event"
     STATED = "stated"
 
 
@@ -64,8 +60,6 @@
         if not usual:
             return None
         slowness = sample.value / usual
-        if sample.kind is SampleKind.FIRST_EVENT:
-            slowness = min(FIRST_EVENT_MAX, max(FIRST_EVENT_MIN, slowness))
         return min(SLOWNESS_MAX, max(SLOWNESS_MIN, slowness))
 
 
@@ -172,10 +166,10 @@
             self.slowness[endpoint] = slowness
 
     def _refresh_typical(self) -> None:
-        for kind in (SampleKind.GAP, SampleKind.FIRST_EVENT):
-            usual = _median(e.median_of(kind) for e in self._estimates.values())
-            if usual is not None:
-                self._typical.values[kind] = usual
+        kind = SampleKind.GAP
+        usual = _median(e.median_of(kind) for e in self._estimates.values())
+        if usual is not None:
+            self._typical.values[kind] = usual
 
 
 def _median(values: Iterable[float | None]) -> float | None:
@@ -184,13 +178,12 @@
 
 
 def _sample_of(report: UseReport, now_s: float) -> Sample | None:
-    """Return the best measure in a report, which a peer sent; None if it has none."""
+    """Return the best measure in a report, which a peer sent; None if it has none. The
+    wait for the first event is none: it varies with the prompt.
+    """
     gap_s = report.gap_us / US_PER_S
     if report.events > MIN_GAPS and 0 < gap_s <= MAX_GAP_S:
         return Sample(now_s, SampleKind.GAP, gap_s)
-    first_event_s = report.first_event_ms / MS_PER_S
-    if report.events > 0 and 0 < first_event_s <= MAX_FIRST_EVENT_S:
-        return Sample(now_s, SampleKind.FIRST_EVENT, first_event_s)
     if report.load is not None and report.load.time_percent > 0:
         return Sample(now_s, SampleKind.STATED, report.load.time_percent / 100)
     return None
--- a/tests/test_serving_speeds.py
+++ b/tests/test_serving_speeds.py
@@ -136,6 +136,19 @@
             speeds.refresh(step * 0.2)
             self.assertEqual({}, speeds.slowness)
 
+    @parameterized.expand([(seed,) for seed in range(3)])
+    def test_first_events_alone_make_no_endpoint_unequal(self, seed):
+        """They differ with the prompts, so that equal endpoints would seem unequal."""
+        rng = random.Random(seed)
+        speeds = ServiceSpeeds()
+        for step in range(100):
+            for endpoint in ENDPOINTS:
+                first_ms = int(60 * rng.lognormvariate(0, 0.3))
+                shown = UseReport(first_event_ms=first_ms, events=1)
+                speeds.record(endpoint, shown, step * 0.2)
+            speeds.refresh(step * 0.2)
+            self.assertEqual({}, speeds.slowness)
+
     def test_stated_time_counts_for_attempts_without_events(self):
         """An answer that is not a stream has no other measure."""
         speeds = ServiceSpeeds()
