--- a/apricotquay/serving/slots/speeds.py
+++ b/apricotquay/serving/slots/speeds.py
@@ -22,8 +22,10 @@
 # The median of fewer samples would follow a single outlier.
 MIN_SAMPLES = 3
 MAX_RECENT_SAMPLES = 5
-# The jitter of equal endpoints stays within these, which count as 1.0.
+# Values within these count as 1.0, and more if attempts at one endpoint differ more: a
+# median of five must not leave the range by chance.
 USUAL_MIN, USUAL_MAX = 0.87, 1.15
+USUAL_DEVIATIONS = 4.0
 SLOWNESS_MIN, SLOWNESS_MAX = 0.25, 8.0
 # A mean of fewer gaps is not a measure of the speed.
 MIN_GAPS = 3
@@ -53,6 +55,16 @@
 
     def __init__(self) -> None:
         self.values: dict[SampleKind, float] = {SampleKind.STATED: 1.0}
+        # The largest slowness that counts as usual.
+        self.usual_max: float = USUAL_MAX
+
+    def set_deviation(self, deviation: float) -> None:
+        """Set by what share attempts at one endpoint deviate from their median."""
+        self.usual_max = max(USUAL_MAX, 1 + USUAL_DEVIATIONS * deviation)
+
+    def is_usual(self, slowness: float) -> bool:
+        """Whether an endpoint's slowness may be chance."""
+        return min(USUAL_MIN, 1 / self.usual_max) <= slowness <= self.usual_max
 
     def slowness_of(self, sample: Sample) -> float | None:
         """Return the slowness that a sample shows."""
@@ -84,6 +96,14 @@
         values = [s.value for s in self._samples if s.kind is kind]
         return statistics.median(values) if values else None
 
+    def deviation_of(self, kind: SampleKind) -> float | None:
+        """Return the median deviation of the samples from their median, as a share."""
+        values = [s.value for s in self._samples if s.kind is kind]
+        if len(values) < MIN_SAMPLES:
+            return None
+        middle = statistics.median(values)
+        return statistics.median(abs(v - middle) for v in values) / middle
+
     def slowness(self, typical: Typical, now_s: float) -> float:
         """Return the slowness now; 1.0 exactly if it is about as usual."""
         recent: list[float] = []
@@ -96,7 +116,7 @@
             is_recent = age_s <= RECENT_S and len(recent) < MAX_RECENT_SAMPLES
             (recent if is_recent else older).append(slowness)
         value = _median_with(recent, lambda: _median_with(older, lambda: USUAL))
-        return USUAL if USUAL_MIN <= value <= USUAL_MAX else value
+        return USUAL if typical.is_usual(value) else value
 
 
 def _median_with(values: list[float], earlier: Callable[[], float]) -> float:
@@ -170,6 +190,9 @@
         usual = _median(e.median_of(kind) for e in self._estimates.values())
         if usual is not None:
             self._typical.values[kind] = usual
+        deviation = _median(e.deviation_of(kind) for e in self._estimates.values())
+        if deviation is not None:
+            self._typical.set_deviation(deviation)
 
 
 def _median(values: Iterable[float | None]) -> float | None:
--- a/tests/test_serving_speeds.py
+++ b/tests/test_serving_speeds.py
@@ -136,6 +136,20 @@
             speeds.refresh(step * 0.2)
             self.assertEqual({}, speeds.slowness)
 
+    @parameterized.expand([(0.05,), (0.1,), (0.15,), (0.2,)])
+    def test_equal_endpoints_with_any_spread_are_almost_always_as_usual(self, sigma):
+        """The range that counts as usual follows the spread of attempts."""
+        rng = random.Random(1)
+        speeds = ServiceSpeeds()
+        uneven = 0
+        for step in range(200):
+            for endpoint in ENDPOINTS:
+                shown = report(rng.lognormvariate(0, sigma))
+                speeds.record(endpoint, shown, step * 0.2)
+            speeds.refresh(step * 0.2)
+            uneven += bool(speeds.slowness)
+        self.assertLess(uneven, 20)
+
     @parameterized.expand([(seed,) for seed in range(3)])
     def test_first_events_alone_make_no_endpoint_unequal(self, seed):
         """They differ with the prompts, so that equal endpoints would seem unequal."""
