--- a/apricotquay/serving/slots/speeds.py
+++ b/apricotquay/serving/slots/speeds.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from ...ids import EndpointId
-from .slotuse import MS_PER_S, US_PER_S, UseReport
+from .slotuse import US_PER_S, UseReport
 
 # Noise of machines changes about every 0.6 s, and reports arrive that much later.
 RECENT_S = 2.0
@@ -22,16 +22,15 @@
 # The median of fewer samples would follow a single outlier.
 MIN_SAMPLES = 3
 MAX_RECENT_SAMPLES = 5
-# The jitter of equal endpoints stays within these, which count as 1.0.
+# Values within these count as 1.0, and more if attempts at one endpoint differ more: a
+# median of five must not leave the range by chance.
 USUAL_MIN, USUAL_MAX = 0.87, 1.15
+USUAL_DEVIATIONS = 4.0
 SLOWNESS_MIN, SLOWNESS_MAX = 0.25, 8.0
 # A mean of fewer gaps is not a measure of the speed.
 MIN_GAPS = 3
-# The wait for the first event varies with the prompt, too.
-FIRST_EVENT_MIN, FIRST_EVENT_MAX = 0.5, 2.0
 # Longer times are those of an attempt that hung, or not of this kind.
 MAX_GAP_S = 10.0
-MAX_FIRST_EVENT_S = 60.0
 REFRESH_S = 1.0
 USUAL = 1.0
 
@@ -40,7 +39,6 @@
     """What a sample was measured by, the better one first."""
 
     GAP = "gap"
-    FIRST_EVENT = "first_event"
     STATED = "stated"
 
 
@@ -57,6 +55,16 @@
 
     def __init__(self) -> None:
         self.values: dict[SampleKind, float] = {SampleKind.STATED: 1.0}
+        # The largest slowness that counts as usual.
+        self.usual_max: float = USUAL_MAX
+
+    def set_deviation(self, deviation: float) -> None:
+        """Set by what share attempts at one endpoint deviate from their median."""
+        self.usual_max = max(USUAL_MAX, 1 + USUAL_DEVIATIONS * deviation)
+
+    def is_usual(self, slowness: float) -> bool:
+        """Whether an endpoint's slowness may be chance."""
+        return min(USUAL_MIN, 1 / self.usual_max) <= slowness <= self.usual_max
 
     def slowness_of(self, sample: Sample) -> float | None:
         """Return the slowness that a sample shows."""
@@ -64,8 +72,6 @@
         if not usual:
             return None
         slowness = sample.value / usual
-        if sample.kind is SampleKind.FIRST_EVENT:
-            slowness = min(FIRST_EVENT_MAX, max(FIRST_EVENT_MIN, slowness))
         return min(SLOWNESS_MAX, max(SLOWNESS_MIN, slowness))
 
 
@@ -90,6 +96,14 @@
         values = [s.value for s in self._samples if s.kind is kind]
         return statistics.median(values) if values else None
 
+    def deviation_of(self, kind: SampleKind) -> float | None:
+        """Return the median deviation of the samples from their median, as a share."""
+        values = [s.value for s in self._samples if s.kind is kind]
+        if len(values) < MIN_SAMPLES:
+            return None
+        middle = statistics.median(values)
+        return statistics.median(abs(v - middle) for v in values) / middle
+
     def slowness(self, typical: Typical, now_s: float) -> float:
         """Return the slowness now; 1.0 exactly if it is about as usual."""
         recent: list[float] = []
@@ -102,7 +116,7 @@
             is_recent = age_s <= RECENT_S and len(recent) < MAX_RECENT_SAMPLES
             (recent if is_recent else older).append(slowness)
         value = _median_with(recent, lambda: _median_with(older, lambda: USUAL))
-        return USUAL if USUAL_MIN <= value <= USUAL_MAX else value
+        return USUAL if typical.is_usual(value) else value
 
 
 def _median_with(values: list[float], earlier: Callable[[], float]) -> float:
@@ -172,10 +186,13 @@
             self.slowness[endpoint] = slowness
 
     def _refresh_typical(self) -> None:
-        for kind in (SampleKind.GAP, SampleKind.FIRST_EVENT):
-            usual = _median(e.median_of(kind) for e in self._estimates.values())
-            if usual is not None:
-                self._typical.values[kind] = usual
+        kind = SampleKind.GAP
+        usual = _median(e.median_of(kind) for e in self._estimates.values())
+        if usual is not None:
+            self._typical.values[kind] = usual
+        deviation = _median(e.deviation_of(kind) for e in self._estimates.values())
+        if deviation is not None:
+            self._typical.set_deviation(deviation)
 
 
 def _median(values: Iterable[float | None]) -> float | None:
@@ -184,13 +201,12 @@
 
 
 def _sample_of(report: UseReport, now_s: float) -> Sample | None:
-    """Return the best measure in a report, which a peer sent; None if it has none."""
+    """Return the best measure in a report, which a peer sent; None if it has none. The
+    wait for the first event is none: it varies with the prompt.
+    """
     gap_s = report.gap_us / US_PER_S
     if report.events > MIN_GAPS and 0 < gap_s <= MAX_GAP_S:
         return Sample(now_s, SampleKind.GAP, gap_s)
-    first_event_s = report.first_event_ms / MS_PER_S
-    if report.events > 0 and 0 < first_event_s <= MAX_FIRST_EVENT_S:
-        return Sample(now_s, SampleKind.FIRST_EVENT, first_event_s)
     if report.load is not None and report.load.time_percent > 0:
         return Sample(now_s, SampleKind.STATED, report.load.time_percent / 100)
     return None
