--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -244,10 +244,7 @@
         removed from `available`.
         """
         blocked: set[Restriction] = set()
-        while available:
-            ticket = self._line.next(rank, blocked, now_s)
-            if ticket is None:
-                break
+        for ticket in self._line.in_order(rank, blocked, now_s):
             slots = self._placement.choose(ticket, available, now_s)
             if slots is None:
                 blocked.add(ticket.restriction)
@@ -257,9 +254,11 @@
             self._assign(ticket, slots, now_s)
             if slots.limit is not None:
                 slots.limit.take(now_s)
+            yield Granted(ticket.id, slots.endpoint)
             if not slots.is_available(now_s):
                 available.remove(slots)
-            yield Granted(ticket.id, slots.endpoint)
+            if not available:
+                break
 
     def _reserve_memory(
         self, ticket: Ticket, available: list[EndpointSlots], now_s: float
--- a/apricotquay/serving/slots/fairshares.py
+++ b/apricotquay/serving/slots/fairshares.py
@@ -5,7 +5,8 @@
 """
 
 import collections
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Iterator
+from functools import partial
 
 import msgspec
 
@@ -91,19 +92,12 @@
             del held_of_teams_s[ticket.team]
         self._forget(ticket)
 
-    def in_order(
-        self, work: Work, priority: int, teams: Collection[TeamId]
-    ) -> list[tuple[float, TeamId]]:
-        """Return teams with their sort keys in the order of service. Teams without
-        work come first, so that the caller finds them.
+    def order_keys(self, work: Work, priority: int) -> Callable[[TeamId], float]:
+        """Return a function of the teams' sort keys in the order of service of a
+        class, valid while tickets of the class wait.
         """
-        if len(teams) == 1:
-            return [(0.0, team) for team in teams]
-        priority_class = self._classes.get((work, priority))
-        if priority_class is None:
-            return [(0.0, team) for team in teams]
-        held_s = self._held_s[work]
-        return sorted((priority_class.key(team, held_s), team) for team in teams)
+        priority_class = self._classes.get((work, priority), PriorityClass())
+        return partial(priority_class.key, held_s=self._held_s[work])
 
     def ahead(self, ticket: Ticket) -> int:
         """Return how many waiting tickets a new one would be served after.
--- a/apricotquay/serving/slots/teamaccounts.py
+++ b/apricotquay/serving/slots/teamaccounts.py
@@ -77,14 +77,14 @@
 
     def key(self, team: TeamId, held_s: Mapping[TeamId, float]) -> float:
         """Return a team's sort key in the order of service, lowest first. It is the
-        same for all teams that are not ahead of their share.
+        same for all teams that are not ahead of their share, whatever the virtual time.
         """
         account = self.accounts.get(team)
         if account is None:
             return -math.inf
         position = account.tag + held_s.get(team, 0.0) / account.weight
         is_allowed = position <= self.allowed(account)
-        return self.virtual_time if is_allowed else position
+        return -math.inf if is_allowed else position
 
     def position(self, team: TeamId, held_s: Mapping[TeamId, float]) -> float:
         """Return how far a team is, with the slots that it holds now."""
--- a/apricotquay/serving/slots/waitingline.py
+++ b/apricotquay/serving/slots/waitingline.py
@@ -8,8 +8,9 @@
 """
 
 import heapq
-from collections.abc import Callable, Iterable, Iterator, ValuesView
+from collections.abc import Callable, Iterator, Set, ValuesView
 from operator import itemgetter
+from typing import NamedTuple
 
 from ...ids import TeamId
 from .fairshares import FairShares
@@ -21,6 +22,16 @@
 _TeamQueues = dict[Restriction, list[_QueueEntry]]
 
 
+class _Head(NamedTuple):
+    """The place in the order of service of a queue's first entry."""
+
+    key: float
+    due_s: float
+    sequence: int
+    team: TeamId
+    restriction: Restriction
+
+
 class WaitingLine:
     """The waiting tickets of one slot table. Used by `Dispatcher`.
 
@@ -77,21 +88,20 @@
         """Return the software versions that waiting tickets need."""
         return {ticket.version for ticket in self._tickets.values()} - {""}
 
-    def next(
-        self, rank: Rank, blocked: set[Restriction], now_s: float
-    ) -> Ticket | None:
-        """Return the ticket of a rank that comes next, of those whose restrictions are
-        not blocked; move tickets that have changed their rank.
+    def in_order(
+        self, rank: Rank, blocked: Set[Restriction], now_s: float
+    ) -> Iterator[Ticket]:
+        """Yield the tickets of a rank in the order of service; move tickets that have
+        changed their rank.
+
+        Before the next one, the caller removes a ticket from the line or adds its
+        restriction to `blocked`. The teams are sorted once, and a team again when its
+        turn comes: until the end, one that others overtake keeps its place.
         """
-        while (queue := self._next_queue(rank, blocked)) is not None:
-            entry = queue[0]
-            ticket = entry[2]
-            current_rank = self._rank(ticket, now_s)
-            if current_rank is rank:
-                return ticket
-            heapq.heappop(queue)
-            heapq.heappush(self._queue(current_rank, ticket), entry)
-        return None
+        for priority in sorted(self._queues[rank]):
+            yield from self._in_order_of_class(rank, priority, blocked, now_s)
+            if not self._queues[rank][priority]:
+                del self._queues[rank][priority]
 
     def expected_order(self, now_s: float) -> list[Ticket]:
         """Return the waiting online tickets in the expected order of service."""
@@ -116,54 +126,46 @@
         keys = self._shares.expected_keys(Work.ONLINE, priority, team)
         return zip(keys, tickets, strict=False)
 
-    def _next_queue(
-        self, rank: Rank, blocked: set[Restriction]
-    ) -> list[_QueueEntry] | None:
-        """Return the queue whose first ticket comes next, of those not blocked."""
-        if UNRESTRICTED in blocked:
-            # Not even a ticket for any endpoint has one.
-            return None
-        classes = self._queues[rank]
-        for priority in sorted(classes):
-            queue = self._next_queue_of_class(rank, priority, blocked)
-            if queue is not None:
-                return queue
-            if not classes[priority]:
-                del classes[priority]
-        return None
-
-    def _next_queue_of_class(
-        self, rank: Rank, priority: int, blocked: set[Restriction]
-    ) -> list[_QueueEntry] | None:
-        """Return the queue that is next in a priority class, of those not blocked."""
+    def _in_order_of_class(
+        self, rank: Rank, priority: int, blocked: Set[Restriction], now_s: float
+    ) -> Iterator[Ticket]:
+        """Yield the tickets of a priority class in the order of service."""
         teams = self._queues[rank][priority]
-        best: list[_QueueEntry] | None = None
-        best_key = 0.0
-        for key, team in self._shares.in_order(_work_of(rank), priority, teams):
-            if best is not None and key > best_key:
-                break
-            queue = self._next_queue_of_team(teams[team], blocked)
-            if not teams[team]:
-                del teams[team]
-            if queue is None or (best is not None and best[0][:2] < queue[0][:2]):
+        order_key = self._shares.order_keys(_work_of(rank), priority)
+        heads = _heads(teams, order_key)
+        # If a ticket for any endpoint is blocked, no endpoint takes one.
+        while heads and UNRESTRICTED not in blocked:
+            head = heads[0]
+            entry = self._first_entry(rank, teams, head, now_s)
+            if entry is None or head.restriction in blocked:
+                heapq.heappop(heads)
+                continue
+            key = max(head.key, order_key(head.team))
+            current = head._replace(key=key, due_s=entry[0], sequence=entry[1])
+            if current != head:
+                heapq.heapreplace(heads, current)
                 continue
-            best, best_key = queue, key
-        return best
-
-    def _next_queue_of_team(
-        self, queues: _TeamQueues, blocked: set[Restriction]
-    ) -> list[_QueueEntry] | None:
-        """Return the team's queue whose first ticket is due first, of those not
-        blocked; discard entries of tickets that have left.
+            yield entry[2]
+
+    def _first_entry(
+        self, rank: Rank, teams: dict[TeamId, _TeamQueues], head: _Head, now_s: float
+    ) -> _QueueEntry | None:
+        """Return the first entry of a queue; move those that have changed their rank,
+        and remove the queue if none is left.
         """
-        for restriction in list(queues):
-            self._discard_gone(queues[restriction])
-            if not queues[restriction]:
-                del queues[restriction]
-        open_queues: Iterable[list[_QueueEntry]] = (
-            q for r, q in queues.items() if r not in blocked
-        )
-        return min(open_queues, key=lambda queue: queue[0][:2], default=None)
+        queue = teams[head.team][head.restriction]
+        self._discard_gone(queue)
+        while queue:
+            current_rank = self._rank(queue[0][2], now_s)
+            if current_rank is rank:
+                return queue[0]
+            entry = heapq.heappop(queue)
+            heapq.heappush(self._queue(current_rank, entry[2]), entry)
+            self._discard_gone(queue)
+        del teams[head.team][head.restriction]
+        if not teams[head.team]:
+            del teams[head.team]
+        return None
 
     def _discard_gone(self, queue: list[_QueueEntry]) -> None:
         """Remove entries of tickets that have left from the front of a queue."""
@@ -176,6 +178,20 @@
         return queues.setdefault(ticket.restriction, [])
 
 
+def _heads(
+    teams: dict[TeamId, _TeamQueues], order_key: Callable[[TeamId], float]
+) -> list[_Head]:
+    """Return a heap of the queues' first entries."""
+    heads = [
+        _Head(key, *queue[0][:2], team, restriction)
+        for team, queues in teams.items()
+        for key in (order_key(team),)
+        for restriction, queue in queues.items()
+    ]
+    heapq.heapify(heads)
+    return heads
+
+
 def _work_of(rank: Rank) -> Work:
     """Return the work that has a rank."""
     is_online = rank in (Rank.ONLINE_IN_TIME, Rank.ONLINE_LATE)
--- a/tests/test_serving_fairshares.py
+++ b/tests/test_serving_fairshares.py
@@ -1,6 +1,7 @@
 """The order of service between priority classes and teams: single decisions."""
 
 import random
+from unittest import mock
 
 from hypothesis import given, settings, strategies as st
 from parameterized import parameterized
@@ -8,6 +9,7 @@
 from apricotquay.ids import EndpointId, TeamId
 from apricotquay.serving.slots.dispatch import Dispatcher
 from apricotquay.serving.slots.fairshares import FairShares
+from apricotquay.serving.slots.teamaccounts import PriorityClass
 from apricotquay.serving.slots.tickets import Granted, Refused, Ticket, TicketId, Work
 
 from .base import ApricotTest
@@ -169,6 +171,50 @@
         self.assertAlmostEqual(5, of_a, delta=1)
 
 
+class OrderCostTest(ApricotTest):
+    """How much work the order of service takes."""
+
+    @parameterized.expand(
+        [
+            ("late tickets", 600.0, lambda number: {}),
+            ("restrictions", 0.5, lambda n: {"avoid": frozenset({"a", f"x{n}"})}),
+        ]
+    )
+    def test_work_of_one_release_is_not_quadratic_in_the_teams(
+        self, _name, now_s, fields_of
+    ):
+        """Sorting all teams for each ticket delayed all requests for seconds."""
+        small = self._keys_computed(50, now_s, fields_of)
+        large = self._keys_computed(200, now_s, fields_of)
+        self.assertLess(large, 6 * small)
+
+    def _keys_computed(self, teams: int, now_s: float, fields_of) -> int:
+        dispatcher = table(a=1, b=1)
+        endpoint_of = {}
+        for name in ("r0", "r1"):
+            [granted] = dispatcher.request_slot(of_team(name, "x"), 0.0)
+            endpoint_of[granted.endpoint] = granted.ticket
+        for number in range(teams):
+            ticket = of_team(f"t{number}", f"t{number}", 500.0, **fields_of(number))
+            dispatcher.request_slot(ticket, 0.0)
+        key = PriorityClass.key
+        with mock.patch.object(
+            PriorityClass, "key", autospec=True, side_effect=key
+        ) as keys:
+            dispatcher.release(endpoint_of[EndpointId("a")], now_s)
+        return keys.call_count
+
+    def test_teams_are_served_by_deadline_after_all_became_late(self):
+        """Moving tickets to the rank of the late ones does not change their order."""
+        dispatcher = table(a=1)
+        dispatcher.request_slot(of_team("r", "x"), 0.0)
+        names = [f"t{number}" for number in range(9)]
+        for number, name in enumerate(names):
+            ticket = of_team(name, name, 0.5 - number / 100)
+            dispatcher.request_slot(ticket, 0.0)
+        self.assertEqual(names[::-1], serve_all(dispatcher, ["r"]))
+
+
 class BoundedStateTest(ApricotTest):
     """What is kept of teams."""
 
