--- a/apricotquay/serving/slots/waitingline.py
+++ b/apricotquay/serving/slots/waitingline.py
@@ -20,6 +20,9 @@
 # A queue for each restriction, so that tickets for endpoints without free slots hold
 # no others up. Queues keep entries of tickets that have left.
 _TeamQueues = dict[Restriction, list[_QueueEntry]]
+# Entries of tickets that have left are removed when they are more than the waiting
+# tickets and so many: otherwise a class that is never served keeps them.
+SPARE_ENTRIES = 64
 
 
 class _Head(NamedTuple):
@@ -51,6 +54,7 @@
         # The online tickets of `_tickets`, kept apart because every event scans them.
         self._online: dict[TicketId, Ticket] = {}
         self._sequence: int = 0
+        self._entry_count: int = 0
 
     def __len__(self) -> int:
         return len(self._tickets)
@@ -76,6 +80,9 @@
         self._sequence += 1
         entry = (ticket.due_s, self._sequence, ticket)
         heapq.heappush(self._queue(self._rank(ticket, now_s), ticket), entry)
+        self._entry_count += 1
+        if self._entry_count > self._max_entries():
+            self._rebuild_queues(now_s)
 
     def remove(self, ticket_id: TicketId) -> None:
         """Remove a ticket if it waits."""
@@ -169,8 +176,33 @@
 
     def _discard_gone(self, queue: list[_QueueEntry]) -> None:
         """Remove entries of tickets that have left from the front of a queue."""
-        while queue and self._tickets.get(queue[0][2].id) is not queue[0][2]:
+        while queue and not self._is_live(queue[0]):
             heapq.heappop(queue)
+            self._entry_count -= 1
+
+    def _max_entries(self) -> int:
+        """Return the bound of the entries, with those of tickets that have left."""
+        return 2 * len(self._tickets) + SPARE_ENTRIES
+
+    def _rebuild_queues(self, now_s: float) -> None:
+        """Remove the entries of all tickets that have left."""
+        queues_of_all = [
+            queue
+            for classes in self._queues.values()
+            for teams in classes.values()
+            for queues in teams.values()
+            for queue in queues.values()
+        ]
+        live = [
+            entry for queue in queues_of_all for entry in queue if self._is_live(entry)
+        ]
+        self._queues = {rank: {} for rank in Rank}
+        self._entry_count = len(live)
+        for entry in live:
+            heapq.heappush(self._queue(self._rank(entry[2], now_s), entry[2]), entry)
+
+    def _is_live(self, entry: _QueueEntry) -> bool:
+        return self._tickets.get(entry[2].id) is entry[2]
 
     def _queue(self, rank: Rank, ticket: Ticket) -> list[_QueueEntry]:
         teams = self._queues[rank].setdefault(ticket.priority, {})
--- a/tests/test_serving_fairshares.py
+++ b/tests/test_serving_fairshares.py
@@ -11,6 +11,7 @@
 from apricotquay.serving.slots.fairshares import FairShares
 from apricotquay.serving.slots.teamaccounts import PriorityClass
 from apricotquay.serving.slots.tickets import Granted, Refused, Ticket, TicketId, Work
+from apricotquay.serving.slots.waitingline import SPARE_ENTRIES
 
 from .base import ApricotTest
 from .test_serving_dispatch import batch, online, table
@@ -233,6 +234,28 @@
             shares.release(ticket.id, 0.7)
         self.assertLess(shares.team_count(), 100)
 
+    def test_entries_of_departed_tickets_in_a_class_that_is_not_served_are_removed(
+        self,
+    ):
+        """A class below one that takes all slots kept them for ever."""
+        dispatcher = table(a=1)
+        dispatcher.request_slot(of_team("running", "x"), 0.0)
+        dispatcher.request_slot(of_team("first", "x"), 0.0)
+        for number in range(500):
+            low = of_team(f"l{number}", f"team{number % 9}", priority=1)
+            dispatcher.request_slot(low, 0.0)
+            dispatcher.release(low.id, 0.0)
+        entries = [
+            entry
+            for classes in dispatcher._line._queues.values()
+            for teams in classes.values()
+            for queues in teams.values()
+            for queue in queues.values()
+            for entry in queue
+        ]
+        self.assertLessEqual(len(entries), 2 * dispatcher.waiting_count + SPARE_ENTRIES)
+        self.assertEqual(["first"], serve_all(dispatcher, ["running"]))
+
 
 class HistoryTest(ApricotTest):
     """Any history of requests and releases."""
