--- a/apricotquay/serving/slots/fairshares.py
+++ b/apricotquay/serving/slots/fairshares.py
@@ -109,7 +109,7 @@
             account.waiting
             for (work, priority), priority_class in self._classes.items()
             for account in priority_class.accounts.values()
-            if work is ticket.work and priority < ticket.priority
+            if work is ticket.work and priority < ticket.priority_class
         )
         return higher + self._ahead_in_class(ticket)
 
@@ -138,16 +138,16 @@
             if work is ticket.work
         }
         held = sum(held_of_class.values())
-        higher = sum(n for p, n in held_of_class.items() if p < ticket.priority)
+        higher = sum(n for p, n in held_of_class.items() if p < ticket.priority_class)
         return max(held - higher, 1) / held if held else 1.0
 
     def _busy_accounts(self, ticket: Ticket) -> dict[TeamId, Account]:
-        priority_class = self._classes.get((ticket.work, ticket.priority))
+        priority_class = self._classes.get((ticket.work, ticket.priority_class))
         accounts = priority_class.accounts if priority_class else {}
         return {t: a for t, a in accounts.items() if a.waiting or a.held}
 
     def _ahead_in_class(self, ticket: Ticket) -> int:
-        priority_class = self._classes.get((ticket.work, ticket.priority))
+        priority_class = self._classes.get((ticket.work, ticket.priority_class))
         if priority_class is None:
             return 0
         accounts = priority_class.accounts
@@ -183,11 +183,13 @@
         )
 
     def _class_of(self, ticket: Ticket) -> PriorityClass:
-        return self._classes.setdefault((ticket.work, ticket.priority), PriorityClass())
+        return self._classes.setdefault(
+            (ticket.work, ticket.priority_class), PriorityClass()
+        )
 
     def _forget(self, ticket: Ticket) -> None:
         """Forget what an idle team or class leaves; a debt ends with the shortage."""
         priority_class = self._class_of(ticket)
         priority_class.forget_if_idle(ticket.team)
         if not priority_class.has_work():
-            del self._classes[ticket.work, ticket.priority]
+            del self._classes[ticket.work, ticket.priority_class]
--- a/apricotquay/serving/slots/tickets.py
+++ b/apricotquay/serving/slots/tickets.py
@@ -83,6 +83,13 @@
     regions: frozenset[str] = frozenset()
     prefix_tokens: int = 0
 
+    @property
+    def priority_class(self) -> int:
+        """The class in which the ticket waits. Batch items are all in one: they are not
+        refused when slots are short, so a lower class would wait without an end.
+        """
+        return self.priority if self.work is Work.ONLINE else 0
+
     @property
     def restriction(self) -> Restriction:
         """Which endpoints the ticket may use."""
--- a/apricotquay/serving/slots/waitingline.py
+++ b/apricotquay/serving/slots/waitingline.py
@@ -114,7 +114,7 @@
         """Return the waiting online tickets in the expected order of service."""
         by_place: dict[tuple[Rank, int, TeamId], list[Ticket]] = {}
         for ticket in self._online.values():
-            place = (self._rank(ticket, now_s), ticket.priority, ticket.team)
+            place = (self._rank(ticket, now_s), ticket.priority_class, ticket.team)
             by_place.setdefault(place, []).append(ticket)
         keyed = [
             (*place[:2], key, ticket.due_s, ticket)
@@ -205,7 +205,7 @@
         return self._tickets.get(entry[2].id) is entry[2]
 
     def _queue(self, rank: Rank, ticket: Ticket) -> list[_QueueEntry]:
-        teams = self._queues[rank].setdefault(ticket.priority, {})
+        teams = self._queues[rank].setdefault(ticket.priority_class, {})
         queues = teams.setdefault(ticket.team, {})
         return queues.setdefault(ticket.restriction, [])
 
--- a/tests/test_serving_fairshares.py
+++ b/tests/test_serving_fairshares.py
@@ -3,6 +3,7 @@
 import random
 from unittest import mock
 
+import msgspec
 from hypothesis import given, settings, strategies as st
 from parameterized import parameterized
 
@@ -71,6 +72,37 @@
         dispatcher.request_slot(of_team("low", "x", priority=7), 0.0)
         self.assertEqual(["low", "item"], serve_all(dispatcher, ["running"]))
 
+    def test_batch_items_of_a_low_class_are_served_beside_steady_higher_ones(self):
+        """Batch items are not refused, so they would wait without an end."""
+        dispatcher = table(a=1)
+        dispatcher.request_slot(batch("high0", 900.0), 0.0)
+        low = msgspec.structs.replace(batch("low", 900.0), priority=1)
+        dispatcher.request_slot(low, 0.0)
+        for number in range(1, 300):
+            due_s = 900.0 + number
+            dispatcher.request_slot(batch(f"high{number}", due_s), float(number))
+            running = "low" if dispatcher.endpoint_of(low.id) else f"high{number - 1}"
+            dispatcher.release(TicketId(running), number + 0.5)
+        self.assertFalse(dispatcher.is_waiting(low.id))
+
+    @parameterized.expand([("one class", 0), ("another class", 1)])
+    def test_batch_items_get_slots_by_the_weight_of_their_teams(self, _name, priority):
+        """Without classes of their own, their teams keep their shares."""
+        dispatcher = table(a=1)
+        dispatcher.request_slot(batch("r", 900.0), 0.0)
+        for number in range(100):
+            for team, weight in (("a", 3.0), ("b", 1.0)):
+                ticket = msgspec.structs.replace(
+                    batch(f"{team}{number}", 9000.0),
+                    team=TeamId(team),
+                    weight=weight,
+                    priority=priority if team == "b" else 0,
+                )
+                dispatcher.request_slot(ticket, 0.0)
+        order = serve_all(dispatcher, ["r"])[:100]
+        of_a = sum(1 for name in order if name.startswith("a"))
+        self.assertAlmostEqual(75, of_a, delta=4)
+
     def test_team_that_sends_much_does_not_keep_the_next_slots(self):
         """It waits longer and is due earlier, and holds all slots."""
         dispatcher = table(a=4)
