--- a/apricotquay/serving/slots/fairshares.py
+++ b/apricotquay/serving/slots/fairshares.py
@@ -66,11 +66,12 @@
         """Charge a ticket's team for a slot, with the slot time that it may use."""
         priority_class = self._class_of(ticket)
         account = priority_class.account(ticket)
-        start = priority_class.start(account)
         held_s = self._held_s[ticket.work]
-        priority_class.advance(account, held_s[ticket.team])
         priority_class.cost_s = cost_s
-        account.tag = start + cost_s / account.weight
+        if account.is_charged:
+            start = priority_class.start(account)
+            priority_class.advance(account, held_s[ticket.team])
+            account.tag = start + cost_s / account.weight
         account.held += 1
         self._charges[ticket.id] = _Charge(ticket, cost_s)
         held_s[ticket.team] += cost_s
@@ -84,7 +85,8 @@
         ticket = charge.ticket
         account = self._class_of(ticket).account(ticket)
         excess_s = min(held_s - charge.cost_s, MAX_CORRECTION_S)
-        account.tag += excess_s / account.weight
+        if account.is_charged:
+            account.tag += excess_s / account.weight
         account.held -= 1
         held_of_teams_s = self._held_s[ticket.work]
         held_of_teams_s[ticket.team] -= charge.cost_s
@@ -153,6 +155,8 @@
         accounts = priority_class.accounts
         own = accounts.get(ticket.team)
         own_waiting = own.waiting if own else 0
+        if not ticket.team:
+            return sum(a.waiting for a in accounts.values())
         if not any(a.waiting for t, a in accounts.items() if t != ticket.team):
             return own_waiting
         weight = own.weight if own else usable_weight(ticket.weight)
@@ -171,7 +175,9 @@
         account = priority_class.accounts[team]
         position = priority_class.position(team, self._held_s[work])
         while True:
-            is_allowed = position <= priority_class.allowed(account)
+            is_allowed = not account.is_charged or position <= priority_class.allowed(
+                account
+            )
             yield priority_class.virtual_time if is_allowed else position
             position += priority_class.cost_s / account.weight
 
--- a/apricotquay/serving/slots/teamaccounts.py
+++ b/apricotquay/serving/slots/teamaccounts.py
@@ -29,7 +29,8 @@
 
     `tag` is the virtual time from which its next ticket is served. `queued` counts
     its waiting tickets, `waiting` those of them that need a slot of their own, and
-    `held` the tickets with a slot.
+    `held` the tickets with a slot. Tickets without a team have an account that is not
+    charged.
     """
 
     tag: float
@@ -37,6 +38,7 @@
     queued: int = 0
     waiting: int = 0
     held: int = 0
+    is_charged: bool = True
 
 
 class PriorityClass:
@@ -56,7 +58,7 @@
         account = self.accounts.get(ticket.team)
         if account is None:
             weight = usable_weight(ticket.weight)
-            account = Account(self.virtual_time, weight)
+            account = Account(self.virtual_time, weight, is_charged=bool(ticket.team))
             self.accounts[ticket.team] = account
         return account
 
@@ -97,7 +99,8 @@
         """
         start = self.start(served)
         lag_s = max(MAX_LAG_S, held_s)
-        behind = min((a.tag for a in self.accounts.values() if a.queued), default=start)
+        queued = (a for a in self.accounts.values() if a.queued and a.is_charged)
+        behind = min((a.tag for a in queued), default=start)
         lowest = start - lag_s / served.weight
         self.virtual_time = max(self.virtual_time, lowest, min(start, behind))
 
@@ -106,6 +109,8 @@
     ) -> int:
         """Return how many of a team's waiting tickets are served before a position."""
         account = self.accounts[team]
+        if not account.is_charged:
+            return account.waiting
         end = max(position, self.allowed(account))
         lead = end - self.position(team, held_s)
         if lead < 0:
--- a/apricotquay/serving/slots/waitingline.py
+++ b/apricotquay/serving/slots/waitingline.py
@@ -3,12 +3,14 @@
 Waiting work is served in the order of `Rank`: requests that can still be in time go
 before late ones, because serving late ones first would make all of them late. Within
 a rank the higher priority class goes first, then the team that is furthest below its
-fair share, then the earliest deadline. This absorbs bursts of online traffic, of
+fair share, then the earliest deadline. Tickets without a team compete by deadline with
+the team whose turn it is. This absorbs bursts of online traffic, of
 batch jobs and of single teams, and the loss of endpoints.
 """
 
 import heapq
 from collections.abc import Callable, Iterator, Set, ValuesView
+from functools import partial
 from operator import itemgetter
 from typing import NamedTuple
 
@@ -139,20 +141,38 @@
         """Yield the tickets of a priority class in the order of service."""
         teams = self._queues[rank][priority]
         order_key = self._shares.order_keys(_work_of(rank), priority)
-        heads = _heads(teams, order_key)
+        current_entry = partial(self._current_entry, rank, teams, order_key, now_s)
+        heaps = _heads(teams, order_key)
         # If a ticket for any endpoint is blocked, no endpoint takes one.
-        while heads and UNRESTRICTED not in blocked:
+        while UNRESTRICTED not in blocked:
+            current = (current_entry(heap, blocked) for heap in heaps)
+            entries = [entry for entry in current if entry is not None]
+            if not entries:
+                return
+            yield min(entries)[-1]
+
+    def _current_entry(
+        self,
+        rank: Rank,
+        teams: dict[TeamId, _TeamQueues],
+        order_key: Callable[[TeamId], float],
+        now_s: float,
+        heads: list[_Head],
+        blocked: Set[Restriction],
+    ) -> _QueueEntry | None:
+        """Return the entry that comes next by a heap of heads, which is updated."""
+        while heads:
             head = heads[0]
             entry = self._first_entry(rank, teams, head, now_s)
             if entry is None or head.restriction in blocked:
                 heapq.heappop(heads)
                 continue
-            key = max(head.key, order_key(head.team))
+            key = max(head.key, order_key(head.team)) if head.team else head.key
             current = head._replace(key=key, due_s=entry[0], sequence=entry[1])
-            if current != head:
-                heapq.heapreplace(heads, current)
-                continue
-            yield entry[2]
+            if current == head:
+                return entry
+            heapq.heapreplace(heads, current)
+        return None
 
     def _first_entry(
         self, rank: Rank, teams: dict[TeamId, _TeamQueues], head: _Head, now_s: float
@@ -212,16 +232,19 @@
 
 def _heads(
     teams: dict[TeamId, _TeamQueues], order_key: Callable[[TeamId], float]
-) -> list[_Head]:
-    """Return a heap of the queues' first entries."""
-    heads = [
-        _Head(key, *queue[0][:2], team, restriction)
-        for team, queues in teams.items()
-        for key in (order_key(team),)
-        for restriction, queue in queues.items()
-    ]
-    heapq.heapify(heads)
-    return heads
+) -> tuple[list[_Head], list[_Head]]:
+    """Return heaps of the queues' first entries, those of teams and those without."""
+    of_teams: list[_Head] = []
+    of_none: list[_Head] = []
+    for team, queues in teams.items():
+        key = order_key(team) if team else 0.0
+        (of_teams if team else of_none).extend(
+            _Head(key, *queue[0][:2], team, restriction)
+            for restriction, queue in queues.items()
+        )
+    heapq.heapify(of_teams)
+    heapq.heapify(of_none)
+    return of_teams, of_none
 
 
 def _work_of(rank: Rank) -> Work:
--- a/tests/test_serving_fairshares.py
+++ b/tests/test_serving_fairshares.py
@@ -163,6 +163,27 @@
                 running.append((end_s, decision.ticket))
         self.assertAlmostEqual(1.0, used_s["l"] / used_s["s"], delta=0.15)
 
+    @parameterized.expand(
+        [("many teams", 80, 1), ("two teams", 2, 1), ("several endpoints", 5, 3)]
+    )
+    def test_tickets_without_a_team_are_neither_shut_out_nor_preferred(
+        self, _name, teams, endpoints
+    ):
+        """They count as one team in an upgrade, when half of all have none."""
+        slots = 8 // endpoints
+        dispatcher = table(**{f"e{n}": slots for n in range(endpoints)})
+        running = [f"r{number}" for number in range(slots * endpoints)]
+        for name in running:
+            dispatcher.request_slot(of_team(name, "x"), 0.0)
+        for number in range(400):
+            team = f"team{number % teams}"
+            due_s = 500.0 + number / 10
+            dispatcher.request_slot(of_team(f"n{number}", team, due_s), 0.0)
+            dispatcher.request_slot(of_team(f"o{number}", "", due_s), 0.0)
+        order = serve_all(dispatcher, running, held_s=0.1)[:400]
+        without = sum(1 for name in order if name.startswith("o"))
+        self.assertAlmostEqual(200, without, delta=20)
+
     def test_restricted_tickets_of_the_first_team_hold_no_others_up(self):
         """The team that would be next can only use the other endpoint."""
         dispatcher = table(a=1, b=1)
