--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -96,6 +96,8 @@
     needs_ms: int
     team: TeamId = TeamId("")
     tokens: int = 0
+    priority: int = 0
+    weight: float = 1.0
 
 
 class LimitSeen(msgspec.Struct, frozen=True, tag="limit_seen"):
--- a/apricotquay/serving/slots/ticketmessages.py
+++ b/apricotquay/serving/slots/ticketmessages.py
@@ -74,6 +74,8 @@
         _to_ms(ticket.expected_duration_s),
         ticket.team,
         ticket.tokens,
+        ticket.priority,
+        ticket.weight,
     )
 
 
@@ -87,6 +89,8 @@
         due_s,
         message.needs_ms / MS_PER_S,
         team=message.team,
+        priority=_usable_priority(message.priority),
+        weight=message.weight,
         tokens=message.tokens,
     )
 
--- a/tests/test_serving_rejections.py
+++ b/tests/test_serving_rejections.py
@@ -4,11 +4,16 @@
 from parameterized import parameterized
 
 from apricotquay.events import Event
-from apricotquay.ids import TeamId
+from apricotquay.ids import EndpointId, TeamId
 from apricotquay.serving.messages import AskSlot
 from apricotquay.serving.slots.dispatch import Dispatcher
 from apricotquay.serving.slots.slotowner import SlotTables
-from apricotquay.serving.slots.ticketmessages import MAX_PRIORITY, requested_ticket
+from apricotquay.serving.slots.ticketmessages import (
+    MAX_PRIORITY,
+    held_slot_message,
+    held_ticket,
+    requested_ticket,
+)
 from apricotquay.serving.slots.tickets import RefusalReason, Refused, Ticket, Work
 from apricotquay.serving.slots.waits import (
     MAX_CALLERS,
@@ -128,6 +133,27 @@
         self.assertEqual(12, len(refused))
         self.assertLessEqual(max(d.wait_s for d in refused), MAX_RETRY_AFTER_S)
 
+    def test_new_owner_counts_reported_slots_in_their_classes(self):
+        """In class 0 they leave callers of others the share of a single slot."""
+        running = [
+            request(f"r{n}", f"t{n % 2}", 100.0, priority=2, weight=5.0)
+            for n in range(SLOTS)
+        ]
+        waits_s = []
+        for is_reported in (False, True):
+            dispatcher = table(a=SLOTS)
+            for ticket in running:
+                message = held_slot_message(SERVICE, ticket, EndpointId("a"), 0.0)
+                known = held_ticket(message, 0.0) if is_reported else ticket
+                dispatcher.record_grant(known, EndpointId("a"), 0.0)
+            waits_s.append(
+                [
+                    self._wait_s(dispatcher, request(f"n{n}", "t0", 0.02, priority=2))
+                    for n in range(10)
+                ]
+            )
+        self.assertEqual(waits_s[0], waits_s[1])
+
     @parameterized.expand([("low", -(10**400)), ("high", 10**400), ("usual", 3)])
     def test_priority_of_a_peer_does_not_exceed_what_an_event_can_hold(
         self, _name, priority
--- a/tests/test_serving_slotleases.py
+++ b/tests/test_serving_slotleases.py
@@ -294,8 +294,10 @@
         plain = HeldSlot(SERVICE, "t", Work.ONLINE, "e0", 10, 20)
         frame = cbor2.loads(encode_frame(0, plain))
         self.assertEqual(["type", *fields], list(frame[1]))
-        with_team = msgspec.structs.replace(plain, team=TeamId("small"), tokens=9)
-        _, message = cbor2.loads(encode_frame(0, with_team))
+        with_terms = msgspec.structs.replace(
+            plain, team=TeamId("small"), tokens=9, priority=2, weight=0.5
+        )
+        _, message = cbor2.loads(encode_frame(0, with_terms))
         known = msgspec.convert(message, PreviousHeldSlot)
         for name in fields:
             self.assertEqual(getattr(plain, name), getattr(known, name))
