--- a/apricotquay/serving/slots/waits.py
+++ b/apricotquay/serving/slots/waits.py
@@ -15,8 +15,8 @@
 # updated when slots are released.
 DEFAULT_SERVICE_TIME_S = 0.7
 SERVICE_TIME_SMOOTHING = 0.05
-# Classes and teams whose refused callers are remembered before those are forgotten
-# that have returned, and how many callers of each.
+# Classes and teams whose refused callers are remembered, of more those that were last
+# refused one most recently, and how many callers of each.
 MAX_CALLERS = 512
 MAX_RETRY_TIMES = 1000
 # A retry delay at most. Shortages change within that time, and callers of a team with
@@ -34,7 +34,7 @@
 
     def __init__(self) -> None:
         self._service_time_s: float = DEFAULT_SERVICE_TIME_S
-        # Of the refused callers of each class and team.
+        # Of the refused callers of each class and team, the last refused at the end.
         self._retry_times_s: dict[_Caller, list[float]] = {}
 
     def record_service_time(self, held_s: float) -> None:
@@ -105,21 +105,13 @@
         class and team, which get `share` of the slots.
         """
         caller = (ticket.priority, ticket.team)
-        times_s = [at_s for at_s in self._retry_times_s.get(caller, []) if at_s > now_s]
+        remembered_s = self._retry_times_s.pop(caller, [])
+        times_s = [at_s for at_s in remembered_s if at_s > now_s]
         spread_s = len(times_s) / (self.throughput_per_s(slots, now_s) * share)
         after_s = min(wait_s + spread_s, MAX_RETRY_AFTER_S)
         if len(times_s) < MAX_RETRY_TIMES:
             times_s.append(now_s + after_s)
-        self._forget_retries(now_s)
         self._retry_times_s[caller] = times_s
+        if len(self._retry_times_s) > MAX_CALLERS:
+            del self._retry_times_s[next(iter(self._retry_times_s))]
         return after_s
-
-    def _forget_retries(self, now_s: float) -> None:
-        """Forget the teams whose callers have all returned, if they may be many."""
-        if len(self._retry_times_s) < MAX_CALLERS:
-            return
-        self._retry_times_s = {
-            caller: times_s
-            for caller, times_s in self._retry_times_s.items()
-            if times_s[-1] > now_s
-        }
--- a/tests/test_serving_rejections.py
+++ b/tests/test_serving_rejections.py
@@ -100,14 +100,25 @@
         ]
         self.assertEqual(sorted(set(waits_s)), waits_s)
 
-    def test_memory_of_refused_callers_is_bounded(self):
+    @parameterized.expand([("over time", 1.0), ("at one instant", 0.0)])
+    def test_memory_of_refused_callers_is_bounded(self, _name, interval_s):
         """Many teams are refused once each."""
         estimator = WaitEstimator()
         for number in range(4 * MAX_CALLERS):
             ticket = request("t", f"team{number}")
-            estimator.retry_after_s(ticket, 0.1, 1.0, [], float(number))
+            estimator.retry_after_s(ticket, 0.1, 1.0, [], number * interval_s)
         self.assertLessEqual(len(estimator._retry_times_s), MAX_CALLERS)
 
+    def test_callers_of_the_team_refused_last_are_remembered(self):
+        """Beyond the bound, those of the team refused longest ago are forgotten."""
+        estimator = WaitEstimator()
+        first_s = estimator.retry_after_s(request("t", "busy"), 0.1, 1.0, [], 0.0)
+        for number in range(2 * MAX_CALLERS):
+            ticket = request("t", f"team{number}")
+            estimator.retry_after_s(ticket, 0.1, 1.0, [], 0.0)
+            next_s = estimator.retry_after_s(request("t", "busy"), 0.1, 1.0, [], 0.0)
+            self.assertGreater(next_s, first_s)
+
     @parameterized.expand(
         [
             (weight, priority)
