--- a/apricotquay/serving/slots/fairshares.py
+++ b/apricotquay/serving/slots/fairshares.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ...ids import TeamId
-from .teamaccounts import Account, PriorityClass, usable_weight
+from .teamaccounts import PriorityClass, usable_weight
 from .tickets import Ticket, TicketId, Work
 
 # What a release may correct a team's share by, in slot time. Clients wait about as
@@ -49,17 +49,15 @@
         """Record that a ticket waits."""
         priority_class = self._class_of(ticket)
         account = priority_class.account(ticket)
-        account.weight = usable_weight(ticket.weight)
+        priority_class.set_weight(account, usable_weight(ticket.weight))
         if not account.queued:
             account.tag = priority_class.start(account)
-        account.queued += 1
-        account.waiting += not ticket.holds_slot
+        priority_class.change_waiting(account, ticket, 1)
 
     def remove_waiting(self, ticket: Ticket) -> None:
         """Record that a ticket waits no longer."""
-        account = self._class_of(ticket).account(ticket)
-        account.queued -= 1
-        account.waiting -= not ticket.holds_slot
+        priority_class = self._class_of(ticket)
+        priority_class.change_waiting(priority_class.account(ticket), ticket, -1)
         self._forget(ticket)
 
     def grant(self, ticket: Ticket, cost_s: float) -> None:
@@ -72,7 +70,7 @@
             start = priority_class.start(account)
             priority_class.advance(account, held_s[ticket.team])
             account.tag = start + cost_s / account.weight
-        account.held += 1
+        priority_class.change_held(account, 1)
         self._charges[ticket.id] = _Charge(ticket, cost_s)
         held_s[ticket.team] += cost_s
         priority_class.forget_idle()
@@ -83,11 +81,12 @@
         if charge is None:
             return
         ticket = charge.ticket
-        account = self._class_of(ticket).account(ticket)
+        priority_class = self._class_of(ticket)
+        account = priority_class.account(ticket)
         excess_s = min(held_s - charge.cost_s, MAX_CORRECTION_S)
         if account.is_charged:
             account.tag += excess_s / account.weight
-        account.held -= 1
+        priority_class.change_held(account, -1)
         held_of_teams_s = self._held_s[ticket.work]
         held_of_teams_s[ticket.team] -= charge.cost_s
         if not self._holds_slots(ticket.work, ticket.team):
@@ -108,9 +107,8 @@
         of its class get until the own team's turn comes so many times.
         """
         higher = sum(
-            account.waiting
+            priority_class.waiting
             for (work, priority), priority_class in self._classes.items()
-            for account in priority_class.accounts.values()
             if work is ticket.work and priority < ticket.priority_class
         )
         return higher + self._ahead_in_class(ticket)
@@ -120,14 +118,17 @@
         higher classes do not hold, by weight among the teams of its class that have
         work, or what it holds of its class's slots now if that is more.
         """
-        accounts = self._busy_accounts(ticket)
-        own = accounts.get(ticket.team)
-        weight = own.weight if own else usable_weight(ticket.weight)
-        others = [a for team, a in accounts.items() if team != ticket.team]
-        by_weight = weight / (weight + sum(a.weight for a in others))
+        priority_class = self._classes.get((ticket.work, ticket.priority_class))
+        if priority_class is None:
+            return self.class_share(ticket)
+        own = priority_class.accounts.get(ticket.team)
+        is_busy = own is not None and own.is_busy
+        weight = own.weight if is_busy else usable_weight(ticket.weight)
+        own_busy_weight = weight if is_busy else 0.0
+        others_weight = max(0.0, priority_class.busy_weight - own_busy_weight)
         held = own.held if own else 0
-        all_held = held + sum(a.held for a in others)
-        in_class = max(by_weight, held / all_held if all_held else 0.0)
+        of_held = held / priority_class.held if priority_class.held else 0.0
+        in_class = max(weight / (weight + others_weight), of_held)
         return in_class * self.class_share(ticket)
 
     def class_share(self, ticket: Ticket) -> float:
@@ -135,7 +136,7 @@
         class, at least one slot's.
         """
         held_of_class = {
-            priority: sum(a.held for a in priority_class.accounts.values())
+            priority: priority_class.held
             for (work, priority), priority_class in self._classes.items()
             if work is ticket.work
         }
@@ -143,11 +144,6 @@
         higher = sum(n for p, n in held_of_class.items() if p < ticket.priority_class)
         return max(held - higher, 1) / held if held else 1.0
 
-    def _busy_accounts(self, ticket: Ticket) -> dict[TeamId, Account]:
-        priority_class = self._classes.get((ticket.work, ticket.priority_class))
-        accounts = priority_class.accounts if priority_class else {}
-        return {t: a for t, a in accounts.items() if a.waiting or a.held}
-
     def _ahead_in_class(self, ticket: Ticket) -> int:
         priority_class = self._classes.get((ticket.work, ticket.priority_class))
         if priority_class is None:
@@ -156,8 +152,8 @@
         own = accounts.get(ticket.team)
         own_waiting = own.waiting if own else 0
         if not ticket.team:
-            return sum(a.waiting for a in accounts.values())
-        if not any(a.waiting for t, a in accounts.items() if t != ticket.team):
+            return priority_class.waiting
+        if priority_class.waiting == own_waiting:
             return own_waiting
         weight = own.weight if own else usable_weight(ticket.weight)
         held_s = self._held_s[ticket.work]
--- a/apricotquay/serving/slots/teamaccounts.py
+++ b/apricotquay/serving/slots/teamaccounts.py
@@ -40,17 +40,28 @@
     held: int = 0
     is_charged: bool = True
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether tickets need or have slots."""
+        return self.waiting > 0 or self.held > 0
+
 
 class PriorityClass:
     """The teams' accounts in one kind of work of one priority.
 
-    `cost_s` is the slot time that one more ticket is expected to use.
+    `cost_s` is the slot time that one more ticket is expected to use. `waiting`,
+    `held` and `busy_weight` are the sums of all accounts, the last of those that are
+    busy: refusals read them, and a walk over thousands of teams for each takes long.
     """
 
     def __init__(self) -> None:
         self.accounts: dict[TeamId, Account] = {}
         self.virtual_time: float = 0.0
         self.cost_s: float = 1.0
+        self.waiting: int = 0
+        self.held: int = 0
+        self.busy_weight: float = 0.0
+        self._busy_count: int = 0
         self._grants_since_sweep: int = 0
 
     def account(self, ticket: Ticket) -> Account:
@@ -62,6 +73,36 @@
             self.accounts[ticket.team] = account
         return account
 
+    def set_weight(self, account: Account, weight: float) -> None:
+        """Set the weight of a team."""
+        if account.is_busy:
+            self.busy_weight += weight - account.weight
+        account.weight = weight
+
+    def change_waiting(self, account: Account, ticket: Ticket, by: int) -> None:
+        """Record that a ticket of a team waits, or waits no longer."""
+        was_busy = account.is_busy
+        account.queued += by
+        if not ticket.holds_slot:
+            account.waiting += by
+            self.waiting += by
+        self._count_busy(account, was_busy)
+
+    def change_held(self, account: Account, by: int) -> None:
+        """Record that a ticket of a team holds a slot, or holds it no longer."""
+        was_busy = account.is_busy
+        account.held += by
+        self.held += by
+        self._count_busy(account, was_busy)
+
+    def _count_busy(self, account: Account, was_busy: bool) -> None:
+        change = account.is_busy - was_busy
+        self._busy_count += change
+        self.busy_weight += change * account.weight
+        if not self._busy_count:
+            # Ends the rounding errors of the sum.
+            self.busy_weight = 0.0
+
     def start(self, account: Account) -> float:
         """Return the virtual time from which a team's next ticket is served."""
         return max(account.tag, self.virtual_time)
--- a/tests/test_serving_fairshares.py
+++ b/tests/test_serving_fairshares.py
@@ -1,6 +1,7 @@
 """The order of service between priority classes and teams: single decisions."""
 
 import random
+from functools import partial
 from unittest import mock
 
 import msgspec
@@ -225,6 +226,15 @@
         self.assertAlmostEqual(5, of_a, delta=1)
 
 
+class UnwalkableDict(dict):
+    """A dictionary that allows look-ups only."""
+
+    def __iter__(self):
+        raise AssertionError("walked")
+
+    items = values = keys = __iter__
+
+
 class OrderCostTest(ApricotTest):
     """How much work the order of service takes."""
 
@@ -258,6 +268,23 @@
             dispatcher.release(endpoint_of[EndpointId("a")], now_s)
         return keys.call_count
 
+    @parameterized.expand([("of the class", 0), ("of a lower class", 1)])
+    def test_refusal_does_not_walk_all_teams_for_its_share(self, _name, priority):
+        """With thousands of teams each refusal delayed the others."""
+        shares = FairShares()
+        for number in range(9):
+            ticket = of_team(f"t{number}", f"team{number}")
+            (shares.add_waiting if number % 2 else partial(shares.grant, cost_s=0.7))(
+                ticket
+            )
+        new = of_team("new", "team1", priority=priority)
+        expected = shares.share(new)
+        priority_class = shares._classes[Work.ONLINE, 0]
+        priority_class.accounts = UnwalkableDict(priority_class.accounts)
+        self.assertEqual(expected, shares.share(new))
+        if priority:
+            self.assertEqual(4, shares.ahead(new))
+
     def test_teams_are_served_by_deadline_after_all_became_late(self):
         """Moving tickets to the rank of the late ones does not change their order."""
         dispatcher = table(a=1)
@@ -345,6 +372,15 @@
             idle_for = [t for t in waiting.values() if free - t.avoid]
             self.assertEqual([], idle_for)
             self.assertEqual(len(waiting), dispatcher.waiting_count)
+            self._check_sums(dispatcher)
+
+    def _check_sums(self, dispatcher: Dispatcher) -> None:
+        for priority_class in dispatcher._shares._classes.values():
+            accounts = priority_class.accounts.values()
+            self.assertEqual(sum(a.waiting for a in accounts), priority_class.waiting)
+            self.assertEqual(sum(a.held for a in accounts), priority_class.held)
+            busy_weight = sum(a.weight for a in accounts if a.waiting or a.held)
+            self.assertAlmostEqual(busy_weight, priority_class.busy_weight)
 
     def _random_ticket(self, rng, number, teams, now_s) -> Ticket:
         due_s = now_s + rng.uniform(0.0, 2.0)
