--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -357,7 +357,7 @@
             for t in self._line.online()
             if self._rank(t, now_s) is Rank.ONLINE_IN_TIME
         )
-        missing = wanted.total() - len(self._revoked)
+        missing = wanted.total() - len(self._revoked) - self._held_back_slots(now_s)
         if missing <= 0:
             return
         candidates = self._revocable(now_s)
@@ -365,6 +365,14 @@
             self._revoked.add(ticket_id)
             yield Revoked(ticket_id)
 
+    def _held_back_slots(self, now_s: float) -> int:
+        """Return how many free slots come into use again without a revocation."""
+        return sum(
+            s.free
+            for s in self._slots.values()
+            if s.is_open and s.is_held_back(now_s) and s.free > 0
+        )
+
     def _assign(self, ticket: Ticket, slots: EndpointSlots, now_s: float) -> None:
         if ticket.work is Work.BATCH:
             self._batch_running.add(ticket.id)
--- a/apricotquay/serving/slots/endpointslots.py
+++ b/apricotquay/serving/slots/endpointslots.py
@@ -107,10 +107,25 @@
         return (
             self.is_open
             and self.count > len(self.running)
-            and now_s >= self.load.held_until_s
+            and not self.is_held_back(now_s)
             and self.may_send(now_s)
         )
 
+    def is_held_back(self, now_s: float) -> bool:
+        """Whether the endpoint gets nothing for a moment since it stated to be full."""
+        return now_s < self.load.held_until_s
+
+    def online_capacity(self, now_s: float) -> int:
+        """Return how many online requests could begin there now if all batch items were
+        preempted.
+        """
+        if not self.is_open or self.is_held_back(now_s):
+            return 0
+        capacity = self.count - self.online_count
+        if not self.is_limited:
+            return capacity
+        return min(1, capacity) if self.may_send(now_s) else 0
+
     def suits(self, ticket: Ticket, now_s: float) -> bool:
         """Whether a ticket may use the endpoint, which is available."""
         return self.accepts(ticket, now_s) and self.has_memory(ticket)
--- a/apricotquay/serving/slots/revocation.py
+++ b/apricotquay/serving/slots/revocation.py
@@ -19,7 +19,9 @@
 ) -> Iterator[tuple[Ticket, EndpointSlots]]:
     """Yield the batch items whose slots an online request could use."""
     for slots in slots_of_all:
-        if not slots.is_open or not slots.may_send(now_s):
+        if not slots.is_open or slots.is_held_back(now_s):
+            continue
+        if not slots.may_send(now_s):
             continue
         for ticket in slots.running.values():
             if ticket.work is Work.BATCH and ticket.id not in revoked:
--- a/apricotquay/serving/slots/waits.py
+++ b/apricotquay/serving/slots/waits.py
@@ -60,14 +60,7 @@
         """Estimate the wait of an online ticket that is served after `ahead` others;
         batch items can be preempted.
         """
-        free = sum(
-            s.count - s.online_count for s in slots if s.is_open and not s.is_limited
-        )
-        free += sum(
-            min(1, s.count - s.online_count)
-            for s in slots
-            if s.is_open and s.is_limited and s.may_send(now_s)
-        )
+        free = sum(s.online_capacity(now_s) for s in slots)
         if ahead < free or not slots:
             return 0.0
         return (ahead - free + 1) / self.throughput_per_s(slots, now_s)
