--- a/apricotquay/serving/slots/teamaccounts.py
+++ b/apricotquay/serving/slots/teamaccounts.py
@@ -97,6 +97,8 @@
 
     def _count_busy(self, account: Account, was_busy: bool) -> None:
         change = account.is_busy - was_busy
+        if not change:
+            return
         self._busy_count += change
         self.busy_weight += change * account.weight
         if not self._busy_count:
@@ -140,8 +142,9 @@
         """
         start = self.start(served)
         lag_s = max(MAX_LAG_S, held_s)
-        queued = (a for a in self.accounts.values() if a.queued and a.is_charged)
-        behind = min((a.tag for a in queued), default=start)
+        accounts = self.accounts.values()
+        tags = (a.tag for a in accounts if a.queued and a.is_charged)
+        behind = min(tags, default=start)
         lowest = start - lag_s / served.weight
         self.virtual_time = max(self.virtual_time, lowest, min(start, behind))
 
--- a/apricotquay/serving/slots/waitingline.py
+++ b/apricotquay/serving/slots/waitingline.py
@@ -168,10 +168,10 @@
                 heapq.heappop(heads)
                 continue
             key = max(head.key, order_key(head.team)) if head.team else head.key
-            current = head._replace(key=key, due_s=entry[0], sequence=entry[1])
-            if current == head:
+            if (key, entry[1]) == (head.key, head.sequence):
                 return entry
-            heapq.heapreplace(heads, current)
+            moved = _Head(key, *entry[:2], head.team, head.restriction)
+            heapq.heapreplace(heads, moved)
         return None
 
     def _first_entry(
@@ -238,10 +238,10 @@
     of_none: list[_Head] = []
     for team, queues in teams.items():
         key = order_key(team) if team else 0.0
-        (of_teams if team else of_none).extend(
-            _Head(key, *queue[0][:2], team, restriction)
-            for restriction, queue in queues.items()
-        )
+        heads = of_teams if team else of_none
+        for restriction, queue in queues.items():
+            due_s, sequence, _ = queue[0]
+            heads.append(_Head(key, due_s, sequence, team, restriction))
     heapq.heapify(of_teams)
     heapq.heapify(of_none)
     return of_teams, of_none
