--- a/apricotquay/serving/slots/fairshares.py
+++ b/apricotquay/serving/slots/fairshares.py
@@ -68,11 +68,11 @@
         priority_class.cost_s = cost_s
         if account.is_charged:
             start = priority_class.start(account)
-            priority_class.advance(account, held_s[ticket.team])
+            priority_class.advance(account, held_s[ticket.share_team])
             account.tag = start + cost_s / account.weight
         priority_class.change_held(account, 1)
         self._charges[ticket.id] = _Charge(ticket, cost_s)
-        held_s[ticket.team] += cost_s
+        held_s[ticket.share_team] += cost_s
         priority_class.forget_idle()
 
     def release(self, ticket_id: TicketId, held_s: float) -> None:
@@ -88,9 +88,9 @@
             account.tag += excess_s / account.weight
         priority_class.change_held(account, -1)
         held_of_teams_s = self._held_s[ticket.work]
-        held_of_teams_s[ticket.team] -= charge.cost_s
-        if not self._holds_slots(ticket.work, ticket.team):
-            del held_of_teams_s[ticket.team]
+        held_of_teams_s[ticket.share_team] -= charge.cost_s
+        if not self._holds_slots(ticket.work, ticket.share_team):
+            del held_of_teams_s[ticket.share_team]
         self._forget(ticket)
 
     def order_keys(self, work: Work, priority: int) -> Callable[[TeamId], float]:
@@ -121,7 +121,7 @@
         priority_class = self._classes.get((ticket.work, ticket.priority_class))
         if priority_class is None:
             return self.class_share(ticket)
-        own = priority_class.accounts.get(ticket.team)
+        own = priority_class.accounts.get(ticket.share_team)
         is_busy = own is not None and own.is_busy
         weight = own.weight if is_busy else usable_weight(ticket.weight)
         own_busy_weight = weight if is_busy else 0.0
@@ -149,18 +149,20 @@
         if priority_class is None:
             return 0
         accounts = priority_class.accounts
-        own = accounts.get(ticket.team)
+        own = accounts.get(ticket.share_team)
         own_waiting = own.waiting if own else 0
-        if not ticket.team:
+        if not ticket.share_team:
             return priority_class.waiting
         if priority_class.waiting == own_waiting:
             return own_waiting
         weight = own.weight if own else usable_weight(ticket.weight)
         held_s = self._held_s[ticket.work]
         tag = own.tag if own else priority_class.virtual_time
-        position = tag + held_s.get(ticket.team, 0.0) / weight
+        position = tag + held_s.get(ticket.share_team, 0.0) / weight
         position += own_waiting * priority_class.cost_s / weight
-        others = (t for t, a in accounts.items() if a.waiting and t != ticket.team)
+        others = (
+            t for t, a in accounts.items() if a.waiting and t != ticket.share_team
+        )
         return own_waiting + sum(
             priority_class.served_before(position, team, held_s) for team in others
         )
@@ -192,6 +194,6 @@
     def _forget(self, ticket: Ticket) -> None:
         """Forget what an idle team or class leaves; a debt ends with the shortage."""
         priority_class = self._class_of(ticket)
-        priority_class.forget_if_idle(ticket.team)
+        priority_class.forget_if_idle(ticket.share_team)
         if not priority_class.has_work():
             del self._classes[ticket.work, ticket.priority_class]
--- a/apricotquay/serving/slots/teamaccounts.py
+++ b/apricotquay/serving/slots/teamaccounts.py
@@ -66,11 +66,13 @@
 
     def account(self, ticket: Ticket) -> Account:
         """Return the account of a ticket's team; create it at first use."""
-        account = self.accounts.get(ticket.team)
+        account = self.accounts.get(ticket.share_team)
         if account is None:
             weight = usable_weight(ticket.weight)
-            account = Account(self.virtual_time, weight, is_charged=bool(ticket.team))
-            self.accounts[ticket.team] = account
+            account = Account(
+                self.virtual_time, weight, is_charged=bool(ticket.share_team)
+            )
+            self.accounts[ticket.share_team] = account
         return account
 
     def set_weight(self, account: Account, weight: float) -> None:
--- a/apricotquay/serving/slots/tickets.py
+++ b/apricotquay/serving/slots/tickets.py
@@ -97,6 +97,13 @@
         """
         return self.priority if self.work is Work.ONLINE else 0
 
+    @property
+    def share_team(self) -> TeamId:
+        """The team whose share the ticket counts against, empty for none. Batch items
+        are served by their due time: shares would let all jobs end late that compete.
+        """
+        return self.team if self.work is Work.ONLINE else TeamId("")
+
     @property
     def restriction(self) -> Restriction:
         """Which endpoints the ticket may use."""
--- a/apricotquay/serving/slots/waitingline.py
+++ b/apricotquay/serving/slots/waitingline.py
@@ -116,7 +116,11 @@
         """Return the waiting online tickets in the expected order of service."""
         by_place: dict[tuple[Rank, int, TeamId], list[Ticket]] = {}
         for ticket in self._online.values():
-            place = (self._rank(ticket, now_s), ticket.priority_class, ticket.team)
+            place = (
+                self._rank(ticket, now_s),
+                ticket.priority_class,
+                ticket.share_team,
+            )
             by_place.setdefault(place, []).append(ticket)
         keyed = [
             (*place[:2], key, ticket.due_s, ticket)
@@ -226,7 +230,7 @@
 
     def _queue(self, rank: Rank, ticket: Ticket) -> list[_QueueEntry]:
         teams = self._queues[rank].setdefault(ticket.priority_class, {})
-        queues = teams.setdefault(ticket.team, {})
+        queues = teams.setdefault(ticket.share_team, {})
         return queues.setdefault(ticket.restriction, [])
 
 
