--- a/apricotquay/serving/slots/speeds.py
+++ b/apricotquay/serving/slots/speeds.py
@@ -23,9 +23,11 @@
 MIN_SAMPLES = 3
 MAX_RECENT_SAMPLES = 5
 # Values within these count as 1.0, and more if attempts at one endpoint differ more: a
-# median of five must not leave the range by chance.
+# median of five must not leave the range by chance, as with 4 deviations.
 USUAL_MIN, USUAL_MAX = 0.87, 1.15
-USUAL_DEVIATIONS = 4.0
+USUAL_DEVIATIONS = 5.0
+# The median deviation of fewer samples is mostly too small.
+MIN_DEVIATION_SAMPLES = 5
 SLOWNESS_MIN, SLOWNESS_MAX = 0.25, 8.0
 # A mean of fewer gaps is not a measure of the speed.
 MIN_GAPS = 3
@@ -57,9 +59,12 @@
         self.values: dict[SampleKind, float] = {SampleKind.STATED: 1.0}
         # The largest slowness that counts as usual.
         self.usual_max: float = USUAL_MAX
+        # Without it gaps show no slowness: any difference may be chance.
+        self._has_deviation: bool = False
 
     def set_deviation(self, deviation: float) -> None:
         """Set by what share attempts at one endpoint deviate from their median."""
+        self._has_deviation = True
         self.usual_max = max(USUAL_MAX, 1 + USUAL_DEVIATIONS * deviation)
 
     def is_usual(self, slowness: float) -> bool:
@@ -69,7 +74,8 @@
     def slowness_of(self, sample: Sample) -> float | None:
         """Return the slowness that a sample shows."""
         usual = self.values.get(sample.kind)
-        if not usual:
+        is_known = self._has_deviation or sample.kind is not SampleKind.GAP
+        if not usual or not is_known:
             return None
         slowness = sample.value / usual
         return min(SLOWNESS_MAX, max(SLOWNESS_MIN, slowness))
@@ -99,7 +105,7 @@
     def deviation_of(self, kind: SampleKind) -> float | None:
         """Return the median deviation of the samples from their median, as a share."""
         values = [s.value for s in self._samples if s.kind is kind]
-        if len(values) < MIN_SAMPLES:
+        if len(values) < MIN_DEVIATION_SAMPLES:
             return None
         middle = statistics.median(values)
         return statistics.median(abs(v - middle) for v in values) / middle
@@ -138,7 +144,8 @@
         self._typical = Typical()
         self._estimates: dict[EndpointId, SpeedEstimate] = {}
         self._refreshed_s: float = float("-inf")
-        self._refreshed_count: int = 1
+        self._samples_recorded: int = 0
+        self._samples_refreshed: int = 0
         # Counts the refreshes, which may change all endpoints' slowness.
         self.refreshes: int = 0
 
@@ -149,6 +156,7 @@
             return False
         estimate = self._estimates.setdefault(endpoint, SpeedEstimate())
         estimate.add(sample)
+        self._samples_recorded += 1
         if not self.refresh(now_s):
             self._update(endpoint, estimate, now_s)
         return True
@@ -160,14 +168,14 @@
 
     def refresh(self, now_s: float) -> bool:
         """Let old samples lapse and find what is typical, every REFRESH_S and whenever
-        twice as many endpoints are known; return whether this was done.
+        twice as many samples were recorded; return whether this was done.
         """
-        has_grown = len(self._estimates) >= 2 * self._refreshed_count
+        has_grown = self._samples_recorded >= max(1, 2 * self._samples_refreshed)
         if now_s - self._refreshed_s < REFRESH_S and not has_grown:
             return False
         self._refreshed_s = now_s
         self.refreshes += 1
-        self._refreshed_count = max(1, len(self._estimates))
+        self._samples_refreshed = self._samples_recorded
         for endpoint, estimate in list(self._estimates.items()):
             if not estimate.expire(now_s):
                 self.forget(endpoint)
--- a/tests/test_serving_speeds.py
+++ b/tests/test_serving_speeds.py
@@ -26,6 +26,8 @@
 GAP_US = 10_000
 SLOTS = 8
 FULL = EndpointLoad(SLOTS, 0, SLOTS)
+# docs/design/hard-load.md, part 4: the busiest endpoint by the mean of all.
+MAX_OVER_MEAN = 1.25
 
 
 def report(factor: float = 1.0, **fields) -> UseReport:
@@ -136,10 +138,12 @@
             speeds.refresh(step * 0.2)
             self.assertEqual({}, speeds.slowness)
 
-    @parameterized.expand([(0.05,), (0.1,), (0.15,), (0.2,)])
-    def test_equal_endpoints_with_any_spread_are_almost_always_as_usual(self, sigma):
-        """The range that counts as usual follows the spread of attempts."""
-        rng = random.Random(1)
+    @parameterized.expand(
+        [(sigma, seed) for sigma in (0.05, 0.1, 0.15, 0.2) for seed in (1, 2, 3)]
+    )
+    def test_equal_endpoints_with_any_spread_are_as_usual(self, sigma, seed):
+        """Target: equal endpoints are served as before, so at no step otherwise."""
+        rng = random.Random(seed)
         speeds = ServiceSpeeds()
         uneven = 0
         for step in range(200):
@@ -148,7 +152,7 @@
                 speeds.record(endpoint, shown, step * 0.2)
             speeds.refresh(step * 0.2)
             uneven += bool(speeds.slowness)
-        self.assertLess(uneven, 20)
+        self.assertEqual(0, uneven)
 
     @parameterized.expand([(seed,) for seed in range(3)])
     def test_first_events_alone_make_no_endpoint_unequal(self, seed):
@@ -218,12 +222,14 @@
         for number in range(count):
             table.request_slot(online(f"t{number}", now_s, **fields), now_s)
 
-    @parameterized.expand([(0.55, 36, 5), (2.0, 34, 2), (2.5, 42, 2)])
-    def test_slower_endpoint_gets_less_and_faster_more(self, factor, count, expected):
-        """The free share of slots would give each the same."""
+    @parameterized.expand([(0.55, 36), (2.0, 34), (2.5, 42)])
+    def test_slower_endpoint_gets_less_and_faster_more(self, factor, count):
+        """Target: a share by speed, and at most MAX_OVER_MEAN times the mean."""
         table = self.table(factor)
         self.fill(table, count)
-        self.assertEqual(expected, table.running_at(SLOW))
+        share_by_speed = count / factor / (len(ENDPOINTS) - 1 + 1 / factor)
+        expected = min(share_by_speed, MAX_OVER_MEAN * count / len(ENDPOINTS))
+        self.assertAlmostEqual(expected, table.running_at(SLOW))
         others = [table.running_at(e) for e in ENDPOINTS[1:]]
         self.assertLessEqual(max(others) - min(others), 1)
 
@@ -501,10 +507,11 @@
         return chosen
 
     def test_daemons_do_not_all_choose_the_emptiest(self):
-        """It would be full before any of them knows."""
+        """Target: MAX_OVER_MEAN times the mean of what then runs at an endpoint."""
         stated = dict.fromkeys(ENDPOINTS, 4) | {SLOW: 0}
         chosen = self.choose_all(stated)
-        self.assertLess(chosen[SLOW], self.DAEMONS * 0.65)
+        mean = (sum(stated.values()) + self.DAEMONS) / len(ENDPOINTS)
+        self.assertLessEqual(stated[SLOW] + chosen[SLOW], MAX_OVER_MEAN * mean)
         self.assertGreater(chosen[SLOW], self.DAEMONS / len(ENDPOINTS))
 
     def test_zone_does_not_draw_all_daemons_that_choose_alone(self):
