--- a/apricotquay/serving/online/forwarding.py
+++ b/apricotquay/serving/online/forwarding.py
@@ -31,10 +31,10 @@
         progress: RequestProgress,
         silence_limits: SilenceLimits,
         handover: Handover,
-        on_events: Callable[[int], None],
+        on_events: Callable[[int, float], None],
     ) -> None:
         """Forward a response; `on_events` gets the number of events that arrived,
-        before they are passed on.
+        before they are passed on, and how many seconds the write before took.
         """
         if route.kind is RouteKind.STREAMING and response.status == 200:
             await self._forward_stream(
@@ -84,18 +84,21 @@
         handover: Handover,
         writer: ResponseWriter,
         progress: RequestProgress,
-        on_events: Callable[[int], None],
+        on_events: Callable[[int, float], None],
     ) -> None:
         """Forward complete events as they arrive."""
         first_s = (
             silence_limits.first_event_s if silence_limits.pause_s is not None else None
         )
         batches = read_events(response, first_s, silence_limits.pause_s, handover)
+        write_s = 0.0
         async for events in batches:
             progress.record_events(events)
-            on_events(len(events))
+            on_events(len(events), write_s)
             data = b"".join(event.raw for event in events)
+            begun_s = self._clock.now_s()
             await self._forward_events(response, writer, progress, data)
+            write_s = self._clock.now_s() - begun_s
         if not progress.response_started:
             progress.response_started = True
             await writer.start(response.status, response.headers)
--- a/apricotquay/serving/online/handler.py
+++ b/apricotquay/serving/online/handler.py
@@ -262,11 +262,12 @@
         endpoint: Endpoint,
         lease: SlotLease,
         event_count: int,
+        write_s: float,
     ) -> None:
         """Record events before they are passed on: their times, and the version of the
         stream's first event.
         """
-        lease.use.record_events(event_count, self._clock.now_s())
+        lease.use.record_events(event_count, self._clock.now_s(), write_s)
         if progress.version and progress.response_started:
             return
         progress.version = endpoint.version
--- a/apricotquay/serving/slots/slotuse.py
+++ b/apricotquay/serving/slots/slotuse.py
@@ -8,6 +8,10 @@
 
 US_PER_S = 1_000_000
 MS_PER_S = 1_000
+# A mean of fewer gaps is not a measure of the speed.
+MIN_GAPS = 3
+# Events that arrive while a write to the client blocks for longer are read late.
+BLOCKED_WRITE_S = 0.002
 
 
 class UseReport(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -51,9 +55,11 @@
         self._is_over: bool = True
         self._first_event_s: float | None = None
         self._last_event_s: float = 0.0
-        # Events that arrived together at first, which no gap lies before.
-        self._first_events: int = 0
         self._events: int = 0
+        # Only gaps in which the daemon waited for the endpoint.
+        self._gaps: int = 0
+        self._gaps_s: float = 0.0
+        self._was_blocked: bool = False
 
     def record_send(self, started_ms: int, now_s: float) -> None:
         """Record that the request is sent to a start of the endpoint."""
@@ -76,11 +82,17 @@
             if not is_refusal:
                 self.on_load()
 
-    def record_events(self, count: int, now_s: float) -> None:
-        """Record events that arrived together."""
+    def record_events(self, count: int, now_s: float, write_s: float = 0.0) -> None:
+        """Record events that arrived together, `write_s` is how long the write of those
+        before took. If it blocked, events were read late, so that neither the gap
+        before them nor the one after them is the endpoint's.
+        """
         if self._first_event_s is None:
             self._first_event_s = now_s
-            self._first_events = count
+        elif write_s <= BLOCKED_WRITE_S and not self._was_blocked:
+            self._gaps += count
+            self._gaps_s += now_s - self._last_event_s
+        self._was_blocked = write_s > BLOCKED_WRITE_S
         self._events += count
         self._last_event_s = now_s
 
@@ -106,8 +118,5 @@
         return None if report.is_empty else report
 
     def _gap_s(self) -> float:
-        """Return the mean time between events, 0 if there are none."""
-        gaps = self._events - self._first_events
-        if self._first_event_s is None or not gaps:
-            return 0.0
-        return (self._last_event_s - self._first_event_s) / gaps
+        """Return the mean time between events, 0 if too few gaps were measured."""
+        return self._gaps_s / self._gaps if self._gaps >= MIN_GAPS else 0.0
--- a/apricotquay/serving/slots/speeds.py
+++ b/apricotquay/serving/slots/speeds.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from ...ids import EndpointId
-from .slotuse import US_PER_S, UseReport
+from .slotuse import MIN_GAPS, US_PER_S, UseReport
 
 # Noise of machines changes about every 0.6 s, and reports arrive that much later.
 RECENT_S = 2.0
@@ -29,8 +29,6 @@
 # The median deviation of fewer samples is mostly too small.
 MIN_DEVIATION_SAMPLES = 5
 SLOWNESS_MIN, SLOWNESS_MAX = 0.25, 8.0
-# A mean of fewer gaps is not a measure of the speed.
-MIN_GAPS = 3
 # Longer times are those of an attempt that hung, or not of this kind.
 MAX_GAP_S = 10.0
 REFRESH_S = 1.0
--- a/tests/test_serving_speeds.py
+++ b/tests/test_serving_speeds.py
@@ -1,12 +1,17 @@
 """Estimates of endpoints' speeds, and the choice by them, in virtual time."""
 
+import asyncio
 import random
+from unittest import mock
 
 from parameterized import parameterized
 
 from apricotquay.events import Event
 from apricotquay.ids import EndpointId
+from apricotquay.serving.catalog import RouteKind
 from apricotquay.serving.engine import NO_LOAD, EndpointLoad
+from apricotquay.serving.online.forwarding import ResponseForwarder
+from apricotquay.serving.online.timeouts import SilenceLimits
 from apricotquay.serving.slots.dispatch import Dispatcher
 from apricotquay.serving.slots.endpointslots import EndpointProfile, EndpointSlots
 from apricotquay.serving.slots.slotuse import SlotUse, UseReport
@@ -69,6 +74,20 @@
         self.assertAlmostEqual(450, shown.load_age_ms, delta=1)
         self.assertFalse(shown.was_refused)
 
+    @parameterized.expand([("all", 9, 0), ("some", 3, 10_000), ("none", 0, 10_000)])
+    def test_client_that_reads_slowly_does_not_make_the_endpoint_slow(
+        self, _name, blocked, gap_us
+    ):
+        """Nor fast: events that arrived in the meantime are read at once."""
+        use = SlotUse()
+        use.record_send(5, 0.0)
+        now_s, write_s = 0.0, 0.0
+        for number in range(10):
+            now_s += write_s or 0.01
+            use.record_events(8 if write_s else 1, now_s, write_s)
+            write_s = 0.4 if number < blocked else 0.0
+        self.assertAlmostEqual(gap_us, use.report(now_s).gap_us, delta=2)
+
     def test_attempt_that_shows_nothing_is_not_reported(self):
         """The message to the owner stays as it was."""
         use = SlotUse()
@@ -89,6 +108,50 @@
         self.assertEqual(known, shown is not None and shown.was_refused)
 
 
+class SlowClient:
+    """The response, the caller and the clock of a stream; each write takes 0.4 s."""
+
+    status, headers = 200, ()
+
+    def __init__(self) -> None:
+        self.time_s: float = 5.0
+
+    def now_s(self) -> float:
+        """Return the time."""
+        return self.time_s
+
+    async def body(self):
+        """Yield two events."""
+        yield b"id: 0\ndata: x\n\n"
+        yield b"id: 1\ndata: x\n\n"
+
+    async def send(self, _data: bytes) -> None:
+        """Block as a full connection does."""
+        self.time_s += 0.4
+
+    async def finish(self) -> None:
+        """End the stream."""
+
+
+class ForwardingTest(ApricotTest):
+    """What the forwarding of a stream measures."""
+
+    def test_time_of_blocked_writes_is_told_apart_from_waiting(self):
+        """Else the client's pauses count as the endpoint's."""
+        client, seen = SlowClient(), []
+        run = ResponseForwarder(client).forward(
+            client,
+            mock.Mock(kind=RouteKind.STREAMING),
+            client,
+            mock.Mock(response_started=True),
+            SilenceLimits(None, None),
+            None,
+            lambda count, write_s: seen.append((count, round(write_s, 3))),
+        )
+        asyncio.run(run)
+        self.assertEqual([(1, 0.0), (1, 0.4)], seen)
+
+
 class ServiceSpeedsTest(ApricotTest):
     """Slowness of nine endpoints of a service."""
 
