--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -135,11 +135,8 @@
         slots = self._slots.get(endpoint)
         if slots is None or report.started_ms != slots.profile.started_ms:
             return False
-        refreshes = self._speeds.refreshes
-        if self._speeds.record(endpoint, report, now_s):
-            self._apply_slowness(slots)
-        if self._speeds.refreshes != refreshes:
-            self._apply_all_slowness()
+        self._speeds.record(endpoint, report, now_s)
+        self._apply_changed_slowness()
         if report.was_abandoned:
             self.record_abandoned(endpoint, now_s)
         load = report.load
@@ -161,23 +158,25 @@
             self._placement.lingering_until_s = now_s + LINGER_S
 
     def _refresh_speeds(self, now_s: float) -> None:
-        if self._speeds.refresh(now_s):
-            self._apply_all_slowness()
+        self._speeds.refresh(now_s)
+        self._apply_changed_slowness()
 
-    def _apply_all_slowness(self) -> None:
-        for slots in self._slots.values():
-            self._apply_slowness(slots)
+    def _apply_changed_slowness(self) -> None:
+        for endpoint in self._speeds.take_changed():
+            if endpoint in self._slots:
+                self._apply_slowness(self._slots[endpoint])
+        self._placement.is_uneven = bool(self._speeds.slowness)
 
     def _apply_slowness(self, slots: EndpointSlots) -> None:
         slots.slowness = self._speeds.slowness.get(slots.endpoint, USUAL)
-        self._placement.is_uneven = bool(self._speeds.slowness)
 
     def _set_profile(self, slots: EndpointSlots, profile: EndpointProfile) -> None:
         """Set an endpoint's profile; what was learnt of an earlier start is dropped."""
         if slots.profile.started_ms != profile.started_ms:
             self._speeds.forget(slots.endpoint)
             slots.load = StatedLoad()
-            self._apply_slowness(slots)
+        self._apply_slowness(slots)
+        self._placement.is_uneven = bool(self._speeds.slowness)
         slots.profile = profile
 
     def record_grant(self, ticket: Ticket, endpoint: EndpointId, now_s: float) -> None:
--- a/apricotquay/serving/slots/speeds.py
+++ b/apricotquay/serving/slots/speeds.py
@@ -8,8 +8,9 @@
 
 import collections
 import enum
+import itertools
 import statistics
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from ...ids import EndpointId
@@ -32,6 +33,9 @@
 # Longer times are those of an attempt that hung, or not of this kind.
 MAX_GAP_S = 10.0
 REFRESH_S = 1.0
+# Steps of a refresh in one call, two for each endpoint: all 600 endpoints of a service
+# in one piece would hold up other requests for 14 ms.
+REFRESH_STEPS = 100
 USUAL = 1.0
 
 
@@ -84,29 +88,36 @@
 
     def __init__(self) -> None:
         self._samples: collections.deque[Sample] = collections.deque(maxlen=MAX_SAMPLES)
+        self._is_measured: bool = False
+        # Of the gaps, when they were measured last.
+        self.median: float | None = None
+        self.deviation: float | None = None
 
     def add(self, sample: Sample) -> None:
         """Add the newest sample."""
         self._samples.append(sample)
+        self._is_measured = False
 
     def expire(self, now_s: float) -> bool:
         """Forget old samples; return whether some are left."""
         while self._samples and now_s - self._samples[0].at_s > REMEMBERED_S:
             self._samples.popleft()
+            self._is_measured = False
         return bool(self._samples)
 
-    def median_of(self, kind: SampleKind) -> float | None:
-        """Return the median value of the samples of a kind."""
-        values = [s.value for s in self._samples if s.kind is kind]
-        return statistics.median(values) if values else None
-
-    def deviation_of(self, kind: SampleKind) -> float | None:
-        """Return the median deviation of the samples from their median, as a share."""
-        values = [s.value for s in self._samples if s.kind is kind]
-        if len(values) < MIN_DEVIATION_SAMPLES:
-            return None
-        middle = statistics.median(values)
-        return statistics.median(abs(v - middle) for v in values) / middle
+    def measure(self) -> None:
+        """Set the median of the gaps and their median deviation from it, as a share,
+        if samples were added or removed.
+        """
+        if self._is_measured:
+            return
+        self._is_measured = True
+        values = [s.value for s in self._samples if s.kind is SampleKind.GAP]
+        self.median = statistics.median(values) if values else None
+        self.deviation = None
+        if self.median is not None and len(values) >= MIN_DEVIATION_SAMPLES:
+            differences = [abs(value - self.median) for value in values]
+            self.deviation = statistics.median(differences) / self.median
 
     def slowness(self, typical: Typical, now_s: float) -> float:
         """Return the slowness now; 1.0 exactly if it is about as usual."""
@@ -144,8 +155,11 @@
         self._refreshed_s: float = float("-inf")
         self._samples_recorded: int = 0
         self._samples_refreshed: int = 0
-        # Counts the refreshes, which may change all endpoints' slowness.
-        self.refreshes: int = 0
+        # What is left of a refresh that has begun.
+        self._steps: Iterator[None] = iter(())
+        self._is_refreshing: bool = False
+        self._now_s: float = 0.0
+        self._changed: set[EndpointId] = set()
 
     def record(self, endpoint: EndpointId, report: UseReport, now_s: float) -> bool:
         """Record what an attempt showed; return whether it is a sample."""
@@ -155,48 +169,65 @@
         estimate = self._estimates.setdefault(endpoint, SpeedEstimate())
         estimate.add(sample)
         self._samples_recorded += 1
-        if not self.refresh(now_s):
-            self._update(endpoint, estimate, now_s)
+        self.refresh(now_s)
+        self._update(endpoint, estimate)
         return True
 
+    def take_changed(self) -> set[EndpointId]:
+        """Return the endpoints whose slowness changed since the last call."""
+        changed, self._changed = self._changed, set()
+        return changed
+
     def forget(self, endpoint: EndpointId) -> None:
         """Forget an endpoint that left or has started anew."""
         self._estimates.pop(endpoint, None)
-        self.slowness.pop(endpoint, None)
+        self._set_slowness(endpoint, USUAL)
 
-    def refresh(self, now_s: float) -> bool:
-        """Let old samples lapse and find what is typical, every REFRESH_S and whenever
-        twice as many samples were recorded; return whether this was done.
+    def refresh(self, now_s: float) -> None:
+        """Do a share of a refresh, which expires old samples and finds what is typical.
+        One begins every REFRESH_S and whenever twice as many samples were recorded.
         """
+        self._now_s = now_s
+        if not self._is_refreshing and self._is_due(now_s):
+            self._refreshed_s = now_s
+            self._samples_refreshed = self._samples_recorded
+            self._steps = self._refresh_steps()
+        done = sum(1 for _ in itertools.islice(self._steps, REFRESH_STEPS))
+        self._is_refreshing = done == REFRESH_STEPS
+
+    def _is_due(self, now_s: float) -> bool:
         has_grown = self._samples_recorded >= max(1, 2 * self._samples_refreshed)
-        if now_s - self._refreshed_s < REFRESH_S and not has_grown:
-            return False
-        self._refreshed_s = now_s
-        self.refreshes += 1
-        self._samples_refreshed = self._samples_recorded
+        return has_grown or now_s - self._refreshed_s >= REFRESH_S
+
+    def _refresh_steps(self) -> Iterator[None]:
         for endpoint, estimate in list(self._estimates.items()):
-            if not estimate.expire(now_s):
+            if estimate.expire(self._now_s):
+                estimate.measure()
+            elif self._estimates.get(endpoint) is estimate:
                 self.forget(endpoint)
+            yield
         self._refresh_typical()
-        for endpoint, estimate in self._estimates.items():
-            self._update(endpoint, estimate, now_s)
-        return True
+        for endpoint, estimate in list(self._estimates.items()):
+            if self._estimates.get(endpoint) is estimate:
+                self._update(endpoint, estimate)
+            yield
+
+    def _update(self, endpoint: EndpointId, estimate: SpeedEstimate) -> None:
+        self._set_slowness(endpoint, estimate.slowness(self._typical, self._now_s))
 
-    def _update(
-        self, endpoint: EndpointId, estimate: SpeedEstimate, now_s: float
-    ) -> None:
-        slowness = estimate.slowness(self._typical, now_s)
+    def _set_slowness(self, endpoint: EndpointId, slowness: float) -> None:
+        if slowness != self.slowness.get(endpoint, USUAL):
+            self._changed.add(endpoint)
         if slowness == USUAL:
             self.slowness.pop(endpoint, None)
         else:
             self.slowness[endpoint] = slowness
 
     def _refresh_typical(self) -> None:
-        kind = SampleKind.GAP
-        usual = _median(e.median_of(kind) for e in self._estimates.values())
+        usual = _median(e.median for e in self._estimates.values())
         if usual is not None:
-            self._typical.values[kind] = usual
-        deviation = _median(e.deviation_of(kind) for e in self._estimates.values())
+            self._typical.values[SampleKind.GAP] = usual
+        deviation = _median(e.deviation for e in self._estimates.values())
         if deviation is not None:
             self._typical.set_deviation(deviation)
 
--- a/tests/test_serving_speeds.py
+++ b/tests/test_serving_speeds.py
@@ -1,6 +1,7 @@
 """Estimates of endpoints' speeds, and the choice by them, in virtual time."""
 
 import asyncio
+import itertools
 import random
 from unittest import mock
 
@@ -17,6 +18,7 @@
 from apricotquay.serving.slots.slotuse import SlotUse, UseReport
 from apricotquay.serving.slots.speedreport import SpeedReporter, SpeedSummary
 from apricotquay.serving.slots.speeds import (
+    REFRESH_STEPS,
     REMEMBERED_S,
     SLOWNESS_MAX,
     ServiceSpeeds,
@@ -189,6 +191,21 @@
         speeds.refresh(2.1 + REMEMBERED_S + 0.1)
         self.assertEqual({}, speeds.slowness)
 
+    def test_refresh_of_many_endpoints_is_not_done_in_one_piece(self):
+        """Requests would wait for it; all samples have expired here."""
+        speeds = ServiceSpeeds()
+        shown = UseReport(load=EndpointLoad(1, 0, 8, 250.0))
+        for number in range(600 * 3):
+            speeds.record(EndpointId(f"m{number % 600}"), shown, 0.0)
+        left = [len(speeds.slowness)]
+        while left[-1] and len(left) < 30:
+            speeds.refresh(REMEMBERED_S + 1.0)
+            left.append(len(speeds.slowness))
+        self.assertEqual((600, 0), (left[0], left[-1]))
+        self.assertLessEqual(
+            max(a - b for a, b in itertools.pairwise(left)), REFRESH_STEPS
+        )
+
     @parameterized.expand([(seed,) for seed in range(5)])
     def test_equal_endpoints_with_jitter_are_as_usual(self, seed):
         """Else the choice would change where nothing calls for it."""
