--- a/apricotquay/serving/slots/endpointslots.py
+++ b/apricotquay/serving/slots/endpointslots.py
@@ -190,10 +190,10 @@
         a slot comes free every `slot_time_s`.
         """
         if is_refusal:
-            self.load.record(load, len(self.running) - 1, at_s, now_s)
+            self.load.record(load, len(self.running) - 1, at_s)
             return self.load.record_refusal(load, slot_time_s, now_s)
         self.load.record_acceptance()
-        self.load.record(load, len(self.running), at_s, now_s)
+        self.load.record(load, len(self.running), at_s)
         if not load.is_full or not self.load.others:
             return False
         return self.load.hold(load, slot_time_s, at_s, now_s)
@@ -210,7 +210,9 @@
         """Free a ticket's slot; return the ticket and how long it held the slot."""
         ticket = self.running.pop(ticket_id)
         self.memory.remove(ticket)
-        held_s = now_s - self.granted_s.pop(ticket_id)
+        granted_s = self.granted_s.pop(ticket_id)
+        self.load.record_release(granted_s, now_s)
+        held_s = now_s - granted_s
         if ticket.work is Work.ONLINE:
             self.online_count -= 1
         return ticket, held_s
--- a/apricotquay/serving/slots/statedload.py
+++ b/apricotquay/serving/slots/statedload.py
@@ -17,6 +17,9 @@
 # How long an endpoint may run a request whose connection was closed.
 LINGER_S = 0.3
 MAX_LINGERING = 64
+# Endpoints count a run for a moment after its last event was read.
+RELEASE_DELAY_S = 0.05
+MAX_RELEASES = 256
 MIN_HOLD_S = 0.02
 MAX_HOLD_S = 0.5
 
@@ -36,11 +39,37 @@
         self._lingering_s: collections.deque[float] = collections.deque(
             maxlen=MAX_LINGERING
         )
+        # When each of the last runs was granted and released.
+        self._releases: collections.deque[tuple[float, float]] = collections.deque(
+            maxlen=MAX_RELEASES
+        )
+
+    def record_release(self, granted_s: float, now_s: float) -> None:
+        """Record that the table knew of a run between two times."""
+        self._releases.append((granted_s, now_s))
+
+    def released_since(self, at_s: float) -> int | None:
+        """Return how many runs of `at_s` were released since; None if not known."""
+        since_s = at_s - RELEASE_DELAY_S
+        is_full = len(self._releases) == MAX_RELEASES
+        if is_full and self._releases[0][1] >= since_s:
+            return None
+        return sum(
+            1
+            for granted_s, end_s in self._releases
+            if granted_s <= at_s and end_s >= since_s
+        )
 
-    def record(self, load: EndpointLoad, known: int, at_s: float, now_s: float) -> None:
-        """Record a statement of `at_s` while the table knew of `known` runs."""
+    def record(self, load: EndpointLoad, running: int, at_s: float) -> None:
+        """Record a statement of `at_s`; the table knows of `running` runs now, and knew
+        then of those that were released since.
+        """
         if at_s <= self.at_s + SAME_S or load == NO_LOAD:
             return
+        released = self.released_since(at_s)
+        if released is None:
+            return
+        known = running + released
         self.at_s = at_s
         self.others = max(0, load.running + load.waiting - known)
 
--- a/tests/test_serving_speeds.py
+++ b/tests/test_serving_speeds.py
@@ -560,6 +560,25 @@
             table.request_slot(online(f"w{number}"), 0.12)
         self.assertEqual(SLOTS, table.running_at(leaver))
 
+    @parameterized.expand(
+        [
+            ("known then", 8, 0.05, 4, 0),
+            ("others", 2, 0.05, 1, 6),
+            ("now", 8, 0.0, 0, 0),
+        ]
+    )
+    def test_runs_released_since_a_statement_are_not_counted_as_unknown(
+        self, _name, running, age_s, released, unknown
+    ):
+        """The endpoint would be left out though it has free slots."""
+        slots = EndpointSlots(SLOW, SLOTS)
+        for number in range(running):
+            slots.assign(online(f"t{number}"), 0.0)
+        for number in range(released):
+            slots.release(TicketId(f"t{number}"), 1.0 - age_s / 2)
+        is_out = slots.record_load(FULL, 0.09, 1.0 - age_s, 1.0, is_refusal=False)
+        self.assertEqual((unknown, unknown > 0), (slots.load.others, is_out))
+
     def test_old_statement_leaves_nothing_out(self):
         """A stream's head is as old as the stream when its slot is released."""
         table = self.table()
