--- a/apricotquay/serving/slots/placement.py
+++ b/apricotquay/serving/slots/placement.py
@@ -13,6 +13,9 @@
 from .tickets import Ticket, Work
 
 MAX_PREFIXES = 10_000
+# An endpoint of the usual speed with half of its slots taken costs three times as much
+# as an idle one, so that among equal endpoints the free slots decide alone.
+MAX_PREFIX_COST_FACTOR = 3.0
 # Costs that differ by less are as good as equal: a quarter of one of eight slots.
 EQUAL_COST = 0.03
 # A daemon that chooses alone takes the best of half of the endpoints. If all took the
@@ -48,16 +51,15 @@
         self, ticket: Ticket, available: Sequence[EndpointSlots], now_s: float
     ) -> EndpointSlots | None:
         """Choose the endpoint with the least cost, or the one that served the
-        prefix last if at least half of its slots are free.
+        prefix last if at least half of its slots are free and it is not much slower.
         """
         usable = self._usable_endpoints(ticket, available, now_s)
         if not usable:
             return None
         usable = _preferred_by_limit(usable, ticket.work, now_s)
-        preferred = self._endpoint_of_prefix.get(ticket.prefix)
-        for slots in usable:
-            if slots.endpoint == preferred and slots.free * 2 >= slots.count:
-                return slots
+        preferred = self._find_preferred(ticket.prefix, usable, now_s)
+        if preferred is not None:
+            return preferred
         best = self._best_endpoints(usable, now_s)
         if not self.is_alone:
             # Daemons alone would all fill their own zone without seeing each other.
@@ -66,6 +68,27 @@
         self._remember_prefix(ticket.prefix, slots.endpoint)
         return slots
 
+    def _find_preferred(
+        self, prefix: str, usable: list[EndpointSlots], now_s: float
+    ) -> EndpointSlots | None:
+        """Return the endpoint that served the prefix last, unless it is too full or
+        costs too much.
+        """
+        preferred = self._endpoint_of_prefix.get(prefix)
+        for slots in usable:
+            if slots.endpoint == preferred and slots.free * 2 >= slots.count:
+                return slots if self._is_cheap_enough(slots, usable, now_s) else None
+        return None
+
+    def _is_cheap_enough(
+        self, slots: EndpointSlots, usable: list[EndpointSlots], now_s: float
+    ) -> bool:
+        """Whether an endpoint costs little enough to be preferred for its prefix."""
+        if not self.is_uneven:
+            return True
+        least = min(s.cost(now_s) for s in usable)
+        return slots.cost(now_s) <= MAX_PREFIX_COST_FACTOR * least
+
     def _best_endpoints(
         self, usable: list[EndpointSlots], now_s: float
     ) -> list[EndpointSlots]:
--- a/tests/test_serving_speeds.py
+++ b/tests/test_serving_speeds.py
@@ -313,6 +313,16 @@
         others = [table.running_at(e) for e in ENDPOINTS[1:]]
         self.assertLessEqual(max(others) - min(others), 1)
 
+    @parameterized.expand([("equal", 1.0, 5), ("slower", 2.2, 2), ("slow", 8.0, 0)])
+    def test_prefix_does_not_draw_requests_to_a_slow_endpoint(
+        self, _name, factor, expected
+    ):
+        """Eight others are idle."""
+        table = self.table(factor)
+        table._placement._remember_prefix("p", SLOW)
+        self.fill(table, 6, prefix="p")
+        self.assertEqual(expected, table.running_at(SLOW))
+
     def test_slow_endpoint_gets_all_its_slots_when_work_waits(self):
         """No slot idles while a request waits, and none gets more than it has."""
         table = self.table(2.5)
