--- a/apricotquay/serving/messages.py
+++ b/apricotquay/serving/messages.py
@@ -82,14 +82,14 @@
 class ReleaseSlot(msgspec.Struct, frozen=True, omit_defaults=True, tag="release_slot"):
     """The ticket's slot is free, or the ticket no longer waits.
 
-    `use` tells how the attempt there ended, `shown` what it showed of the endpoint's
-    speed and load.
+    `use` tells how the attempt there ended, `measurements` what it showed of the
+    endpoint's speed and load.
     """
 
     service: ServiceName
     ticket: str
     use: SlotOutcome = SlotOutcome.UNKNOWN
-    shown: UseReport | None = None
+    measurements: UseReport | None = None
 
 
 class HeldSlot(msgspec.Struct, frozen=True, omit_defaults=True, tag="held_slot"):
--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -186,16 +186,16 @@
         self._leases.pop(lease.ticket.id, None)
         if lease.owner is None:
             self.tables.record_outcome(lease.endpoint, lease.outcome)
-        shown = lease.use.report(self._clock.now_s())
-        self.tables.record_use(lease.service, lease.endpoint, shown)
+        measurements = lease.use.report(self._clock.now_s())
+        self.tables.record_use(lease.service, lease.endpoint, measurements)
         self._release_ticket(
-            lease.service, lease.ticket.id, lease.owner, lease.outcome, shown
+            lease.service, lease.ticket.id, lease.owner, lease.outcome, measurements
         )
 
     def _record_use(self, lease: SlotLease) -> None:
         """Record a load that was stated now, for choices without an owner."""
-        shown = lease.use.report(self._clock.now_s(), is_released=False)
-        self.tables.record_use(lease.service, lease.endpoint, shown)
+        measurements = lease.use.report(self._clock.now_s(), is_released=False)
+        self.tables.record_use(lease.service, lease.endpoint, measurements)
 
     def record_limit(self, lease: SlotLease, limit: EndpointLimit) -> None:
         """Record what the answer to the request in a slot says of its endpoint's
@@ -410,11 +410,11 @@
         ticket_id: TicketId,
         owner: str | None,
         outcome: SlotOutcome = SlotOutcome.UNKNOWN,
-        shown: UseReport | None = None,
+        measurements: UseReport | None = None,
     ) -> None:
         self.tables.release(service, ticket_id)
         if owner is not None:
-            message = ReleaseSlot(service, ticket_id, outcome, shown)
+            message = ReleaseSlot(service, ticket_id, outcome, measurements)
             self._send_if_connected(owner, message)
 
     def _send_if_connected(self, owner: str, message: Message) -> None:
--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -128,6 +128,15 @@
         """How slow the endpoints are that are not as fast as usual."""
         return self._speeds.slowness
 
+    def all_slowness(self) -> list[float]:
+        """Return how slow each endpoint is, also those as fast as usual."""
+        return [s.slowness for s in self._slots.values() if s.is_open]
+
+    def is_open(self, endpoint: EndpointId) -> bool:
+        """Whether an endpoint takes new work."""
+        slots = self._slots.get(endpoint)
+        return slots is not None and slots.is_open
+
     def record_use(self, endpoint: EndpointId, report: UseReport, now_s: float) -> bool:
         """Record what an attempt showed of its endpoint, before its slot is released;
         return whether the endpoint is left out now because it is full.
--- a/apricotquay/serving/slots/placement.py
+++ b/apricotquay/serving/slots/placement.py
@@ -1,6 +1,6 @@
 """Chooses the endpoint of a ticket among those that have a free slot. Pure.
 
-Answers the load of endpoints of unequal speed, and of many daemons that choose at the
+Handles endpoints of unequal speed, and of many daemons that choose at the
 same moment, each with a part of the information.
 """
 
--- a/apricotquay/serving/slots/slotowner.py
+++ b/apricotquay/serving/slots/slotowner.py
@@ -176,12 +176,12 @@
         if self.is_owned(service):
             self._speed_reporters.setdefault(
                 service, SpeedReporter(self._reporter)
-            ).check(table.slowness, now_s)
+            ).check(table.slowness, table.is_open, now_s)
 
     def speed_summary(self) -> SpeedSummary:
         """Return what the tables know of the endpoints' speeds."""
         tables = self._tables.values()
-        return SpeedSummary(v for table in tables for v in table.slowness.values())
+        return SpeedSummary(v for table in tables for v in table.all_slowness())
 
     def record_outcome(self, endpoint_id: EndpointId, outcome: SlotOutcome) -> None:
         """Feed the outcome of an attempt at an endpoint to outlier detection."""
@@ -370,7 +370,7 @@
         ticket_id = TicketId(message.ticket)
         endpoint_id = self.table(message.service).endpoint_of(ticket_id)
         if endpoint_id is not None:
-            self.record_use(message.service, endpoint_id, message.shown)
+            self.record_use(message.service, endpoint_id, message.measurements)
         self._release_peer_ticket(ticket_id)
         if endpoint_id is not None:
             self.record_outcome(endpoint_id, message.use)
--- a/apricotquay/serving/slots/slotuse.py
+++ b/apricotquay/serving/slots/slotuse.py
@@ -35,8 +35,8 @@
     @property
     def is_empty(self) -> bool:
         """Whether the attempt showed nothing."""
-        has_shown = self.first_event_ms or self.load or self.was_refused
-        return not (has_shown or self.was_abandoned)
+        has_measurements = self.first_event_ms or self.load or self.was_refused
+        return not (has_measurements or self.was_abandoned)
 
 
 class SlotUse:
--- a/apricotquay/serving/slots/speedreport.py
+++ b/apricotquay/serving/slots/speedreport.py
@@ -1,6 +1,6 @@
 """Reports which endpoints are slower than the others, for operators."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from ...events import Event
 from ...ids import EndpointId
@@ -23,20 +23,28 @@
         self._checked_s: float = float("-inf")
         self._slow: set[EndpointId] = set()
 
-    def check(self, slowness: Mapping[EndpointId, float], now_s: float) -> None:
+    def check(
+        self,
+        slowness: Mapping[EndpointId, float],
+        is_open: Callable[[EndpointId], bool],
+        now_s: float,
+    ) -> None:
         """Report what changed, at most once in CHECK_INTERVAL_S; `slowness` holds the
-        endpoints that are not as usual.
+        endpoints that are not as usual. One that has left is not reported.
         """
         if now_s - self._checked_s < CHECK_INTERVAL_S:
             return
         self._checked_s = now_s
         for endpoint, value in slowness.items():
-            if value >= SLOW_MIN and endpoint not in self._slow:
+            is_new = value >= SLOW_MIN and endpoint not in self._slow
+            if is_new and is_open(endpoint):
                 self._slow.add(endpoint)
                 self._write(Event.ENDPOINT_SLOW, endpoint, value)
         for endpoint in list(self._slow):
             value = slowness.get(endpoint, USUAL)
-            if value <= USUAL_MAX:
+            if not is_open(endpoint):
+                self._slow.discard(endpoint)
+            elif value <= USUAL_MAX:
                 self._slow.discard(endpoint)
                 self._write(Event.ENDPOINT_SPEED_USUAL, endpoint, value)
 
@@ -53,7 +61,7 @@
     """The speeds of all endpoints as a few figures, for metrics."""
 
     def __init__(self, slowness: Iterable[float]) -> None:
-        values = [USUAL, *slowness]
+        values = list(slowness) or [USUAL]
         self.slowest: float = round(max(values), 2)
         self.fastest: float = round(min(values), 2)
         self.spread: float = round(max(values) / min(values), 2)
--- a/apricotquay/serving/slots/speeds.py
+++ b/apricotquay/serving/slots/speeds.py
@@ -1,7 +1,7 @@
 """Estimates how slow each endpoint of a service is, from attempts there. Pure.
 
 Slowness is how long work takes as a multiple of what is usual in the service, so 1.0
-is as usual and 2.5 two and a half times as slow. The load that this answers: a machine
+is as usual and 2.5 two and a half times as slow. This handles a machine
 that is slower for good, or for part of a second since others use it, while answers
 arrive late and some of them are far from the rest.
 """
@@ -179,7 +179,7 @@
         return changed
 
     def forget(self, endpoint: EndpointId) -> None:
-        """Forget an endpoint that left or has started anew."""
+        """Forget an endpoint that left or restarted."""
         self._estimates.pop(endpoint, None)
         self._set_slowness(endpoint, USUAL)
 
--- a/apricotquay/serving/slots/statedload.py
+++ b/apricotquay/serving/slots/statedload.py
@@ -1,6 +1,6 @@
-"""What an endpoint stated of its load, and how long that is heeded. Pure.
+"""What an endpoint stated of its load, and how long that is used. Pure.
 
-Answers the load of many daemons that choose at the same moment from old information,
+Handles many daemons that choose at the same moment from old information,
 and of runs that a slot table does not know of.
 """
 
@@ -12,7 +12,7 @@
 # Runs that a table does not know of have mostly ended after this time.
 FADE_S = 0.3
 FORGET_S = 3.0
-# A statement that is told again has an age in whole milliseconds.
+# A statement that is repeated has an age in whole milliseconds.
 SAME_S = 0.002
 # How long an endpoint may run a request whose connection was closed.
 LINGER_S = 0.3
--- a/tests/test_serving_slotleases.py
+++ b/tests/test_serving_slotleases.py
@@ -316,7 +316,7 @@
         )
         known = msgspec.convert(cbor2.loads(encoded)[1], PreviousReleaseSlot)
         self.assertEqual(("t", SlotOutcome.SUCCEEDED), (known.ticket, known.use))
-        self.assertEqual(report, decode_frame(encoded)[1].shown)
+        self.assertEqual(report, decode_frame(encoded)[1].measurements)
 
     def test_release_of_the_previous_release_is_read(self):
         """It names the outcome always and what the slot showed never."""
--- a/tests/test_serving_speeds.py
+++ b/tests/test_serving_speeds.py
@@ -181,7 +181,7 @@
         feed(speeds, before * 0.3, 50.0)
         self.assertEqual({}, speeds.slowness)
 
-    def test_old_samples_lapse(self):
+    def test_old_samples_expire(self):
         """An endpoint that got no work for long is tried as usual."""
         speeds = ServiceSpeeds()
         for step in range(8):
@@ -345,7 +345,7 @@
                 learnt.request_slot(ticket, number * 0.1),
             )
 
-    def test_samples_of_another_start_are_not_heeded(self):
+    def test_samples_of_another_start_are_ignored(self):
         """The machine may be another."""
         table = self.table(2.5)
         self.assertEqual([SLOW], list(table.slowness))
@@ -382,6 +382,11 @@
         throughput_per_s = table._waits.throughput_per_s(table._slots.values(), now_s)
         self.assertAlmostEqual(4 / 1.2 + 4 / 0.6, throughput_per_s, delta=0.7)
 
+    def test_summary_includes_endpoints_that_are_as_usual(self):
+        """The slow one alone would have no spread."""
+        summary = SpeedSummary(self.table(2.5).all_slowness())
+        self.assertEqual((1.0, 1), (summary.fastest, summary.slow_count))
+
     def test_own_zone_goes_first_among_equals_only(self):
         """Further away as soon as that costs the client time."""
         table = self.table(zones="abc")
@@ -461,12 +466,28 @@
         reporter = RecordingReporter()
         speeds = SpeedReporter(reporter)
         for now_s, value in enumerate((2.5, 1.3, 1.6, 3.0, 1.0, 1.3)):
-            speeds.check({SLOW: value, ENDPOINTS[1]: 0.8}, float(now_s))
+            speeds.check(
+                {SLOW: value, ENDPOINTS[1]: 0.8}, ENDPOINTS.__contains__, float(now_s)
+            )
         self.assertEqual(
             [(Event.ENDPOINT_SLOW, SLOW), (Event.ENDPOINT_SPEED_USUAL, SLOW)],
             reporter.lines,
         )
 
+    def test_slow_endpoint_that_left_is_not_reported_as_usual_again(self):
+        """It did not become faster."""
+        reporter = RecordingReporter()
+        speeds = SpeedReporter(reporter)
+        speeds.check({SLOW: 2.5}, ENDPOINTS.__contains__, 0.0)
+        speeds.check({}, ENDPOINTS[1:].__contains__, 1.0)
+        speeds.check({}, ENDPOINTS.__contains__, 2.0)
+        self.assertEqual([(Event.ENDPOINT_SLOW, SLOW)], reporter.lines)
+
+    def test_summary_of_endpoints_that_are_all_slow_names_no_usual_one(self):
+        """The least and the largest would be wrong."""
+        summary = SpeedSummary([2.5, 1.6])
+        self.assertEqual((1.6, 1.56), (summary.fastest, summary.spread))
+
     def test_summary_has_few_figures_for_any_number_of_endpoints(self):
         """A metric for each endpoint would have unbounded names."""
         summary = SpeedSummary([2.5, 0.5, 1.6])
@@ -602,7 +623,7 @@
     DAEMONS = 40
 
     def choose_all(self, stated: dict[EndpointId, int]) -> dict[EndpointId, int]:
-        """Let each daemon choose once after each has heard the same loads."""
+        """Let each daemon choose once after each got the same loads."""
         chosen = dict.fromkeys(ENDPOINTS, 0)
         for number in range(self.DAEMONS):
             table = Dispatcher(seed=number)
@@ -643,7 +664,7 @@
         chosen = self.choose_all(dict.fromkeys(ENDPOINTS, 2) | full)
         self.assertLess(sum(chosen[e] for e in full), self.DAEMONS * 0.15)
 
-    def test_endpoint_not_heard_of_counts_as_average(self):
+    def test_endpoint_without_a_stated_load_counts_as_average(self):
         """Else all would choose it."""
         stated = dict.fromkeys(ENDPOINTS[1:], 4)
         self.assertLess(self.choose_all(stated)[SLOW], self.DAEMONS / 3)
