--- a/apricotquay/serving/http/boundedreader.py
+++ b/apricotquay/serving/http/boundedreader.py
@@ -1,4 +1,4 @@
-"""Streams that buffer little, for servers and clients.
+"""Streams that buffer little, for servers.
 
 asyncio's own streams take up to 256 KiB at a time from a socket and keep 384 KiB. A
 connection here keeps at most `MAX_READ_AHEAD_BYTES`; what follows waits in the socket.
@@ -100,15 +100,3 @@
         # Accepted sockets inherit it.
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
     return server
-
-
-async def open_connection(
-    host: str, port: int
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Connect, as `asyncio.open_connection` does."""
-    loop = asyncio.get_running_loop()
-    reader = BoundedReader()
-    transport, protocol = await loop.create_connection(
-        lambda: BoundedReaderProtocol(reader), host, port
-    )
-    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
--- a/apricotquay/serving/http/httpclient.py
+++ b/apricotquay/serving/http/httpclient.py
@@ -1,11 +1,11 @@
 """HTTP/1.1 client connections over asyncio streams, based on `h11`."""
 
 import asyncio
+from asyncio import open_connection
 from collections.abc import AsyncIterator
 
 import h11
 
-from .boundedreader import open_connection
 from .http1 import READ_BYTES, HttpError, HttpRequest, HttpResponse
 
 MAX_INTERIM_RESPONSES = 8
