--- a/review/model_server2.py
+++ b/review/model_server2.py
@@ -1,16 +1,18 @@
 """A model server for the scripts of the second review.
 
-    model_server2.py ADDRESS STORE ID [--endless-after S] [--chunk BYTES]
+    model_server2.py ADDRESS STORE ID [--endless-after S] [--chunk BYTES] [--runaway]
 
 It registers in the store and answers each request with a stream of 28 events, in
 chunks, until the caller closes. With `--endless-after` it is in trouble from so many
 seconds after its start: after a sound head its body goes on without end and without a
-whole event, in chunks of `--chunk` bytes, until the caller closes.
+whole event, in chunks of `--chunk` bytes, until the caller closes. With `--runaway` its
+answers don't end: events of two bytes of data follow each other until the caller closes.
 """
 
 import argparse
 import asyncio
 import contextlib
+import itertools
 import json
 import sys
 import time
@@ -26,6 +28,7 @@
 EVENTS = 28
 STEP_S = 0.006
 CHUNKS_PER_WRITE = 2_000
+EVENTS_PER_WRITE = 500
 
 
 class Server:
@@ -67,6 +70,8 @@
         writer.write("".join(f"{line}\r\n" for line in lines).encode() + b"\r\n")
         if self._is_in_trouble():
             await self._write_without_end(writer)
+        if self._args.runaway:
+            await self._write_events_without_end(writer, after + 1)
         for number in range(after + 1, EVENTS):
             await asyncio.sleep(STEP_S)
             event = b"id: %d\ndata: %s-%d\n\n" % (number, attempt.encode(), number)
@@ -86,6 +91,13 @@
             await writer.drain()
 
 
+    async def _write_events_without_end(self, writer, first: int) -> None:
+        for start in itertools.count(first, EVENTS_PER_WRITE):
+            numbers = range(start, start + EVENTS_PER_WRITE)
+            writer.write(_chunk(b"".join(b"id: %d\ndata: no\n\n" % n for n in numbers)))
+            await writer.drain()
+
+
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n%s\r\n" % (len(data), data)
 
@@ -111,6 +123,7 @@
     parser.add_argument("id")
     parser.add_argument("--endless-after", type=float)
     parser.add_argument("--chunk", type=int, default=1)
+    parser.add_argument("--runaway", action="store_true")
     args = parser.parse_args()
     host, _, port = args.address.rpartition(":")
     await asyncio.start_server(Server(args).serve, host, int(port))
