--- a/review/8/case.py
+++ b/review/8/case.py
@@ -111,7 +111,9 @@
         endless = ["--endless-after", str(TROUBLE_AFTER_S), "--chunk", "32"]
         trouble = endless if harness.HAS_TROUBLE else []
         await fleet.start(CONFIGURATION, [[], [], trouble][:SERVERS])
-        watchers = [asyncio.ensure_future(ask_readiness(record, d)) for d in fleet.daemons]
+        watchers = [
+            asyncio.ensure_future(ask_readiness(record, d)) for d in fleet.daemons
+        ]
         requests = []
         for number in range(REQUESTS):
             daemon = fleet.daemons[number % DAEMONS]
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -1,8 +1,8 @@
 """Starts the project's programs for the scripts of the second review, on loopback.
 
-Daemons are started with the `run` line of the deploy file, the store is that of `store2.py`, and
-model servers are those of `model_server2.py`. Only processes that
-are started here are signalled, by their ids.
+Daemons are started with the `run` line of the deploy file, the store is that of
+`store2.py`, and model servers are those of `model_server2.py`. Only processes that are
+started here are signalled, by their ids.
 """
 
 import asyncio
@@ -186,19 +186,25 @@
         self.store.start()
         await wait_until_listening(self.store_address)
         await write_configuration(self.store_address, configuration)
-        for number, further in enumerate(servers):
-            address = free_address(f"127.61.{number + 1}.2")
-            args = [sys.executable, str(ROOT / "review" / "model_server2.py")]
-            args += [address, self.store_address, f"i-{number}", *further]
-            server = Program(f"server-{number}", args, self.folder)
-            server.start()
-            self.servers.append(server)
-            await wait_until_listening(address)
+        for further in servers:
+            await self.start_server(*further)
         for daemon in self.daemons:
             daemon.start()
         for daemon in self.daemons:
             await wait_until_ready(daemon)
 
+    async def start_server(self, *further: str) -> Program:
+        """Start one more model server, which registers in the store."""
+        number = len(self.servers)
+        address = free_address(f"127.61.{number + 1}.2")
+        args = [sys.executable, str(ROOT / "review" / "model_server2.py")]
+        args += [address, self.store_address, f"i-{number}", *further]
+        server = Program(f"server-{number}", args, self.folder)
+        server.start()
+        self.servers.append(server)
+        await wait_until_listening(address)
+        return server
+
     def close(self) -> None:
         """End all processes and remove their files."""
         for program in (*self.daemons, *self.servers, self.store):
--- a/review/model_server2.py
+++ b/review/model_server2.py
@@ -6,7 +6,7 @@
 chunks, until the caller closes. With `--endless-after` it is in trouble from so many
 seconds after its start: after a sound head its body goes on without end and without a
 whole event, in chunks of `--chunk` bytes, until the caller closes. With `--runaway` its
-answers don't end: events of two bytes of data follow each other until the caller closes.
+answers don't end: events of one Cyrillic letter follow until the caller closes.
 """
 
 import argparse
@@ -90,11 +90,11 @@
             writer.write(block)
             await writer.drain()
 
-
     async def _write_events_without_end(self, writer, first: int) -> None:
         for start in itertools.count(first, EVENTS_PER_WRITE):
             numbers = range(start, start + EVENTS_PER_WRITE)
-            writer.write(_chunk(b"".join(b"id: %d\ndata: no\n\n" % n for n in numbers)))
+            events = (b"id: %d\ndata: \xd1\x8f\n\n" % n for n in numbers)
+            writer.write(_chunk(b"".join(events)))
             await writer.drain()
 
 
--- a/review/store2.py
+++ b/review/store2.py
@@ -34,7 +34,9 @@
     async def _read_newest(self, fields: dict, _body: bytes) -> HttpResponse:
         page = await self.log.read_newest(Topic(fields["topic"]), int(fields["part"]))
         after = fields.get("after", "").encode()
-        records = sorted((r for r in page.records if r.key > after), key=lambda r: r.key)
+        records = sorted(
+            (r for r in page.records if r.key > after), key=lambda r: r.key
+        )
         items = []
         size = 0
         for record in records:
@@ -52,7 +54,9 @@
         start = int(fields["from"])
         topic, part = Topic(fields["topic"]), int(fields["part"])
         try:
-            page = await self.log.read(topic, part, start, int(fields.get("wait_ms", 0)))
+            page = await self.log.read(
+                topic, part, start, int(fields.get("wait_ms", 0))
+            )
         except LogExpiredError as exc:
             return _json_response(410, {"first": exc.first_offset})
         data = struct.pack(">QQ", page.end, 0)
