--- a/review/harness2.py
+++ b/review/harness2.py
@@ -106,9 +106,16 @@
 
     def memory_kb(self) -> int:
         """Return how much memory the process has in use."""
+        return self._status_kb("VmRSS:")
+
+    def peak_memory_kb(self) -> int:
+        """Return how much memory the process has had in use at most."""
+        return self._status_kb("VmHWM:")
+
+    def _status_kb(self, name: str) -> int:
         with contextlib.suppress(OSError, IndexError):
             for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
-                if line.startswith("VmRSS:"):
+                if line.startswith(name):
                     return int(line.split()[1])
         return 0
 
