Keep bodies in small chunks from blocking the event loop

Cause: EventSplitter copied and searched its whole buffer for each chunk, 20 s of processor time for 1 MiB in chunks of 32 bytes (0.02 s now), and parsing what has been received never gave up the event loop, so that no timer fired. Ruled out: the parser itself, 0.12 s for the same data.

Change: the splitter extends its buffer in place and remembers where it has searched; a body's parts are as large as they were received; other tasks run after 64 events of a parser. The same on related paths: answers that are read whole, requests of callers, the store's answers, the threaded daemon's reader of events, which also had no bound for an event.

--- a/apricotquay/engineclient.py
+++ b/apricotquay/engineclient.py
@@ -17,6 +17,7 @@
 from .ids import RequestId
 from .membership import VmEntry
 from .orders import LoadOrder
+from .serving.http.sse import MAX_EVENT_BYTES, EventSplitter
 
 CONNECT_TIMEOUT_S = 1.0
 TOKEN_TIMEOUT_S = 10.0
@@ -25,6 +26,7 @@
 LOAD_TIMEOUT_S = 0.5
 ORDER_TIMEOUT_S = 0.5
 READ_CHUNK_BYTES = 16 * 1024
+DATA_PREFIX = b"data: "
 
 # All fields of a chat request that are forwarded to an endpoint.
 FORWARDED_FIELDS = (
@@ -318,13 +320,10 @@
 
 def _read_events(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     """Yield the data of each server-sent event."""
-    buffer = b""
+    splitter = EventSplitter()
     for chunk in response.stream(READ_CHUNK_BYTES):
-        buffer += chunk
-        while True:
-            event, separator, rest = buffer.partition(b"\n\n")
-            if not separator:
-                break
-            buffer = rest
-            if event.startswith(b"data: "):
-                yield event[6:]
+        for event in splitter.feed(chunk):
+            if event.raw.startswith(DATA_PREFIX):
+                yield event.raw.removeprefix(DATA_PREFIX).rstrip(b"\r\n")
+        if splitter.buffered_bytes > MAX_EVENT_BYTES:
+            raise _broken_stream(f"event of more than {MAX_EVENT_BYTES} bytes")
--- a/apricotquay/serving/http/httpclient.py
+++ b/apricotquay/serving/http/httpclient.py
@@ -6,9 +6,12 @@
 
 import h11
 
-from .http1 import READ_BYTES, HttpError, HttpRequest, HttpResponse
+from .http1 import HttpError, HttpRequest, HttpResponse
+from .turns import TurnKeeper
 
 MAX_INTERIM_RESPONSES = 8
+# Parsed at once at most. A response may consist of many small events.
+RECEIVE_BYTES = 16 * 1024
 
 
 class ClientConnection:
@@ -29,6 +32,7 @@
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=max_header_bytes
         )
+        self._turns = TurnKeeper()
 
     @property
     def is_reusable(self) -> bool:
@@ -81,15 +85,21 @@
         raise HttpError("too many interim responses")
 
     async def read_body(self) -> AsyncIterator[bytes]:
-        """Yield the parts of the body; return only when the body is complete."""
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                break
+        """Yield the body; return only when it is complete.
+
+        Its parts are as large as they were received, however small its chunks are.
+        """
+        is_complete = False
+        while not is_complete:
+            part, end = await self._parse_body()
+            if part:
+                yield part
+            if isinstance(end, HttpError):
+                raise end
+            if end is h11.NEED_DATA:
+                await self._receive()
             else:
-                raise HttpError("connection closed within a response")
+                is_complete = True
         if self._protocol.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
             if not self._protocol.trailing_data[0]:
                 self._protocol.start_next_cycle()
@@ -97,26 +107,49 @@
     async def read_response(self) -> HttpResponse:
         """Read a complete response."""
         head = await self.read_head()
-        parts = [part async for part in self.read_body()]
-        return HttpResponse(head.status_code, list(head.headers), b"".join(parts))
+        body = bytearray()
+        async for part in self.read_body():
+            body += part
+        return HttpResponse(head.status_code, list(head.headers), bytes(body))
 
     def close(self) -> None:
         """Abort the connection, upon which the server cancels the request."""
         self._writer.transport.abort()
 
+    async def _parse_body(self) -> tuple[bytes, h11.Event | HttpError]:
+        """Return what has been received of the body, and what follows it: NEED_DATA,
+        the end of the body, or why there is none.
+        """
+        part = bytearray()
+        try:
+            while isinstance(event := await self._parse_event(), h11.Data):
+                part += event.data
+        except HttpError as exc:
+            return bytes(part), exc
+        if event is h11.NEED_DATA or isinstance(event, h11.EndOfMessage):
+            return bytes(part), event
+        return bytes(part), HttpError("connection closed within a response")
+
     async def _next_event(self) -> h11.Event:
-        while True:
-            try:
-                event = self._protocol.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise HttpError(f"not a response: {exc}") from exc
-            if event is not h11.NEED_DATA:
-                return event
-            try:
-                data = await self._reader.read(READ_BYTES)
-            except OSError as exc:
-                raise HttpError(f"connection broke: {exc}") from exc
-            self._protocol.receive_data(data)
+        while (event := await self._parse_event()) is h11.NEED_DATA:
+            await self._receive()
+        return event
+
+    async def _parse_event(self) -> h11.Event:
+        """Return the next event of what has been received, or NEED_DATA."""
+        await self._turns.end_piece()
+        try:
+            return self._protocol.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise HttpError(f"not a response: {exc}") from exc
+
+    async def _receive(self) -> None:
+        """Wait for more data, or for the end of the connection."""
+        try:
+            data = await self._reader.read(RECEIVE_BYTES)
+        except OSError as exc:
+            raise HttpError(f"connection broke: {exc}") from exc
+        self._protocol.receive_data(data)
 
 
 async def open_client(host: str, port: int, timeout_s: float) -> ClientConnection:
--- a/apricotquay/serving/http/httpserver.py
+++ b/apricotquay/serving/http/httpserver.py
@@ -13,6 +13,7 @@
 from .http1 import READ_BYTES, HeaderList, HttpRequest, HttpResponse
 from .requestbodies import HeldBody
 from .serverresources import ServerResources, unlimited_resources
+from .turns import TurnKeeper
 from .unread import UnreadWatch
 
 MAX_REASON_CHARS = 200
@@ -168,6 +169,7 @@
         # A lowered limit holds for new connections: callers may not know it yet.
         self._known_idle_timeout_s: float = self._limits.idle_timeout_s
         self._protocol: h11.Connection = self._create_protocol()
+        self._turns = TurnKeeper()
         self.is_idle: bool = True
         self.is_receiving: bool = False
         self._handler: asyncio.Task | None = None
@@ -288,8 +290,10 @@
 
     async def _read_request(self) -> HttpRequest | None:
         head = None
-        parts: list[bytes] = []
+        # Small chunks that are kept one by one take many times their size.
+        body = bytearray()
         while True:
+            await self._turns.end_piece()
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as exc:
@@ -310,13 +314,13 @@
                 self._check_head(event)
             elif isinstance(event, h11.Data):
                 self._check_body(len(event.data))
-                parts.append(bytes(event.data))
+                body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 return HttpRequest(
                     head.method.decode("ascii"),
                     head.target.decode("ascii"),
                     list(head.headers),
-                    b"".join(parts),
+                    bytes(body),
                 )
             else:
                 return None
--- a/apricotquay/serving/http/sse.py
+++ b/apricotquay/serving/http/sse.py
@@ -8,6 +8,10 @@
 EVENT_ID = re.compile(rb"[0-9]{1,18}")
 # The only ends of lines in event streams; `splitlines` knows many more.
 LINE_END = re.compile(rb"\r\n|\n|\r")
+EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+MAX_EVENT_END_BYTES = 4
+# Readers break off a stream with a longer event.
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
@@ -22,10 +26,15 @@
 
 
 class EventSplitter:
-    """Buffers bytes and yields complete events."""
+    """Buffers bytes and yields complete events.
+
+    Each byte is copied and searched once, however small the parts are that it is fed.
+    """
 
     def __init__(self) -> None:
-        self._buffer: bytes = b""
+        self._buffer = bytearray()
+        # No event ends before this position of the buffer.
+        self._searched_bytes: int = 0
 
     @property
     def has_partial_event(self) -> bool:
@@ -40,12 +49,14 @@
     def feed(self, data: bytes) -> Iterator[StreamEvent]:
         """Buffer bytes and yield the events that are complete."""
         self._buffer += data
-        while True:
-            end = _find_event_end(self._buffer)
-            if end < 0:
-                return
-            raw, self._buffer = self._buffer[:end], self._buffer[end:]
+        while match := EVENT_END.search(self._buffer, self._searched_bytes):
+            raw = bytes(self._buffer[: match.end()])
+            del self._buffer[: match.end()]
+            self._searched_bytes = 0
             yield parse_event(raw)
+        # An end may have arrived in part.
+        unsearched = len(self._buffer) - MAX_EVENT_END_BYTES + 1
+        self._searched_bytes = max(0, unsearched)
 
 
 def parse_event(raw: bytes) -> StreamEvent:
@@ -64,12 +75,3 @@
         return StreamEvent(raw, event_id, data.decode())
     except UnicodeDecodeError:
         return StreamEvent(raw, event_id, data.decode("utf-8", "replace"), False)
-
-
-def _find_event_end(data: bytes) -> int:
-    event_ends = [
-        index + len(separator)
-        for separator in (b"\n\n", b"\r\n\r\n")
-        if (index := data.find(separator)) >= 0
-    ]
-    return min(event_ends, default=-1)
--- a/apricotquay/serving/online/attempts.py
+++ b/apricotquay/serving/online/attempts.py
@@ -30,7 +30,7 @@
 from ..fleet.view import View
 from ..http.bodybudget import MAX_BODY_BYTES, BodyBudget, BodyReservation
 from ..http.http1 import HeaderList, is_success
-from ..http.sse import EventSplitter, StreamEvent
+from ..http.sse import MAX_EVENT_BYTES, EventSplitter, StreamEvent
 from ..metrics import ServingMetrics
 from ..reporting import Reporter
 from ..slots.eligibility import Eligibility, Ineligible, Needs
@@ -40,8 +40,6 @@
 
 T = TypeVar("T")
 
-MAX_EVENT_BYTES = 1024 * 1024
-
 
 def fingerprint_of(target: str, team: TeamId | None, body: bytes) -> str:
     """Return a hash that is the same when a caller sends a request again."""
@@ -368,15 +366,14 @@
     Raises AttemptFailedError when it is too large for its reservation: an endpoint in
     trouble may send bytes without end.
     """
-    parts: list[bytes] = []
-    size = 0
+    # Small parts that are kept one by one take many times their size.
+    body = bytearray()
     async for part in response.body():
-        size += len(part)
-        if size > MAX_BODY_BYTES:
+        if len(body) + len(part) > MAX_BODY_BYTES:
             raise AttemptFailedError(f"body of more than {MAX_BODY_BYTES} bytes")
         reservation.grow(len(part))
-        parts.append(part)
-    return b"".join(parts)
+        body += part
+    return bytes(body)
 
 
 async def read_events(
