Check the range of other writers' numbers where they are read

Cause: the age of a start is computed from `born` when an entry is applied, outside the guarded decoding; OverflowError ended the task that follows the list, which starts again 0.5 s later at the same record and falls behind. Ruled out: the decoding itself, and the store's answers, which hold the records.

Change: ranges in the types of records (`WallMs`, those of `wire`), which the decoders check; `View` skips a record whatever error it causes. The same on related paths: numbers of configurations, of stored jobs, of crash reports, of notes on versions, of callers' event ids and tokens; `config check` names numbers out of range.

--- a/apricotquay/clocks.py
+++ b/apricotquay/clocks.py
@@ -4,7 +4,15 @@
 """
 
 import time
-from typing import Protocol
+from typing import Annotated, Protocol
+
+import msgspec
+
+# Unix times in milliseconds have no more digits for the next 280,000 years.
+MAX_WALL_MS = 10**16
+
+# A Unix time in milliseconds that another writer states; msgspec checks its range.
+WallMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_MS)]
 
 
 class Clock(Protocol):
--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -5,6 +5,7 @@
 import binascii
 import contextlib
 import urllib.parse
+from typing import Annotated
 
 import msgspec
 
@@ -24,6 +25,7 @@
 )
 from ..serving.http.httpserver import CallerDisconnectedError, Exchange
 from ..serving.http.keysearch import contains_key, holds_key
+from ..serving.http.sse import EVENT_ID
 from ..serving.messages import JobPage
 from ..serving.metrics import ServingMetrics
 from ..serving.online.handler import OnlineRequestHandler
@@ -69,7 +71,7 @@
     id: str
     path: str
     body: str = ""
-    tokens: int = 0
+    tokens: Annotated[int, msgspec.Meta(ge=0, le=wire.MAX_TOKENS)] = 0
     headers: dict[str, str] = {}
 
 
@@ -373,6 +375,13 @@
         return 0
 
 
+def _parse_event_id(text: str | None) -> int | None:
+    """Return the id of an event, None if the text is none."""
+    if text is None or not EVENT_ID.fullmatch(text.encode()):
+        return None
+    return int(text)
+
+
 def _build_online_request(
     request: HttpRequest, host: str, path: str, key: str | None, arrived_s: float
 ) -> OnlineRequest:
@@ -389,7 +398,7 @@
         key,
         _caller_timeout_ms(request),
         arrived_s,
-        int(resume) if resume is not None and resume.isdigit() else None,
+        _parse_event_id(resume),
         parts[-2] if len(parts) > 1 else "",
         wire.decode_prompt_parts(request.headers),
         request.header(wire.RESUMES) or "",
--- a/apricotquay/platform/configfields.py
+++ b/apricotquay/platform/configfields.py
@@ -9,7 +9,7 @@
 import types
 import typing
 from collections.abc import Iterator
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -90,7 +90,7 @@
     elif typing.get_origin(expected) is dict:
         yield from _find_limit_faults(value, path)
     elif not _converts(value, expected):
-        yield _wrong_type(path, expected)
+        yield _value_fault(value, path, expected)
 
 
 def convert_valid(value: Any, expected: type, path: DocumentPath) -> Any:
@@ -103,7 +103,7 @@
 
 def _without_none(expected: Any, value: Any) -> Any:
     """Return the type that a value must have, None if null is allowed and given."""
-    if not isinstance(expected, types.UnionType):
+    if typing.get_origin(expected) not in (types.UnionType, typing.Union):
         return expected
     if value is None:
         return None
@@ -142,6 +142,24 @@
             yield _unknown_field((*path, name), list(Limits.__struct_fields__))
         elif isinstance(limit, bool) or not isinstance(limit, int | float):
             yield _wrong_type((*path, name), float)
+        elif not 0 <= limit <= wire.MAX_CONFIGURED:
+            yield _out_of_range((*path, name))
+
+
+def _value_fault(value: Any, path: DocumentPath, expected: Any) -> Finding:
+    """Return what is wrong with a value that does not convert: its type or range."""
+    if typing.get_origin(expected) is not Annotated:
+        return _wrong_type(path, expected)
+    base = typing.get_args(expected)[0]
+    # Some integers are too large for a float.
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if _converts(value, base) or (is_number and base is float):
+        return _out_of_range(path)
+    return _wrong_type(path, base)
+
+
+def _out_of_range(path: DocumentPath) -> Finding:
+    return Finding(Code.OUT_OF_RANGE, path, "is out of range")
 
 
 def _wrong_type(path: DocumentPath, expected: type) -> Finding:
--- a/apricotquay/platform/configfindings.py
+++ b/apricotquay/platform/configfindings.py
@@ -25,6 +25,7 @@
     NOT_JSON = "not_json"
     DUPLICATE_FIELD = "duplicate_field"
     WRONG_TYPE = "wrong_type"
+    OUT_OF_RANGE = "out_of_range"
     MISSING_FIELD = "missing_field"
     UNKNOWN_FIELD = "unknown_field"
     REJECTED = "rejected"
--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -8,10 +8,11 @@
 import json
 import math
 import re
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
+from ..clocks import WallMs
 from ..ids import EndpointId, RouteName, TeamId
 from ..serving.catalog import (
     Configuration,
@@ -95,13 +96,22 @@
 LOAD_COUNTS = 3
 # Beyond 1,000 times the usual time a value says nothing of an endpoint that answers.
 MAX_TIME_PERCENT = 100_000
+# No configured time, count, rate or weight comes near it, and all arithmetic with it
+# stays in range.
+MAX_CONFIGURED = 1_000_000_000_000
+MAX_VERSION = 2**53
 MAX_SHOWN_LENGTH = 40
 EMPTY_VALUE = "(empty)"
 
 
+# Numbers that another writer may state; msgspec refuses others.
+_Number = Annotated[float, msgspec.Meta(ge=-MAX_CONFIGURED, le=MAX_CONFIGURED)]
+_Count = Annotated[int, msgspec.Meta(ge=-MAX_CONFIGURED, le=MAX_CONFIGURED)]
+
+
 class _WeightedService(msgspec.Struct):
     service: str
-    weight: float
+    weight: _Number
 
 
 class _Route(msgspec.Struct):
@@ -111,25 +121,25 @@
     kind: str
     service: str | None = None
     weighted_services: list[_WeightedService] = []
-    timeout_ms: float = 60_000
-    target_latency_ms: float = 1_000
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_ms: _Number = 60_000
+    target_latency_ms: _Number = 1_000
+    priority: _Count = 0
+    max_attempts: _Count = 1
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 1_000
+    gap_aim_ms: _Number = 1_000
     # Measured from the first submission of a batch job.
-    result_deadline_ms: float = 60_000
-    retention_s: float = 600.0
+    result_deadline_ms: _Number = 60_000
+    retention_s: _Number = 600.0
     # Maximum tokens that a team may have queued on a batch route.
-    cap: int = 0
+    cap: _Count = 0
     # Of another type they make the record unreadable: without them bodies would reach
     # regions that they must not.
     allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 0
+    slots: Annotated[int, msgspec.Meta(le=MAX_SLOTS)] = 0
     cold_start_s: Any = None
     cold_per_s: Any = None
     # Any value, so that an invalid one does not make the configuration unreadable.
@@ -146,14 +156,14 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    rate_per_s: float = 0.0
-    burst: float = 0.0
-    priority: int | None = None
+    rate_per_s: _Number = 0.0
+    burst: _Number = 0.0
+    priority: _Count | None = None
     allowed_regions: list[str] | None = None
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Annotated[int, msgspec.Meta(le=MAX_VERSION)]
     routes: list[_Route]
     services: list[_Service] = []
     limits: dict[str, Any] = {}
@@ -166,7 +176,7 @@
     state: str
     zone: str = ""
     slots: int = 0
-    born: int = 0
+    born: WallMs = 0
     version: str = ""
     cold_left_ms: Any = None
 
@@ -407,6 +417,7 @@
     known = {
         name: int(value)
         for name, value in raw.items()
-        if name in Limits.__struct_fields__ and isinstance(value, int | float)
+        if name in Limits.__struct_fields__
+        and _number_within(value, MAX_CONFIGURED) is not None
     }
     return Limits(**known)
--- a/apricotquay/serving/batch/jobrecords.py
+++ b/apricotquay/serving/batch/jobrecords.py
@@ -20,6 +20,7 @@
 import cbor2
 import msgspec
 
+from ...clocks import WallMs
 from ...ids import JobId, TeamId
 from ..fleet.keyedlog import KeyedRecord
 
@@ -49,9 +50,9 @@
     team: TeamId
     host: str
     path: str
-    submitted_ms: int
-    due_ms: int
-    give_up_ms: int
+    submitted_ms: WallMs
+    due_ms: WallMs
+    give_up_ms: WallMs
     item_tokens: list[int]
     part_count: int
 
--- a/apricotquay/serving/crashes/crashlog.py
+++ b/apricotquay/serving/crashes/crashlog.py
@@ -16,7 +16,7 @@
 import cbor2
 import msgspec
 
-from ...clocks import Clock
+from ...clocks import MAX_WALL_MS, Clock
 from ...events import Event
 from ...ids import EndpointId
 from ...quarantine import SUSPECT_RETENTION_S
@@ -40,8 +40,6 @@
 # A peer may have received a report somewhat before it was appended.
 PEER_MARGIN_S = 3.0
 ALL_RECORDS = -1
-# Unix times in milliseconds have no more digits for the next 280,000 years.
-MAX_TIME_MS = 10**16
 MAX_REASON_CHARS = 200
 
 
@@ -125,7 +123,9 @@
         times_ms.append(record.until_ms)
     if isinstance(record, PartsCompletion):
         times_ms += record.completed_ms.values()
-    if any(not 0 <= time_ms <= MAX_TIME_MS for time_ms in times_ms):
+    if isinstance(record, CrashReport):
+        times_ms.append(record.started_ms)
+    if any(not 0 <= time_ms <= MAX_WALL_MS for time_ms in times_ms):
         raise ValueError("malformed crash record: a time is out of range")
 
 
--- a/apricotquay/serving/fleet/view.py
+++ b/apricotquay/serving/fleet/view.py
@@ -178,17 +178,24 @@
             try:
                 changed |= apply(record)
             except RecordUnreadableError as exc:
-                self._reporter.write_limited(
-                    Event.RECORD_SKIPPED,
-                    topic=topic,
-                    offset=record.offset,
-                    reason=str(exc)[:MAX_REASON_CHARS],
-                )
+                self._report_skipped(topic, record, str(exc))
+            except Exception as exc:
+                # An error here would end the follower, which would start again at
+                # this record and fall behind what is written.
+                self._report_skipped(topic, record, repr(exc))
         if self.endpoints.has_pending_removals:
             self._has_removals.set()
         if changed:
             self.on_change()
 
+    def _report_skipped(self, topic: Topic, record: KeyedRecord, reason: str) -> None:
+        self._reporter.write_limited(
+            Event.RECORD_SKIPPED,
+            topic=topic,
+            offset=record.offset,
+            reason=reason[:MAX_REASON_CHARS],
+        )
+
     def _end_missing_evacuations(self, page: Page) -> None:
         present = (record.key for record in page.records)
         changes = self.evacuations.end_missing(present, page.end)
--- a/apricotquay/serving/streams/streamlog.py
+++ b/apricotquay/serving/streams/streamlog.py
@@ -11,7 +11,7 @@
 import cbor2
 import msgspec
 
-from ...clocks import Clock
+from ...clocks import Clock, WallMs
 from ..catalog import ServiceName
 from ..fleet.keyedlog import KeyedLog, KeyedRecord, LogError, LogExpiredError, Topic
 from ..reporting import Reporter
@@ -35,7 +35,7 @@
     service: ServiceName
     versions: list[str]
     is_complete: bool
-    at_ms: int
+    at_ms: WallMs
     lifetime_s: float = MIN_LIFETIME_S
 
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -7,26 +7,38 @@
 from parameterized import parameterized
 
 from apricotquay.clocks import SystemClock
+from apricotquay.errors import RequestError
 from apricotquay.events import Event
+from apricotquay.ids import TeamId
+from apricotquay.platform.callers import _build_online_request, _build_submission
 from apricotquay.platform.store import decode_newest_items
 from apricotquay.platform.wire import PlatformDirectory
 from apricotquay.serving.batch.jobtable import JobTable
+from apricotquay.serving.catalog import Limits
 from apricotquay.serving.crashes.crashlog import CompletionReport, CrashLog
 from apricotquay.serving.fleet.keyedlog import KeyedRecord, Topic
 from apricotquay.serving.fleet.shards import Shards
 from apricotquay.serving.fleet.view import View
+from apricotquay.serving.http.http1 import HttpRequest
 from apricotquay.serving.http.sse import parse_event
 from apricotquay.serving.reporting import Reporter
-from apricotquay.serving.streams.streamlog import PARTITION, STREAMS, StreamLog
+from apricotquay.serving.streams.streamlog import (
+    PARTITION,
+    STREAMS,
+    StreamLog,
+    decode_stream_record,
+)
 from standins.keyedlog import MemoryLog
 
 from .base import ApricotTest
 from .test_platform_callers import RecordingLines
-from .test_platform_wire import SERVER, config
+from .test_platform_wire import ROUTE, SERVER, config
 from .test_serving_jobs import quiet_reporter
 
 DEPTH = 100_000
 DIGITS = "9" * 5_000
+# A number that JSON and CBOR carry, and that no float holds.
+LARGE = 10**400
 SERVERS = Topic("keyed.servers")
 OPERATOR = Topic("keyed.op")
 # Less than the delay after which a failed background task starts again.
@@ -70,6 +82,9 @@
     ("slots below 0", server_with(slots=-8)),
     ("far too many slots", server_with(slots=10**9)),
     ("start out of range", server_with_raw("born", DIGITS.encode())),
+    ("a start that no float holds", server_with(born=LARGE)),
+    ("a start that no clock shows", server_with(born=10**17)),
+    ("a start below 0", server_with(born=-1)),
     ("a fraction as start", server_with(born=0.5)),
     ("no text", b"\xff\xfe"),
     ("an unpaired surrogate", server_with_raw("version", b'"\\ud800"')),
@@ -77,6 +92,50 @@
 ]
 
 
+def with_route(**changes) -> bytes:
+    """Return a configuration with changed fields of its route."""
+    return config(routes=[ROUTE | changes]).value
+
+
+def with_service(**changes) -> bytes:
+    """Return a configuration with further fields of its service."""
+    return config(services=[{"name": "llm"} | changes]).value
+
+
+def with_team(**changes) -> bytes:
+    """Return a configuration with further fields of its team."""
+    return config(tenants=[{"name": "t", "api_keys": ["k"]} | changes]).value
+
+
+ODD_CONFIGURATIONS = [
+    ("deeply nested", deep_json()),
+    ("timeout out of range", config(routes=[{"timeout_ms": 1}]).value),
+    (
+        "infinite timeout",
+        config().value.replace(b'"kind"', b'"timeout_ms": 1e999, "kind"'),
+    ),
+    ("version out of range", config().value.replace(b"7", DIGITS.encode(), 1)),
+    ("version that no float holds", config(version=LARGE).value),
+    *(
+        (f"{name} that no float holds", with_route(**{name: LARGE}))
+        for name in (
+            "timeout_ms",
+            "target_latency_ms",
+            "priority",
+            "max_attempts",
+            "gap_aim_ms",
+            "result_deadline_ms",
+            "retention_s",
+            "cap",
+        )
+    ),
+    ("infinite retention", with_route(retention_s=1e308)),
+    ("slots that no float holds", with_service(engine={"slots": LARGE})),
+    ("priority of a team", with_team(priority=LARGE)),
+    ("rate of a team", with_team(rate_per_s=1e308)),
+]
+
+
 class OddServerTest(ApricotTest):
     """Entries in the list of servers."""
 
@@ -146,17 +205,7 @@
 
         self.run_with_view(scenario)
 
-    @parameterized.expand(
-        [
-            ("deeply nested", deep_json()),
-            ("timeout out of range", config(routes=[{"timeout_ms": 1}]).value),
-            (
-                "infinite timeout",
-                config().value.replace(b'"kind"', b'"timeout_ms": 1e999, "kind"'),
-            ),
-            ("version out of range", config().value.replace(b"7", DIGITS.encode(), 1)),
-        ]
-    )
+    @parameterized.expand(ODD_CONFIGURATIONS)
     def test_odd_configuration_hides_no_other(self, _name, value):
         """The one in force stays until a sound one comes."""
 
@@ -167,6 +216,43 @@
             async with asyncio.timeout(APPLIED_AT_ONCE_S):
                 while view.configuration is None:
                     await asyncio.sleep(0.005)
+            self.assertEqual(7, view.configuration.version)
+
+        self.run_with_view(scenario)
+
+    @parameterized.expand(ODD_CONFIGURATIONS)
+    def test_odd_configuration_does_not_come_into_force(self, _name, value):
+        """Requests would fail by its numbers, whichever uses them first."""
+
+        async def scenario(_log, view):
+            view.apply_records([KeyedRecord(b"config", value, 1)], [])
+            self.assertIsNone(view.configuration)
+
+        self.run_with_view(scenario)
+
+    @parameterized.expand([(LARGE,), (-1,), (1e308,), (True,)])
+    def test_odd_limit_of_a_configuration_is_left_out(self, value):
+        """Connections are served by the default."""
+        limits = {"idle_timeout_ms": value, "max_body_bytes": 9}
+        decoded = PlatformDirectory().decode_configuration(config(limits=limits))
+        self.assertEqual(Limits().idle_timeout_ms, decoded.limits.idle_timeout_ms)
+        self.assertEqual(9, decoded.limits.max_body_bytes)
+
+    # Guards against a follower that ends, and starts again, at each odd record.
+    def test_error_while_an_entry_is_applied_hides_no_other(self):
+        async def scenario(log, view):
+            def fail(entry) -> None:
+                if entry.id == "odd":
+                    raise OverflowError("int too large to convert to float")
+
+            view.on_listed = fail
+            for number in range(6):
+                await self.append(log, b"odd", server_with(seq=number))
+            await self.append(log, b"sound", server_with())
+            view.start()
+            async with asyncio.timeout(APPLIED_AT_ONCE_S):
+                while view.endpoints.get("sound") is None:
+                    await asyncio.sleep(0.005)
 
         self.run_with_view(scenario)
 
@@ -195,6 +281,18 @@
             }
         ),
     ),
+    (
+        "a report of a start that no text holds",
+        cbor2.dumps(
+            {
+                "type": "crash",
+                "endpoint": "e",
+                "started_ms": 10**5_000,
+                "fingerprints": ["f"],
+                "at_ms": 1,
+            }
+        ),
+    ),
     ("a shared reference to itself", b"\xd8\x1c\x81\xd8\x1d\x00"),
 ]
 
@@ -252,6 +350,32 @@
         table.apply(KeyedRecord(key, value, 1))
         self.assertEqual({}, table.jobs)
 
+    @parameterized.expand([("submitted_ms",), ("due_ms",), ("give_up_ms",)])
+    def test_job_with_a_time_that_no_clock_shows_is_skipped(self, name):
+        """Items are run by the time at which they are due."""
+        header = {
+            "id": "j",
+            "team": "t",
+            "host": "a.example",
+            "path": "/b",
+            "submitted_ms": 1,
+            "due_ms": 2,
+            "give_up_ms": 3,
+            "item_tokens": [],
+            "part_count": 1,
+        }
+        table = JobTable()
+        for key, job in ((b"odd", header | {name: LARGE}), (b"sound", header)):
+            table.apply(KeyedRecord(b"p/" + key + b"/0", cbor2.dumps([]), 1))
+            table.apply(KeyedRecord(b"j/" + key, cbor2.dumps(job), 2))
+        self.assertEqual(["sound"], list(table.jobs))
+
+    def test_note_with_a_time_that_no_clock_shows_is_left_out(self):
+        """It would count as that of a complete list for ever."""
+        note = ["llm", ["v1"], True, LARGE, 15.0]
+        record = KeyedRecord(b"s", cbor2.dumps([[], [note]]))
+        self.assertEqual([], decode_stream_record(record).notes)
+
     @parameterized.expand([("a digit", "²"), ("many digits", DIGITS)])
     def test_odd_shard_number_of_a_peer_is_skipped(self, _name, number):
         """The owners beside it are taken over."""
@@ -278,3 +402,32 @@
         raw.append(b'{"key": "e", "value": "eg==", "offset": 5}')
         records = list(decode_newest_items(raw))
         self.assertEqual([b"a", b"e"], [record.key for record in records])
+
+
+class OddCallerTest(ApricotTest):
+    """Numbers in the requests of callers."""
+
+    @parameterized.expand([("²", None), (DIGITS, None), ("-1", None), ("7", 7)])
+    def test_odd_last_event_id_is_none(self, text, expected):
+        """The stream begins anew, and the connection goes on."""
+        headers = [(b"last-event-id", text.encode("latin-1"))]
+        request = HttpRequest("POST", "/x/", headers, b"")
+        built = _build_online_request(request, "a.example", "/x/", None, 0.0)
+        self.assertEqual(expected, built.resume_after)
+
+    @parameterized.expand([(LARGE,), (-1,)])
+    def test_job_with_odd_tokens_is_refused(self, tokens):
+        """They would be added to what the team has waiting."""
+        job = {"items": [{"id": "i", "path": "/b/1", "tokens": tokens}]}
+        body = json.dumps(job).encode()
+        request = HttpRequest("POST", "/b/1", [(b"attempt-id", b"j")], body)
+        self.assertRaises(
+            RequestError,
+            _build_submission,
+            request,
+            TeamId("t"),
+            "a.example",
+            "/b/1",
+            None,
+            1,
+        )
--- a/tests/test_platform_configcheck.py
+++ b/tests/test_platform_configcheck.py
@@ -77,6 +77,10 @@
     ("text", "5000", '"5 s"', "wrong_type", "routes[0].timeout_ms"),
     ("true", '"max_attempts": 3', '"max_attempts": true', "wrong_type", None),
     ("null", '"priority": 1', '"priority": null', "wrong_type", "routes[0].priority"),
+    ("range", "5000", "1e300", "out_of_range", "routes[0].timeout_ms"),
+    ("digits", "5000", "9" * 401, "out_of_range", "routes[0].timeout_ms"),
+    ("large", '"priority": 1', f'"priority": {10**20}', "out_of_range", None),
+    ("large_limit", "4194304", "1e300", "out_of_range", "limits.max_body_bytes"),
     ("regions", '["east"]', '"east"', "wrong_type", "tenants[0].allowed_regions"),
     ("limit", "4194304", '"4 MB"', "wrong_type", "limits.max_body_bytes"),
     (
