Take the end of a connection for that of an answer once the request is written

Cause: such an answer ends with its connection, and the end of the endpoint's sending side came before the reset.

Change: the end counts once the request is written whole. Answers with a length or in chunks may still come before that.

--- a/apricotquay/platform/engines.py
+++ b/apricotquay/platform/engines.py
@@ -17,6 +17,7 @@
     RequestNotRunError,
 )
 from ..serving.http.http1 import (
+    FRAMING_HEADERS,
     HeaderList,
     HttpError,
     HttpRequest,
@@ -37,9 +38,6 @@
 BODILESS_STATUSES = (204, 304)
 # Response headers that are not forwarded to callers.
 INTERNAL_HEADERS = frozenset((b"content-length", wire.SERVER_LOAD, wire.NOT_RUN))
-# A response with neither of them ends with its connection.
-FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
-
 
 # Opens a connection to a host and port within a time in seconds.
 Connect = Callable[[str, int, float], Awaitable[ClientConnection]]
--- a/apricotquay/serving/http/http1.py
+++ b/apricotquay/serving/http/http1.py
@@ -24,6 +24,10 @@
 )
 
 
+# A response with neither of them ends with its connection.
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+
+
 class HttpError(Exception):
     """A connection failed.
 
--- a/apricotquay/serving/http/httpclient.py
+++ b/apricotquay/serving/http/httpclient.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from .http1 import HttpError, HttpRequest, HttpResponse
+from .http1 import FRAMING_HEADERS, HttpError, HttpRequest, HttpResponse
 from .turns import TurnKeeper
 
 MAX_INTERIM_RESPONSES = 8
@@ -33,6 +33,10 @@
             h11.CLIENT, max_incomplete_event_size=max_header_bytes
         )
         self._turns = TurnKeeper()
+        # `drain` then waits until the request is written whole.
+        writer.transport.set_write_buffer_limits(high=0)
+        # Whether the end of the response is that of the connection.
+        self._ends_with_connection: bool = False
 
     @property
     def is_reusable(self) -> bool:
@@ -79,6 +83,8 @@
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                names = {name for name, _ in event.headers}
+                self._ends_with_connection = not names & FRAMING_HEADERS
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise HttpError("connection closed before a response")
@@ -100,6 +106,8 @@
                 await self._receive()
             else:
                 is_complete = True
+        if self._ends_with_connection:
+            await self._check_written()
         if self._protocol.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
             if not self._protocol.trailing_data[0]:
                 self._protocol.start_next_cycle()
@@ -116,6 +124,17 @@
         """Abort the connection, upon which the server cancels the request."""
         self._writer.transport.abort()
 
+    async def _check_written(self) -> None:
+        """Raise unless the request is written whole.
+
+        A response that ends with its connection may be a part of one: if the server
+        broke off, what is still written is answered by a reset.
+        """
+        try:
+            await self._writer.drain()
+        except OSError as exc:
+            raise HttpError(f"connection broke: {exc}") from exc
+
     async def _parse_body(self) -> tuple[bytes, h11.Event | HttpError]:
         """Return what has been received of the body, and what follows it: NEED_DATA,
         the end of the body, or why there is none.
--- a/tests/test_serving_smallparts.py
+++ b/tests/test_serving_smallparts.py
@@ -49,6 +49,9 @@
     def abort(self) -> None:
         """Ignore the end of the connection."""
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Ignore the limit: nothing is buffered."""
+
 
 class FakeWriter:
     """A writer without a socket."""
@@ -58,6 +61,9 @@
     def write(self, data: bytes) -> None:
         """Ignore the request."""
 
+    async def drain(self) -> None:
+        """Everything is written."""
+
     def is_closing(self) -> bool:
         """Stay open."""
         return False
