Log batch items that make no progress, and what they wait for

Cause: an item that is left waiting (reported as LOST on the album site) shows nothing in the logs until an attempt ends, so that waits for a slot, for an endpoint, for a retry and for the log can't be told apart.

Change: event 1712, at most once a second a daemon, names the item that has waited longest, 4 s or more. The stand-in that leaves a request's body unread shares the server of the faulty answers.

test_item_that_makes_no_progress_is_logged fails without the event.

--- a/apricotquay/events.py
+++ b/apricotquay/events.py
@@ -93,6 +93,7 @@
     ITEM_COMPLETED = (1709, "batch item listed")
     JOB_REFUSED = (1710, "job refused")
     JOB_EXPIRED = (1711, "job forgotten after its time")
+    ITEM_STALLED = (1712, "batch item makes no progress")
     ORDER_SENT = (1801, "model order sent")
     ORDER_REFUSED = (1802, "model order refused by endpoint")
 
--- a/apricotquay/serving/batch/itemattempts.py
+++ b/apricotquay/serving/batch/itemattempts.py
@@ -36,7 +36,7 @@
 from .itemschedule import postponement_s
 from .jobtable import Job
 from .routecache import RouteCache
-from .runningitems import RunningItem
+from .runningitems import ItemWait, RunningItem
 
 ITEM_TIMEOUT_MS = 60_000
 MAX_SLOT_WAIT_S = 3_600.0
@@ -115,11 +115,13 @@
             tokens=self._sizes.needed_tokens(route_name, usage),
         )
         requested_s = self._clock.now_s()
+        running.begin_wait(ItemWait.SLOT, requested_s)
         try:
             lease = await self._slots.acquire(service, slot_request)
         except SlotUnavailableError as exc:
             return AttemptResult(Outcome.RETRY, str(exc))
         started_s = self._clock.now_s()
+        running.begin_wait(ItemWait.OUTPUT, started_s, lease.endpoint)
         first_id = progress.last_id
         current = asyncio.current_task()
         revoked = False
@@ -129,7 +131,7 @@
             revoked = True
             attempt.cancel()
 
-        attempt = asyncio.ensure_future(self._send(job, index, progress, lease))
+        attempt = asyncio.ensure_future(self._send(running, lease))
         lease.on_revoke = revoke
         try:
             result = await attempt
@@ -204,11 +206,10 @@
 
     async def _send(
         self,
-        job: Job,
-        index: int,
-        progress: ItemProgress,
+        running: RunningItem,
         lease: SlotLease,
     ) -> AttemptResult:
+        job, index, progress = running.job, running.index, running.progress
         item = job.items[index]
         needs = before_send(progress.version, lease.ticket.regions)
         endpoint = self._attempts.check_eligible(item.id, lease.endpoint, needs)
@@ -230,6 +231,12 @@
         )
         last_id = progress.last_id
         timeout_s = progress.event_timeout_s()
+
+        def record_events(count: int) -> None:
+            now_s = self._clock.now_s()
+            lease.use.record_events(count, now_s)
+            running.begin_wait(ItemWait.OUTPUT, now_s, lease.endpoint)
+
         try:
             return await self._attempts.run(
                 call,
@@ -240,7 +247,7 @@
                     progress,
                     endpoint.version,
                     timeout_s,
-                    lambda count: lease.use.record_events(count, self._clock.now_s()),
+                    record_events,
                 ),
                 # An accepted item is owed, whatever ended while it ran.
                 may_crash_endpoints=False,
--- a/apricotquay/serving/batch/runner.py
+++ b/apricotquay/serving/batch/runner.py
@@ -33,12 +33,14 @@
 from .jobtable import Job
 from .partition import Partition, PendingResult
 from .routecache import RouteCache
-from .runningitems import ItemState, RunningItem
+from .runningitems import ItemState, ItemWait, RunningItem, find_stalled
 
 SCHEDULE_INTERVAL_S = 0.5
 HANDOVER_DELAY_S = 0.6
 PROGRESS_INTERVAL_S = 1.0
 EXPIRY_INTERVAL_S = 10.0
+# An item that has made no progress for this long is logged.
+MIN_STALL_S = 4.0
 # The items of a missing route fail only if the configuration is newer than this.
 MAX_VIEW_AGE_S = 2.5
 
@@ -133,6 +135,26 @@
         waiting = list(self._find_waiting(wanted))
         for item in choose_items(waiting, self._count_started()):
             self._start_item(item, *wanted[item.key])
+        self._report_stalled(unstarted=len(wanted) - len(self._items))
+
+    def _report_stalled(self, unstarted: int) -> None:
+        """Log the item that has waited longest, if that is long."""
+        now_s = self._clock.now_s()
+        stalled = find_stalled(self._items.values(), now_s, MIN_STALL_S)
+        if not stalled:
+            return
+        item = stalled[0]
+        self._reporter.write_limited(
+            Event.ITEM_STALLED,
+            lines_per_s=1,
+            job=item.job.header.id,
+            item=item.job.items[item.index].id,
+            waits_for=item.wait.value,
+            endpoint=item.endpoint,
+            for_ms=int((now_s - item.waits_since_s) * 1000),
+            items=len(stalled),
+            unstarted=unstarted,
+        )
 
     def _count_started(self) -> collections.Counter[ServiceName]:
         """Return how many items of each service request a slot or run."""
@@ -198,6 +220,7 @@
             self._items[waiting.key] = item
         item.service = waiting.service
         item.state = ItemState.STARTED
+        item.begin_wait(ItemWait.SLOT, self._clock.now_s())
         item.task = start_task("item", partial(self._run, item), self._reporter)
 
     def _stop_item(self, item_key: ItemKey) -> None:
@@ -286,6 +309,7 @@
         """Let an item wait for its next attempt; others of its service may start."""
         item.state = ItemState.WAITING
         item.retry_at_s = self._clock.now_s() + delay_s
+        item.begin_wait(ItemWait.RETRY, self._clock.now_s())
         self.wake()
         asyncio.get_running_loop().call_later(delay_s, self.wake)
 
@@ -296,6 +320,7 @@
 
     def _finish_item(self, item: RunningItem, *, is_done: bool) -> None:
         item.state = ItemState.ENDED
+        item.begin_wait(ItemWait.RESULT, self._clock.now_s())
         job, progress = item.job, item.progress
         text = "\n".join(progress.data) if is_done else ""
         item.partition.enqueue_result(PendingResult(job, item.index, is_done, text))
--- a/tests/test_platform_batchbounds.py
+++ b/tests/test_platform_batchbounds.py
@@ -5,17 +5,26 @@
 
 from parameterized import parameterized
 
-from apricotquay.serving.batch import itemprogress as itemprogress_module, itemschedule
+from apricotquay.clocks import SystemClock
+from apricotquay.events import Event
+from apricotquay.serving.batch import (
+    itemprogress as itemprogress_module,
+    itemschedule,
+    runner as runner_module,
+)
 from apricotquay.serving.batch.itemprogress import AttemptResult, ItemProgress, Outcome
 from apricotquay.serving.batch.itemschedule import (
     MAX_ITEMS_PER_SERVICE,
     WaitingItem,
     choose_items,
 )
+from apricotquay.serving.batch.runningitems import ItemWait
 from apricotquay.serving.catalog import ServiceName
+from apricotquay.serving.reporting import Reporter
 from standins.platform import ModelServer, make_configuration, write_configuration
 
 from .base import ApricotTest
+from .test_platform_callers import RecordingLines
 from .test_platform_fleet import HOST, PlatformFleet, PlatformTest
 
 # More than a daemon starts of one service at a time.
@@ -138,6 +147,38 @@
         self.run_scenario(scenario, step_s=0.6)
 
 
+class StalledItemTest(PlatformTest):
+    """Items that make no progress are logged with what they wait for."""
+
+    @parameterized.expand(
+        [
+            ("held by its server", {"is_holding": True}, ItemWait.OUTPUT),
+            ("refused", {"refuses_all": True}, ItemWait.RETRY),
+        ]
+    )
+    def test_item_that_makes_no_progress_is_logged(self, _name, behaviour, expected):
+        """Without the line, an item that is left waiting shows nothing at all."""
+        lines = RecordingLines()
+        self.patch(runner_module, "MIN_STALL_S", 0.0)
+
+        async def scenario(fleet):
+            for daemon in fleet.daemons:
+                daemon.runner._reporter = Reporter("vm", SystemClock(), lines)
+            jobs = BatchFleet(fleet)
+            await jobs.configure(["lost"])
+            await jobs.add_servers("lost", **behaviour)
+            self.assertEqual(202, await jobs.submit("lost", "j", "events=2", 3, "k1"))
+            await fleet.wait_until(lambda: expected.value in stalls(lines))
+
+        self.run_scenario(scenario)
+
+
+def stalls(lines: RecordingLines) -> set[str]:
+    """Return what the items that were logged waited for."""
+    number = Event.ITEM_STALLED.number
+    return {line["waits_for"] for line in lines.lines if line["number"] == number}
+
+
 def waiting(service: str, number: int, due_s: float, fruitless: int = 0) -> WaitingItem:
     """Return an item that could start."""
     return WaitingItem((service, number), ServiceName(service), due_s, fruitless)
--- a/tests/test_platform_brokenanswers.py
+++ b/tests/test_platform_brokenanswers.py
@@ -3,7 +3,6 @@
 """
 
 import asyncio
-import contextlib
 import itertools
 import socket
 import struct
@@ -42,15 +41,8 @@
                 socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
             )
 
-    async def _serve(self, reader, writer) -> None:
-        self._tasks.add(asyncio.current_task())
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-            lines = [line.partition(": ") for line in head.split("\r\n")[1:] if line]
-            headers = {name.lower(): value for name, _, value in lines}
-            self.requests.append(headers)
-            await self._answer(self, headers, writer)
-        writer.close()
+    async def read_body(self, reader, size: int) -> None:
+        """Leave the body unread."""
 
 
 def reset(writer) -> None:
--- a/tests/test_platform_faultyanswers.py
+++ b/tests/test_platform_faultyanswers.py
@@ -80,13 +80,17 @@
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
             lines = [line.partition(": ") for line in head.split("\r\n")[1:] if line]
             headers = {name.lower(): value for name, _, value in lines}
-            await reader.readexactly(int(headers.get("content-length", 0)))
+            await self.read_body(reader, int(headers.get("content-length", 0)))
             if headers.get("expect-instance") != self.name:
                 return
             self.requests.append(headers)
             await self._answer(self, headers, writer)
         writer.close()
 
+    async def read_body(self, reader, size: int) -> None:
+        """Read the body of a request."""
+        await reader.readexactly(size)
+
     async def send(self, writer, data: bytes) -> None:
         """Send bytes and count them."""
         writer.write(data)
