Let answers of the store take as long as parts of them arrive

Cause: a call to the store had a time for the whole answer, 1 s for the first page of a partition; VMs with links of 22 Mbit/s (45 of 45 failed loads) gave the page up and read it again from its start, the owner among them.

Change: each part of an answer extends its time by 1 s; one that stops, or is larger than 8 MB, is given up as before.

--- a/apricotquay/platform/store.py
+++ b/apricotquay/platform/store.py
@@ -6,6 +6,7 @@
 import struct
 import urllib.parse
 from collections.abc import Iterable, Iterator
+from functools import partial
 
 import msgspec
 
@@ -28,6 +29,10 @@
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
+# Each part of an answer extends its time: over a slow link, or beside other answers, a
+# whole page takes longer than a call may, and reading it again would take as long.
+PART_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # Shorter than the time after which the store considers a member gone, so that one
 # lost response does not end the membership.
 JOIN_TIMEOUT_S = 0.4
@@ -288,9 +293,9 @@
         request = HttpRequest(method, target, headers, body)
         connection = await self._acquire_connection()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
                 connection.send(request)
-                response = await connection.read_response()
+                response = await connection.read_response(partial(_extend, timeout))
         except TimeoutError as exc:
             connection.close()
             raise LogOutcomeUnknownError(f"{path}: no answer in time") from exc
@@ -321,6 +326,14 @@
             connection.close()
 
 
+def _extend(timeout: asyncio.Timeout, body_bytes: int) -> None:
+    """Extend the time of an answer of which a part has arrived."""
+    if body_bytes > MAX_ANSWER_BYTES:
+        raise HttpError(f"answer of more than {MAX_ANSWER_BYTES} bytes")
+    due_s = asyncio.get_running_loop().time() + PART_TIMEOUT_S
+    timeout.reschedule(max(timeout.when(), due_s))
+
+
 def _find_rows(content: object) -> list:
     """Return the rows of a response that is a list or an object with one list."""
     if isinstance(content, dict):
--- a/apricotquay/serving/http/httpclient.py
+++ b/apricotquay/serving/http/httpclient.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from asyncio import open_connection
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import h11
 
@@ -112,12 +112,15 @@
             if not self._protocol.trailing_data[0]:
                 self._protocol.start_next_cycle()
 
-    async def read_response(self) -> HttpResponse:
-        """Read a complete response."""
+    async def read_response(
+        self, on_part: Callable[[int], None] = lambda body_bytes: None
+    ) -> HttpResponse:
+        """Read a complete response; `on_part` gets how much of its body has arrived."""
         head = await self.read_head()
         body = bytearray()
         async for part in self.read_body():
             body += part
+            on_part(len(body))
         return HttpResponse(head.status_code, list(head.headers), bytes(body))
 
     def close(self) -> None:
