Bound the whole time of an answer of the store, and numbers below 0

Found in the read-through: an answer that trickles could hold a call to the store for as long as it does; it is given up after 15 s in all. Slots and versions far below 0 passed the check of their range.

--- a/apricotquay/platform/store.py
+++ b/apricotquay/platform/store.py
@@ -32,6 +32,7 @@
 # Each part of an answer extends its time: over a slow link, or beside other answers, a
 # whole page takes longer than a call may, and reading it again would take as long.
 PART_TIMEOUT_S = 1.0
+MAX_ANSWER_S = 15.0
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # Shorter than the time after which the store considers a member gone, so that one
 # lost response does not end the membership.
@@ -295,7 +296,10 @@
         try:
             async with asyncio.timeout(timeout_s) as timeout:
                 connection.send(request)
-                response = await connection.read_response(partial(_extend, timeout))
+                last_s = asyncio.get_running_loop().time() + MAX_ANSWER_S
+                response = await connection.read_response(
+                    partial(_extend, timeout, last_s)
+                )
         except TimeoutError as exc:
             connection.close()
             raise LogOutcomeUnknownError(f"{path}: no answer in time") from exc
@@ -326,11 +330,11 @@
             connection.close()
 
 
-def _extend(timeout: asyncio.Timeout, body_bytes: int) -> None:
-    """Extend the time of an answer of which a part has arrived."""
+def _extend(timeout: asyncio.Timeout, last_s: float, body_bytes: int) -> None:
+    """Extend the time of an answer of which a part has arrived, up to `last_s`."""
     if body_bytes > MAX_ANSWER_BYTES:
         raise HttpError(f"answer of more than {MAX_ANSWER_BYTES} bytes")
-    due_s = asyncio.get_running_loop().time() + PART_TIMEOUT_S
+    due_s = min(asyncio.get_running_loop().time() + PART_TIMEOUT_S, last_s)
     timeout.reschedule(max(timeout.when(), due_s))
 
 
--- a/apricotquay/platform/wire.py
+++ b/apricotquay/platform/wire.py
@@ -139,7 +139,7 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: Annotated[int, msgspec.Meta(le=MAX_SLOTS)] = 0
+    slots: Annotated[int, msgspec.Meta(ge=-MAX_SLOTS, le=MAX_SLOTS)] = 0
     cold_start_s: Any = None
     cold_per_s: Any = None
     # Any value, so that an invalid one does not make the configuration unreadable.
@@ -163,7 +163,7 @@
 
 
 class _Configuration(msgspec.Struct):
-    version: Annotated[int, msgspec.Meta(le=MAX_VERSION)]
+    version: Annotated[int, msgspec.Meta(ge=-MAX_VERSION, le=MAX_VERSION)]
     routes: list[_Route]
     services: list[_Service] = []
     limits: dict[str, Any] = {}
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -131,6 +131,7 @@
     ),
     ("infinite retention", with_route(retention_s=1e308)),
     ("slots that no float holds", with_service(engine={"slots": LARGE})),
+    ("slots far below 0", with_service(engine={"slots": -LARGE})),
     ("priority of a team", with_team(priority=LARGE)),
     ("rate of a team", with_team(rate_per_s=1e308)),
 ]
