Review case 12: a restart beside large jobs ends all daemons for their memory

LOST (and Fault): no accepted batch job can be read at the end, and daemons exceed memory_mb again and again. Disruption: one SIGTERM (roll_term).

--- a/review/harness3.py
+++ b/review/harness3.py
@@ -22,6 +22,7 @@
 
 from apricotquay.platform.store import StoreClient
 from apricotquay.serving.fleet.keyedlog import KeyedRecord, LogError, Topic
+from apricotquay.serving.http.http1 import HttpResponse
 from standins.platform import StoreServer
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -31,6 +32,8 @@
 SERVICE = "desk"
 CONTACT_S = 3.0
 DRAIN_S = 2.0
+MEMORY_MB = 180
+PAGE_BYTES = 750_000
 HEARTBEAT_S = 1.2
 GRACE_S = 8.0
 BOUNDS = {
@@ -65,6 +68,45 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+class PagingStore(StoreServer):
+    """The project's store, with pages of the newest records: at most 500 or 1 MB."""
+
+    async def _read_newest(self, fields: dict, body: bytes) -> HttpResponse:
+        page = await self.log.read_newest(Topic(fields["topic"]), int(fields["part"]))
+        rest = sorted(page.records, key=lambda record: record.key)
+        after = fields.get("after", "").encode()
+        rest = [record for record in rest if record.key > after]
+        items, size = [], 0
+        for record in rest:
+            size += len(record.value)
+            if items and (len(items) >= 500 or size > PAGE_BYTES):
+                break
+            items.append(
+                {
+                    "key": record.key.decode(),
+                    "value": base64.b64encode(record.value).decode(),
+                    "offset": record.offset,
+                }
+            )
+        content = {"items": items, "more": len(items) < len(rest), "end": page.end}
+        headers = [(b"content-type", b"application/json")]
+        return HttpResponse(200, headers, json.dumps(content).encode())
+
+    async def _read(self, fields: dict, body: bytes) -> HttpResponse:
+        response = await super()._read(fields, body)
+        limit = int(fields.get("max_kb", 1024)) * 1024
+        data = response.body
+        end = 16
+        while response.status == 200 and end < len(data):
+            following = end + 4 + int.from_bytes(data[end : end + 4], "big")
+            if end > 16 and following > limit:
+                break
+            end = following
+        if end < len(data) and response.status == 200:
+            response.body = data[:end]
+        return response
+
+
 class CaseError(Exception):
     """The case couldn't run."""
 
@@ -394,13 +436,13 @@
                 "control": f"{at}:{self.control}",
             },
             "port_range": [7360, 7375],
-            "seeds": [f"{d.host}:{d.control}" for d in self._fleet.daemons[:3]],
+            "seeds": self._fleet.seeds(),
             "bootstrap": bootstrap,
             "in_fault_budget": False,
             "limits": {
                 "cpu_share": 0.717,
                 "cores": 3,
-                "memory_mb": 180,
+                "memory_mb": MEMORY_MB,
                 "max_fds": 8200,
                 "link_mbps": 1000.0,
                 "disk_mb": 0,
@@ -508,7 +550,7 @@
         self.record = Record(case / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="review3-"))
         self.hosts = LoopbackHosts()
-        self._store = StoreServer()
+        self._store = PagingStore()
         self.store_address = (self.hosts.next(), 0)
         self._store_client: StoreClient | None = None
         self._daemon_count = daemons
@@ -516,6 +558,7 @@
         self.daemons: list[Daemon] = []
         self.servers: list[ModelServer] = []
         self._numbers = 0
+        self.seed_shift = 0
 
     async def start(self, configuration: dict) -> None:
         """Start everything, and wait until all daemons are ready."""
@@ -534,6 +577,12 @@
             await daemon.start()
         await self.wait_ready()
 
+    def seeds(self) -> list[str]:
+        """Return the seeds of the settings, in an order that may change."""
+        known = [f"{d.host}:{d.control}" for d in self.daemons[:3]]
+        shift = self.seed_shift % len(known)
+        return known[shift:] + known[:shift]
+
     async def wait_ready(self) -> None:
         """Wait until all daemons are ready."""
         for daemon in self.daemons:
@@ -599,14 +648,16 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def make_job(fleet: Fleet, items: int, tokens: int = 900) -> tuple[str, list[dict]]:
+def make_job(
+    fleet: Fleet, items: int, tokens: int = 900, body: bytes = b"an item"
+) -> tuple[str, list[dict]]:
     """Return the id and the items of a batch job."""
     made = [
         {
             "id": fleet.next_id(),
             "path": f"/b/1/{number}",
             "headers": {"Model": "m", "Token-Usage": "400,500"},
-            "body": base64.b64encode(f"item {number}".encode()).decode(),
+            "body": base64.b64encode(body).decode(),
             "tokens": tokens,
         }
         for number in range(items)
