--- a/review/harness3.py
+++ b/review/harness3.py
@@ -250,7 +250,7 @@
 
 
 async def read_body(reader, headers: dict[str, str]) -> bytes:
-    """Read a body with a length or in chunks; raise IncompleteReadError if it is cut."""
+    """Read a body with a length or in chunks; raise an error if it is cut."""
     if headers.get("transfer-encoding", "").lower() != "chunked":
         return await reader.readexactly(int(headers.get("content-length", "0")))
     body = b""
@@ -364,14 +364,18 @@
         method, path, _ = first.split(" ", 2)
         request = headers.get("attempt-id", "")
         if headers.get("expect-instance", self.name) != self.name:
-            writer.write(b"HTTP/1.1 421 Other\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 421 Other\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            )
             return True
-        base = f"Attempt-Id: {request}\r\nServer-Load: {self._running},0,{self.slots}\r\n"
+        base = (
+            f"Attempt-Id: {request}\r\nServer-Load: {self._running},0,{self.slots}\r\n"
+        )
         base += "".join(f"{line}\r\n" for line in self.extra_headers)
         if self._running >= self.slots:
             writer.write(
-                f"HTTP/1.1 503 Full\r\n{base}Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
-                .encode()
+                b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n"
+                + f"{base}\r\n".encode()
             )
             return True
         after = int(headers.get("last-event-id", "-1"))
@@ -499,7 +503,9 @@
 
     async def is_ready(self) -> bool:
         """Ask the ready address."""
-        answer = await call(self.host, self.ready, "GET", "/-/readyz", {"Host": self.host}, b"", 1.0)
+        answer = await call(
+            self.host, self.ready, "GET", "/-/readyz", {"Host": self.host}, b"", 1.0
+        )
         return answer.status == 200
 
 
@@ -618,7 +624,12 @@
         return f"{self._numbers:016x}"
 
     async def request(
-        self, daemon: Daemon, path: str, body: bytes = b"x", deadline_ms: int = 5000, **more
+        self,
+        daemon: Daemon,
+        path: str,
+        body: bytes = b"x",
+        deadline_ms: int = 5000,
+        **more,
     ) -> tuple[str, float, Answer]:
         """Send an online request; return its id, when it was sent, and the answer."""
         request = more.pop("id", None) or self.next_id()
@@ -701,23 +712,42 @@
 def configuration(version: int = 1, **tenant) -> dict:
     """Return a configuration: a stream that may be resumed (/s/), one that may not
     (/u/), and a batch route (/b/)."""
-    common = {"host": HOST_NAME, "service": SERVICE, "timeout_ms": 5000, "public": False}
+    common = {
+        "host": HOST_NAME,
+        "service": SERVICE,
+        "timeout_ms": 5000,
+        "public": False,
+    }
     stream = {"kind": "streaming", "target_latency_ms": 300, "gap_aim_ms": 200}
     return {
         "version": version,
         "routes": [
             {
-                **common, **stream, "name": "r-s", "path_prefix": "/s/",
-                "resumable": True, "max_attempts": 2,
+                **common,
+                **stream,
+                "name": "r-s",
+                "path_prefix": "/s/",
+                "resumable": True,
+                "max_attempts": 2,
             },
             {
-                **common, **stream, "name": "r-u", "path_prefix": "/u/",
-                "resumable": False, "max_attempts": 1,
+                **common,
+                **stream,
+                "name": "r-u",
+                "path_prefix": "/u/",
+                "resumable": False,
+                "max_attempts": 1,
             },
             {
-                **common, "name": "r-b", "path_prefix": "/b/", "kind": "batch",
-                "target_latency_ms": 400, "result_deadline_ms": 18000,
-                "max_attempts": 3, "retention_s": 60, "cap": 1300000,
+                **common,
+                "name": "r-b",
+                "path_prefix": "/b/",
+                "kind": "batch",
+                "target_latency_ms": 400,
+                "result_deadline_ms": 18000,
+                "max_attempts": 3,
+                "retention_s": 60,
+                "cap": 1300000,
             },
         ],
         "services": [{"name": SERVICE, "health_path": "/healthz", "max_conns": 290}],
@@ -737,20 +767,19 @@
     holder: list[Fleet] = []
 
     async def run() -> int:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(limit_s):
-                broken = await main(case, holder)
-            return 1 if broken else 0
-        except (CaseError, TimeoutError, OSError) as exc:
+                return 1 if await main(case, holder) else 0
+        except (Exception, asyncio.CancelledError) as exc:
             if holder:
                 holder[0].record.add(f"the case couldn't run: {exc!r}")
             print(f"the case couldn't run: {exc!r}")
             return 2
         finally:
-            if holder:
-                if os.environ.get("KEEP"):
-                    shutil.copytree(holder[0].folder, os.environ["KEEP"], dirs_exist_ok=True)
-                await holder[0].close()
-                holder[0].record.write()
+            for fleet in holder:
+                await fleet.close()
+                fleet.record.write()
 
     sys.exit(asyncio.run(run()))
