--- a/review/harness3.py
+++ b/review/harness3.py
@@ -349,7 +349,7 @@
         try:
             while await self._serve_one(reader, writer):
                 pass
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
