--- a/review/harness3.py
+++ b/review/harness3.py
@@ -659,24 +659,24 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def make_job(
-    fleet: Fleet, items: int, tokens: int = 900, body: bytes = b"an item"
-) -> tuple[str, list[dict]]:
+def make_job(fleet: Fleet, items: int, prefix: str = "/b/") -> tuple[str, list[dict]]:
     """Return the id and the items of a batch job."""
     made = [
         {
             "id": fleet.next_id(),
-            "path": f"/b/1/{number}",
+            "path": f"{prefix}1/{number}",
             "headers": {"Model": "m", "Token-Usage": "400,500"},
-            "body": base64.b64encode(body).decode(),
-            "tokens": tokens,
+            "body": base64.b64encode(f"item {number}".encode()).decode(),
+            "tokens": 900,
         }
         for number in range(items)
     ]
     return fleet.next_id(), made
 
 
-async def submit_job(fleet: Fleet, daemon: Daemon, job: str, items: list[dict]) -> int:
+async def submit_job(
+    fleet: Fleet, daemon: Daemon, job: str, items: list[dict], prefix: str = "/b/"
+) -> int:
     """Submit a batch job; return the status."""
     headers = {
         "Host": HOST_NAME,
@@ -686,9 +686,8 @@
         "Content-Type": "application/json",
     }
     body = json.dumps({"items": items}).encode()
-    answer = await call(
-        daemon.host, daemon.front, "POST", f"/b/{job[:6]}", headers, body, 4.0
-    )
+    path = f"{prefix}{job[:6]}"
+    answer = await call(daemon.host, daemon.front, "POST", path, headers, body, 4.0)
     fleet.record.add(f"job {job} at {daemon.name}: {answer.status} {answer.error}")
     return answer.status
 
