--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable
 from functools import partial
 
-import msgspec
-
 from ...clocks import Clock
 from ...errors import PeerUnavailableError
 from ...events import Event
@@ -35,10 +33,17 @@
 from ..tasks import start_task
 from .coldlimits import MAX_GRANT_AGE_S
 from .eligibility import Ineligible
+from .exclusions import Exclusions
 from .outliers import SlotOutcome
 from .slotleases import LEASE_S
 from .slotowner import SlotTables
-from .slotrequests import SlotLease, SlotRequest, SlotUnavailableError, Waiter
+from .slotrequests import (
+    SlotLease,
+    SlotRequest,
+    SlotUnavailableError,
+    TicketOutdatedError,
+    Waiter,
+)
 from .slotuse import UseReport
 from .ticketmessages import MS_PER_S, ask_slot_message, held_slot_message
 from .tickets import Decision, Granted, Refused, Revoked, Ticket, TicketId
@@ -77,6 +82,9 @@
         self.tables.on_local_decision = self._handle_local_decision
         self.tables.is_owned = self._is_owned
         self.tables.is_confirmed = lambda: shards.is_confirmed
+        self._exclusions = Exclusions(
+            view.endpoints, lambda endpoint: self.tables.is_cold(endpoint), clock
+        )
         self._view: View = view
         self._shards: Shards = shards
         self._peers: Peers = peers
@@ -114,6 +122,7 @@
         """Apply changes of endpoints and owners."""
         self.tables.refresh()
         self._refuse_without_endpoints()
+        self._end_outdated_waits()
         lost = {s for s in self.tables.services() if not self._is_owned(s)}
         self.tables.release_peer_tickets(lost)
         for service in list(self._last_owners):
@@ -135,45 +144,48 @@
             if waiter.owner is not None and owner not in (None, waiter.owner):
                 waiter.resolve(None)
 
+    def _end_outdated_waits(self) -> None:
+        """End the waits of tickets that exclude an endpoint which could be used now."""
+        # Most tickets of a service exclude the same endpoints.
+        checked: dict[tuple, bool] = {}
+        for waiter in self._waiters.values():
+            if waiter.request is None or not waiter.excluded:
+                continue
+            request = waiter.request
+            key = (
+                waiter.service,
+                request.version,
+                request.regions,
+                request.avoid,
+                waiter.unusable,
+                waiter.excluded,
+            )
+            if key not in checked:
+                checked[key] = self._exclusions.are_outdated(
+                    waiter.service, request, waiter.unusable, waiter.excluded
+                )
+            if checked[key]:
+                waiter.mark_outdated()
+
     async def acquire(self, service: ServiceName, request: SlotRequest) -> SlotLease:
         """Wait for a slot; raise SlotUnavailableError when none comes in time."""
-        ticket = Ticket(
-            self._new_id(),
-            request.work,
-            request.due_s,
-            request.slot_deadline_s,
-            request.expected_duration_s,
-            request.prefix,
-            self._excluded_endpoints(service, request),
-            request.may_repeat,
-            request.holds_slot,
-            request.version,
-            request.team,
-            request.priority,
-            request.weight,
-            request.tokens,
-            request.zone,
-            request.regions,
-            request.prefix_tokens,
-        )
-        unusable: set[str] = set()
-        for asked_count in range(MAX_OWNER_ASKS):
+        unusable: set[EndpointId] = set()
+        asked_count = 0
+        while True:
             owner = self._owner(service)
             self._update_owner(service, owner)
-            is_late = self._clock.now_s() > ticket.slot_deadline_s
-            if owner is None or (asked_count and is_late):
-                break
-            lease = await self._acquire_from(owner, service, ticket, unusable)
+            is_late = self._clock.now_s() > request.slot_deadline_s
+            if asked_count >= MAX_OWNER_ASKS or (asked_count and is_late):
+                owner = None
+            try:
+                lease = await self._acquire_from(owner, service, request, unusable)
+            except TicketOutdatedError:
+                continue
             if lease is not None:
                 return lease
-            # A late answer of the owner must not be mistaken for another decision.
-            ticket = msgspec.structs.replace(
-                ticket, id=self._new_id(), avoid=ticket.avoid | unusable
-            )
-        lease = await self._acquire_from(None, service, ticket, unusable)
-        if lease is None:
-            raise SlotUnavailableError(0.0)
-        return lease
+            if owner is None:
+                raise SlotUnavailableError(0.0)
+            asked_count += 1
 
     def release(self, lease: SlotLease) -> None:
         """Release a slot, once it is known whether its endpoint failed."""
@@ -256,35 +268,50 @@
     def _new_id(self) -> TicketId:
         return TicketId(f"{self._daemon_name}#{next(self._ticket_numbers)}")
 
-    def _excluded_endpoints(
-        self, service: ServiceName, request: SlotRequest
-    ) -> frozenset[str]:
-        """Return the endpoints that answers said to leave and those in evacuated zones,
-        which the owner may not know yet, and the failed and ejected ones, as far as
-        others are left to use.
+    def _new_ticket(
+        self,
+        service: ServiceName,
+        request: SlotRequest,
+        excluded: frozenset[EndpointId],
+    ) -> Ticket:
+        """Return a ticket with an id of its own: a late answer of an owner must not be
+        mistaken for another decision.
         """
-        endpoints = self._view.endpoints
-        leaving = {notice.endpoint for notice in endpoints.leaving_notices()}
-        leaving |= {e.id for e in endpoints.all() if endpoints.is_evacuated(e.zone)}
-        failed = request.avoid
-        serving = endpoints.serving(service, request.version, request.regions)
-        listed = {e.id for e in serving}
-        ejected = self._view.endpoints.ejected(service, self._clock.now_s())
-        if listed - failed - ejected:
-            return failed | ejected | leaving
-        return failed | leaving if listed - failed else frozenset(leaving)
+        return Ticket(
+            self._new_id(),
+            request.work,
+            request.due_s,
+            request.slot_deadline_s,
+            request.expected_duration_s,
+            request.prefix,
+            excluded,
+            request.may_repeat,
+            request.holds_slot,
+            request.version,
+            request.team,
+            request.priority,
+            request.weight,
+            request.tokens,
+            request.zone,
+            request.regions,
+            request.prefix_tokens,
+        )
 
     async def _acquire_from(
         self,
         owner: str | None,
         service: ServiceName,
-        ticket: Ticket,
-        unusable: set[str],
+        request: SlotRequest,
+        unusable: set[EndpointId],
     ) -> SlotLease | None:
         """Get a slot from an owner or the local table; None if the owner is silent or
-        its grant does not count, whose endpoint is added to `unusable` then.
+        its grant does not count, whose endpoint is added to `unusable` then. Raises
+        TicketOutdatedError if the wait ends for another ticket.
         """
-        waiter = self._waiters[ticket.id] = Waiter(service, owner, ticket.regions)
+        excluded = self._exclusions.find(service, request, unusable)
+        ticket = self._new_ticket(service, request, excluded)
+        waiter = Waiter(service, owner, request, frozenset(unusable), excluded)
+        self._waiters[ticket.id] = waiter
         lease = None
         try:
             if owner is None:
@@ -292,6 +319,8 @@
                 decision = await waiter.decision
             else:
                 decision = await self._ask_owner(service, ticket, owner, waiter)
+            if waiter.is_outdated:
+                raise TicketOutdatedError
             if isinstance(decision, Refused):
                 raise SlotUnavailableError(decision.wait_s)
             if isinstance(decision, Granted):
@@ -495,10 +524,11 @@
 
     async def _list_loop(self) -> None:
         """List live tickets to owners, which release those whose release was lost, and
-        release the tickets of peers that list theirs no more.
+        release the tickets of peers that list theirs no more. Ejections end by time.
         """
         while True:
             await asyncio.sleep(LIST_INTERVAL_S)
+            self._end_outdated_waits()
             self._report_unknown()
             self._list_tickets()
             self.tables.expire_silent_peers()
--- a/apricotquay/serving/slots/slotrequests.py
+++ b/apricotquay/serving/slots/slotrequests.py
@@ -67,19 +67,32 @@
     use: SlotUse = msgspec.field(default_factory=SlotUse)
 
 
+class TicketOutdatedError(ApricotquayError):
+    """A ticket waits for others while an endpoint that it excludes could be used."""
+
+
 class Waiter:
-    """A ticket of this daemon that has no decision yet."""
+    """A ticket of this daemon that has no decision yet.
+
+    The ticket was made of `request`, and excludes the endpoints `excluded`, among them
+    those of `unusable` grants.
+    """
 
     def __init__(
         self,
         service: ServiceName,
         owner: str | None,
-        regions: frozenset[str] = frozenset(),
+        request: SlotRequest | None = None,
+        unusable: frozenset[EndpointId] = frozenset(),
+        excluded: frozenset[EndpointId] = frozenset(),
     ) -> None:
         loop = asyncio.get_running_loop()
         self.service: ServiceName = service
         self.owner: str | None = owner
-        self.regions: frozenset[str] = regions
+        self.request: SlotRequest | None = request
+        self.unusable: frozenset[EndpointId] = unusable
+        self.excluded: frozenset[EndpointId] = excluded
+        self.is_outdated: bool = False
         self.connection: PeerConnection | None = None
         # When the owner was asked, and what it said with its grant.
         self.asked_s: float = float("-inf")
@@ -88,6 +101,17 @@
         self.first_reply: asyncio.Future = loop.create_future()
         self.decision: asyncio.Future = loop.create_future()
 
+    @property
+    def regions(self) -> frozenset[str]:
+        """The regions that the ticket may reach, empty for all."""
+        return self.request.regions if self.request else frozenset()
+
+    def mark_outdated(self) -> None:
+        """End the wait so that another ticket is made, unless it is decided."""
+        if not self.decision.done():
+            self.is_outdated = True
+            self.resolve(None)
+
     def resolve(self, decision: Decision | None) -> None:
         """Set the final decision; None if none will come."""
         for future in (self.first_reply, self.decision):
