Refuse tickets whose version is left in other regions only

Cause: the slot table refused tickets whose version no open endpoint has, without a look at the regions; the daemon that asks looks at the regions without the version; and an item kept its output as long as any endpoint had its version, so that it asked for the same again.

Change: the table compares version and regions together, and an item's output is discarded if no endpoint of its regions can go on with it, provided that others there could run it.

Tests: a table of four; the one with the version elsewhere failed before.

--- a/apricotquay/serving/batch/itemattempts.py
+++ b/apricotquay/serving/batch/itemattempts.py
@@ -81,7 +81,7 @@
         regions = self._regions(job, item.path)
         if regions is None:
             return AttemptResult(Outcome.RETRY, "route and team have no common region")
-        self._discard_lost_version(service, progress)
+        self._discard_lost_version(service, progress, regions)
         needs_s = self._run_times.remaining_s(progress.ran_s)
         usage = self._usage(job, index)
         memory_tokens = self._memory_tokens(service)
@@ -194,13 +194,13 @@
         return settings.memory_tokens if settings else 0
 
     def _discard_lost_version(
-        self, service: ServiceName, progress: ItemProgress
+        self, service: ServiceName, progress: ItemProgress, regions: frozenset[str]
     ) -> None:
         """Discard output that no endpoint can go on with; the item runs anew."""
-        endpoints = self._view.endpoints
-        if progress.last_id < 0 or not any(endpoints.serving(service)):
+        serving = self._view.endpoints.serving
+        if progress.last_id < 0 or not any(serving(service, "", regions)):
             return
-        if progress.version and any(endpoints.serving(service, progress.version)):
+        if progress.version and any(serving(service, progress.version, regions)):
             return
         progress.discard_output()
 
--- a/apricotquay/serving/slots/dispatch.py
+++ b/apricotquay/serving/slots/dispatch.py
@@ -38,7 +38,7 @@
     TicketId,
     Work,
 )
-from .waitingline import WaitingLine
+from .waitingline import WaitingLine, WantedVersion
 from .waits import WaitEstimator
 
 
@@ -278,12 +278,22 @@
         )
 
     def _refuse_missing_versions(self) -> Iterable[Refused]:
-        """Refuse waiting tickets that need a version which no endpoint has any more."""
-        listed = {s.version for s in self._slots.values() if s.is_open}
-        if not listed or self._line.wanted_versions() <= listed:
+        """Refuse waiting tickets that need a version which no endpoint has any more in
+        the regions that they may reach.
+        """
+        open_profiles = [s.profile for s in self._slots.values() if s.is_open]
+        if not open_profiles:
+            return
+        listed = {(p.version, p.region) for p in open_profiles}
+        missing = {
+            wanted
+            for wanted in self._line.wanted_versions()
+            if not any(wanted.is_met_by(*found) for found in listed)
+        }
+        if not missing:
             return
         for ticket in list(self._line.all()):
-            if ticket.version and ticket.version not in listed:
+            if WantedVersion(ticket.version, ticket.regions) in missing:
                 self._remove_waiting(ticket.id)
                 yield Refused(
                     ticket.id,
--- a/apricotquay/serving/slots/waitingline.py
+++ b/apricotquay/serving/slots/waitingline.py
@@ -37,6 +37,17 @@
     restriction: Restriction
 
 
+class WantedVersion(NamedTuple):
+    """A software version that a ticket needs, in one of `regions`, empty for all."""
+
+    version: str
+    regions: frozenset[str]
+
+    def is_met_by(self, version: str, region: str) -> bool:
+        """Whether an endpoint of a version in a region has what the ticket needs."""
+        return version == self.version and (not self.regions or region in self.regions)
+
+
 class WaitingLine:
     """The waiting tickets of one slot table. Used by `Dispatcher`.
 
@@ -93,9 +104,13 @@
         if ticket is not None:
             self._shares.remove_waiting(ticket)
 
-    def wanted_versions(self) -> set[str]:
-        """Return the software versions that waiting tickets need."""
-        return {ticket.version for ticket in self._tickets.values()} - {""}
+    def wanted_versions(self) -> set[WantedVersion]:
+        """Return the software versions that waiting tickets need, and where."""
+        return {
+            WantedVersion(ticket.version, ticket.regions)
+            for ticket in self._tickets.values()
+            if ticket.version
+        }
 
     def in_order(
         self, rank: Rank, blocked: Set[Restriction], now_s: float
--- a/tests/test_serving_dispatch.py
+++ b/tests/test_serving_dispatch.py
@@ -434,6 +434,36 @@
         decisions = table.request_slot(online("t", 1.0, version="v1"), 0.1)
         self.assertIn(decisions, [[Revoked(TicketId("i3"))], [Revoked(TicketId("i4"))]])
 
+    @parameterized.expand(
+        [
+            ("another version there", "v2", "south", "south", True),
+            ("the version elsewhere", "v1", "north", "south", True),
+            ("the version there", "v1", "south", "south", False),
+            ("any region", "v1", "north", "", False),
+        ]
+    )
+    def test_ticket_does_not_wait_for_a_version_that_its_regions_lack(
+        self, _name, version, region, wanted_region, is_refused
+    ):
+        """Its endpoint has left; what is left are full ones in two regions."""
+        table = Dispatcher(seed=1)
+        left = {
+            EndpointId("a"): EndpointProfile(version, region=region),
+            EndpointId("b"): EndpointProfile("v2", region="south"),
+        }
+        own = {EndpointId("c"): EndpointProfile("v1", region="south")}
+        counts = dict.fromkeys(left | own, 1)
+        table.set_endpoints(counts, 0.0, profiles=left | own)
+        for name in "abc":
+            table.request_slot(Ticket(TicketId(name), Work.BATCH, 9.0, 3600.0), 0.0)
+        regions = frozenset({wanted_region} - {""})
+        waiting = Ticket(
+            TicketId("t"), Work.BATCH, 9.0, 3600.0, version="v1", regions=regions
+        )
+        self.assertEqual([], table.request_slot(waiting, 0.0))
+        table.set_endpoints(dict.fromkeys(left, 1), 1.0, profiles=left)
+        self.assertEqual(is_refused, bool(table.tick(1.0)))
+
     def test_tickets_of_all_versions_are_served_by_due_time(self):
         """Ten random tables: no ticket is left waiting while its version has a slot."""
         for seed in range(10):
