End waits of batch items for slots that they may not use any more

An item whose slot was revoked asked for another one at the old service, too.

Service, route and regions of an item were chosen when it started; the wait for its slot lasts up to an hour, and what has started was looked at by nobody until the wait ended.

Change: at each scheduling pass, which a change of the configuration wakes, items that wait for a slot choose again if their route is gone or does not go to that service, if their regions have changed or their time is over. The pause before the next attempt is that of any retry.

--- a/apricotquay/serving/batch/itemattempts.py
+++ b/apricotquay/serving/batch/itemattempts.py
@@ -78,7 +78,7 @@
         due_s = self._clock.now_s() + (job.header.due_ms - self._clock.wall_ms()) / 1000
         due_s += postponement_s(progress.fruitless_attempts)
         item = job.items[index]
-        regions = self._regions(job, item.path)
+        regions = running.regions = self.find_regions(job, index)
         if regions is None:
             return AttemptResult(Outcome.RETRY, "route and team have no common region")
         self._discard_lost_version(service, progress, regions)
@@ -164,13 +164,27 @@
         )
         return result
 
-    def _regions(self, job: Job, path: str) -> frozenset[str] | None:
+    def is_outdated(self, running: RunningItem) -> bool:
+        """Whether the configuration or the time does not allow the attempt any more for
+        which an item requested a slot.
+        """
+        if self._view.configuration is None:
+            return False
+        job, index = running.job, running.index
+        route = self._routes.find(job, index)
+        if route is None or self._clock.wall_ms() >= job.header.give_up_ms:
+            return True
+        if not route.has_service(running.service):
+            return True
+        return running.regions != self.find_regions(job, index)
+
+    def find_regions(self, job: Job, index: int) -> frozenset[str] | None:
         """Return the regions that an item may reach, see `allowed_regions`."""
-        configuration = self._view.configuration
-        route = configuration and configuration.find_route(job.header.host, path)
+        route = self._routes.find(job, index)
         if not route:
             return frozenset()
-        return allowed_regions(route, configuration.teams.get(job.header.team))
+        teams = self._view.configuration.teams
+        return allowed_regions(route, teams.get(job.header.team))
 
     def _terms(self, job: Job, index: int) -> SchedulingTerms:
         """Return the terms of an item by the current configuration."""
--- a/apricotquay/serving/batch/runner.py
+++ b/apricotquay/serving/batch/runner.py
@@ -132,11 +132,20 @@
         wanted = {(job.key, i): (part, job, i) for part, job, i in self._open_items()}
         for item_key in [key for key in self._items if key not in wanted]:
             self._stop_item(item_key)
+        self._end_outdated_waits()
         waiting = list(self._find_waiting(wanted))
         for item in choose_items(waiting, self._count_started()):
             self._start_item(item, *wanted[item.key])
         self._report_stalled(unstarted=len(wanted) - len(self._items))
 
+    def _end_outdated_waits(self) -> None:
+        """Let items choose again that wait for a slot which they may not use now."""
+        for item in self._items.values():
+            waits = item.state is ItemState.STARTED and item.wait is ItemWait.SLOT
+            if waits and self._attempts.is_outdated(item):
+                item.task.cancel()
+                self._delay(item, RETRY_DELAY_S)
+
     def _report_stalled(self, unstarted: int) -> None:
         """Log the item that has waited longest, if that is long."""
         now_s = self._clock.now_s()
@@ -219,6 +228,7 @@
             item = RunningItem(partition, job, index, waiting.service, progress)
             self._items[waiting.key] = item
         item.service = waiting.service
+        item.regions = self._attempts.find_regions(job, index)
         item.state = ItemState.STARTED
         item.begin_wait(ItemWait.SLOT, self._clock.now_s())
         item.task = start_task("item", partial(self._run, item), self._reporter)
@@ -277,7 +287,7 @@
         while result.outcome is Outcome.REVOKED:
             route = self._routes.find(item.job, item.index)
             is_over = self._clock.wall_ms() >= item.job.header.give_up_ms
-            if route is None or is_over:
+            if route is None or is_over or not route.has_service(item.service):
                 self._delay(item, RETRY_DELAY_S)
                 return
             result = await self._run_attempt_safely(item)
--- a/apricotquay/serving/batch/runningitems.py
+++ b/apricotquay/serving/batch/runningitems.py
@@ -35,7 +35,9 @@
     """A batch item that this event-loop daemon runs, and the task of its attempt.
 
     An item that waits is not started before `retry_at_s`. It has made no progress
-    since `waits_since_s`, and waits at `endpoint` if that is not empty.
+    since `waits_since_s`, and waits at `endpoint` if that is not empty. The slot that
+    it requested last is one of `service` in the `regions`, empty for all, None if route
+    and team have none in common.
     """
 
     partition: Partition
@@ -49,6 +51,7 @@
     wait: ItemWait = ItemWait.RETRY
     waits_since_s: float = float("inf")
     endpoint: str = ""
+    regions: frozenset[str] | None = frozenset()
 
     def begin_wait(self, wait: ItemWait, now_s: float, endpoint: str = "") -> None:
         """Record what the item waits for from now on."""
--- a/apricotquay/serving/catalog.py
+++ b/apricotquay/serving/catalog.py
@@ -62,6 +62,14 @@
         """Whether a request may be sent again although it may have run."""
         return self.kind is RouteKind.SAFE or self.is_resumable
 
+    def has_service(self, service: ServiceName) -> bool:
+        """Whether some of the route's requests go to a service."""
+        has_weights = any(entry.weight > 0 for entry in self.services)
+        return any(
+            entry.service == service and (entry.weight > 0 or not has_weights)
+            for entry in self.services
+        )
+
     def service_for(self, point: float) -> ServiceName:
         """Return the service at a point between 0 and 1 of the summed weights."""
         left = point * sum(entry.weight for entry in self.services)
