--- a/apricotquay/platform/callers.py
+++ b/apricotquay/platform/callers.py
@@ -5,7 +5,8 @@
 import binascii
 import contextlib
 import urllib.parse
-from typing import Annotated
+from collections.abc import Awaitable, Callable
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -38,6 +39,8 @@
 from ..serving.reporting import Reporter
 from . import wire
 
+T = TypeVar("T")
+
 JOB_RESULTS_PATH = "/-/lots/"
 ITEM_BODY_PATH = "/-/items/"
 DEFAULT_CALLER_TIMEOUT_MS = 60_000
@@ -64,6 +67,8 @@
     job_outcomes.OUTCOME_UNKNOWN: 504,
 }
 JOB_RETRY_AFTER_MS = 500
+# Owner of the jobs whose callers showed no known key, which public routes allow.
+NO_TEAM = TeamId("")
 KEY_ELSEWHERE = "the key stands outside its header; nothing has run"
 
 
@@ -243,7 +248,7 @@
         path: str,
         admission: Admission,
     ) -> None:
-        team = admission.team.id if admission.team else TeamId("")
+        team = admission.team.id if admission.team else NO_TEAM
         submission = _build_submission(
             request, team, host, path, admission, self._clock.wall_ms()
         )
@@ -270,14 +275,17 @@
     async def _handle_job(
         self, exchange: Exchange, request: HttpRequest, path: str, query: str
     ) -> None:
-        team = self._authenticate(request)
         job = JobId(urllib.parse.unquote(path[len(JOB_RESULTS_PATH) :]))
         if request.method == "DELETE":
             async with _answer_within(
                 _caller_timeout_ms(request) * ANSWER_TIMEOUT_SHARE / 1000,
                 ErrorKind.OUTCOME_UNKNOWN,
             ):
-                outcome = await self._jobs.cancel(team, job)
+                outcome = await self._call_for_owner(
+                    request,
+                    lambda team: self._jobs.cancel(team, job),
+                    lambda outcome: outcome == job_outcomes.UNKNOWN_JOB,
+                )
             status = 404 if outcome == job_outcomes.UNKNOWN_JOB else 200
             await exchange.respond(HttpResponse(status, [JSON_CONTENT_TYPE], b"{}"))
             return
@@ -289,7 +297,11 @@
         async with _answer_within(
             wait_s + READ_TIMEOUT_S, ErrorKind.JOB_STORE_UNAVAILABLE
         ):
-            page = await self._jobs.read(team, job, after, wait_s)
+            page = await self._call_for_owner(
+                request,
+                lambda team: self._jobs.read(team, job, after, wait_s),
+                lambda page: page.total < 0,
+            )
         if page.total < 0:
             raise RequestError(ErrorKind.JOB_UNKNOWN, "no such job")
         await exchange.respond(
@@ -299,18 +311,40 @@
     async def _handle_item_body(
         self, exchange: Exchange, request: HttpRequest, path: str, query: str
     ) -> None:
-        team = self._authenticate(request)
         job = JobId(urllib.parse.unquote(path[len(ITEM_BODY_PATH) :]))
         item = urllib.parse.parse_qs(query).get("id", [""])[0]
         async with _answer_within(READ_TIMEOUT_S, ErrorKind.JOB_STORE_UNAVAILABLE):
-            found = await self._jobs.read_body(team, job, item)
+            found = await self._call_for_owner(
+                request,
+                lambda team: self._jobs.read_body(team, job, item),
+                lambda found: not found.found,
+            )
         if not found.found:
             raise RequestError(ErrorKind.JOB_UNKNOWN, "no such item")
         headers = [(b"content-type", b"application/octet-stream")]
         await exchange.respond(HttpResponse(200, headers, found.body))
 
-    def _authenticate(self, request: HttpRequest) -> TeamId:
-        return self._online.admission.team_of(request.header(wire.CALLER_KEY))
+    async def _call_for_owner(
+        self,
+        request: HttpRequest,
+        call: Callable[[TeamId], Awaitable[T]],
+        is_unknown: Callable[[T], bool],
+    ) -> T:
+        """Make a call about a job of the caller's team or of no team: one that came
+        without a known key on a public route, which may be closed by now. Raises
+        RequestError if there is none and the key is not known.
+        """
+        admission = self._online.admission
+        key = request.header(wire.CALLER_KEY)
+        team = admission.find_team(key)
+        if team is not None:
+            answer = await call(team.id)
+            if not is_unknown(answer):
+                return answer
+        answer = await call(NO_TEAM)
+        if is_unknown(answer):
+            admission.check_key(key)
+        return answer
 
     def _report_abandoned(
         self,
--- a/apricotquay/serving/batch/itemattempts.py
+++ b/apricotquay/serving/batch/itemattempts.py
@@ -237,7 +237,7 @@
             item.path,
             headers,
             item.body,
-            job.header.team,
+            job.header.team or None,
             max(1, min(ITEM_TIMEOUT_MS, remaining_ms)),
             progress.last_id if progress.last_id >= 0 else None,
             self._attempts.prompt_parts(headers),
--- a/apricotquay/serving/online/admission.py
+++ b/apricotquay/serving/online/admission.py
@@ -38,13 +38,14 @@
 
     def authorize(self, host: str, path: str, key: str | None) -> Admission:
         """Return the route and the team; raise RequestError if access is denied."""
-        configuration = self._view.configuration
-        if configuration is None:
-            raise RequestError(ErrorKind.VIEW_STALE, "no configuration is known yet")
+        configuration = self._current()
         route = configuration.find_route(host, path)
         if route is None:
             raise RequestError(ErrorKind.ROUTE_UNKNOWN, "no route matches")
-        team = self._authenticate(configuration, route, key)
+        if not route.is_public:
+            self.check_key(key)
+        # Calls without a route find a job or a stream again by its caller's team.
+        team = self.find_team(key)
         if allowed_regions(route, team) is None:
             raise RequestError(
                 ErrorKind.ENDPOINT_MISSING, "route and team have no region in common"
@@ -57,29 +58,24 @@
         configuration = self._view.configuration
         return configuration.version if configuration else None
 
-    def team_of(self, key: str | None) -> TeamId:
-        """Return the team that a key belongs to; raise RequestError for a bad key."""
-        configuration = self._view.configuration
-        if configuration is None:
-            raise RequestError(ErrorKind.VIEW_STALE, "no configuration is known yet")
-        if not configuration.needs_keys:
-            return TeamId("")
-        return self._find_team(configuration, key).id
-
-    def _authenticate(
-        self, configuration: Configuration, route: Route, key: str | None
-    ) -> Team | None:
-        if route.is_public or not configuration.needs_keys:
-            return None
-        return self._find_team(configuration, key)
+    def find_team(self, key: str | None) -> Team | None:
+        """Return the team that a key belongs to, None if there is none."""
+        return self._current().team_of(key) if key else None
 
-    def _find_team(self, configuration: Configuration, key: str | None) -> Team:
+    def check_key(self, key: str | None) -> None:
+        """Raise RequestError unless a key is known or none is needed."""
+        configuration = self._current()
+        if not configuration.needs_keys or self.find_team(key) is not None:
+            return
         if not key:
             raise RequestError(ErrorKind.KEY_MISSING, "a key is needed")
-        team = configuration.team_of(key)
-        if team is None:
-            raise RequestError(ErrorKind.KEY_REJECTED, "the key is not known")
-        return team
+        raise RequestError(ErrorKind.KEY_REJECTED, "the key is not known")
+
+    def _current(self) -> Configuration:
+        configuration = self._view.configuration
+        if configuration is None:
+            raise RequestError(ErrorKind.VIEW_STALE, "no configuration is known yet")
+        return configuration
 
     def check_quarantine(self, request: OnlineRequest, team: Team | None) -> None:
         team_id = TeamId(team.id) if team else None
--- a/apricotquay/serving/online/handler.py
+++ b/apricotquay/serving/online/handler.py
@@ -210,6 +210,9 @@
             return
         team = TeamId(admission.team.id) if admission.team else None
         known = await self._streams.find(service, team, request.resumes)
+        if team is not None and not known.version:
+            # It may have begun without a key, when the route was public.
+            known = await self._streams.find(service, None, request.resumes)
         self._metrics.count("streams_taken_up")
         self._reporter.write(
             Event.STREAM_TAKEN_UP,
