--- a/apricotquay/serving/daemon.py
+++ b/apricotquay/serving/daemon.py
@@ -450,6 +450,7 @@
         self.metrics.set_gauge("endpoints_cold", cold_count)
         unused_count = self.slots.unused_grant_count
         self.metrics.set_gauge("grants_not_used", unused_count)
+        self.metrics.set_gauge("tickets_replaced", self.slots.replaced_count)
         zone_count = len(self.view.evacuations.zones)
         self.metrics.set_gauge("zones_evacuated", zone_count)
         self.metrics.set_gauge("connections_open", self.callers.connection_count)
--- a/apricotquay/serving/online/admission.py
+++ b/apricotquay/serving/online/admission.py
@@ -38,7 +38,7 @@
 
     def authorize(self, host: str, path: str, key: str | None) -> Admission:
         """Return the route and the team; raise RequestError if access is denied."""
-        configuration = self._current()
+        configuration = self._known_configuration()
         route = configuration.find_route(host, path)
         if route is None:
             raise RequestError(ErrorKind.ROUTE_UNKNOWN, "no route matches")
@@ -60,18 +60,18 @@
 
     def find_team(self, key: str | None) -> Team | None:
         """Return the team that a key belongs to, None if there is none."""
-        return self._current().team_of(key) if key else None
+        return self._known_configuration().team_of(key) if key else None
 
     def check_key(self, key: str | None) -> None:
         """Raise RequestError unless a key is known or none is needed."""
-        configuration = self._current()
+        configuration = self._known_configuration()
         if not configuration.needs_keys or self.find_team(key) is not None:
             return
         if not key:
             raise RequestError(ErrorKind.KEY_MISSING, "a key is needed")
         raise RequestError(ErrorKind.KEY_REJECTED, "the key is not known")
 
-    def _current(self) -> Configuration:
+    def _known_configuration(self) -> Configuration:
         configuration = self._view.configuration
         if configuration is None:
             raise RequestError(ErrorKind.VIEW_STALE, "no configuration is known yet")
--- a/apricotquay/serving/slots/allocator.py
+++ b/apricotquay/serving/slots/allocator.py
@@ -99,6 +99,8 @@
         self._introduced: weakref.WeakSet[PeerConnection] = weakref.WeakSet()
         # Grants of owners that did not count for cold endpoints.
         self.unused_grant_count: int = 0
+        # Tickets that excluded an endpoint which could be used again.
+        self.replaced_count: int = 0
         self._tasks: list[asyncio.Task] = []
 
     @property
@@ -164,8 +166,8 @@
                 checked[key] = self._exclusions.are_outdated(
                     waiter.service, request, waiter.unusable, waiter.excluded
                 )
-            if checked[key]:
-                waiter.mark_outdated()
+            if checked[key] and waiter.mark_outdated():
+                self.replaced_count += 1
 
     async def acquire(self, service: ServiceName, request: SlotRequest) -> SlotLease:
         """Wait for a slot; raise SlotUnavailableError when none comes in time."""
--- a/apricotquay/serving/slots/slotrequests.py
+++ b/apricotquay/serving/slots/slotrequests.py
@@ -106,11 +106,15 @@
         """The regions that the ticket may reach, empty for all."""
         return self.request.regions if self.request else frozenset()
 
-    def mark_outdated(self) -> None:
-        """End the wait so that another ticket is made, unless it is decided."""
-        if not self.decision.done():
-            self.is_outdated = True
-            self.resolve(None)
+    def mark_outdated(self) -> bool:
+        """End the wait so that another ticket is made, unless it is decided; return
+        whether it ended.
+        """
+        if self.decision.done():
+            return False
+        self.is_outdated = True
+        self.resolve(None)
+        return True
 
     def resolve(self, decision: Decision | None) -> None:
         """Set the final decision; None if none will come."""
--- a/tests/test_serving_outdatedtickets.py
+++ b/tests/test_serving_outdatedtickets.py
@@ -170,6 +170,7 @@
         self.change(endpoints, case.after)
         lease = await waiting
         self.assertEqual("e0", lease.endpoint)
+        self.assertEqual(1, fleet[-1].slots.replaced_count)
 
     @parameterized.expand(
         [
