--- a/apricotquay/serving/streams/streamlog.py
+++ b/apricotquay/serving/streams/streamlog.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import random
 
 import cbor2
 import msgspec
@@ -22,6 +23,9 @@
 PARTITION = 0
 RECORD_KEY = b"s"
 APPEND_INTERVAL_S = 0.1
+# The store may be well for a moment only, after which all daemons may be lost.
+RETRY_DELAY_S = 0.2
+MIN_JITTER = 0.5
 MAX_STREAMS_PER_RECORD = 4_000
 MAX_STREAMS_WAITING = 20_000
 READ_TIMEOUT_S = 0.4
@@ -181,9 +185,10 @@
             )
 
     async def _append_waiting(self) -> None:
-        """Append in batches until nothing waits; what a failed append held is lost."""
+        """Append in batches until nothing waits; what a failed append held waits on."""
+        delay_s = APPEND_INTERVAL_S
         while self._streams or self._notes:
-            await asyncio.sleep(APPEND_INTERVAL_S)
+            await asyncio.sleep(delay_s)
             streams = self._streams[:MAX_STREAMS_PER_RECORD]
             del self._streams[:MAX_STREAMS_PER_RECORD]
             notes = list(self._notes.values())
@@ -193,3 +198,18 @@
                 await self._log.append(STREAMS, PARTITION, [record], None)
             except LogError as exc:
                 self._reporter.report_lost("streams", str(exc))
+                self._put_back(streams, notes)
+                delay_s = RETRY_DELAY_S * random.uniform(MIN_JITTER, 1.0)
+            else:
+                delay_s = APPEND_INTERVAL_S
+
+    def _put_back(
+        self, streams: list[tuple[bytes, str]], notes: list[VersionNote]
+    ) -> None:
+        """Let the content of a failed append wait again; to read it twice is harmless
+        if it was appended after all.
+        """
+        self._streams[:0] = streams
+        del self._streams[:-MAX_STREAMS_WAITING]
+        for note in notes:
+            self._notes.setdefault(note.service, note)
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -18,7 +18,11 @@
 from apricotquay.serving.endpoints import Endpoint, EndpointTable
 from apricotquay.serving.fleet.keyedlog import KeyedRecord
 from apricotquay.serving.messages import FindStream, StreamBegan, StreamFound
-from apricotquay.serving.streams import streamkeeper, streamversions
+from apricotquay.serving.streams import (
+    streamkeeper,
+    streamlog as streamlog_module,
+    streamversions,
+)
 from apricotquay.serving.streams.streamkeeper import StreamKeeper
 from apricotquay.serving.streams.streamlog import (
     PARTITION,
@@ -529,3 +533,53 @@
             self.assertIsNone(await second.read())
 
         self.run_with_log(scenario)
+
+    @parameterized.expand(
+        [
+            ("refused", ["refuse"] * 3),
+            ("lost answer", ["lose"]),
+            ("dropped", ["drop"]),
+            ("all in turn", ["refuse", "lose", "drop"]),
+        ]
+    )
+    def test_streams_and_notes_of_a_failed_append_are_stored_later(self, _name, faults):
+        """The store is well again while the daemon still runs."""
+
+        async def scenario(memory, first, second):
+            left = list(faults)
+            memory.choose_fault = lambda: left.pop(0) if left else ""
+            first.note(VersionNote(SERVICE, ["v1"], True, NOW_MS))
+            first.enqueue([(b"a", "v1"), (b"b", "v2")])
+            async with asyncio.timeout(5.0):
+                while first._appending and not first._appending.done():
+                    await asyncio.sleep(0.01)
+            self.assertEqual([], left)
+            stored = await second.read()
+            found = [stored.find(key) for key in (b"a", b"b")]
+            self.assertEqual([{"v1"}, {"v2"}], found)
+            self.assertEqual({"v1"}, stored.listed(SERVICE, NOW_MS, MIN_LIFETIME_S))
+
+        self.run_with_log(scenario)
+
+    def test_streams_that_wait_for_the_store_are_bounded(self):
+        """The newest are kept, and a newer note replaces one that failed."""
+
+        async def scenario(memory, first, second):
+            memory.choose_fault = lambda: "refuse"
+            first.note(VersionNote(SERVICE, ["v1"], True, NOW_MS))
+            first.enqueue([(b"%d" % number, "v1") for number in range(6)])
+            await asyncio.sleep(0.3)
+            first.note(VersionNote(SERVICE, ["v2"], True, NOW_MS))
+            first.enqueue([(b"%d" % number, "v1") for number in range(6, 9)])
+            await asyncio.sleep(0.3)
+            memory.choose_fault = lambda: ""
+            async with asyncio.timeout(5.0):
+                while not first._appending.done():
+                    await asyncio.sleep(0.01)
+            stored = await second.read()
+            known = {n for n in range(9) if stored.find(b"%d" % n)}
+            self.assertEqual({5, 6, 7, 8}, known)
+            self.assertEqual({"v2"}, stored.listed(SERVICE, NOW_MS, MIN_LIFETIME_S))
+
+        self.patch(streamlog_module, "MAX_STREAMS_WAITING", 4)
+        self.run_with_log(scenario)
