--- a/tests/test_platform_publicroutes.py
+++ b/tests/test_platform_publicroutes.py
@@ -128,6 +128,45 @@
 
         self.run_scenario(scenario)
 
+    def test_job_of_a_team_is_found_when_the_configuration_names_teams_no_more(self):
+        """Its caller still sends the key that it came with."""
+
+        async def scenario(fleet):
+            await self.configure(fleet, 2, is_public=False)
+            self.assertEqual(202, await self.submit(fleet, "k1"))
+            await self.wait_until_run(fleet)
+            value = public_configuration(3, is_public=False)
+            del value["tenants"]
+            await write_configuration(fleet.store_address, value)
+            for daemon in fleet.daemons:
+                await fleet.wait_until(
+                    lambda d=daemon: d.view.configuration.version == 3
+                )
+            self.assertEqual([200], await self.call_job(fleet, "k1"))
+
+        self.run_scenario(scenario)
+
+    def test_job_sent_again_with_a_key_that_was_not_known_is_accepted_once(self):
+        """The first one is of no team, and so are those of the previous release."""
+
+        async def scenario(fleet):
+            await self.configure(fleet, 2, is_public=True)
+            self.assertEqual(202, await self.submit(fleet, UNKNOWN_KEY))
+            await self.wait_until_run(fleet)
+            value = public_configuration(3, is_public=True)
+            value["tenants"][0]["api_keys"].append(UNKNOWN_KEY)
+            await write_configuration(fleet.store_address, value)
+            for daemon in fleet.daemons:
+                await fleet.wait_until(
+                    lambda d=daemon: d.view.configuration.version == 3
+                )
+            self.assertEqual(202, await self.submit(fleet, UNKNOWN_KEY))
+            await fleet.wait_for_results(fleet.daemons[0], "j")
+            tenants = {run["tenant"] for run in fleet.runs}
+            self.assertEqual({None}, tenants)
+
+        self.run_scenario(scenario)
+
     @parameterized.expand(
         [
             ("a team's", "k1", "small"),
