--- a/tests/test_platform_publicroutes.py
+++ b/tests/test_platform_publicroutes.py
@@ -154,7 +154,7 @@
             self.assertEqual(202, await self.submit(fleet, UNKNOWN_KEY))
             await self.wait_until_run(fleet)
             value = public_configuration(3, is_public=True)
-            value["tenants"][0]["api_keys"].append(UNKNOWN_KEY)
+            value["tenants"][0]["api_keys"] = [*KEYS["small"], UNKNOWN_KEY]
             await write_configuration(fleet.store_address, value)
             for daemon in fleet.daemons:
                 await fleet.wait_until(
